--- a/vanillareach/core/dispatching.py
+++ b/vanillareach/core/dispatching.py
@@ -21,8 +21,8 @@
 CALLER_GAP_OBJECTIVES = 4.0
 CALLER_GAP_PAUSES = 8.0
 GAP_SHARE = 0.65
-# A plain call is silent for this part of its time before another endpoint is asked.
-PLAIN_SILENCE_SHARE = 0.33
+# Silence of a plain call after which another endpoint is asked, if the time left then
+# is as long again.
 PLAIN_SILENCE_MS = 700.0
 # Callers wait at most a third of their time before they return.
 RETRY_AFTER_SHARE = 0.25
@@ -175,7 +175,9 @@
         if route.kind is RequestKind.STREAM:
             predicted_ms = FIRST_EVENT_FACTOR * target.first_event_ms
             return predicted_ms + FIRST_EVENT_SLACK_MS
-        return min(PLAIN_SILENCE_MS, PLAIN_SILENCE_SHARE * route.timeout_ms)
+        if route.timeout_ms < 2 * PLAIN_SILENCE_MS:
+            return float("inf")
+        return PLAIN_SILENCE_MS
 
     def gap_limit_ms(self, exchange):
         """Return the silence between events that is taken for a loss."""
