Read long prompts wide, in parts that others can bear

Cause: spans were as narrow as the objective allowed, so their parts of one to two seconds paused whoever wrote there (limit 1 s) and made later spans wait; a pass holds all the reading that waits, not 450 ms of it. Spans now pay for the square of the time they keep an engine, delays of readers cost, gathering with writers is worth more, and a stream's first event is waited for as long as a second attempt leaves room.

--- a/vanillareach/core/dispatching.py
+++ b/vanillareach/core/dispatching.py
@@ -12,9 +12,12 @@
 # Ranks of the endpoint's priority number taken by one rank of route or team.
 RANKS_PER_PRIORITY = 2
 LAST_PRIORITY = 9
-# Silence before the first event that is taken for a loss, beyond the prediction.
-FIRST_EVENT_FACTOR = 2.5
-FIRST_EVENT_SLACK_MS = 1_200.0
+# Time kept for a second attempt: this many predictions, and some slack.
+SECOND_ATTEMPT_FACTOR = 2.0
+SECOND_ATTEMPT_SLACK_MS = 1_500.0
+# Silence before the first event that is always borne, in predictions and besides.
+FIRST_EVENT_FACTOR = 1.5
+FIRST_EVENT_SLACK_MS = 600.0
 # Callers leave a stream after this silence: a fixed time, or multiples of what the
 # route owes, whichever is longest. It is given up at a part of that.
 CALLER_GAP_MS = 2_000.0
@@ -167,14 +170,17 @@
         length_rank = 0 if tokens <= SHORT_TOKENS else 1
         return min(LAST_PRIORITY, RANKS_PER_PRIORITY * exchange.priority + length_rank)
 
-    def silence_limit_ms(self, exchange, target):
+    def silence_limit_ms(self, exchange, target, now_ms):
         """Return the silence before the first byte that is taken for a loss."""
         route = exchange.route
         if not route.is_repeatable:
             return float("inf")
         if route.kind is RequestKind.STREAM:
-            predicted_ms = FIRST_EVENT_FACTOR * target.first_event_ms
-            return predicted_ms + FIRST_EVENT_SLACK_MS
+            predicted_ms = target.first_event_ms
+            second_ms = SECOND_ATTEMPT_FACTOR * predicted_ms + SECOND_ATTEMPT_SLACK_MS
+            left_ms = exchange.deadline_ms - now_ms
+            least_ms = FIRST_EVENT_FACTOR * predicted_ms + FIRST_EVENT_SLACK_MS
+            return max(least_ms, min(self.gap_limit_ms(exchange), left_ms - second_ms))
         if route.timeout_ms < 2 * PLAIN_SILENCE_MS:
             return float("inf")
         return PLAIN_SILENCE_MS
--- a/vanillareach/core/engine_time.py
+++ b/vanillareach/core/engine_time.py
@@ -36,13 +36,8 @@
     Parameters
     ----------
     reading_ms : float
-        Prompt reading that waits; a pass takes at most a chunk of it a step.
+        Prompt reading that waits. A pass takes a chunk of it at each of its steps,
+        which holds nearly all that ever waits.
     """
     writing = figures.steps_per_pass * step_ms(figures, writers, context_tokens)
-    return writing + min(reading_ms, reading_cap_ms(figures))
-
-
-def reading_cap_ms(figures):
-    """Return the most reading that one pass with writers can hold."""
-    chunk_ms = figures.chunk_tokens / figures.read_tokens_per_ms
-    return figures.steps_per_pass * chunk_ms
+    return writing + reading_ms
--- a/vanillareach/core/load_picture.py
+++ b/vanillareach/core/load_picture.py
@@ -56,9 +56,11 @@
         Requests that hold a slot.
     writers : list of Flight
     readers : list of (Flight, float)
-        Requests whose first event is still to come, with their age.
+        Requests that it answers whose first event is still to come, with their age.
     reading_ms : float
         Reading that is left.
+    part_reading_ms : float
+        Reading that is left for other engines' requests, which goes first.
     helping : int
         Other engines' requests that it reads for.
     memory_tokens : int
@@ -71,6 +73,7 @@
     writers: list = field(default_factory=list)
     readers: list = field(default_factory=list)
     reading_ms: float = 0.0
+    part_reading_ms: float = 0.0
     helping: int = 0
     memory_tokens: int = 0
     context_tokens: int = 0
@@ -128,15 +131,17 @@
                 continue
             load.readers.append((flight, age_ms))
             reads.append((age_ms, flight))
-        # Engines read in order of arrival: the oldest flight first.
+        # Parts for other engines' requests go first, the oldest before later ones.
         reads.sort(key=lambda item: -item[0])
         busy_until = {}
         for age_ms, flight in reads:
-            for engine in (flight.engine, *flight.helpers):
-                begin = max(busy_until.get(engine, -age_ms), -age_ms)
-                busy_until[engine] = begin + flight.part_ms
-                if engine != flight.engine:
-                    loads.setdefault(engine, EngineLoad()).helping += 1
+            for engine in flight.helpers:
+                _queue(busy_until, engine, age_ms, flight.part_ms)
+                loads.setdefault(engine, EngineLoad()).helping += 1
+        for engine, until_ms in busy_until.items():
+            loads[engine].part_reading_ms = max(OVERDUE_READ_MS, until_ms)
+        for age_ms, flight in reads:
+            _queue(busy_until, flight.engine, age_ms, flight.part_ms)
         for engine, until_ms in busy_until.items():
             loads[engine].reading_ms = max(OVERDUE_READ_MS, until_ms)
         return loads
@@ -152,3 +157,9 @@
                 continue
             for flight in flights:
                 yield flight, flight.age_ms + silent_ms
+
+
+def _queue(busy_until, engine, age_ms, part_ms):
+    """Append a read of `part_ms` that began to wait `age_ms` ago."""
+    begin_ms = max(busy_until.get(engine, -age_ms), -age_ms)
+    busy_until[engine] = begin_ms + part_ms
--- a/vanillareach/core/span_placement.py
+++ b/vanillareach/core/span_placement.py
@@ -11,7 +11,7 @@
 
 from dataclasses import dataclass
 
-from vanillareach.core.engine_time import pass_ms, read_ms, reading_cap_ms
+from vanillareach.core.engine_time import pass_ms, read_ms
 from vanillareach.core.load_picture import EngineLoad
 
 # Helpers that an endpoint accepts for one request.
@@ -22,14 +22,21 @@
 # A prediction of this share of a limit begins to risk it, and of the second breaks it.
 RISK_BEGINS = 0.7
 RISK_ENDS = 1.1
+# Part of a reader's worth charged for a delay as long as its whole objective: what
+# comes later adds to it.
+DELAY_LOSS = 0.15
 # Wait for a slot at an engine whose slots are all taken.
 FULL_WAIT_MS = 900.0
 # Requests that may wait at an engine beyond its slots.
 MAX_WAITING = 2
 # Value of gathering with a writer, and cost of each engine of a span, in worth.
-GATHERING = 0.004
+GATHERING = 0.03
 GATHERING_WRITERS = 6
 SPAN_COST = 0.02
+# Cost of an engine that reads for a second, in worth; it grows with the square, since
+# all that comes meanwhile waits for what is left of it.
+OCCUPANCY_COST = 0.3
+MS_PER_SECOND = 1000.0
 # Cost of a byte between failure domains is small beside a late answer.
 DOMAIN_COST = 0.008
 # Prompts shorter than this are not worth a span.
@@ -170,8 +177,9 @@
         cost += SPAN_COST * (width - 1)
         writing = pass_ms(figures, 1, need.prompt_tokens / width)
         for view in chosen:
-            wait_ms = _wait_ms(figures, view) + part_ms * view.pace + writing
+            wait_ms = _part_wait_ms(figures, view) + part_ms * view.pace + writing
             slowest_ms = max(slowest_ms, wait_ms)
+    cost += OCCUPANCY_COST * width * (part_ms / MS_PER_SECOND) ** 2
     # The host's own lateness is counted at its own wait; the span's at its slowest.
     cost += _own_loss(need, slowest_ms) - _own_loss(
         need, _first_event_ms(figures, host, part_ms)
@@ -194,7 +202,7 @@
     return (
         _inflicted(figures, view, part_ms)
         + view.failure_share
-        + (_wait_ms(figures, view) + part_ms * view.pace) / 10_000
+        + (_part_wait_ms(figures, view) + part_ms * view.pace) / 10_000
     )
 
 
@@ -203,9 +211,18 @@
 
 
 def _wait_ms(figures, view):
-    """Return the time until an engine begins to read something new."""
+    """Return the time until an engine begins to read a request of its own."""
+    return _delay_ms(figures, view, view.load.reading_ms)
+
+
+def _part_wait_ms(figures, view):
+    """Return the time until an engine begins to read a part for another one."""
+    return _delay_ms(figures, view, view.load.part_reading_ms)
+
+
+def _delay_ms(figures, view, reading_ms):
     load = view.load
-    wait_ms = load.reading_ms
+    wait_ms = reading_ms
     if load.writers:
         wait_ms += 0.5 * pass_ms(figures, len(load.writers), load.context_tokens)
     return wait_ms * view.pace
@@ -213,13 +230,9 @@
 
 def _first_event_ms(figures, view, part_ms):
     load = view.load
-    total_ms = load.reading_ms + part_ms
     wait_ms = _wait_ms(figures, view) + part_ms * view.pace
     writing = pass_ms(figures, len(load.writers) + 1, load.context_tokens)
-    passes = 1
-    if load.writers:
-        passes += int(total_ms / reading_cap_ms(figures))
-    wait_ms += passes * writing * view.pace
+    wait_ms += writing * view.pace
     if load.running >= figures.slots:
         wait_ms += FULL_WAIT_MS * (1 + load.running - figures.slots)
     return wait_ms
@@ -240,8 +253,10 @@
         lost += flight.worth * (risk(after, limit) - risk(before, limit))
     for flight, age_ms in load.readers:
         first_ms = age_ms + before
-        limit = flight.objective_ms
+        limit = max(1.0, flight.objective_ms)
+        delay_ms = part_ms * view.pace
         lost += flight.worth * (
-            risk(first_ms + part_ms * view.pace, limit) - risk(first_ms, limit)
+            risk(first_ms + delay_ms, limit) - risk(first_ms, limit)
         )
+        lost += flight.worth * DELAY_LOSS * min(1.0, delay_ms / limit)
     return LATE_LOSS * lost
--- a/vanillareach/gateway/exchange.py
+++ b/vanillareach/gateway/exchange.py
@@ -63,6 +63,10 @@
         Attempts that reached an endpoint, and those that may have run.
     tried : set of str
         Endpoints that are not asked again.
+    first_event_ms : int or None
+        Time from the request to its first event.
+    longest_pause_ms : float
+        Longest time between two events.
     """
 
     __slots__ = (
@@ -70,8 +74,11 @@
         "events",
         "fields",
         "fingerprint",
+        "first_event_ms",
         "held",
+        "last_event_ms",
         "last_result",
+        "longest_pause_ms",
         "request",
         "route",
         "runs",
@@ -98,6 +105,9 @@
         self.last_result = None
         self.weights = None
         self.fingerprint = ""
+        self.first_event_ms = None
+        self.last_event_ms = None
+        self.longest_pause_ms = 0.0
         self.events = EventSplitter(fields.last_event_id)
 
     @property
@@ -105,6 +115,15 @@
         """Identity of the caller's attempt."""
         return self.fields.attempt_id
 
+    def note_event(self, now_ms):
+        """Record that an event arrived."""
+        if self.last_event_ms is None:
+            self.first_event_ms = round(now_ms - self.request.received_ms)
+        else:
+            pause_ms = now_ms - self.last_event_ms
+            self.longest_pause_ms = max(self.longest_pause_ms, pause_ms)
+        self.last_event_ms = now_ms
+
     @property
     def priority(self):
         """Rank; a team's goes before the route's."""
--- a/vanillareach/gateway/forwarder.py
+++ b/vanillareach/gateway/forwarder.py
@@ -147,9 +147,10 @@
             id=exchange.id,
             route=exchange.route.name,
             endpoint=target.endpoint.id,
-            helpers=len(target.helpers),
+            helpers=[helper.id for helper in target.helpers],
             predicted_ms=round(target.first_event_ms),
             cost=round(target.cost, 2),
+            prompt=exchange.fields.prompt_tokens,
             load_age_ms=round(self._state.picture.age_ms(now_ms)),
             list_age_ms=round(self._state.age_ms(self._state.endpoints.confirmed_ms)),
             version=table.version,
@@ -164,9 +165,9 @@
             sent = True
 
         flight = self._dispatcher.begin(exchange, target, now_ms)
-        limit_ms = self._dispatcher.silence_limit_ms(exchange, target)
+        limit_ms = self._dispatcher.silence_limit_ms(exchange, target, now_ms)
         silence = trio.CancelScope(deadline=trio.current_time() + limit_ms / 1000)
-        result = AttemptResult.SILENT
+        result = None
         try:
             with silence:
                 result = await self._exchange(
@@ -178,8 +179,10 @@
             result, detail = AttemptResult.BROKEN, str(error)
         finally:
             self._dispatcher.end(flight)
-        if result is AttemptResult.SILENT and not sent:
-            result = AttemptResult.UNREACHABLE
+            if result is None and not silence.cancelled_caught:
+                self._log_end(exchange, target, "abandoned", "caller or time gone")
+        if result is None:
+            result = AttemptResult.SILENT if sent else AttemptResult.UNREACHABLE
         await self._note_result(exchange, target, result, detail)
         return result
 
@@ -255,13 +258,15 @@
 
     def _note_event(self, exchange, target, flight, silence):
         """Record that an event arrived."""
+        now_ms = self._clock.now_ms()
+        exchange.note_event(now_ms)
         limit_ms = self._dispatcher.gap_limit_ms(exchange)
-        silence.deadline = trio.current_time() + limit_ms / 1000
+        silence.deadline = (now_ms + limit_ms) / 1000
         if flight.is_reading:
-            now_ms = self._clock.now_ms()
             self._dispatcher.note_first_event(flight)
-            first_ms = now_ms - exchange.request.received_ms
-            self._metrics.record_first_token(exchange.route.name, first_ms)
+            self._metrics.record_first_token(
+                exchange.route.name, exchange.first_event_ms
+            )
 
     async def _note_result(self, exchange, target, result, detail):
         now_ms = self._clock.now_ms()
@@ -277,17 +282,22 @@
             state.health.note(key, True, now_ms)
         elif not target.helpers:
             state.health.note(key, True, now_ms)
+        self._log_end(exchange, target, result.name.lower(), detail)
+        if result is AttemptResult.BROKEN:
+            await self._check_loss(exchange, target)
+
+    def _log_end(self, exchange, target, result, detail):
         log.info(
             "Attempt ended.",
             id=exchange.id,
             endpoint=target.endpoint.id,
-            result=result.name.lower(),
+            result=result,
             detail=detail,
             last_event=exchange.events.last_id,
-            after_ms=round(now_ms - exchange.request.received_ms),
+            first_event_ms=exchange.first_event_ms,
+            longest_pause_ms=round(exchange.longest_pause_ms),
+            after_ms=round(self._clock.now_ms() - exchange.request.received_ms),
         )
-        if result is AttemptResult.BROKEN:
-            await self._check_loss(exchange, target)
 
     async def _check_loss(self, exchange, target):
         """Record a crash if the endpoint of a broken attempt is gone."""
