Serve prompts beyond one engine's memory; refuse what would cost others more

Spans now count what every unfinished reader loses, keep engines clear for as many short prompts as write, are refused when others would lose more than they gain, and a silence is not taken for a loss while the engine has reading left.

--- a/vanillareach/core/dispatching.py
+++ b/vanillareach/core/dispatching.py
@@ -27,10 +27,14 @@
 # Silence of a plain call after which another endpoint is asked, if the time left then
 # is as long again.
 PLAIN_SILENCE_MS = 700.0
-# Callers wait at most a third of their time before they return.
-RETRY_AFTER_SHARE = 0.25
-MIN_RETRY_AFTER_MS = 150.0
-MAX_RETRY_AFTER_MS = 1_500.0
+# Part of its latency objective that a request waits for a place.
+WAIT_SHARE = 0.25
+# Refused callers return within these times, spread by up to this part of them.
+MIN_RETRY_AFTER_MS = 300.0
+MAX_RETRY_AFTER_MS = 3_000.0
+RETRY_SPREAD = 0.5
+# Reading left at an engine that explains its silence.
+READING_LEFT_MS = 60.0
 # A token written counts as so many read ones, and so many make a unit of worth.
 TOKENS_PER_ANSWER_TOKEN = 10
 TOKENS_PER_WORTH = 13_000
@@ -48,6 +52,14 @@
     part_ms: float = 0.0
     first_event_ms: float = 0.0
     cost: float = 0.0
+    gain: float = 0.0
+    held_tokens: tuple = ()
+
+    @property
+    def tokens_by_holder(self):
+        """Memory to reserve, by helper."""
+        held = zip(self.helpers, self.held_tokens, strict=False)
+        return {helper: tokens for helper, tokens in held if tokens}
 
 
 class Dispatcher:
@@ -120,14 +132,30 @@
         chosen = place(need, exchange.service.engine, views)
         if chosen is None:
             return None
+        # A stream that has begun goes on, whatever that costs.
+        if chosen.gain < 0 and exchange.first_event_ms is None:
+            return None
         return Target(
             chosen.engine,
             chosen.helpers,
             chosen.part_ms,
             chosen.first_event_ms,
             chosen.cost,
+            chosen.gain,
+            chosen.held_tokens,
         )
 
+    def may_wait(self, exchange, now_ms):
+        """Return whether a request without a place may wait for one.
+
+        Reading that is in progress ends soon, so a short wait places more than a
+        refusal does; a longer one would only use up the caller's time.
+        """
+        if exchange.service.engine is None:
+            return False
+        waited_ms = now_ms - exchange.request.received_ms
+        return waited_ms < WAIT_SHARE * exchange.route.objective_ms
+
     def begin(self, exchange, target, now_ms):
         """Record a dispatch and return its `Flight`."""
         self._number += 1
@@ -136,8 +164,11 @@
             id=f"{exchange.id}-{self._number}",
             engine=target.endpoint.id,
             helpers=tuple(helper.id for helper in target.helpers),
+            held_tokens=target.held_tokens,
             prompt_tokens=fields.prompt_tokens,
-            memory_tokens=fields.prompt_tokens + fields.answer_tokens,
+            memory_tokens=fields.prompt_tokens
+            + fields.answer_tokens
+            - sum(target.held_tokens),
             part_ms=target.part_ms,
             objective_ms=route.objective_ms,
             pause_limit_ms=route.pause_limit_ms,
@@ -196,11 +227,23 @@
             CALLER_GAP_PAUSES * route.pause_limit_ms,
         )
 
+    def is_explained(self, flight, now_ms):
+        """Return whether a silence is due to reading that the engine has left."""
+        loads = self._state.picture.loads_by_engine(now_ms)
+        return any(
+            loads[engine].reading_ms > READING_LEFT_MS
+            for engine in (flight.engine, *flight.helpers)
+            if engine in loads
+        )
+
     def retry_after_ms(self, exchange, now_ms):
-        """Return when a refused caller may find room."""
-        left_ms = max(0.0, exchange.deadline_ms - now_ms)
-        wait_ms = RETRY_AFTER_SHARE * min(left_ms, 4 * MAX_RETRY_AFTER_MS)
-        return max(MIN_RETRY_AFTER_MS, min(MAX_RETRY_AFTER_MS, wait_ms))
+        """Return when a refused caller may find room: when most reading is done."""
+        names = [e.id for e in self._state.endpoints.usable(exchange.service.name)]
+        loads = self._state.picture.loads_by_engine(now_ms)
+        left = sorted(loads.get(name, EMPTY).reading_ms for name in names)
+        wait_ms = left[len(left) // 2] if left else MAX_RETRY_AFTER_MS
+        spread = RETRY_SPREAD * self._random.random()
+        return max(MIN_RETRY_AFTER_MS, min(MAX_RETRY_AFTER_MS, wait_ms)) * (1 + spread)
 
 
 def worth_of(fields):
--- a/vanillareach/core/load_picture.py
+++ b/vanillareach/core/load_picture.py
@@ -21,6 +21,8 @@
         Id of the engine that answers.
     helpers : tuple of str
         Ids of engines that read parts of the prompt.
+    held_tokens : tuple of int
+        Memory reserved at each helper; empty without reservations.
     prompt_tokens, memory_tokens : int
         Length of the prompt; memory at the answering engine.
     part_ms : float
@@ -36,6 +38,7 @@
     id: str
     engine: str
     helpers: tuple[str, ...]
+    held_tokens: tuple[int, ...]
     prompt_tokens: int
     memory_tokens: int
     part_ms: float
@@ -56,11 +59,9 @@
         Requests that hold a slot.
     writers : list of Flight
     readers : list of (Flight, float)
-        Requests that it answers whose first event is still to come, with their age.
+        Requests that it reads for, whose first event is still to come, with their age.
     reading_ms : float
         Reading that is left.
-    part_reading_ms : float
-        Reading that is left for other engines' requests, which goes first.
     helping : int
         Other engines' requests that it reads for.
     memory_tokens : int
@@ -73,7 +74,6 @@
     writers: list = field(default_factory=list)
     readers: list = field(default_factory=list)
     reading_ms: float = 0.0
-    part_reading_ms: float = 0.0
     helping: int = 0
     memory_tokens: int = 0
     context_tokens: int = 0
@@ -125,23 +125,23 @@
             load = loads.setdefault(flight.engine, EngineLoad())
             load.running += 1
             load.memory_tokens += flight.memory_tokens
+            for helper, tokens in zip(flight.helpers, flight.held_tokens, strict=False):
+                loads.setdefault(helper, EngineLoad()).memory_tokens += tokens
             if not flight.is_reading:
                 load.writers.append(flight)
                 load.context_tokens += flight.prompt_tokens
                 continue
-            load.readers.append((flight, age_ms))
             reads.append((age_ms, flight))
-        # Parts for other engines' requests go first, the oldest before later ones.
+        # Whatever the order of reads is, an engine's whole work is left the same.
         reads.sort(key=lambda item: -item[0])
         busy_until = {}
         for age_ms, flight in reads:
-            for engine in flight.helpers:
-                _queue(busy_until, engine, age_ms, flight.part_ms)
-                loads.setdefault(engine, EngineLoad()).helping += 1
-        for engine, until_ms in busy_until.items():
-            loads[engine].part_reading_ms = max(OVERDUE_READ_MS, until_ms)
-        for age_ms, flight in reads:
-            _queue(busy_until, flight.engine, age_ms, flight.part_ms)
+            for engine in (flight.engine, *flight.helpers):
+                begin_ms = max(busy_until.get(engine, -age_ms), -age_ms)
+                busy_until[engine] = begin_ms + flight.part_ms
+                load = loads.setdefault(engine, EngineLoad())
+                load.readers.append((flight, age_ms))
+                load.helping += engine != flight.engine
         for engine, until_ms in busy_until.items():
             loads[engine].reading_ms = max(OVERDUE_READ_MS, until_ms)
         return loads
@@ -157,9 +157,3 @@
                 continue
             for flight in flights:
                 yield flight, flight.age_ms + silent_ms
-
-
-def _queue(busy_until, engine, age_ms, part_ms):
-    """Append a read of `part_ms` that began to wait `age_ms` ago."""
-    begin_ms = max(busy_until.get(engine, -age_ms), -age_ms)
-    busy_until[engine] = begin_ms + part_ms
--- a/vanillareach/core/span_placement.py
+++ b/vanillareach/core/span_placement.py
@@ -37,8 +37,20 @@
 # all that comes meanwhile waits for what is left of it.
 OCCUPANCY_COST = 0.3
 MS_PER_SECOND = 1000.0
+# Reading that is left at a helper counts this little against it, in ms per worth.
+WAIT_PER_COST_MS = 10_000.0
+# Engines are kept clear for as many short prompts as write now, filled to this part of
+# their slots; an engine is clear with no more reading than this. A short prompt is
+# written in about so many seconds.
+CLEAR_SLOTS = 0.6
+CLEAR_MS = 60.0
+WRITING_S = 2.0
 # Cost of a byte between failure domains is small beside a late answer.
 DOMAIN_COST = 0.008
+# Memory of each engine that reservations leave to short prompts, and the least worth
+# reserving.
+KEPT_MEMORY_SHARE = 0.15
+MIN_HELD_TOKENS = 8_192
 # Prompts shorter than this are not worth a span.
 SPAN_TOKENS = 12_000
 EMPTY = EngineLoad()
@@ -100,6 +112,10 @@
         Predicted time to the first event.
     cost : float
         Predicted loss of benefit, in worth.
+    gain : float
+        Predicted benefit less what others lose; below 0 it is better refused.
+    held_tokens : tuple of int
+        Memory to reserve at each helper, 0 for none; empty if the engine has room.
     """
 
     engine: object
@@ -107,6 +123,8 @@
     part_ms: float
     first_event_ms: float
     cost: float
+    gain: float
+    held_tokens: tuple = ()
 
 
 def risk(value_ms, limit_ms):
@@ -127,11 +145,12 @@
     views : list of EngineView
     """
     hosts = [view for view in views if _has_room(need, figures, view)]
-    if not hosts:
-        return None
+    over_memories = not hosts
+    if over_memories:
+        hosts = _hosts_by_free_memory(figures, views)
     best = None
-    for width in _widths(need, figures, len(views)):
-        chosen = _place_span(need, figures, hosts, views, width)
+    for width in _widths(need, len(views)):
+        chosen = _place_span(need, figures, hosts, views, width, over_memories)
         if chosen is not None and (best is None or chosen.cost < best.cost):
             best = chosen
     return best
@@ -144,47 +163,100 @@
     return fits and load.running < figures.slots + MAX_WAITING
 
 
-def _widths(need, figures, engines):
+def _hosts_by_free_memory(figures, views):
+    """Return the engine that can hold most of a prompt that fits no engine."""
+    ready = [view for view in views if view.load.running < figures.slots]
+    return sorted(ready, key=lambda view: view.load.memory_tokens)[:1]
+
+
+def _widths(need, engines):
     if need.prompt_tokens < SPAN_TOKENS:
         return (1,)
     most = min(engines, MAX_HELPERS + 1)
     return [width for width in SPAN_WIDTHS if width <= most]
 
 
-def _place_span(need, figures, hosts, views, width):
+def _place_span(need, figures, hosts, views, width, over_memories):
+    """Return the best `Placement` on `width` engines, or None."""
+    if not hosts:
+        return None
     part_ms = read_ms(figures, need.prompt_tokens, width)
-    ranked = sorted(
-        hosts,
-        key=lambda view: _host_cost(need, figures, view, part_ms),
-    )
-    host = ranked[0]
-    cost = _host_cost(need, figures, host, part_ms)
-    slowest_ms = _first_event_ms(figures, host, part_ms)
-    helpers = ()
-    if width > 1:
-        others = [
-            view
-            for view in views
-            if view is not host and view.load.helping < figures.slots
-        ]
-        if len(others) < width - 1:
-            return None
-        others.sort(key=lambda view: _helper_cost(figures, view, part_ms))
-        chosen = others[: width - 1]
-        helpers = tuple(view.endpoint for view in chosen)
-        cost += sum(_inflicted(figures, view, part_ms) for view in chosen)
-        cost += sum(need.worth * view.failure_share for view in chosen)
-        cost += SPAN_COST * (width - 1)
-        writing = pass_ms(figures, 1, need.prompt_tokens / width)
-        for view in chosen:
-            wait_ms = _part_wait_ms(figures, view) + part_ms * view.pace + writing
-            slowest_ms = max(slowest_ms, wait_ms)
-    cost += OCCUPANCY_COST * width * (part_ms / MS_PER_SECOND) ** 2
-    # The host's own lateness is counted at its own wait; the span's at its slowest.
-    cost += _own_loss(need, slowest_ms) - _own_loss(
-        need, _first_event_ms(figures, host, part_ms)
+    host = min(hosts, key=lambda view: _host_cost(need, figures, view, part_ms))
+    helpers = _helpers(figures, host, views, width, part_ms)
+    if helpers is None:
+        return None
+    held = _held_tokens(need, figures, host, helpers) if over_memories else ()
+    if held is None:
+        return None
+    first_ms = _first_event_ms(figures, host, part_ms)
+    cost = _host_cost(need, figures, host, part_ms) - _own_loss(need, first_ms)
+    writing_ms = pass_ms(figures, 1, need.prompt_tokens / width)
+    for view in helpers:
+        read_by_ms = _pass_wait_ms(figures, view) + part_ms * view.pace
+        first_ms = max(first_ms, read_by_ms + writing_ms)
+        cost += _inflicted(figures, view, part_ms)
+        cost += need.worth * view.failure_share + SPAN_COST
+    cost += _own_loss(need, first_ms)
+    if need.prompt_tokens >= SPAN_TOKENS:
+        cost += _blocking_cost(figures, views, (host, *helpers), part_ms)
+    gain = need.worth - cost
+    if need.prompt_tokens >= SPAN_TOKENS:
+        cost += OCCUPANCY_COST * width * (part_ms / MS_PER_SECOND) ** 2
+    endpoints = tuple(view.endpoint for view in helpers)
+    return Placement(host.endpoint, endpoints, part_ms, first_ms, cost, gain, held)
+
+
+def _helpers(figures, host, views, width, part_ms):
+    """Return the `width` - 1 engines that lose least by reading a part, or None."""
+    others = [
+        view for view in views if view is not host and view.load.helping < figures.slots
+    ]
+    if len(others) < width - 1:
+        return None
+    others.sort(key=lambda view: _helper_cost(figures, view, part_ms))
+    return others[: width - 1]
+
+
+def _held_tokens(need, figures, host, helpers):
+    """Return the memory to reserve at each helper, or None if it is too little."""
+    kept = int(KEPT_MEMORY_SHARE * figures.memory_tokens)
+    at_host = max(0, _free_tokens(figures, host) - kept - need.answer_tokens)
+    rest = need.prompt_tokens - at_host
+    held_by_engine = {}
+    for view in sorted(helpers, key=lambda view: view.load.memory_tokens):
+        tokens = max(0, min(rest, _free_tokens(figures, view) - kept))
+        if tokens >= min(rest, MIN_HELD_TOKENS) and tokens > 0:
+            held_by_engine[view.endpoint.id] = tokens
+            rest -= tokens
+    if rest > 0:
+        return None
+    return tuple(held_by_engine.get(view.endpoint.id, 0) for view in helpers)
+
+
+def _free_tokens(figures, view):
+    return figures.memory_tokens - view.load.memory_tokens
+
+
+def _blocking_cost(figures, views, span, part_ms):
+    """Return the benefit that short prompts lose while too few engines are clear.
+
+    Those who come while the span is read take the engines with the least reading left.
+    """
+    writers = [flight for view in views for flight in view.load.writers]
+    wanted = 1 + int(len(writers) / (CLEAR_SLOTS * figures.slots))
+    open_views = [view for view in views if view.load.running < figures.slots]
+    if not open_views:
+        return 0.0
+    position = min(wanted, len(open_views)) - 1
+    chosen = {view.endpoint.id for view in span}
+    before = sorted(view.load.reading_ms for view in open_views)
+    after = sorted(
+        view.load.reading_ms + part_ms * (view.endpoint.id in chosen)
+        for view in open_views
     )
-    return Placement(host.endpoint, helpers, part_ms, slowest_ms, cost)
+    blocked_ms = after[position] - max(before[position], CLEAR_MS)
+    worth_per_second = sum(flight.worth for flight in writers) / WRITING_S
+    return LATE_LOSS * worth_per_second * max(0.0, blocked_ms) / MS_PER_SECOND
 
 
 def _host_cost(need, figures, view, part_ms):
@@ -202,7 +274,7 @@
     return (
         _inflicted(figures, view, part_ms)
         + view.failure_share
-        + (_part_wait_ms(figures, view) + part_ms * view.pace) / 10_000
+        + view.load.reading_ms / WAIT_PER_COST_MS
     )
 
 
@@ -212,20 +284,15 @@
 
 def _wait_ms(figures, view):
     """Return the time until an engine begins to read a request of its own."""
-    return _delay_ms(figures, view, view.load.reading_ms)
-
+    return view.load.reading_ms * view.pace + _pass_wait_ms(figures, view)
 
-def _part_wait_ms(figures, view):
-    """Return the time until an engine begins to read a part for another one."""
-    return _delay_ms(figures, view, view.load.part_reading_ms)
 
-
-def _delay_ms(figures, view, reading_ms):
+def _pass_wait_ms(figures, view):
+    """Return the time until an engine's next pass, which a part for another joins."""
     load = view.load
-    wait_ms = reading_ms
-    if load.writers:
-        wait_ms += 0.5 * pass_ms(figures, len(load.writers), load.context_tokens)
-    return wait_ms * view.pace
+    if not load.writers:
+        return 0.0
+    return 0.5 * pass_ms(figures, len(load.writers), load.context_tokens) * view.pace
 
 
 def _first_event_ms(figures, view, part_ms):
--- a/vanillareach/gateway/__main__.py
+++ b/vanillareach/gateway/__main__.py
@@ -6,13 +6,15 @@
 from vanillareach.gateway.app import run_gateway
 from vanillareach.gateway.settings import GatewaySettings
 from vanillareach.platform.calls import PlatformProtocol
+from vanillareach.platform.orders import PlatformOrders
 from vanillareach.platform.store import PlatformStore
 from vanillareach.settings import SettingsError
 
 
 def run_on_platform(settings):
     """Run one gateway instance with the platform's adapter."""
-    run_gateway(settings, PlatformStore(settings.store), PlatformProtocol())
+    store = PlatformStore(settings.store)
+    run_gateway(settings, store, PlatformProtocol(), PlatformOrders())
 
 
 def main():
--- a/vanillareach/gateway/app.py
+++ b/vanillareach/gateway/app.py
@@ -11,6 +11,7 @@
 from vanillareach.gateway.following import StoreFollower
 from vanillareach.gateway.forwarder import Forwarder
 from vanillareach.gateway.gossip import Gossip
+from vanillareach.gateway.reservations import ReservationKeeper
 from vanillareach.gateway.state import GatewayState
 from vanillareach.log import configure_bounded_logs, get_logger
 from vanillareach.metrics import Metrics
@@ -38,12 +39,14 @@
     settings : GatewaySettings
     store : DeploymentStore
     protocol : RequestProtocol
+    orders : MemoryOrders
     """
 
-    def __init__(self, settings, store, protocol):
+    def __init__(self, settings, store, protocol, orders):
         self.settings = settings
         self.store = store
         self.protocol = protocol
+        self.orders = orders
         self.clock = TrioClock()
         self.metrics = Metrics()
         self.writer = configure_bounded_logs(settings.log_level)
@@ -67,8 +70,15 @@
         self.link = NngLink(settings.peer_listen, settings.peer_key, ControlTraffic())
         self.gossip = Gossip(settings, self.state, self.link, clock)
         self.follower = StoreFollower(self.store, self.state, self.gossip, clock)
+        self.reservations = ReservationKeeper(self.orders, clock)
         self.forwarder = Forwarder(
-            self.state, self.protocol, clock, self.metrics, settings.domain
+            self.state,
+            self.protocol,
+            self.orders,
+            self.reservations,
+            clock,
+            self.metrics,
+            settings.domain,
         )
         self.front = self._listener(
             settings.front_listen, self.state.limits, self.forwarder.handle
@@ -119,6 +129,8 @@
         nursery.start_soon(self._watch_standstill)
         nursery.start_soon(self.gossip.run)
         nursery.start_soon(self.follower.run)
+        nursery.start_soon(self.reservations.run)
+        nursery.start_soon(self.forwarder.silences.run)
         for listener in (self.front, self.ready, self.scrape):
             await nursery.start(listener.run)
 
@@ -167,8 +179,8 @@
                 self.state.distrust()
 
 
-def run_gateway(settings, store, protocol):
+def run_gateway(settings, store, protocol, orders):
     """Run one gateway instance until it has stopped."""
-    application = GatewayApplication(settings, store, protocol)
+    application = GatewayApplication(settings, store, protocol, orders)
     tune_collector()
     trio.run(application.run)
--- a/vanillareach/gateway/exchange.py
+++ b/vanillareach/gateway/exchange.py
@@ -63,6 +63,8 @@
         Attempts that reached an endpoint, and those that may have run.
     tried : set of str
         Endpoints that are not asked again.
+    fault_at : str or None
+        Helper that made the last attempt fail.
     first_event_ms : int or None
         Time from the request to its first event.
     longest_pause_ms : float
@@ -72,6 +74,7 @@
     __slots__ = (
         "deadline_ms",
         "events",
+        "fault_at",
         "fields",
         "fingerprint",
         "first_event_ms",
@@ -104,6 +107,7 @@
         self.held = None
         self.last_result = None
         self.weights = None
+        self.fault_at = None
         self.fingerprint = ""
         self.first_event_ms = None
         self.last_event_ms = None
--- a/vanillareach/gateway/forwarder.py
+++ b/vanillareach/gateway/forwarder.py
@@ -3,7 +3,6 @@
 import random
 
 import msgspec
-import trio
 
 from vanillareach.core.dispatching import Dispatcher
 from vanillareach.core.hashing import hash128_hex
@@ -19,6 +18,7 @@
 )
 from vanillareach.gateway.ports import EndpointOrder
 from vanillareach.gateway.relay import relay_events, send_whole
+from vanillareach.gateway.silence import SilenceWatch
 from vanillareach.gateway.sockets import connect
 from vanillareach.gateway.upstream import UpstreamRequest, open_upstream
 from vanillareach.log import get_logger
@@ -34,6 +34,8 @@
 QUARANTINE_RETRY_MS = 10_000.0
 NOT_READY_RETRY_MS = 300.0
 LOSS_CHECK_MS = 300.0
+# A waiting request looks for room this often.
+WAIT_STEP_MS = 60.0
 
 log = get_logger("request")
 
@@ -52,19 +54,24 @@
     ----------
     state : GatewayState
     protocol : RequestProtocol
+    orders : MemoryOrders
+    reservations : ReservationKeeper
     clock : Clock
     metrics : Metrics
     domain : str
         Failure domain of this instance.
     """
 
-    def __init__(self, state, protocol, clock, metrics, domain):
+    def __init__(self, state, protocol, orders, reservations, clock, metrics, domain):
         self._state = state
         self._protocol = protocol
+        self._orders = orders
+        self._reservations = reservations
         self._clock = clock
         self._metrics = metrics
         self._random = random.Random()
         self._dispatcher = Dispatcher(state, domain, self._random)
+        self.silences = SilenceWatch(self._dispatcher, clock)
 
     async def handle(self, request, responder):
         """Answer one request."""
@@ -112,17 +119,34 @@
     async def _serve(self, exchange, responder):
         """Try endpoints until one answers or no further one may be tried."""
         while True:
-            target = self._dispatcher.choose(exchange, self._clock.now_ms())
+            target = await self._choose(exchange)
             if target is None:
-                return await self._give_up(exchange, responder, "no_endpoint")
+                return await self._give_up(exchange, responder, "no_room")
             result = await self._attempt(exchange, target, responder)
             exchange.last_result = result
             if result is AttemptResult.ANSWERED:
                 return None
-            exchange.tried.add(target.endpoint.id)
+            self._exclude(exchange, target)
             if not self._may_try_again(exchange, result):
                 return await self._give_up(exchange, responder, result.name.lower())
 
+    async def _choose(self, exchange):
+        """Return the next target, waiting a little for reading to be done."""
+        while True:
+            now_ms = self._clock.now_ms()
+            target = self._dispatcher.choose(exchange, now_ms)
+            if target is not None or not self._dispatcher.may_wait(exchange, now_ms):
+                return target
+            await self._clock.sleep_ms(WAIT_STEP_MS)
+
+    def _exclude(self, exchange, target):
+        """Keep the endpoint that failed an attempt out of the next one."""
+        if exchange.fault_at is None:
+            exchange.tried.add(target.endpoint.id)
+        else:
+            exchange.tried.add(exchange.fault_at)
+            exchange.fault_at = None
+
     def _may_try_again(self, exchange, result):
         now_ms = self._clock.now_ms()
         left_ms = exchange.deadline_ms - now_ms
@@ -150,6 +174,7 @@
             helpers=[helper.id for helper in target.helpers],
             predicted_ms=round(target.first_event_ms),
             cost=round(target.cost, 2),
+            gain=round(target.gain, 2),
             prompt=exchange.fields.prompt_tokens,
             load_age_ms=round(self._state.picture.age_ms(now_ms)),
             list_age_ms=round(self._state.age_ms(self._state.endpoints.confirmed_ms)),
@@ -166,10 +191,10 @@
 
         flight = self._dispatcher.begin(exchange, target, now_ms)
         limit_ms = self._dispatcher.silence_limit_ms(exchange, target, now_ms)
-        silence = trio.CancelScope(deadline=trio.current_time() + limit_ms / 1000)
+        silence = self.silences.watch(flight, now_ms + limit_ms)
         result = None
         try:
-            with silence:
+            with silence.scope:
                 result = await self._exchange(
                     exchange, target, responder, flight, silence, note_sending
                 )
@@ -179,7 +204,8 @@
             result, detail = AttemptResult.BROKEN, str(error)
         finally:
             self._dispatcher.end(flight)
-            if result is None and not silence.cancelled_caught:
+            self.silences.forget(silence)
+            if result is None and not silence.is_over:
                 self._log_end(exchange, target, "abandoned", "caller or time gone")
         if result is None:
             result = AttemptResult.SILENT if sent else AttemptResult.UNREACHABLE
@@ -189,12 +215,23 @@
     async def _exchange(
         self, exchange, target, responder, flight, silence, note_sending
     ):
-        request = self._upstream_request(exchange, target)
+        tokens = target.tokens_by_holder
+        async with self._reservations.reserved(flight.id, tokens) as reservation:
+            if not reservation.is_held:
+                return AttemptResult.NOT_RUN
+            request = self._upstream_request(exchange, target, reservation)
+            return await self._forward(
+                exchange, target, responder, flight, silence, note_sending, request
+            )
+
+    async def _forward(
+        self, exchange, target, responder, flight, silence, note_sending, request
+    ):
         async with open_upstream(request, note_sending) as answer:
             fields = self._protocol.read_answer(answer.status, answer.headers)
             self._check_answer(exchange, fields)
             if fields.has_not_run:
-                self._note_refusing(target, fields)
+                self._note_refusing(exchange, target, fields)
                 return AttemptResult.NOT_RUN
             if not fields.is_signed:
                 raise EndpointBrokenError(f"unsigned answer {answer.status}")
@@ -213,11 +250,11 @@
                 )
             else:
                 body = await answer.read(HELD_ANSWER_BYTES)
-                silence.deadline = float("inf")
+                silence.lift()
                 await send_whole(answer, body, responder)
             return AttemptResult.ANSWERED
 
-    def _upstream_request(self, exchange, target):
+    def _upstream_request(self, exchange, target, reservation):
         request = exchange.request
         left_ms = exchange.deadline_ms - self._clock.now_ms()
         resumes = exchange.route.kind is RequestKind.STREAM
@@ -226,7 +263,12 @@
             left_ms=left_ms,
             team=exchange.team.name if exchange.team else None,
             priority=self._dispatcher.endpoint_priority(exchange),
-            helpers=tuple(helper.address for helper in target.helpers),
+            helpers=tuple(
+                self._orders.helper(
+                    helper.address, reservation.tickets_by_engine.get(helper.id)
+                )
+                for helper in target.helpers
+            ),
             last_event_id=exchange.events.last_id if resumes else None,
             weights=exchange.weights,
         )
@@ -244,13 +286,14 @@
         if fields.attempt_id != exchange.id and not fields.has_not_run:
             raise EndpointBrokenError("answer to another request")
 
-    def _note_refusing(self, target, fields):
+    def _note_refusing(self, exchange, target, fields):
         state = self._state
         now_ms = self._clock.now_ms()
         if fields.fault_at:
             for helper in target.helpers:
                 if helper.address == fields.fault_at:
-                    state.health.note(helper.key, True, now_ms)
+                    exchange.fault_at = helper.id
+                    state.health.note_unreachable(helper.key, now_ms)
         elif fields.is_other_instance:
             state.endpoints.note_leaving(target.endpoint, now_ms)
         elif fields.is_closing:
@@ -261,7 +304,7 @@
         now_ms = self._clock.now_ms()
         exchange.note_event(now_ms)
         limit_ms = self._dispatcher.gap_limit_ms(exchange)
-        silence.deadline = (now_ms + limit_ms) / 1000
+        silence.extend(now_ms + limit_ms)
         if flight.is_reading:
             self._dispatcher.note_first_event(flight)
             self._metrics.record_first_token(
--- a/vanillareach/gateway/ports.py
+++ b/vanillareach/gateway/ports.py
@@ -43,7 +43,7 @@
     priority : int or None
         0 is the most urgent; None leaves the endpoint's default.
     helpers : tuple of str
-        Addresses, with tickets if any, of engines that read parts of the prompt.
+        Engines that read parts of the prompt, as `MemoryOrders.helper` names them.
     last_event_id : int or None
         Event after which the stream is to go on.
     weights : int or None
@@ -115,6 +115,26 @@
         """Return the `AnswerFields` of an answer's status and headers."""
 
 
+class MemoryOrders(ABC):
+    """Orders about memory at an endpoint, as requests and their answers."""
+
+    @abstractmethod
+    def reservation(self, endpoint, ticket, tokens, hold_ms):
+        """Return the `UpstreamRequest` that reserves memory or renews a reservation."""
+
+    @abstractmethod
+    def release(self, endpoint, ticket):
+        """Return the `UpstreamRequest` that ends a reservation."""
+
+    @abstractmethod
+    def is_granted(self, status):
+        """Return whether an answer's status says that the memory is held."""
+
+    @abstractmethod
+    def helper(self, address, ticket):
+        """Return how a request names a helper, with its ticket or without (None)."""
+
+
 class DeploymentStore(ABC):
     """The deployment's store as the product reads it."""
 
