Test the gateway over stand-ins of the platform; bound its header and its datagrams

News is coalesced by the number of peers and idle greetings take turns. The test command prints the failing step and why.

--- a/vanillareach/core/load_picture.py
+++ b/vanillareach/core/load_picture.py
@@ -5,7 +5,7 @@
 import msgspec
 
 # Flights of a peer that fell silent are believed no longer than this.
-PEER_MEMORY_MS = 3_000.0
+PEER_MEMORY_MS = 5_000.0
 # A read that takes longer than predicted is taken to need this much more.
 OVERDUE_READ_MS = 15.0
 
--- a/vanillareach/features/__main__.py
+++ b/vanillareach/features/__main__.py
@@ -28,6 +28,7 @@
         for scenario in feature.walk_scenarios()
         if scenario.status.name not in ("skipped", "untested")
     ]
+    print_failures(scenarios)
     passed = sum(scenario.status.name == "passed" for scenario in scenarios)
     if KNOWN_RED.exists():
         print(KNOWN_RED.read_text())
@@ -35,5 +36,15 @@
     return 1 if failed or passed < len(scenarios) else 0
 
 
+def print_failures(scenarios):
+    """Print the failing step of each failed scenario and its reason."""
+    for scenario in scenarios:
+        for step in scenario.all_steps:
+            if step.status.has_failed():
+                print(f"{scenario.location} {scenario.name}")
+                print(f"  {step.keyword} {step.name}")
+                print(f"  {step.error_message or step.exception!r}")
+
+
 if __name__ == "__main__":
     sys.exit(run(sys.argv[1:]))
--- a/vanillareach/features/environment.py
+++ b/vanillareach/features/environment.py
@@ -8,6 +8,7 @@
 from behave import fixture, use_fixture
 
 from vanillareach.features.harness import STANDARD_CONFIGURATION, Stage
+from vanillareach.features.users_platform.stage import PlatformStageRunner
 from vanillareach.invariants import violations
 from vanillareach.log import configure_logs
 
@@ -82,6 +83,16 @@
     runner.stop()
 
 
+@fixture
+def platform_stage(context):
+    """Give the scenario stand-ins of the users' platform, on loopback sockets."""
+    runner = PlatformStageRunner()
+    context.platform = runner.stage
+    context.run = runner.run
+    yield runner
+    runner.stop()
+
+
 def after_scenario(context, scenario):
     """Check what must hold at the end of every scenario on a stage."""
     if "stage" not in scenario.effective_tags or scenario.status.name != "passed":
@@ -103,3 +114,5 @@
     """Give each scenario on a stage its own."""
     if "stage" in scenario.effective_tags:
         use_fixture(staged_fleet, context)
+    if "platform" in scenario.effective_tags:
+        use_fixture(platform_stage, context)
--- /dev/null
+++ b/vanillareach/features/gateway_fleet.feature
@@ -0,0 +1,53 @@
+@platform
+Feature: Gateways act together on the users' platform
+
+  Background:
+    Given a gateway before engines "m1,m2" and services "d1,d2"
+
+  Scenario: A new configuration comes into force without a restart
+    When the operator writes version 5 without the route "read"
+    Then "/read/a" is soon refused with 404
+
+  Scenario: A version never falls
+    When the operator writes version 5 without the route "read"
+    Then "/read/a" is soon refused with 404
+    When the gateway hears of version 3
+    Then version 5 stays in force
+
+  Scenario: A lost history is read again
+    When the store forgets its history while version 6 is written
+    Then version 6 comes into force
+
+  Scenario: A gateway that the store turns away learns from its peer
+    Given a second gateway
+    When the store turns the second gateway away and version 7 is written
+    Then version 7 comes into force on both
+
+  Scenario: An endpoint that leaves gets no new request
+    When the endpoint "d1" leaves
+    And a caller sends 6 times "/read/a" after the gateways know
+    Then only "d2" was asked
+
+  Scenario: An entry that can't be read names no endpoint
+    When another writer puts an unreadable entry for "d1"
+    And a caller sends 6 times "/read/a" after the gateways know
+    Then only "d2" was asked
+
+  Scenario: Gateways know each other's requests
+    Given a second gateway
+    And all endpoints will "mute"
+    When a caller opens "/book/a" and stays
+    Then the second gateway counts one request at an endpoint
+
+  Scenario: A silent store leaves requests served
+    When the store cuts all calls
+    And a caller sends "/read/a"
+    Then the answer is 200, whole and signed
+
+  Scenario: A stop finishes what runs and answers what still comes
+    Given all endpoints will "answer"
+    When the gateway is asked to stop
+    And a caller sends "/read/a"
+    Then the answer is 200, whole and signed
+    And the answer closes its connection
+    And the gateway is not ready
--- /dev/null
+++ b/vanillareach/features/users_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the users' platform, over loopback sockets."""
--- /dev/null
+++ b/vanillareach/features/users_platform/endpoint.py
@@ -0,0 +1,139 @@
+"""Stand-in of an engine or service that behaves as a script says."""
+
+import msgspec
+import trio
+
+from vanillareach.gateway.connections import AnswerBrokenError
+from vanillareach.platform import names
+
+SIGNATURE = (b"Vanillareach-Response-Signature", b"signed")
+EVENTS = 6
+
+
+class Received:
+    """A request as it reached the stand-in."""
+
+    def __init__(self, request):
+        self.path = request.target.decode()
+        self.body = request.body
+        self.values_by_name = {n.lower(): v.decode() for n, v in request.headers}
+        self.left_early = False
+
+
+class StandinEndpoint:
+    """One engine or service.
+
+    Attributes
+    ----------
+    script : list of str
+        What to do with the next requests, in turn; "answer" when it is empty.
+    received : list of Received
+    tickets_by_id : dict of str to int
+        Reserved memory.
+    """
+
+    def __init__(self, name):
+        self.name = name
+        self.script = []
+        self.received = []
+        self.tickets_by_id = {}
+        self.reservations = 0
+
+    async def handle(self, request, responder):
+        """Answer one request."""
+        if request.path == names.ORDER_PATH:
+            return await self._obey(request, responder)
+        received = Received(request)
+        self.received.append(received)
+        step = self.script.pop(0) if self.script else "answer"
+        try:
+            await getattr(self, "_" + step)(received, responder)
+        except trio.Cancelled:
+            received.left_early = True
+            raise
+
+    def _head(self, received, signed=True, attempt_id=None):
+        identity = attempt_id or received.values_by_name.get(names.ATTEMPT_ID, "")
+        head = [(b"Vanillareach-Attempt-Id", identity.encode())]
+        return [*head, SIGNATURE] if signed else head
+
+    async def _answer(self, received, responder):
+        body = f"{self.name} answers".encode()
+        await responder.answer(200, self._head(received), body)
+
+    async def _fail(self, received, responder):
+        await responder.answer(500, self._head(received), b"failed")
+
+    async def _shed(self, received, responder):
+        head = [(b"Vanillareach-Not-Executed", b"1")]
+        await responder.answer(503, [*self._head(received, False), *head], b"")
+
+    async def _misdirect(self, received, responder):
+        head = [(b"Vanillareach-Instance-Id", b"other")]
+        await responder.answer(421, head, b"")
+
+    async def _unsigned(self, received, responder):
+        await responder.answer(200, self._head(received, False), b"forged")
+
+    async def _stale(self, received, responder):
+        head = self._head(received, attempt_id="another")
+        await responder.answer(200, head, b"another's answer")
+
+    async def _encoded(self, received, responder):
+        head = [*self._head(received), (b"Content-Encoding", b"gzip")]
+        await responder.answer(200, head, b"encoded")
+
+    async def _cut(self, received, responder):
+        head = [*self._head(received), (b"Content-Length", b"100")]
+        await responder.start(200, head)
+        await responder.send(b"only a part")
+
+    async def _reset(self, received, responder):
+        raise AnswerBrokenError("reset")
+
+    async def _mute(self, received, responder):
+        await trio.sleep_forever()
+
+    async def _stream(self, received, responder, last=EVENTS, torn=False):
+        first = int(received.values_by_name.get(names.LAST_EVENT_ID, "0")) + 1
+        head = [
+            *self._head(received),
+            (b"Content-Type", b"text/event-stream"),
+            (b"Transfer-Encoding", b"chunked"),
+        ]
+        await responder.start(200, head)
+        for number in range(first, last + 1):
+            await responder.send(f"id: {number}\ndata: piece {number}\n\n".encode())
+        if torn:
+            await responder.send(b"id: 99\ndata: half")
+            raise AnswerBrokenError("torn")
+        await responder.finish()
+
+    async def _torn(self, received, responder):
+        await self._stream(received, responder, last=3, torn=True)
+
+    async def _gap(self, received, responder):
+        await responder.start(
+            200, [*self._head(received), (b"Transfer-Encoding", b"chunked")]
+        )
+        await responder.send(b"id: 1\ndata: piece 1\n\nid: 3\ndata: piece 3\n\n")
+        await responder.finish()
+
+    async def _stall(self, received, responder):
+        await responder.start(
+            200, [*self._head(received), (b"Transfer-Encoding", b"chunked")]
+        )
+        await responder.send(b"id: 1\ndata: piece 1\n\n")
+        await trio.sleep_forever()
+
+    async def _obey(self, request, responder):
+        order = msgspec.json.decode(request.body)
+        if order["operation"] == "reserve":
+            if self.script and self.script[0] == "refuse_memory":
+                self.script.pop(0)
+                return await responder.answer(409, [], b'{"free":0}')
+            self.reservations += 1
+            self.tickets_by_id[order["id"]] = order["tokens"]
+        else:
+            self.tickets_by_id.pop(order["id"], None)
+        return await responder.answer(200, [], b'{"free":1}')
--- /dev/null
+++ b/vanillareach/features/users_platform/stage.py
@@ -0,0 +1,297 @@
+"""A store, endpoints and gateways of the platform in one process, over loopback."""
+
+import os
+import socket
+import threading
+
+import h11
+import trio
+
+from vanillareach.clock import TrioClock
+from vanillareach.core.routing import CallerLimits
+from vanillareach.features.users_platform.endpoint import StandinEndpoint
+from vanillareach.features.users_platform.store import StandinStore
+from vanillareach.gateway.app import GatewayApplication
+from vanillareach.gateway.connections import CallerListener
+from vanillareach.gateway.settings import GatewaySettings
+from vanillareach.log import BoundedWriter
+from vanillareach.platform.calls import PlatformProtocol
+from vanillareach.platform.orders import PlatformOrders
+from vanillareach.platform.store import PlatformStore
+
+KEY = "team-key"
+HOST = "calls.example"
+CONDITION_LIMIT_S = 20
+ENGINE = {
+    "slots": 8,
+    "kv_tokens": 100_000,
+    "step_ms": 1.0,
+    "per_seq_ms": 0.001,
+    "context_per_k": 0.002,
+    "read_per_s": 150_000.0,
+    "pairs_per_m": 0.1,
+    "chunk": 2048,
+    "stride": 30,
+}
+
+
+def free_address():
+    """Return an address of loopback that nothing listens at."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
+def route(name, kind, service, **values):
+    """Return a route as the operator writes it."""
+    return {
+        "name": name,
+        "hostname": HOST,
+        "path_prefix": f"/{name}/",
+        "route_type": kind,
+        "backend": service,
+        "timeout_ms": 5_000,
+        "target_latency_ms": 300,
+        "max_attempts": 2,
+        **values,
+    }
+
+
+def configuration(version, **values):
+    """Return the stage's configuration."""
+    return {
+        "version": version,
+        "routes": [
+            route("read", "idempotent", "desk"),
+            route("book", "non_idempotent", "desk", max_attempts=1),
+            route(
+                "ask",
+                "streaming",
+                "model",
+                session_affinity=True,
+                resumable=True,
+                gap_target_ms=250,
+            ),
+            route("once", "streaming", "model", session_affinity=True),
+            route("open", "idempotent", "desk", public=True),
+        ],
+        "backends": [{"name": "desk"}, {"name": "model", "engine": ENGINE}],
+        "limits": {
+            "max_header_bytes": 4096,
+            "max_body_bytes": 10_000,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15_000,
+        },
+        "tenants": [{"name": "guild", "api_keys": [KEY], "priority": 1}],
+        **values,
+    }
+
+
+class CallerAnswer:
+    """What a caller got.
+
+    Attributes
+    ----------
+    status : int or None
+        None if the connection ended first.
+    is_whole : bool
+        Whether the answer was complete.
+    """
+
+    def __init__(self):
+        self.status = None
+        self.values_by_name = {}
+        self.body = b""
+        self.is_whole = False
+
+
+class PlatformStage:
+    """Owns all stand-ins and gateways of a scenario.
+
+    Parameters
+    ----------
+    nursery : trio.Nursery
+    """
+
+    def __init__(self, nursery):
+        self._nursery = nursery
+        self.clock = TrioClock()
+        self.store = StandinStore()
+        self.store_address = free_address()
+        self.endpoints_by_name = {}
+        self.gateways = []
+        self._number = 0
+
+    async def listen(self, address, handle):
+        """Serve `handle` at an address."""
+        listener = CallerListener(
+            address, self.clock, CallerLimits, handle, lambda: False
+        )
+        await self._nursery.start(listener.run)
+
+    async def open(self, services_by_name):
+        """Start the store and one endpoint for each name, and list them."""
+        await self.listen(self.store_address, self.store.handle)
+        self.store.put("config", "main", configuration(1))
+        for name, service in services_by_name.items():
+            endpoint = StandinEndpoint(name)
+            endpoint.address = free_address()
+            self.endpoints_by_name[name] = endpoint
+            await self.listen(endpoint.address, endpoint.handle)
+            self.list_endpoint(name, service)
+
+    def list_endpoint(self, name, service, state="ready", **values):
+        """Write an endpoint's entry."""
+        endpoint = self.endpoints_by_name[name]
+        endpoint.service = service
+        entry = {
+            "backend": service,
+            "address": endpoint.address,
+            "zone": "zone-a",
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "cold_remaining_ms": 0,
+            "sequence": 1,
+            "born": 1,
+            **values,
+        }
+        self.store.put("servers", name, entry)
+
+    async def start_gateway(self, name):
+        """Start a gateway and wait until it is ready."""
+        settings = GatewaySettings(
+            name=name,
+            domain="zone-a",
+            front_listen=free_address(),
+            ready_listen=free_address(),
+            metrics_listen=free_address(),
+            peer_listen=free_address(),
+            store=self.store_address,
+            log_level="error",
+        )
+        gateway = GatewayApplication(
+            settings,
+            PlatformStore(settings.store),
+            PlatformProtocol(),
+            PlatformOrders(),
+            BoundedWriter(os.open(os.devnull, os.O_WRONLY)),
+        )
+        gateway.build()
+        await gateway.start(self._nursery)
+        self.gateways.append(gateway)
+        await self.until(lambda: gateway.state.is_ready)
+        return gateway
+
+    async def until(self, condition):
+        """Wait until `condition` holds."""
+        with trio.fail_after(CONDITION_LIMIT_S):
+            while not condition():
+                await trio.sleep(0.02)
+
+    async def call(self, path, gateway=0, method="POST", body=b"body", **values):
+        """Send one request and return its `CallerAnswer`."""
+        async with await self.connect(gateway) as caller:
+            return await caller.call(path, method, body, **values)
+
+    async def connect(self, gateway=0):
+        """Return a `Caller` with an open connection."""
+        address = self.gateways[gateway].settings.front_listen
+        host, _, port = address.rpartition(":")
+        return Caller(self, await trio.open_tcp_stream(host, int(port)))
+
+    def next_id(self):
+        """Return a new attempt id."""
+        self._number += 1
+        return f"attempt-{self._number}"
+
+
+class Caller:
+    """A caller's connection."""
+
+    def __init__(self, stage, stream):
+        self._stage = stage
+        self._stream = stream
+        self._connection = h11.Connection(h11.CLIENT)
+
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *error):
+        await self._stream.aclose()
+
+    async def send(self, path, method="POST", body=b"body", **values):
+        """Send a request; header names have underscores."""
+        headers = {
+            "Host": HOST,
+            "Vanillareach-Attempt-Id": self._stage.next_id(),
+            "Vanillareach-Deadline-Ms": "5000",
+            "Authorization": f"Bearer {KEY}",
+        }
+        for name, value in values.items():
+            headers[name.replace("_", "-")] = value
+        if body:
+            headers["Content-Length"] = str(len(body))
+        listed = [(n, v) for n, v in headers.items() if v is not None]
+        connection = self._connection
+        data = connection.send(h11.Request(method=method, target=path, headers=listed))
+        if body:
+            data += connection.send(h11.Data(data=body))
+        await self._stream.send_all(data + connection.send(h11.EndOfMessage()))
+
+    async def call(self, path, method="POST", body=b"body", **values):
+        """Send a request and read its answer."""
+        await self.send(path, method, body, **values)
+        return await self.receive()
+
+    async def receive(self):
+        """Read one answer."""
+        answer = CallerAnswer()
+        while True:
+            try:
+                event = self._connection.next_event()
+                if event is h11.NEED_DATA:
+                    data = await self._stream.receive_some(65_536)
+                    self._connection.receive_data(data)
+                    continue
+            except (h11.RemoteProtocolError, trio.BrokenResourceError):
+                return answer
+            if isinstance(event, h11.Response):
+                answer.status = event.status_code
+                answer.values_by_name = dict(event.headers)
+            elif isinstance(event, h11.Data):
+                answer.body += bytes(event.data)
+            else:
+                answer.is_whole = isinstance(event, h11.EndOfMessage)
+                return answer
+
+
+class PlatformStageRunner:
+    """Runs a `PlatformStage` in a thread of its own."""
+
+    def __init__(self):
+        self._ready = threading.Event()
+        self._thread = threading.Thread(target=self._main, daemon=True)
+        self._thread.start()
+        self._ready.wait()
+
+    def run(self, function, *arguments):
+        """Run a coroutine function on the stage's loop."""
+        return trio.from_thread.run(function, *arguments, trio_token=self._token)
+
+    def stop(self):
+        """End the loop and all that runs on it."""
+        self._token.run_sync_soon(self._scope.cancel)
+        self._thread.join(timeout=CONDITION_LIMIT_S)
+        assert not self._thread.is_alive(), "the stage did not stop"
+
+    def _main(self):
+        trio.run(self._hold)
+
+    async def _hold(self):
+        self._token = trio.lowlevel.current_trio_token()
+        async with trio.open_nursery() as nursery:
+            self._scope = nursery.cancel_scope
+            self.stage = PlatformStage(nursery)
+            self._ready.set()
+            await trio.sleep_forever()
--- /dev/null
+++ b/vanillareach/features/users_platform/store.py
@@ -0,0 +1,121 @@
+"""Stand-in of the platform's store: objects by kind, revisions and watches."""
+
+from urllib.parse import parse_qs
+
+import msgspec
+import trio
+
+from vanillareach.gateway.connections import AnswerBrokenError
+from vanillareach.platform import names
+
+MAX_WAIT_S = 30.0
+
+
+class StandinStore:
+    """Objects in memory behind the store's calls.
+
+    Attributes
+    ----------
+    failure : str
+        Empty, "busy" (answers 503) or "lost" (cuts the connection).
+    calls : int
+    """
+
+    def __init__(self):
+        self.objects_by_kind = {}
+        self.revision = 10
+        self.history = []
+        self.history_start = 0
+        self.failure = ""
+        self.calls = 0
+        self._changed = trio.Event()
+
+    def put(self, kind, name, spec):
+        """Write an object as an operator or an endpoint does."""
+        self.revision += 1
+        stored = {"metadata": {"name": name, "rev": self.revision}, "spec": spec}
+        self.objects_by_kind.setdefault(kind, {})[name] = stored
+        self._note(kind, {"object": stored, "deleted": False})
+
+    def delete(self, kind, name):
+        """Remove an object."""
+        self.revision += 1
+        stored = self.objects_by_kind[kind].pop(name)
+        self._note(kind, {"object": stored, "deleted": True})
+
+    def forget_history(self):
+        """Drop the history, as the platform may at any time."""
+        self.history = []
+        self.history_start = self.revision
+        self._wake()
+
+    async def handle(self, request, responder):
+        """Answer one call."""
+        self.calls += 1
+        if self.failure == "busy":
+            return await responder.answer(503, [], b"")
+        if self.failure == "lost":
+            raise AnswerBrokenError("the store is away")
+        rest = request.path.removeprefix(names.OBJECTS_PATH).strip("/")
+        kind, _, name = rest.partition("/")
+        query = parse_qs(request.target.decode().partition("?")[2])
+        if request.method == b"GET" and "watch" in query:
+            return await self._watch(kind, query, responder)
+        if request.method == b"GET":
+            return await self._read(kind, name, responder)
+        return await self._write(request, kind, name, responder)
+
+    async def _read(self, kind, name, responder):
+        objects = self.objects_by_kind.get(kind, {})
+        if not name:
+            page = {"items": list(objects.values()), "more": False, "at": self.revision}
+            return await _answer(responder, 200, page)
+        if name not in objects:
+            return await _answer(responder, 404, {})
+        return await _answer(responder, 200, objects[name])
+
+    async def _write(self, request, kind, name, responder):
+        objects = self.objects_by_kind.setdefault(kind, {})
+        if request.method == b"DELETE":
+            if name in objects:
+                self.delete(kind, name)
+            return await _answer(responder, 200, {})
+        document = msgspec.json.decode(request.body)
+        name = name or document["metadata"]["name"]
+        if request.method == b"POST" and name in objects:
+            return await _answer(responder, 409, objects[name])
+        self.put(kind, name, document["spec"])
+        return await _answer(responder, 200, objects[name])
+
+    async def _watch(self, kind, query, responder):
+        since = int(query["watch"][0])
+        wait_s = min(MAX_WAIT_S, int(query["wait_ms"][0]) / 1000)
+        if since < self.history_start:
+            return await _answer(responder, 410, {})
+        with trio.move_on_after(wait_s):
+            while not self._events(kind, since):
+                if since < self.history_start:
+                    return await _answer(responder, 410, {})
+                await self._changed.wait()
+        events = [event for _, event in self._events(kind, since)]
+        return await _answer(responder, 200, {"events": events, "at": self.revision})
+
+    def _events(self, kind, since):
+        return [
+            (revision, event)
+            for revision, event_kind, event in self.history
+            if event_kind == kind and revision > since
+        ]
+
+    def _note(self, kind, event):
+        self.history.append((self.revision, kind, event))
+        self._wake()
+
+    def _wake(self):
+        self._changed.set()
+        self._changed = trio.Event()
+
+
+async def _answer(responder, status, document):
+    headers = [(b"Content-Type", b"application/json")]
+    await responder.answer(status, headers, msgspec.json.encode(document))
--- a/vanillareach/gateway/app.py
+++ b/vanillareach/gateway/app.py
@@ -40,16 +40,18 @@
     store : DeploymentStore
     protocol : RequestProtocol
     orders : MemoryOrders
+    writer : BoundedWriter
+        Holds log lines until they are drained.
     """
 
-    def __init__(self, settings, store, protocol, orders):
+    def __init__(self, settings, store, protocol, orders, writer):
         self.settings = settings
         self.store = store
         self.protocol = protocol
         self.orders = orders
         self.clock = TrioClock()
         self.metrics = Metrics()
-        self.writer = configure_bounded_logs(settings.log_level)
+        self.writer = writer
 
     async def run(self):
         """Serve until a signal asks to stop, then finish what is running."""
@@ -181,6 +183,7 @@
 
 def run_gateway(settings, store, protocol, orders):
     """Run one gateway instance until it has stopped."""
-    application = GatewayApplication(settings, store, protocol, orders)
+    writer = configure_bounded_logs(settings.log_level)
+    application = GatewayApplication(settings, store, protocol, orders, writer)
     tune_collector()
     trio.run(application.run)
--- a/vanillareach/gateway/connections.py
+++ b/vanillareach/gateway/connections.py
@@ -228,7 +228,7 @@
             event = self._next_event()
             if event is not h11.NEED_DATA:
                 self.is_idle = False
-                return event if isinstance(event, h11.Request) else None
+                return self._checked_head(event, limits)
             if self._connection.trailing_data[0]:
                 self.is_idle = False
                 limit_ms = limits.header_ms
@@ -242,6 +242,15 @@
                     return None
                 raise BadRequestError(408, "the header took too long")
 
+    def _checked_head(self, event, limits):
+        if not isinstance(event, h11.Request):
+            return None
+        size = sum(len(name) + len(value) for name, value in event.headers)
+        # A head that arrives in one piece passes h11's own limit.
+        if size + len(event.target) > limits.header_bytes:
+            raise BadRequestError(431, "the header is too large")
+        return event
+
     async def _read_body(self):
         """Return the body, or None if the request has none."""
         limits = self._listener.limits()
--- a/vanillareach/gateway/forwarder.py
+++ b/vanillareach/gateway/forwarder.py
@@ -107,7 +107,7 @@
             await self._refuse(fields, responder, 503, "no_service", 1_000.0)
             return None
         exchange = GatewayExchange(request, fields, route, service, team)
-        exchange.fingerprint = _fingerprint(request, fields)
+        exchange.fingerprint = fingerprint_of(request, fields)
         losses = state.crashes.losses(exchange.fingerprint, request.received_ms)
         if losses >= LOSSES_TO_REFUSE:
             await self._refuse(
@@ -412,7 +412,7 @@
         self._metrics.requests[("forward", outcome, reason)] += 1
 
 
-def _fingerprint(request, fields):
+def fingerprint_of(request, fields):
     """Return a digest of what a caller sends again when it sends the same request."""
     parts = (request.method, request.target, (fields.key or "").encode(), request.body)
     return hash128_hex(b"\n".join(part or b"" for part in parts))
--- a/vanillareach/gateway/gossip.py
+++ b/vanillareach/gateway/gossip.py
@@ -20,9 +20,15 @@
 from vanillareach.peers.link import PeerSilentError, Sealer
 
 BEACON_INTERVAL_MS = 250.0
-# Changes within this time share a beacon.
+# Peers greeted in one interval without a change; more take turns.
+PEERS_PER_INTERVAL = 12
+# Changes within this time share a beacon; it grows with the number of peers, which
+# bounds the datagrams that an instance sends and receives.
 COALESCE_MS = 2.0
-ALIVE_MS = 1_300.0
+COALESCE_MS_PER_PEER = 0.25
+# An instance is alive that was heard within so many of its turns, and besides.
+ALIVE_TURNS = 4
+ALIVE_SLACK_MS = 300.0
 # A silent instance is still greeted, and still counted in shared budgets, this long.
 FORGET_MS = 30_000.0
 FETCH_LIMIT_MS = 600.0
@@ -78,6 +84,7 @@
         self._peers_by_name = {}
         self._changed = trio.Event()
         self._fetching = set()
+        self._turn = 0
         self._random = random.Random()
         state.subscribe(lambda: self._changed.set())
 
@@ -94,10 +101,11 @@
     def alive_names(self):
         """Return the names of the instances heard lately."""
         now_ms = self._clock.now_ms()
+        alive_ms = self._alive_ms()
         return [
             peer.name
             for peer in self._peers_by_name.values()
-            if peer.heard_ms is not None and now_ms - peer.heard_ms < ALIVE_MS
+            if peer.heard_ms is not None and now_ms - peer.heard_ms < alive_ms
         ]
 
     def take_addresses(self, address_by_name):
@@ -129,11 +137,12 @@
         raise MessageError(f"unexpected {type(message).__name__}")
 
     async def _send(self, sock):
+        has_news = True
         while True:
             data = self._sealer.seal(self._beacon())
             if len(data) > MAX_DATAGRAM_BYTES:
                 log.warning("Beacon too large.", bytes=len(data))
-            for peer in self._greeted():
+            for peer in self._greeted(has_news):
                 host, _, port = peer.address.rpartition(":")
                 try:
                     await sock.sendto(data, (host, int(port)))
@@ -141,16 +150,28 @@
                     log.debug("Beacon not sent.", peer=peer.name, cause=str(error))
             with trio.move_on_after(BEACON_INTERVAL_MS / 1000):
                 await self._changed.wait()
-                await self._clock.sleep_ms(COALESCE_MS)
+                peers = len(self._peers_by_name)
+                await self._clock.sleep_ms(COALESCE_MS + COALESCE_MS_PER_PEER * peers)
+            has_news = self._changed.is_set()
             self._changed = trio.Event()
 
-    def _greeted(self):
+    def _alive_ms(self):
+        turns = -(-len(self._peers_by_name) // PEERS_PER_INTERVAL)
+        return ALIVE_TURNS * max(1, turns) * BEACON_INTERVAL_MS + ALIVE_SLACK_MS
+
+    def _greeted(self, has_news):
+        """Return the peers that get the next beacon: all for news, else some."""
         now_ms = self._clock.now_ms()
         for peer in list(self._peers_by_name.values()):
             if now_ms - self._last_sign_ms(peer) > FORGET_MS:
                 del self._peers_by_name[peer.name]
                 self._state.instances = 1 + len(self._peers_by_name)
-        return list(self._peers_by_name.values())
+        peers = list(self._peers_by_name.values())
+        if has_news or len(peers) <= PEERS_PER_INTERVAL:
+            return peers
+        start = self._turn % len(peers)
+        self._turn += PEERS_PER_INTERVAL
+        return (peers + peers)[start : start + PEERS_PER_INTERVAL]
 
     def _last_sign_ms(self, peer):
         return peer.since_ms if peer.heard_ms is None else peer.heard_ms
@@ -200,7 +221,7 @@
         order = (beacon.incarnation, beacon.sequence)
         if order <= peer.order:
             return
-        if peer.heard_ms is None or now_ms - peer.heard_ms > ALIVE_MS:
+        if peer.heard_ms is None or now_ms - peer.heard_ms > self._alive_ms():
             log.info("Peer heard.", peer=peer.name, address=beacon.address)
         peer.order = order
         peer.address = beacon.address
