--- a/vanillareach/features/project.feature
+++ b/vanillareach/features/project.feature
@@ -3,8 +3,11 @@
   Scenario: The core imports nothing that reaches outside
     Then no module of the core imports trio, httpcore, pynng, hypercorn, os, socket or time
 
+  Scenario: Only the adapter knows the names of the users' platform
+    Then no module outside "vanillareach/platform" holds a name of its wire
+
   Scenario: The settings page equals the code
-    Then the table in "docs/settings.md" equals the settings in the code
+    Then the tables in "docs/settings.md" equal the settings in the code
 
   Scenario: The capacity page equals its figures
     Then the tables of the capacity page equal what its figures render to
--- a/vanillareach/features/steps/project.py
+++ b/vanillareach/features/steps/project.py
@@ -3,13 +3,34 @@
 import re
 from pathlib import Path
 
+import msgspec
 from behave import then, when
 from prometheus_client.parser import text_string_to_metric_families
 
 from bench.capacity.render import PAGE, read_figures, rendered_page
 from vanillareach.features.support import first_entry
-from vanillareach.settings import Settings, SettingsError, settings_table
-
+from vanillareach.gateway.settings import GATEWAY_SETTINGS
+from vanillareach.platform import documents, names
+from vanillareach.settings import (
+    SETTINGS,
+    Settings,
+    SettingsError,
+    settings_table,
+)
+
+# Field names that nothing but the platform uses.
+WIRE_FIELDS = {
+    "traffic_split",
+    "route_type",
+    "gap_target_ms",
+    "target_latency_ms",
+    "session_affinity",
+    "per_seq_ms",
+    "pairs_per_m",
+    "api_keys",
+    "cold_remaining_ms",
+    "max_header_bytes",
+}
 CORE = Path("vanillareach/core")
 
 
@@ -22,11 +43,43 @@
     assert not found, found
 
 
-@then('the table in "{path}" equals the settings in the code')
+@then('no module outside "{folder}" holds a name of its wire')
+def step_wire_names(context, folder):
+    headers = [
+        value.decode()
+        for value in vars(names).values()
+        if isinstance(value, bytes) and value.startswith(b"vanillareach-")
+    ]
+    structs = [
+        value
+        for value in vars(documents).values()
+        if isinstance(value, type) and issubclass(value, msgspec.Struct)
+    ]
+    fields = {
+        field
+        for struct in structs
+        for field in struct.__struct_fields__
+        if field in WIRE_FIELDS
+    }
+    assert len(headers) > 10
+    assert fields == WIRE_FIELDS
+    pattern = re.compile(rf"{'|'.join(headers)}|[\"'_]({'|'.join(fields)})\b", re.I)
+    found = [
+        str(path)
+        for path in Path("vanillareach").rglob("*.py")
+        if not path.is_relative_to(folder)
+        and "features" not in path.parts
+        and pattern.search(path.read_text())
+    ]
+    assert not found, found
+
+
+@then('the tables in "{path}" equal the settings in the code')
 def step_settings(context, path):
     text = Path(path).read_text()
-    table = text.split("<!-- settings -->\n")[1].split("<!-- end -->")[0]
-    assert table == settings_table()
+    for mark, table in (("settings", SETTINGS), ("gateway", GATEWAY_SETTINGS)):
+        written = text.split(f"<!-- {mark} -->\n")[1].split("<!-- end -->")[0]
+        assert written == settings_table(table)
 
 
 @then("the tables of the capacity page equal what its figures render to")
