Tell peers of changed flights only, and fetch news once

One fetch at a time, packed configurations, and datagrams with the changes alone; whole beacons take turns.

--- a/vanillareach/core/dispatching.py
+++ b/vanillareach/core/dispatching.py
@@ -161,7 +161,7 @@
         self._number += 1
         fields, route = exchange.fields, exchange.route
         flight = Flight(
-            id=f"{exchange.id}-{self._number}",
+            id=self._number,
             engine=target.endpoint.id,
             helpers=tuple(helper.id for helper in target.helpers),
             held_tokens=target.held_tokens,
@@ -177,18 +177,18 @@
             age_ms=0.0,
         )
         self._state.picture.add(flight, now_ms)
-        self._state.publish()
+        self._state.publish(only_flights=True)
         return flight
 
     def note_first_event(self, flight):
         """Record that a flight has begun to write."""
-        flight.is_reading = False
-        self._state.publish()
+        self._state.picture.note_writing(flight)
+        self._state.publish(only_flights=True)
 
     def end(self, flight):
         """Record the end of a dispatch."""
         self._state.picture.remove(flight.id)
-        self._state.publish()
+        self._state.publish(only_flights=True)
 
     def endpoint_priority(self, exchange):
         """Return the priority number for the endpoint, or None for the default.
--- a/vanillareach/core/load_picture.py
+++ b/vanillareach/core/load_picture.py
@@ -15,8 +15,8 @@
 
     Attributes
     ----------
-    id : str
-        Unique over all instances.
+    id : int
+        Unique within one life of its instance.
     engine : str
         Id of the engine that answers.
     helpers : tuple of str
@@ -35,7 +35,7 @@
         Time since its dispatch, as of the sender's clock.
     """
 
-    id: str
+    id: int
     engine: str
     helpers: tuple[str, ...]
     held_tokens: tuple[int, ...]
@@ -79,43 +79,122 @@
     context_tokens: int = 0
 
 
+class FlightSet:
+    """Flights of one instance.
+
+    Attributes
+    ----------
+    by_id : dict of int to Flight
+    sent_ms_by_id : dict of int to float
+        When each was dispatched, on the own clock.
+    heard_ms : float
+        When the instance was last heard.
+    """
+
+    __slots__ = ("by_id", "heard_ms", "sent_ms_by_id")
+
+    def __init__(self):
+        self.by_id = {}
+        self.sent_ms_by_id = {}
+        self.heard_ms = 0.0
+
+    def put(self, flight, now_ms):
+        """Add a flight by its age."""
+        self.by_id[flight.id] = flight
+        self.sent_ms_by_id[flight.id] = now_ms - flight.age_ms
+
+    def remove(self, flight_id):
+        """Remove a flight, if it is there."""
+        self.by_id.pop(flight_id, None)
+        self.sent_ms_by_id.pop(flight_id, None)
+
+
+class FlightChanges:
+    """What changed among the own flights since peers were last told.
+
+    Attributes
+    ----------
+    begun : dict of int to Flight
+    writing, ended : set of int
+    """
+
+    __slots__ = ("begun", "ended", "writing")
+
+    def __init__(self):
+        self.begun = {}
+        self.writing = set()
+        self.ended = set()
+
+
 class LoadPicture:
     """Flights of this instance and of its peers."""
 
-    __slots__ = ("_flights_by_peer", "_received_ms_by_peer", "_sent_ms_by_id", "own")
+    __slots__ = ("_by_peer", "_changes", "_own")
 
     def __init__(self):
-        self.own = {}
-        self._sent_ms_by_id = {}
-        self._flights_by_peer = {}
-        self._received_ms_by_peer = {}
+        self._own = FlightSet()
+        self._by_peer = {}
+        self._changes = FlightChanges()
+
+    @property
+    def own_count(self):
+        """Number of own flights."""
+        return len(self._own.by_id)
 
     def add(self, flight, now_ms):
         """Record an own dispatch."""
-        self.own[flight.id] = flight
-        self._sent_ms_by_id[flight.id] = now_ms
+        self._own.put(flight, now_ms)
+        self._changes.begun[flight.id] = flight
+
+    def note_writing(self, flight):
+        """Record that an own flight has been read."""
+        flight.is_reading = False
+        self._changes.writing.add(flight.id)
 
     def remove(self, flight_id):
         """Record the end of an own dispatch."""
-        self.own.pop(flight_id, None)
-        self._sent_ms_by_id.pop(flight_id, None)
+        self._own.remove(flight_id)
+        if self._changes.begun.pop(flight_id, None) is None:
+            self._changes.ended.add(flight_id)
 
     def own_flights(self, now_ms):
         """Return the own flights with their present ages."""
-        for flight in self.own.values():
-            flight.age_ms = now_ms - self._sent_ms_by_id[flight.id]
-        return tuple(self.own.values())
+        for flight in self._own.by_id.values():
+            flight.age_ms = now_ms - self._own.sent_ms_by_id[flight.id]
+        return tuple(self._own.by_id.values())
+
+    def take_changes(self, now_ms):
+        """Return and forget the `FlightChanges` since the last call."""
+        changes, self._changes = self._changes, FlightChanges()
+        for flight in changes.begun.values():
+            flight.age_ms = now_ms - self._own.sent_ms_by_id[flight.id]
+        return changes
 
     def take(self, peer, flights, now_ms):
         """Replace the flights of a peer."""
-        self._flights_by_peer[peer] = flights
-        self._received_ms_by_peer[peer] = now_ms
+        flight_set = FlightSet()
+        for flight in flights:
+            flight_set.put(flight, now_ms)
+        flight_set.heard_ms = now_ms
+        self._by_peer[peer] = flight_set
+
+    def apply(self, peer, begun, writing, ended, now_ms):
+        """Apply changes among the flights of a peer."""
+        flight_set = self._by_peer.setdefault(peer, FlightSet())
+        flight_set.heard_ms = now_ms
+        for flight in begun:
+            flight_set.put(flight, now_ms)
+        for flight_id in writing:
+            flight = flight_set.by_id.get(flight_id)
+            if flight is not None:
+                flight.is_reading = False
+        for flight_id in ended:
+            flight_set.remove(flight_id)
 
     def age_ms(self, now_ms):
         """Return the age of the oldest peer picture in use."""
-        received = self._received_ms_by_peer.values()
-        ages = [now_ms - at for at in received if now_ms - at < PEER_MEMORY_MS]
-        return max(ages, default=0.0)
+        ages = [now_ms - peer.heard_ms for peer in self._by_peer.values()]
+        return max((age for age in ages if age < PEER_MEMORY_MS), default=0.0)
 
     def loads_by_engine(self, now_ms):
         """Return the `EngineLoad` by engine id, of engines that have any."""
@@ -147,13 +226,9 @@
         return loads
 
     def _all(self, now_ms):
-        for flight in self.own.values():
-            yield flight, now_ms - self._sent_ms_by_id[flight.id]
-        for peer, flights in list(self._flights_by_peer.items()):
-            silent_ms = now_ms - self._received_ms_by_peer[peer]
-            if silent_ms > PEER_MEMORY_MS:
-                del self._flights_by_peer[peer]
-                del self._received_ms_by_peer[peer]
-                continue
-            for flight in flights:
-                yield flight, flight.age_ms + silent_ms
+        for peer, flight_set in list(self._by_peer.items()):
+            if now_ms - flight_set.heard_ms > PEER_MEMORY_MS:
+                del self._by_peer[peer]
+        for flight_set in (self._own, *self._by_peer.values()):
+            for flight in flight_set.by_id.values():
+                yield flight, now_ms - flight_set.sent_ms_by_id[flight.id]
--- a/vanillareach/core/messages.py
+++ b/vanillareach/core/messages.py
@@ -4,6 +4,7 @@
 may be received twice without harm.
 """
 
+import zlib
 from enum import IntEnum
 
 import msgspec
@@ -240,6 +241,20 @@
     losses: tuple[tuple[str, str, str], ...]
 
 
+class FlightNews(Wire, tag=22, frozen=True):
+    """What changed among the sender's flights since its last message.
+
+    A lost one is made good by the next `Beacon`, which has all flights.
+    """
+
+    name: str
+    incarnation: int
+    sequence: int
+    begun: tuple[Flight, ...]
+    writing: tuple[int, ...]
+    ended: tuple[int, ...]
+
+
 class StateQuery(Wire, tag=20, frozen=True):
     """Asks a peer for what it holds."""
 
@@ -248,9 +263,15 @@
 
 
 class StateReply(Wire, tag=21, frozen=True):
-    """What a peer holds, with the time since the store confirmed it."""
+    """What a peer holds, with the time since the store confirmed it.
+
+    Attributes
+    ----------
+    configuration : bytes or None
+        Packed `RouteTable`; see `pack_table`.
+    """
 
-    configuration: RouteTable | None
+    configuration: bytes | None
     configuration_age_ms: float
     endpoints: tuple[ListedEndpoint, ...] | None
     endpoints_revision: int
@@ -279,9 +300,32 @@
     | Beacon
     | StateQuery
     | StateReply
+    | FlightNews
 )
+
+
+def pack_table(table):
+    """Return a `RouteTable` as compressed bytes."""
+    return zlib.compress(_encoder.encode(table), 1)
+
+
+def unpack_table(data):
+    """Return the `RouteTable` in packed bytes.
+
+    Raises
+    ------
+    MessageError
+        If it is not one.
+    """
+    try:
+        return _table_decoder.decode(zlib.decompress(data))
+    except (zlib.error, msgspec.MsgspecError) as error:
+        raise MessageError(str(error)) from error
+
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Message)
+_table_decoder = msgspec.msgpack.Decoder(RouteTable)
 
 
 class MessageError(ValueError):
--- a/vanillareach/features/steps/gateway_core.py
+++ b/vanillareach/features/steps/gateway_core.py
@@ -212,13 +212,13 @@
 )
 def step_part(context, engine, part_ms, age_ms):
     context.picture = LoadPicture()
-    flight = make_flight("f1", "other", (engine,), part_ms, float(age_ms))
+    flight = make_flight(1, "other", (engine,), part_ms, float(age_ms))
     context.picture.take("peer", (flight,), NOW_MS)
 
 
 @given('engine "{engine}" reads {part_ms:d} ms for this instance since {age_ms:d} ms')
 def step_own_read(context, engine, part_ms, age_ms):
-    flight = make_flight("f2", engine, (), part_ms, 0.0)
+    flight = make_flight(2, engine, (), part_ms, 0.0)
     context.picture.add(flight, NOW_MS - age_ms)
 
 
--- a/vanillareach/features/steps/placement_load.py
+++ b/vanillareach/features/steps/placement_load.py
@@ -78,7 +78,7 @@
             return
         is_short = tokens == SHORT_TOKENS
         flight = Flight(
-            id=f"f{len(self.chosen)}",
+            id=len(self.chosen),
             engine=chosen.engine.id,
             helpers=tuple(helper.id for helper in chosen.helpers),
             held_tokens=chosen.held_tokens,
@@ -96,7 +96,7 @@
 
     def write(self):
         """Let all that has been read write."""
-        for flight in self.picture.own.values():
+        for flight in self.picture._own.by_id.values():
             flight.is_reading = False
 
 
@@ -174,7 +174,7 @@
         left_ms = max(
             loads[engine].reading_ms for engine in (flight.engine, *flight.helpers)
         )
-        age_ms = state.now_ms - state.picture._sent_ms_by_id[flight.id]
+        age_ms = state.now_ms - state.picture._own.sent_ms_by_id[flight.id]
         assert age_ms + left_ms < flight.objective_ms, (age_ms, left_ms)
 
 
--- a/vanillareach/gateway/app.py
+++ b/vanillareach/gateway/app.py
@@ -103,7 +103,7 @@
         add("log_lines_dropped", "Log lines left out.", lambda: self.writer.dropped)
         add("store_calls", "Calls to the store.", lambda: self.store.calls)
         add("instances", "Instances known.", lambda: state.instances)
-        add("flights", "Own requests at endpoints.", lambda: len(state.picture.own))
+        add("flights", "Own requests at endpoints.", lambda: state.picture.own_count)
         add(
             "configuration_version",
             "Version in force.",
@@ -138,7 +138,7 @@
 
     async def stop(self):
         """Let the balancer leave, then finish what is running."""
-        log.info("Stopping.", flights=len(self.state.picture.own))
+        log.info("Stopping.", flights=self.state.picture.own_count)
         self.state.is_stopping = True
         self.state.publish()
         with trio.move_on_after(self.settings.grace_s - EXIT_MARGIN_S):
--- a/vanillareach/gateway/forwarder.py
+++ b/vanillareach/gateway/forwarder.py
@@ -216,7 +216,8 @@
         self, exchange, target, responder, flight, silence, note_sending
     ):
         tokens = target.tokens_by_holder
-        async with self._reservations.reserved(flight.id, tokens) as reservation:
+        attempt = f"{exchange.id}-{flight.id}"
+        async with self._reservations.reserved(attempt, tokens) as reservation:
             if not reservation.is_held:
                 return AttemptResult.NOT_RUN
             request = self._upstream_request(exchange, target, reservation)
--- a/vanillareach/gateway/gossip.py
+++ b/vanillareach/gateway/gossip.py
@@ -12,8 +12,10 @@
 
 from vanillareach.core.messages import (
     Beacon,
+    FlightNews,
     MessageError,
     StateQuery,
+    unpack_table,
 )
 from vanillareach.core.suspicion import Loss
 from vanillareach.log import get_logger
@@ -83,10 +85,13 @@
         self._sequence = 0
         self._peers_by_name = {}
         self._changed = trio.Event()
-        self._fetching = set()
+        self._fetches_table = False
+        self._fetches_list = False
         self._turn = 0
+        self._beacon_ms = 0.0
         self._random = random.Random()
-        state.subscribe(lambda: self._changed.set())
+        self._only_flights = True
+        state.subscribe(self._note_change)
 
     async def run(self):
         """Send and receive for ever."""
@@ -136,12 +141,17 @@
             return self._state.reply(message)
         raise MessageError(f"unexpected {type(message).__name__}")
 
+    def _note_change(self, only_flights):
+        self._only_flights = self._only_flights and only_flights
+        self._changed.set()
+
     async def _send(self, sock):
-        has_news = True
+        has_news, only_flights = True, False
         while True:
-            data = self._sealer.seal(self._beacon())
+            message = self._flight_news() if only_flights else self._beacon()
+            data = self._sealer.seal(message)
             if len(data) > MAX_DATAGRAM_BYTES:
-                log.warning("Beacon too large.", bytes=len(data))
+                log.warning("Datagram too large.", bytes=len(data))
             for peer in self._greeted(has_news):
                 host, _, port = peer.address.rpartition(":")
                 try:
@@ -153,11 +163,22 @@
                 peers = len(self._peers_by_name)
                 await self._clock.sleep_ms(COALESCE_MS + COALESCE_MS_PER_PEER * peers)
             has_news = self._changed.is_set()
-            self._changed = trio.Event()
+            only_flights = has_news and self._only_flights and not self._is_turn()
+            self._changed, self._only_flights = trio.Event(), True
+
+    def _is_turn(self):
+        """Return whether a whole beacon is due to make lost news good."""
+        now_ms = self._clock.now_ms()
+        if now_ms - self._beacon_ms < self._turns() * BEACON_INTERVAL_MS:
+            return False
+        self._beacon_ms = now_ms
+        return True
+
+    def _turns(self):
+        return max(1, -(-len(self._peers_by_name) // PEERS_PER_INTERVAL))
 
     def _alive_ms(self):
-        turns = -(-len(self._peers_by_name) // PEERS_PER_INTERVAL)
-        return ALIVE_TURNS * max(1, turns) * BEACON_INTERVAL_MS + ALIVE_SLACK_MS
+        return ALIVE_TURNS * self._turns() * BEACON_INTERVAL_MS + ALIVE_SLACK_MS
 
     def _greeted(self, has_news):
         """Return the peers that get the next beacon: all for news, else some."""
@@ -176,6 +197,18 @@
     def _last_sign_ms(self, peer):
         return peer.since_ms if peer.heard_ms is None else peer.heard_ms
 
+    def _flight_news(self):
+        self._sequence += 1
+        changes = self._state.picture.take_changes(self._clock.now_ms())
+        return FlightNews(
+            name=self.name,
+            incarnation=self._incarnation,
+            sequence=self._sequence,
+            begun=tuple(changes.begun.values()),
+            writing=tuple(changes.writing),
+            ended=tuple(changes.ended),
+        )
+
     def _beacon(self):
         now_ms = self._clock.now_ms()
         state = self._state
@@ -209,6 +242,19 @@
                 continue
             if isinstance(message, Beacon) and message.name != self.name:
                 self._take(message, nursery)
+            elif isinstance(message, FlightNews):
+                self._take_news(message)
+
+    def _take_news(self, news):
+        peer = self._peers_by_name.get(news.name)
+        order = (news.incarnation, news.sequence)
+        if peer is None or order <= peer.order or news.incarnation != peer.order[0]:
+            return
+        peer.order = order
+        peer.heard_ms = now_ms = self._clock.now_ms()
+        self._state.picture.apply(
+            news.name, news.begun, news.writing, news.ended, now_ms
+        )
 
     def _take(self, beacon, nursery):
         now_ms = self._clock.now_ms()
@@ -262,23 +308,32 @@
                     endpoints.confirm(beacon.endpoints_revision, confirmed_ms)
                 else:
                     wants_list = True
-        if (wants_table or wants_list) and peer.name not in self._fetching:
-            self._fetching.add(peer.name)
+        # Peers tell of the same news at once; it is fetched from one of them.
+        wants_table = wants_table and not self._fetches_table
+        wants_list = wants_list and not self._fetches_list
+        if wants_table or wants_list:
+            self._fetches_table = self._fetches_table or wants_table
+            self._fetches_list = self._fetches_list or wants_list
             query = StateQuery(wants_table, wants_list)
             nursery.start_soon(self._fetch, peer, query)
 
     async def _fetch(self, peer, query):
         try:
             reply = await self._link.call(peer.address, query, FETCH_LIMIT_MS)
-        except PeerSilentError as error:
+            packed = reply.configuration
+            table = unpack_table(packed) if packed is not None else None
+        except (PeerSilentError, MessageError) as error:
             log.info("Fetch failed.", peer=peer.name, cause=str(error))
             return
         finally:
-            self._fetching.discard(peer.name)
+            if query.wants_configuration:
+                self._fetches_table = False
+            if query.wants_endpoints:
+                self._fetches_list = False
         now_ms = self._clock.now_ms()
-        if reply.configuration is not None:
+        if table is not None:
             confirmed_ms = now_ms - max(0.0, reply.configuration_age_ms)
-            self._state.take_table(reply.configuration, confirmed_ms, peer.name)
+            self._state.take_table(table, confirmed_ms, peer.name)
         if reply.endpoints is not None and reply.endpoints_age_ms >= 0:
             self._state.take_endpoints(
                 reply.endpoints,
--- a/vanillareach/gateway/state.py
+++ b/vanillareach/gateway/state.py
@@ -3,7 +3,7 @@
 from vanillareach.core.endpoint_health import EndpointHealth
 from vanillareach.core.endpoint_list import EndpointList
 from vanillareach.core.load_picture import LoadPicture
-from vanillareach.core.messages import StateReply
+from vanillareach.core.messages import StateReply, pack_table
 from vanillareach.core.retry_share import RetryShare
 from vanillareach.core.routing import CallerLimits
 from vanillareach.core.suspicion import CrashWatch
@@ -51,15 +51,20 @@
         self.is_stopping = False
         self._retries_by_service = {}
         self._listeners = []
+        self._packed_table = None
+        self._packed_version = None
 
     def subscribe(self, listener):
-        """Call `listener` whenever something changes that peers should hear of."""
+        """Call `listener` whenever something changes that peers should hear of.
+
+        Its argument says whether only flights have changed.
+        """
         self._listeners.append(listener)
 
-    def publish(self):
+    def publish(self, only_flights=False):
         """Tell all listeners of a change."""
         for listener in self._listeners:
-            listener()
+            listener(only_flights)
 
     @property
     def is_ready(self):
@@ -128,7 +133,7 @@
         """Return the `StateReply` to a peer's `StateQuery`."""
         endpoints = self.endpoints
         return StateReply(
-            configuration=self.table if query.wants_configuration else None,
+            configuration=self._packed() if query.wants_configuration else None,
             configuration_age_ms=self.age_ms(self.table_confirmed_ms),
             endpoints=tuple(endpoints.by_id.values())
             if query.wants_endpoints and endpoints.is_known
@@ -136,3 +141,12 @@
             endpoints_revision=endpoints.revision,
             endpoints_age_ms=self.age_ms(endpoints.confirmed_ms),
         )
+
+    def _packed(self):
+        """Return the table packed for peers; packed once a version."""
+        if self.table is None:
+            return None
+        if self._packed_version != self.table.version:
+            self._packed_table = pack_table(self.table)
+            self._packed_version = self.table.version
+        return self._packed_table
