--- a/vanillareach/core/dispatching.py
+++ b/vanillareach/core/dispatching.py
@@ -27,6 +27,9 @@
 # Silence of a plain call after which another endpoint is asked, if the time left then
 # is as long again.
 PLAIN_SILENCE_MS = 700.0
+# Random cost of an engine, in worth, for each instance that places at the same time.
+JITTER_PER_INSTANCE = 0.002
+MAX_JITTER_INSTANCES = 100
 # Part of its latency objective that a request waits for a place.
 WAIT_SHARE = 0.25
 # Refused callers return within these times, spread by up to this part of them.
@@ -120,11 +123,14 @@
             domain=self._domain,
         )
         health = self._state.health
+        # Dispatches of others that are not known yet grow with their number.
+        jitter = JITTER_PER_INSTANCE * min(self._state.instances, MAX_JITTER_INSTANCES)
         views = [
             EngineView(
                 endpoint,
                 loads.get(endpoint.id, EMPTY),
                 health.failure_share(endpoint.key, now_ms),
+                jitter=jitter * self._random.random(),
             )
             for endpoint in usable
         ]
--- a/vanillareach/core/span_placement.py
+++ b/vanillareach/core/span_placement.py
@@ -92,12 +92,15 @@
         Recent share of attempts that failed there, 0 to 1.
     pace : float
         Factor by which it is slower than published.
+    jitter : float
+        Random cost, in worth, that keeps instances with the same picture apart.
     """
 
     endpoint: object
     load: EngineLoad
     failure_share: float = 0.0
     pace: float = 1.0
+    jitter: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -266,7 +269,7 @@
     load = view.load
     cost = _own_loss(need, _first_event_ms(figures, view, part_ms))
     cost += _inflicted(figures, view, part_ms)
-    cost += need.worth * view.failure_share
+    cost += need.worth * view.failure_share + view.jitter
     cost -= GATHERING * min(len(load.writers), GATHERING_WRITERS)
     if view.endpoint.domain != need.domain:
         cost += DOMAIN_COST
