Let a slow caller take its stream: silence counts only while waiting for the endpoint

Cause, found on reading: an attempt could end as silent while a write to a slow caller waited, leaving half a chunk before the next attempt's events. The new scenario fails without the change. Events are searched once, not again with each piece.

--- a/vanillareach/core/event_stream.py
+++ b/vanillareach/core/event_stream.py
@@ -3,6 +3,7 @@
 import re
 
 ID_LINE = re.compile(rb"^id:[ ]?(\d+)\s*$", re.MULTILINE)
+EVENT_END_BYTES = 4
 EVENT_END = re.compile(rb"\r?\n\r?\n")
 
 
@@ -31,9 +32,10 @@
         EventGapError
             If an event between the last one and the next is missing.
         """
+        searched = max(0, len(self._partial) - EVENT_END_BYTES)
         buffered = self._partial + data
         whole, start = [], 0
-        for match in EVENT_END.finditer(buffered):
+        for match in EVENT_END.finditer(buffered, searched):
             event = buffered[start : match.end()]
             event_id = _id_of(event)
             if self._is_gap(event_id):
--- a/vanillareach/core/span_placement.py
+++ b/vanillareach/core/span_placement.py
@@ -55,7 +55,6 @@
 MIN_HELD_TOKENS = 8_192
 # Prompts shorter than this are not worth a span.
 SPAN_TOKENS = 12_000
-EMPTY = EngineLoad()
 
 
 @dataclass(slots=True, frozen=True)
--- a/vanillareach/features/gateway.feature
+++ b/vanillareach/features/gateway.feature
@@ -88,6 +88,13 @@
     When a caller asks "/ask/a" with a prompt of 1000 tokens
     Then its events are 1 to 6, each once
 
+  Scenario: A caller that reads slowly gets its stream whole, from one run
+    Given all endpoints will "flood"
+    When a caller asks "/ask/a" for a long stream and reads it late
+    Then the answer is 200, whole and signed
+    And its events are 1 to 6, each once
+    And 1 requests reached endpoints
+
   Scenario: A caller resumes a stream after an event
     Given all endpoints will "stream"
     When a caller calls "/ask/a" with "Last-Event-Id" set to "4"
--- a/vanillareach/features/steps/gateway.py
+++ b/vanillareach/features/steps/gateway.py
@@ -115,6 +115,18 @@
     send(context, path, Vanillareach_Token_Usage=f"{tokens},100")
 
 
+@when('a caller asks "{path}" for a long stream and reads it late')
+def step_reads_late(context, path):
+    async def call():
+        async with await context.platform.connect() as caller:
+            await caller.send(path, Vanillareach_Token_Usage="1000,100")
+            # Longer than the silence that is taken for a loss.
+            await trio.sleep(2.5)
+            context.answer = await caller.receive()
+
+    context.run(call)
+
+
 @when('a caller opens "{path}" and leaves once an endpoint has it')
 def step_leaves(context, path):
     async def call():
--- a/vanillareach/features/users_platform/endpoint.py
+++ b/vanillareach/features/users_platform/endpoint.py
@@ -8,6 +8,8 @@
 
 SIGNATURE = (b"Vanillareach-Response-Signature", b"signed")
 EVENTS = 6
+# More than the buffers between an endpoint and a caller hold.
+FLOOD_BYTES = 2_000_000
 
 
 def answer_to(attempt_id):
@@ -112,7 +114,7 @@
     async def _mute(self, received, responder):
         await trio.sleep_forever()
 
-    async def _stream(self, received, responder, last=EVENTS, torn=False):
+    async def _stream(self, received, responder, last=EVENTS, torn=False, padding=0):
         first = int(received.values_by_name.get(names.LAST_EVENT_ID, "0")) + 1
         head = [
             *self._head(received),
@@ -121,12 +123,16 @@
         ]
         await responder.start(200, head)
         for number in range(first, last + 1):
-            await responder.send(f"id: {number}\ndata: piece {number}\n\n".encode())
+            piece = f"piece {number}" + "x" * padding
+            await responder.send(f"id: {number}\ndata: {piece}\n\n".encode())
         if torn:
             await responder.send(b"id: 99\ndata: half")
             raise AnswerBrokenError("torn")
         await responder.finish()
 
+    async def _flood(self, received, responder):
+        await self._stream(received, responder, padding=FLOOD_BYTES)
+
     async def _torn(self, received, responder):
         await self._stream(received, responder, last=3, torn=True)
 
--- a/vanillareach/gateway/forwarder.py
+++ b/vanillareach/gateway/forwarder.py
@@ -247,7 +247,8 @@
                     exchange,
                     answer,
                     responder,
-                    lambda: self._note_event(exchange, target, flight, silence),
+                    lambda: self._note_arrival(exchange, flight, silence),
+                    lambda: self._note_delivery(exchange, silence),
                 )
             else:
                 body = await answer.read(HELD_ANSWER_BYTES)
@@ -300,18 +301,22 @@
         elif fields.is_closing:
             state.health.note_unreachable(target.endpoint.key, now_ms)
 
-    def _note_event(self, exchange, target, flight, silence):
-        """Record that an event arrived."""
+    def _note_arrival(self, exchange, flight, silence):
+        """Record that events arrived; the caller may take them slowly."""
         now_ms = self._clock.now_ms()
         exchange.note_event(now_ms)
-        limit_ms = self._dispatcher.gap_limit_ms(exchange)
-        silence.extend(now_ms + limit_ms)
+        # An attempt that ended during a write would leave half an event.
+        silence.lift()
         if flight.is_reading:
             self._dispatcher.note_first_event(flight)
             self._metrics.record_first_token(
                 exchange.route.name, exchange.first_event_ms
             )
 
+    def _note_delivery(self, exchange, silence):
+        limit_ms = self._dispatcher.gap_limit_ms(exchange)
+        silence.extend(self._clock.now_ms() + limit_ms)
+
     async def _note_result(self, exchange, target, result, detail):
         now_ms = self._clock.now_ms()
         state = self._state
--- a/vanillareach/gateway/relay.py
+++ b/vanillareach/gateway/relay.py
@@ -1,7 +1,5 @@
 """Passing an endpoint's answer on to the caller."""
 
-import trio
-
 from vanillareach.core.event_stream import EventGapError
 from vanillareach.endpoints.base import EndpointBrokenError
 
@@ -30,7 +28,7 @@
     await responder.answer(answer.status, headers, body, answer.reason)
 
 
-async def relay_events(exchange, answer, responder, note_event):
+async def relay_events(exchange, answer, responder, note_arrival, note_delivery):
     """Forward a stream's whole events as they arrive.
 
     Parameters
@@ -39,8 +37,9 @@
         Its `events` know what earlier attempts have forwarded.
     answer : UpstreamAnswer
     responder : Responder
-    note_event : callable
-        Called when something arrives.
+    note_arrival, note_delivery : callable
+        Called when whole events have arrived, and when the caller has taken what
+        arrived or a part of an event came.
 
     Raises
     ------
@@ -58,12 +57,12 @@
         except EventGapError as error:
             raise EndpointBrokenError(str(error)) from error
         if not whole:
+            note_delivery()
             continue
-        note_event()
-        # A write that is cancelled midway would leave half an event.
-        with trio.CancelScope(shield=False):
-            await _start(answer, responder)
-            await responder.send(whole)
+        note_arrival()
+        await _start(answer, responder)
+        await responder.send(whole)
+        note_delivery()
     if not events.is_between_events:
         raise EndpointBrokenError("the stream ended within an event")
     await _start(answer, responder)
