--- a/vanillareach/core/endpoint_health.py
+++ b/vanillareach/core/endpoint_health.py
@@ -9,13 +9,24 @@
 
 
 class EndpointHealth:
-    """Recent share of failed attempts, by endpoint incarnation."""
+    """Recent share of failed attempts, by endpoint incarnation.
 
-    __slots__ = ("_share_by_key", "_updated_ms_by_key")
+    An endpoint that takes no connection is set aside until a connection to it is made,
+    so that no request has to find out. When a second one of a failure domain is set
+    aside, the way to the whole domain is in doubt, and all of it is.
+
+    Attributes
+    ----------
+    unreachable_by_key : dict of tuple to ListedEndpoint
+        Endpoints set aside.
+    """
+
+    __slots__ = ("_share_by_key", "_updated_ms_by_key", "unreachable_by_key")
 
     def __init__(self):
         self._share_by_key = {}
         self._updated_ms_by_key = {}
+        self.unreachable_by_key = {}
 
     def failure_share(self, key, now_ms):
         """Return the faded share of failures, 0 to 1."""
@@ -38,18 +49,47 @@
         outcome = 1.0 if has_failed else 0.0
         self._put(key, share + OUTCOME_WEIGHT * (outcome - share), now_ms)
 
-    def note_unreachable(self, key, now_ms):
-        """Record that no connection could be made."""
+    def note_refusing(self, key, now_ms):
+        """Record a sign that an endpoint takes no work."""
         self._put(key, 1.0, now_ms)
 
+    def note_unreachable(self, endpoint, listed):
+        """Set aside an endpoint to which no connection could be made.
+
+        Parameters
+        ----------
+        endpoint : ListedEndpoint
+        listed : iterable of ListedEndpoint
+            All that are listed.
+        """
+        is_second = any(
+            other.domain == endpoint.domain and other.key != endpoint.key
+            for other in self.unreachable_by_key.values()
+        )
+        self.unreachable_by_key[endpoint.key] = endpoint
+        if not is_second:
+            return
+        for other in listed:
+            if other.domain == endpoint.domain:
+                self.unreachable_by_key[other.key] = other
+
+    def note_reachable(self, key):
+        """Take an endpoint back after a connection was made."""
+        self.unreachable_by_key.pop(key, None)
+
     def prefer_sound(self, endpoints, now_ms):
         """Return the endpoints that aren't shunned, or all if none is left."""
-        sound = [
+        reachable = [
             endpoint
             for endpoint in endpoints
+            if endpoint.key not in self.unreachable_by_key
+        ]
+        sound = [
+            endpoint
+            for endpoint in reachable
             if self.failure_share(endpoint.key, now_ms) < SHUNNED_SHARE
         ]
-        return sound or endpoints
+        return sound or reachable or endpoints
 
     def _put(self, key, share, now_ms):
         self._share_by_key[key] = share
--- a/vanillareach/features/gateway_core.feature
+++ b/vanillareach/features/gateway_core.feature
@@ -66,6 +66,19 @@
     Given endpoints "e1,e2" of which "e1,e2" failed 5 times
     Then both are preferred
 
+  Scenario: An endpoint that takes no connection is set aside until one is made
+    Given endpoints "e1,e2" of which "" failed 0 times
+    When no connection to "e1" can be made
+    Then only "e2" is preferred
+    When a connection to "e1" is made
+    Then both are preferred
+
+  Scenario: Two unreachable endpoints put their whole domain in doubt
+    Given endpoints "e1,e2,e3" of domain "a" and "e4" of domain "b"
+    When no connection to "e1" can be made
+    And no connection to "e2" can be made
+    Then only "e4" is preferred
+
   Scenario: Work at an engine is counted from all instances
     Given engine "e1" reads a part of 400 ms for a peer since 100 ms
     And engine "e1" reads 200 ms for this instance since 50 ms
--- a/vanillareach/features/steps/gateway_core.py
+++ b/vanillareach/features/steps/gateway_core.py
@@ -169,6 +169,11 @@
     assert 0 < context.retried <= limit, context.retried
 
 
+@given('endpoints "{names}" of which "" failed {times:d} times')
+def step_none_failing(context, names, times):
+    step_failing(context, names, "", times)
+
+
 @given('endpoints "{names}" of which "{failing}" failed {times:d} times')
 def step_failing(context, names, failing, times):
     context.health = EndpointHealth()
@@ -184,6 +189,29 @@
         context.health.note(make_endpoint(name).key, False, NOW_MS)
 
 
+@given('endpoints "{names}" of domain "{domain}" and "{other}" of domain "{second}"')
+def step_domains(context, names, domain, other, second):
+    context.health = EndpointHealth()
+    context.endpoints = [
+        ListedEndpoint(name, 1, "s", "10.0.0.1:80", place, 8, False)
+        for name, place in [
+            *((name, domain) for name in names.split(",")),
+            (other, second),
+        ]
+    ]
+
+
+@when('no connection to "{name}" can be made')
+def step_unreachable_endpoint(context, name):
+    endpoint = next(e for e in context.endpoints if e.id == name)
+    context.health.note_unreachable(endpoint, context.endpoints)
+
+
+@when('a connection to "{name}" is made')
+def step_reachable(context, name):
+    context.health.note_reachable(make_endpoint(name).key)
+
+
 def preferred(context):
     """Return the ids of the preferred endpoints."""
     sound = context.health.prefer_sound(context.endpoints, NOW_MS)
--- a/vanillareach/gateway/app.py
+++ b/vanillareach/gateway/app.py
@@ -11,6 +11,7 @@
 from vanillareach.gateway.following import StoreFollower
 from vanillareach.gateway.forwarder import Forwarder
 from vanillareach.gateway.gossip import Gossip
+from vanillareach.gateway.probing import ReachabilityProber
 from vanillareach.gateway.reservations import ReservationKeeper
 from vanillareach.gateway.state import GatewayState
 from vanillareach.log import configure_bounded_logs, get_logger
@@ -133,6 +134,7 @@
         nursery.start_soon(self.follower.run)
         nursery.start_soon(self.reservations.run)
         nursery.start_soon(self.forwarder.silences.run)
+        nursery.start_soon(ReachabilityProber(self.state, self.clock).run)
         for listener in (self.front, self.ready, self.scrape):
             await nursery.start(listener.run)
 
--- a/vanillareach/gateway/forwarder.py
+++ b/vanillareach/gateway/forwarder.py
@@ -295,11 +295,11 @@
             for helper in target.helpers:
                 if helper.address == fields.fault_at:
                     exchange.fault_at = helper.id
-                    state.health.note_unreachable(helper.key, now_ms)
+                    state.health.note_refusing(helper.key, now_ms)
         elif fields.is_other_instance:
             state.endpoints.note_leaving(target.endpoint, now_ms)
         elif fields.is_closing:
-            state.health.note_unreachable(target.endpoint.key, now_ms)
+            state.health.note_refusing(target.endpoint.key, now_ms)
 
     def _note_arrival(self, exchange, flight, silence):
         """Record that events arrived; the caller may take them slowly."""
@@ -325,7 +325,7 @@
         if result is AttemptResult.ANSWERED:
             state.health.note(key, False, now_ms)
         elif result is AttemptResult.UNREACHABLE:
-            state.health.note_unreachable(key, now_ms)
+            self._note_unreachable(target.endpoint, detail)
         elif result in MAY_HAVE_RUN:
             exchange.runs += 1
             state.health.note(key, True, now_ms)
@@ -335,6 +335,16 @@
         if result is AttemptResult.BROKEN:
             await self._check_loss(exchange, target)
 
+    def _note_unreachable(self, endpoint, cause):
+        state = self._state
+        state.health.note_unreachable(endpoint, state.endpoints.by_id.values())
+        log.warning(
+            "Endpoint unreachable.",
+            endpoint=endpoint.id,
+            cause=cause,
+            set_aside=len(state.health.unreachable_by_key),
+        )
+
     def _log_end(self, exchange, target, result, detail):
         log.info(
             "Attempt ended.",
@@ -356,7 +366,7 @@
         except OSError as error:
             now_ms = self._clock.now_ms()
             state = self._state
-            state.health.note_unreachable(endpoint.key, now_ms)
+            self._note_unreachable(endpoint, str(error))
             loss = Loss(exchange.fingerprint, endpoint.id, endpoint.domain, now_ms)
             if state.crashes.note_loss(loss):
                 log.info(
--- a/vanillareach/peers/link.py
+++ b/vanillareach/peers/link.py
@@ -130,6 +130,7 @@
             self._traffic.note_in(len(answer))
             return self._sealer.open(answer)
         except (trio.TooSlowError, pynng.NNGException, MessageError) as error:
+            self._drop(address, socket)
             raise PeerSilentError(f"{address}: {error!r}") from error
         finally:
             calls[address] -= 1
@@ -185,6 +186,12 @@
         sockets[address] = socket
         return socket
 
+    def _drop(self, address, socket):
+        """Close a socket whose connection may be dead without a reset."""
+        if self._sockets_by_address.get(address) is socket:
+            del self._sockets_by_address[address]
+        socket.close()
+
     def _close_idle(self):
         sockets = self._sockets_by_address
         for address in list(sockets):
