--- a/vanillareach/core/dispatching.py
+++ b/vanillareach/core/dispatching.py
@@ -30,6 +30,9 @@
 # Random cost of an engine, in worth, for each instance that places at the same time.
 JITTER_PER_INSTANCE = 0.002
 MAX_JITTER_INSTANCES = 100
+# Requests of each other instance that are placed but not yet known here: the rate of an
+# instance times the way of the news, some 10 ms.
+UNSEEN_PER_INSTANCE = 0.015
 # Part of its latency objective that a request waits for a place.
 WAIT_SHARE = 0.25
 # Refused callers return within these times, spread by up to this part of them.
@@ -121,6 +124,7 @@
             pause_limit_ms=route.pause_limit_ms,
             worth=worth_of(fields),
             domain=self._domain,
+            unseen=UNSEEN_PER_INSTANCE * self._state.instances,
         )
         health = self._state.health
         # Dispatches of others that are not known yet grow with their number.
--- a/vanillareach/core/span_placement.py
+++ b/vanillareach/core/span_placement.py
@@ -31,7 +31,10 @@
 MAX_WAITING = 2
 # Value of gathering with a writer, and cost of each engine of a span, in worth.
 GATHERING = 0.03
-GATHERING_WRITERS = 6
+# An engine is crowded by this many requests for each that others may have placed there
+# unseen; each one beyond its slots costs a part of the worth.
+SLOTS_PER_UNSEEN = 2.0
+CROWDING_LOSS = 0.1
 SPAN_COST = 0.02
 # Cost of an engine that reads for a second, in worth; it grows with the square, since
 # all that comes meanwhile waits for what is left of it.
@@ -69,6 +72,8 @@
     pause_limit_ms, worth : float
     domain : str
         Failure domain of the instance that asks.
+    unseen : float
+        Requests that other instances place while they can't be seen here yet.
     """
 
     prompt_tokens: int
@@ -77,6 +82,7 @@
     pause_limit_ms: float
     worth: float
     domain: str
+    unseen: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -269,12 +275,20 @@
     cost = _own_loss(need, _first_event_ms(figures, view, part_ms))
     cost += _inflicted(figures, view, part_ms)
     cost += need.worth * view.failure_share + view.jitter
-    cost -= GATHERING * min(len(load.writers), GATHERING_WRITERS)
+    cost += _gathering_cost(need, figures, load)
     if view.endpoint.domain != need.domain:
         cost += DOMAIN_COST
     return cost
 
 
+def _gathering_cost(need, figures, load):
+    """Return the cost, mostly negative, of joining the writers of an engine."""
+    taken = load.running + SLOTS_PER_UNSEEN * need.unseen
+    crowding = max(0.0, taken + 1 - figures.slots)
+    gathered = min(len(load.writers), figures.slots - 2)
+    return CROWDING_LOSS * need.worth * crowding - GATHERING * gathered
+
+
 def _helper_cost(figures, view, part_ms):
     return (
         _inflicted(figures, view, part_ms)
--- a/vanillareach/features/placement_load.feature
+++ b/vanillareach/features/placement_load.feature
@@ -41,3 +41,12 @@
     Given engine "e0" fails half of its requests
     When 10 short prompts arrive at once
     Then engine "e0" has no request
+
+  Scenario Outline: Many instances leave room for each other's unseen requests
+    When 5 short prompts arrive at once
+    Then with <unseen> unseen requests the next one <choice> them
+
+    Examples:
+      | unseen | choice |
+      | 0.1    | joins  |
+      | 3.0    | avoids |
--- a/vanillareach/features/steps/placement_load.py
+++ b/vanillareach/features/steps/placement_load.py
@@ -40,6 +40,7 @@
         self.failure_share_by_id = {}
         self.chosen = []
         self.refused = 0
+        self.unseen = 0.0
 
     def views(self):
         """Return the engines as placement sees them."""
@@ -64,6 +65,7 @@
             PAUSE_MS[is_short],
             worth,
             "a",
+            self.unseen,
         )
         chosen = place(need, FIGURES, self.views())
         if chosen is None or chosen.gain < 0:
@@ -206,3 +208,16 @@
 def step_no_request(context, name):
     views = {view.endpoint.id: view for view in context.replay.views()}
     assert views[name].load.running == 0
+
+
+@then("with {unseen:f} unseen requests the next one {choice} them")
+def step_unseen(context, unseen, choice):
+    state = context.replay
+    state.unseen = unseen
+    # Writers fill an engine up to its last slot but one.
+    for _ in range(2):
+        state.arrive(SHORT_TOKENS)
+        state.now_ms += 40.0
+        state.write()
+    running = max(view.load.running for view in state.views())
+    assert (running == 7) is (choice == "joins"), running
--- a/vanillareach/gateway/gossip.py
+++ b/vanillareach/gateway/gossip.py
@@ -27,7 +27,7 @@
 # Changes within this time share a beacon; it grows with the number of peers, which
 # bounds the datagrams that an instance sends and receives.
 COALESCE_MS = 2.0
-COALESCE_MS_PER_PEER = 0.25
+COALESCE_MS_PER_PEER = 0.05
 # An instance is alive that was heard within so many of its turns, and besides.
 ALIVE_TURNS = 4
 ALIVE_SLACK_MS = 300.0
