--- a/vanillareach/features/gateway_core.feature
+++ b/vanillareach/features/gateway_core.feature
@@ -88,3 +88,7 @@
     Given engine "e1" reads a part of 400 ms for a peer since 100 ms
     When the peer is silent for 6000 ms
     Then "e1" has no work
+
+  Scenario: An event that arrives as its attempt is given up isn't counted
+    Given an attempt that is given up while event 1 arrives
+    Then nothing is sent, and the next attempt asks from the beginning
--- a/vanillareach/features/steps/gateway_core.py
+++ b/vanillareach/features/steps/gateway_core.py
@@ -1,5 +1,8 @@
 """Steps about the decisions of the gateway."""
 
+from types import SimpleNamespace
+
+import trio
 from behave import given, then, when
 
 from vanillareach.core.endpoint_health import EndpointHealth
@@ -8,6 +11,9 @@
 from vanillareach.core.load_picture import Flight, LoadPicture
 from vanillareach.core.retry_share import RetryShare
 from vanillareach.core.routing import CallerLimits, RequestKind, Route, RouteTable
+from vanillareach.endpoints.base import EndpointBrokenError
+from vanillareach.gateway.relay import relay_events
+from vanillareach.gateway.silence import Silence
 
 NOW_MS = 100_000.0
 
@@ -265,3 +271,62 @@
 @then('"{engine}" has no work')
 def step_no_work(context, engine):
     assert engine not in context.picture.loads_by_engine(context.later_ms)
+
+
+class ArrivingAnswer:
+    """An answer whose first event has arrived already."""
+
+    status = 200
+    reason = b"OK"
+    headers = ()
+
+    async def next_data(self):
+        """Return the event without waiting."""
+        return b"id: 1\n\n"
+
+
+class CountingResponder:
+    """Responder that counts what it sends."""
+
+    is_started = False
+    sent = 0
+
+    async def start(self, *head):
+        """Wait as a socket does, then count."""
+        await trio.lowlevel.checkpoint()
+        self.sent += 1
+
+    async def send(self, data):
+        """Wait as a socket does, then count."""
+        await trio.lowlevel.checkpoint()
+        self.sent += 1
+
+
+@given("an attempt that is given up while event 1 arrives")
+def step_given_up(context):
+    context.exchange = SimpleNamespace(events=EventSplitter())
+    context.responder = CountingResponder()
+    silence = Silence(None, 0.0)
+
+    async def relay():
+        with silence.scope:
+            silence.give_up()
+            await relay_events(
+                context.exchange,
+                ArrivingAnswer(),
+                context.responder,
+                silence.note_arrival,
+                lambda: None,
+                lambda: None,
+            )
+
+    try:
+        trio.run(relay)
+    except EndpointBrokenError:
+        context.was_broken = True
+
+
+@then("nothing is sent, and the next attempt asks from the beginning")
+def step_from_beginning(context):
+    assert context.responder.sent == 0
+    assert context.exchange.events.last_id is None
--- a/vanillareach/gateway/__main__.py
+++ b/vanillareach/gateway/__main__.py
@@ -1,9 +1,9 @@
 """Runs a gateway with settings from the environment, without the command line."""
 
 import os
-import signal
 import sys
 
+import vanillareach.early_signals  # noqa: F401
 from vanillareach.gateway.app import run_gateway
 from vanillareach.gateway.settings import GatewaySettings
 from vanillareach.platform.calls import PlatformProtocol
@@ -14,8 +14,6 @@
 
 def run_on_platform(settings):
     """Run one gateway instance with the platform's adapter."""
-    # Until its handler is set, a signal to reload would end the process.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     store = PlatformStore(settings.store)
     run_gateway(settings, store, PlatformProtocol(), PlatformOrders())
 
--- a/vanillareach/gateway/attempts.py
+++ b/vanillareach/gateway/attempts.py
@@ -143,12 +143,13 @@
                 exchange,
                 answer,
                 responder,
-                lambda: self._note_arrival(attempt),
+                attempt.silence.note_arrival,
+                lambda: self._note_events(attempt),
                 lambda: self._note_delivery(attempt),
             )
         else:
             body = await answer.read(HELD_ANSWER_BYTES)
-            attempt.silence.lift()
+            attempt.silence.note_arrival()
             await send_whole(answer, body, responder)
         return AttemptResult.ANSWERED
 
@@ -195,12 +196,10 @@
         elif fields.is_closing:
             state.health.note_refusing(target.endpoint.key, now_ms)
 
-    def _note_arrival(self, attempt):
-        """Record that events arrived; the caller may take them slowly."""
+    def _note_events(self, attempt):
+        """Record that whole events arrived."""
         exchange, flight = attempt.exchange, attempt.flight
         exchange.note_event(self._clock.now_ms())
-        # An attempt that ended during a write would leave half an event.
-        attempt.silence.lift()
         if flight.is_reading:
             self._dispatcher.note_first_event(flight)
             self._metrics.record_first_token(
--- a/vanillareach/gateway/connections.py
+++ b/vanillareach/gateway/connections.py
@@ -4,7 +4,7 @@
 import trio
 
 from vanillareach.clock import MS_PER_SECOND
-from vanillareach.gateway.sockets import watch_liveness
+from vanillareach.gateway.sockets import CALLER_TIMEOUT_MS, watch_liveness
 from vanillareach.log import get_logger
 
 RECEIVE_BYTES = 65_536
@@ -371,7 +371,7 @@
                 connection.scope.cancel()
 
     async def _serve(self, stream):
-        watch_liveness(stream.socket)
+        watch_liveness(stream.socket, CALLER_TIMEOUT_MS)
         connection = CallerConnection(stream, self)
         self._connections.add(connection)
         try:
--- a/vanillareach/gateway/relay.py
+++ b/vanillareach/gateway/relay.py
@@ -28,7 +28,9 @@
     await responder.answer(answer.status, headers, body, answer.reason)
 
 
-async def relay_events(exchange, answer, responder, note_arrival, note_delivery):
+async def relay_events(
+    exchange, answer, responder, note_arrival, note_events, note_delivery
+):
     """Forward a stream's whole events as they arrive.
 
     Parameters
@@ -37,9 +39,9 @@
         Its `events` know what earlier attempts have forwarded.
     answer : UpstreamAnswer
     responder : Responder
-    note_arrival, note_delivery : callable
-        Called when whole events have arrived, and when the caller has taken what
-        arrived or a part of an event came.
+    note_arrival, note_events, note_delivery : callable
+        Called when bytes have arrived, when they hold whole events, and when the
+        caller has taken these.
 
     Raises
     ------
@@ -52,16 +54,15 @@
         data = await answer.next_data()
         if data is None:
             break
+        note_arrival()
         try:
             whole = events.feed(data)
         except EventGapError as error:
             raise EndpointBrokenError(str(error)) from error
-        if not whole:
-            note_delivery()
-            continue
-        note_arrival()
-        await _start(answer, responder)
-        await responder.send(whole)
+        if whole:
+            note_events()
+            await _start(answer, responder)
+            await responder.send(whole)
         note_delivery()
     if not events.is_between_events:
         raise EndpointBrokenError("the stream ended within an event")
--- a/vanillareach/gateway/silence.py
+++ b/vanillareach/gateway/silence.py
@@ -4,6 +4,8 @@
 
 import trio
 
+from vanillareach.endpoints.base import EndpointBrokenError
+
 TICK_MS = 50.0
 # A silence that is explained is looked at again after this time.
 EXTENSION_MS = 200.0
@@ -32,8 +34,22 @@
         """Allow silence until `limit_ms`."""
         self.limit_ms = limit_ms
 
-    def lift(self):
-        """Stop watching: the answer is complete."""
+    def give_up(self):
+        """End the attempt."""
+        self.is_over = True
+        self.scope.cancel()
+
+    def note_arrival(self):
+        """Stop watching while what arrived is passed on.
+
+        Raises
+        ------
+        EndpointBrokenError
+            If the attempt has been given up: a write would be cancelled, so what
+            arrived must not be counted as passed on.
+        """
+        if self.is_over:
+            raise EndpointBrokenError("given up as silent")
         self.limit_ms = math.inf
 
 
@@ -70,5 +86,4 @@
                 if self._dispatcher.is_explained(silence.flight, now_ms):
                     silence.extend(now_ms + EXTENSION_MS)
                     continue
-                silence.is_over = True
-                silence.scope.cancel()
+                silence.give_up()
--- a/vanillareach/gateway/sockets.py
+++ b/vanillareach/gateway/sockets.py
@@ -10,18 +10,27 @@
 KEEP_ALIVE_IDLE_S = 1
 KEEP_ALIVE_INTERVAL_S = 1
 KEEP_ALIVE_PROBES = 2
-# Unacknowledged bytes end a connection after this time.
-USER_TIMEOUT_MS = 2_000
+# Bytes that an endpoint doesn't acknowledge end a connection after this time.
+ENDPOINT_TIMEOUT_MS = 2_000
+# A caller may stop reading for a while, which the kernel times in the same way.
+CALLER_TIMEOUT_MS = 15_000
 
 
-def watch_liveness(sock):
-    """Set the options of a connected trio socket."""
+def watch_liveness(sock, timeout_ms):
+    """Set the options of a connected trio socket.
+
+    Parameters
+    ----------
+    sock : trio.socket.SocketType
+    timeout_ms : int
+        Time after which unacknowledged or unread bytes end the connection.
+    """
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
 
 
 async def connect(address, limit_ms):
@@ -37,7 +46,7 @@
     try:
         with trio.fail_after(limit_ms / MS_PER_SECOND):
             await sock.connect((host, int(port)))
-        watch_liveness(sock)
+        watch_liveness(sock, ENDPOINT_TIMEOUT_MS)
     except trio.TooSlowError as error:
         sock.close()
         raise OSError(f"no connection to {address} within {limit_ms:.0f} ms") from error
