--- a/vanillareach/cli.py
+++ b/vanillareach/cli.py
@@ -5,6 +5,7 @@
 
 import typer
 
+import vanillareach.early_signals  # noqa: F401
 from vanillareach.gateway.settings import GATEWAY_SETTINGS, GatewaySettings
 from vanillareach.operator_cli import register_operator_commands
 from vanillareach.settings import SETTINGS, Settings, SettingsError
--- a/vanillareach/endpoints/http.py
+++ b/vanillareach/endpoints/http.py
@@ -5,6 +5,7 @@
 import httpcore
 
 from vanillareach.clock import MS_PER_SECOND
+from vanillareach.connection_headers import CONNECTION_HEADERS
 from vanillareach.endpoints.base import (
     EndpointBrokenError,
     EndpointPort,
@@ -13,20 +14,7 @@
 )
 from vanillareach.traffic import CountingBackend
 
-HOP_HEADERS = frozenset(
-    (
-        b"connection",
-        b"content-length",
-        b"date",
-        b"host",
-        b"keep-alive",
-        b"server",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    )
-)
+HOP_HEADERS = CONNECTION_HEADERS | {b"date", b"host", b"server"}
 MAX_CONNECTIONS = 4096
 KEEP_ALIVE_S = 30.0
 
--- a/vanillareach/gateway/relay.py
+++ b/vanillareach/gateway/relay.py
@@ -1,21 +1,9 @@
 """Passing an endpoint's answer on to the caller."""
 
+from vanillareach.connection_headers import CONNECTION_HEADERS
 from vanillareach.core.event_stream import EventGapError
 from vanillareach.endpoints.base import EndpointBrokenError
 
-CONNECTION_HEADERS = frozenset(
-    (
-        b"connection",
-        b"content-length",
-        b"keep-alive",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    )
-)
-
 
 def passed_headers(headers):
     """Return an answer's headers without those of its connection."""
--- a/vanillareach/platform/calls.py
+++ b/vanillareach/platform/calls.py
@@ -1,22 +1,11 @@
 """Headers of callers' requests and endpoints' answers."""
 
+from vanillareach.connection_headers import CONNECTION_HEADERS
 from vanillareach.gateway.ports import AnswerFields, CallerFields, RequestProtocol
 from vanillareach.platform import names
 
-CONNECTION_HEADERS = frozenset(
-    (
-        b"connection",
-        b"content-length",
-        b"expect",
-        b"host",
-        b"keep-alive",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    )
-)
+# What a request to an endpoint gets anew, or not at all.
+REPLACED_HEADERS = CONNECTION_HEADERS | {b"expect", b"host"}
 
 
 class PlatformProtocol(RequestProtocol):
@@ -37,7 +26,7 @@
 
     def endpoint_headers(self, headers, order, hides_key):
         """Build an endpoint's headers; see `RequestProtocol`."""
-        dropped = CONNECTION_HEADERS | _listed_in_connection(headers)
+        dropped = REPLACED_HEADERS | _listed_in_connection(headers)
         own = names.OWN_REQUEST_HEADERS
         if not hides_key:
             own = own - {names.AUTHORIZATION}
