--- a/vanillareach/core/messages.py
+++ b/vanillareach/core/messages.py
@@ -219,8 +219,6 @@
     endpoints_revision, endpoints_digest : int
     flights : tuple of Flight
         Requests that the sender has at endpoints.
-    peers : tuple of str
-        Addresses of some other instances.
     losses : tuple of (str, str, str)
         Recent crashes: fingerprint of the request, endpoint, failure domain.
     """
@@ -237,7 +235,6 @@
     endpoints_digest: int
     endpoints_age_ms: float
     flights: tuple[Flight, ...]
-    peers: tuple[str, ...]
     losses: tuple[tuple[str, str, str], ...]
 
 
--- a/vanillareach/features/gateway_fleet.feature
+++ b/vanillareach/features/gateway_fleet.feature
@@ -51,3 +51,13 @@
     Then the answer is 200, whole and signed
     And the answer closes its connection
     And the gateway is not ready
+
+  Scenario: An instance that starts again with its clock behind is heard again
+    Given a beacon of instance "g9" with incarnation 1000
+    When "g9" is silent for 5000 ms and a beacon with incarnation 10 comes
+    Then the gateway goes by incarnation 10 of "g9"
+
+  Scenario: A late beacon of an earlier incarnation is ignored
+    Given a beacon of instance "g9" with incarnation 1000
+    When "g9" is silent for 100 ms and a beacon with incarnation 10 comes
+    Then the gateway goes by incarnation 1000 of "g9"
--- a/vanillareach/features/steps/gateway.py
+++ b/vanillareach/features/steps/gateway.py
@@ -2,6 +2,7 @@
 
 import re
 
+import msgspec
 import trio
 from behave import given, then, when
 
@@ -10,6 +11,7 @@
 from vanillareach.gateway.connections import CallerRequest
 from vanillareach.gateway.forwarder import LOSSES_TO_REFUSE, fingerprint_of
 from vanillareach.platform.calls import PlatformProtocol
+from vanillareach.platform.documents import decode_configuration
 
 MANY = 20
 
@@ -288,9 +290,6 @@
     gateway = context.platform.gateways[0]
 
     async def hear():
-        import msgspec
-
-        from vanillareach.platform.documents import decode_configuration
 
         table = decode_configuration(msgspec.json.encode(configuration(version)))
         gateway.state.take_table(table, gateway.clock.now_ms(), "test")
@@ -384,6 +383,43 @@
     context.run(wait)
 
 
+def take_beacon(context, name, incarnation):
+    """Let the gateway take a beacon of another instance."""
+    gossip = context.platform.gateways[0].gossip
+
+    async def take():
+        beacon = msgspec.structs.replace(
+            gossip._beacon(),
+            name=name,
+            address=free_address(),
+            incarnation=incarnation,
+            sequence=1,
+        )
+        async with trio.open_nursery() as nursery:
+            gossip._take(beacon, nursery)
+
+    context.run(take)
+    return gossip._peers_by_name[name]
+
+
+@given('a beacon of instance "{name}" with incarnation {incarnation:d}')
+def step_beacon(context, name, incarnation):
+    context.peer = take_beacon(context, name, incarnation)
+
+
+@when(
+    '"{name}" is silent for {silent_ms:d} ms and a beacon with incarnation {n:d} comes'
+)
+def step_beacon_after(context, name, silent_ms, n):
+    context.peer.heard_ms -= silent_ms
+    take_beacon(context, name, n)
+
+
+@then('the gateway goes by incarnation {incarnation:d} of "{name}"')
+def step_goes_by(context, incarnation, name):
+    assert context.peer.order == (incarnation, 1), context.peer.order
+
+
 @when("the store cuts all calls")
 def step_store_cut(context):
     async def cut():
--- a/vanillareach/gateway/gossip.py
+++ b/vanillareach/gateway/gossip.py
@@ -5,7 +5,6 @@
 over pynng from a peer whose beacon shows that it has something newer.
 """
 
-import random
 import socket
 
 import trio
@@ -36,7 +35,6 @@
 FETCH_LIMIT_MS = 600.0
 MAX_DATAGRAM_BYTES = 60_000
 RECENT_LOSS_MS = 3_000.0
-PEERS_PER_BEACON = 4
 
 log = get_logger("gossip")
 
@@ -89,7 +87,6 @@
         self._fetches_list = False
         self._turn = 0
         self._beacon_ms = 0.0
-        self._random = random.Random()
         self._only_flights = True
         state.subscribe(self._note_change)
 
@@ -106,13 +103,15 @@
     def alive_names(self):
         """Return the names of the instances heard lately."""
         now_ms = self._clock.now_ms()
-        alive_ms = self._alive_ms()
         return [
             peer.name
             for peer in self._peers_by_name.values()
-            if peer.heard_ms is not None and now_ms - peer.heard_ms < alive_ms
+            if self._is_alive(peer, now_ms)
         ]
 
+    def _is_alive(self, peer, now_ms):
+        return peer.heard_ms is not None and now_ms - peer.heard_ms < self._alive_ms()
+
     def take_addresses(self, address_by_name):
         """Learn of instances from the store."""
         now_ms = self._clock.now_ms()
@@ -213,7 +212,6 @@
         now_ms = self._clock.now_ms()
         state = self._state
         self._sequence += 1
-        known = [peer.address for peer in self._peers_by_name.values()]
         losses = state.crashes.recent(now_ms - RECENT_LOSS_MS)
         return Beacon(
             name=self.name,
@@ -228,7 +226,6 @@
             endpoints_digest=state.endpoints.digest,
             endpoints_age_ms=state.age_ms(state.endpoints.confirmed_ms),
             flights=state.picture.own_flights(now_ms),
-            peers=tuple(self._random.sample(known, min(PEERS_PER_BEACON, len(known)))),
             losses=tuple((x.fingerprint, x.endpoint, x.domain) for x in losses),
         )
 
@@ -265,9 +262,11 @@
             self._state.instances = 1 + len(self._peers_by_name)
             self._changed.set()
         order = (beacon.incarnation, beacon.sequence)
-        if order <= peer.order:
+        was_silent = not self._is_alive(peer, now_ms)
+        # An instance that starts again while its clock is behind has a lower order.
+        if order <= peer.order and not was_silent:
             return
-        if peer.heard_ms is None or now_ms - peer.heard_ms > self._alive_ms():
+        if was_silent:
             log.info("Peer heard.", peer=peer.name, address=beacon.address)
         peer.order = order
         peer.address = beacon.address
