--- a/vanillareach/features/steps/gateway.py
+++ b/vanillareach/features/steps/gateway.py
@@ -121,7 +121,12 @@
 def step_reads_late(context, path):
     async def call():
         async with await context.platform.connect() as caller:
-            await caller.send(path, Vanillareach_Token_Usage="1000,100")
+            # Time enough for 12 MB on a busy machine.
+            await caller.send(
+                path,
+                Vanillareach_Token_Usage="1000,100",
+                Vanillareach_Deadline_Ms="60000",
+            )
             # Longer than the silence that is taken for a loss.
             await trio.sleep(2.5)
             context.answer = await caller.receive()
--- a/vanillareach/features/users_platform/stage.py
+++ b/vanillareach/features/users_platform/stage.py
@@ -68,6 +68,7 @@
                 "ask",
                 "streaming",
                 "model",
+                timeout_ms=60_000,
                 session_affinity=True,
                 resumable=True,
                 gap_target_ms=250,
