Settle claims to run alone by name, and heed a quarantine heard meanwhile

Cause of the red 'poisonous request' scenario: two suspects that claim one engine at the same moment each had their own end time. Equal ends left both in place, so a neighbour shared the engine that the poison took down and was quarantined. Now the first attempt by name keeps an engine; peers answer a claim with the losses they know; the refusal is heeded. Ruled out: time limits of the scenario (it runs on a moved clock).

--- a/vanillareach/core/directory.py
+++ b/vanillareach/core/directory.py
@@ -111,11 +111,18 @@
         """Return whether a suspect request runs here alone."""
         return now_ms < self.isolated_until_ms
 
-    def isolate(self, attempt, until_ms):
-        """Keep other requests away until a time; return whether this was news."""
-        if self.isolated_by == attempt and until_ms >= self.isolated_until_ms:
-            return False
-        if self.isolated_by != attempt and until_ms <= self.isolated_until_ms:
+    def isolate(self, attempt, until_ms, now_ms):
+        """Keep other requests away until a time; return whether this was news.
+
+        Of two attempts that claim the endpoint at once the first by name keeps it, on
+        whichever instance and in whichever order the claims are heard.
+        """
+        if self.isolated_by == attempt:
+            is_news = until_ms < self.isolated_until_ms
+        else:
+            is_free = not self.is_isolated(now_ms)
+            is_news = until_ms > now_ms and (is_free or attempt < self.isolated_by)
+        if not is_news:
             return False
         self.isolated_by = attempt
         self.isolated_until_ms = until_ms
--- a/vanillareach/core/messages.py
+++ b/vanillareach/core/messages.py
@@ -106,6 +106,7 @@
     endpoint: str
     attempt: str
     left_ms: int
+    fingerprint: str = ""
 
 
 class Push(Wire, tag=7, frozen=True):
@@ -117,7 +118,9 @@
 
 
 class Pushed(Wire, tag=8, frozen=True):
-    """Answer to a push."""
+    """Answer to a push, with the losses known of the requests it isolates."""
+
+    losses: tuple[LossNotice, ...] = ()
 
 
 class Sync(Wire, tag=9, frozen=True):
--- a/vanillareach/core/suspicion.py
+++ b/vanillareach/core/suspicion.py
@@ -69,6 +69,10 @@
         losses = self._losses_by_fingerprint.get(fingerprint, ())
         return sum(now_ms - loss.at_ms < MEMORY_MS for loss in losses)
 
+    def losses_of(self, fingerprint):
+        """Return the recorded losses of a request."""
+        return tuple(self._losses_by_fingerprint.get(fingerprint, ()))
+
     def recent(self, since_ms):
         """Return the losses since `since_ms`."""
         return [
--- a/vanillareach/entry/generation.py
+++ b/vanillareach/entry/generation.py
@@ -139,12 +139,13 @@
         # A peer that misses the end of an isolation keeps it no longer than this.
         left_ms = min(left_ms, ISOLATION_LIMIT_MS)
         attempt = f"{self._exchange.request_id}-{self._attempts + 1}"
-        parts.fleet.isolate(state, attempt, left_ms)
-        # Peers have to hear of it before the request starts.
+        parts.fleet.isolate(state, attempt, left_ms, self._fingerprint)
+        # Peers have to hear of it, and tell what they know, before the request starts.
         await parts.clock.sleep_ms(ISOLATION_SPREAD_MS)
         if state.isolated_by != attempt:
             return await self._isolate()
-        return self._quarantine() or state
+        refusal = self._quarantine()
+        return state if refusal is None else refusal
 
     async def _wait_for_isolation(self):
         parts = self._parts
@@ -248,7 +249,7 @@
     def _end_isolation(self, state, attempt_id, result):
         if state.isolated_by != attempt_id:
             return
-        self._parts.fleet.isolate(state, attempt_id, 0)
+        self._parts.fleet.isolate(state, attempt_id, 0, self._fingerprint)
         if result == "answered":
             self._parts.fleet.crashes.clear(self._fingerprint)
 
--- a/vanillareach/features/crashes.feature
+++ b/vanillareach/features/crashes.feature
@@ -9,6 +9,14 @@
     And all neighbours got whole answers
     And the last re-send was refused as "quarantined" with a time to come back
 
+  Scenario: An instance that missed a loss hears of it before it runs the request
+    Given 9 engines, 1 services and 6 entries
+    And engines crash on the word "poison"
+    And a poisonous request lost two engines, of which one entry heard of one
+    When that entry is sent the poisonous request
+    Then at most 0 engines are lost
+    And the last re-send was refused as "quarantined" with a time to come back
+
   Scenario: A domain's power cut quarantines nobody
     Given 9 engines, 1 services and 6 entries
     When all engines of domain-a are lost while 30 streams run
--- a/vanillareach/features/gateway_core.feature
+++ b/vanillareach/features/gateway_core.feature
@@ -92,3 +92,19 @@
   Scenario: An event that arrives as its attempt is given up isn't counted
     Given an attempt that is given up while event 1 arrives
     Then nothing is sent, and the next attempt asks from the beginning
+
+  Scenario Outline: Two claims to run alone on one engine settle the same way everywhere
+    Given an engine state on each of two instances
+    When "<first>" and then "<second>" claim it on one each
+    Then the engine is kept for "<winner>" on both
+    And relaying what was news went on for <relays> notices at most
+
+    Examples:
+      | first | second | winner | relays |
+      | r-1   | r-2    | r-1    | 6      |
+      | r-2   | r-1    | r-1    | 6      |
+
+  Scenario: The end of another attempt's claim frees nothing
+    Given an engine state on each of two instances
+    When "r-1" claims the engine and "r-2" ends its own claim
+    Then the engine is kept for "r-1" on the first
--- a/vanillareach/features/steps/crashes.py
+++ b/vanillareach/features/steps/crashes.py
@@ -1,13 +1,17 @@
 """Steps about requests that crash engines."""
 
+import msgspec
 import trio
 from behave import given, then, when
 
+from vanillareach.core.hashing import hash128_hex
 from vanillareach.core.streams import DONE_EVENT
+from vanillareach.core.suspicion import Loss
 from vanillareach.features.support import engine_apps, prompt_of
 from vanillareach.standins.engine import Behaviour
 
 STREAM_TOKENS = 30
+POISON = "a poison note"
 
 
 def completion(prompt, tokens=STREAM_TOKENS):
@@ -26,6 +30,32 @@
         app.behaviour = Behaviour(crash_on=word)
 
 
+@given("a poisonous request lost two engines, of which one entry heard of one")
+def step_missed_loss(context):
+    fingerprint = hash128_hex(msgspec.json.encode(completion(POISON)))
+    losses = [("engine-1", "domain-b"), ("engine-2", "domain-c")]
+
+    async def note():
+        for number, entry in enumerate(context.stage.entries_by_name.values()):
+            now_ms = entry.parts.clock.now_ms()
+            known = losses if number else losses[:1]
+            for endpoint, domain in known:
+                loss = Loss(fingerprint, endpoint, domain, now_ms)
+                entry.parts.fleet.crashes.note_loss(loss)
+
+    context.run(note)
+
+
+@when("that entry is sent the poisonous request")
+def step_send_poison(context):
+    entry = next(iter(context.stage.entries_by_name.values()))
+
+    async def run():
+        context.resends = [await stream(entry, POISON)]
+
+    context.run(run)
+
+
 @when("neighbours stream while a poisonous request is re-sent {count:d} times")
 def step_poison(context, count):
     entries = list(context.stage.entries_by_name.values())
@@ -43,7 +73,7 @@
                 nursery.start_soon(neighbour, number)
             for number in range(count):
                 entry = entries[number % len(entries)]
-                context.resends.append(await stream(entry, "a poison note"))
+                context.resends.append(await stream(entry, POISON))
                 await trio.sleep(0.5)
 
     context.run(run)
--- a/vanillareach/features/steps/gateway_core.py
+++ b/vanillareach/features/steps/gateway_core.py
@@ -5,10 +5,12 @@
 import trio
 from behave import given, then, when
 
+from vanillareach.core.directory import EndpointState
 from vanillareach.core.endpoint_health import EndpointHealth
 from vanillareach.core.endpoint_list import EndpointList, ListedEndpoint
 from vanillareach.core.event_stream import EventSplitter
 from vanillareach.core.load_picture import Flight, LoadPicture
+from vanillareach.core.objects import EndpointSpec
 from vanillareach.core.retry_share import RetryShare
 from vanillareach.core.routing import CallerLimits, RequestKind, Route, RouteTable
 from vanillareach.endpoints.base import EndpointBrokenError
@@ -330,3 +332,59 @@
 def step_from_beginning(context):
     assert context.responder.sent == 0
     assert context.exchange.events.last_id is None
+
+
+CLAIM_MS = 5_000.0
+# Way of a notice between two instances.
+NOTICE_WAY_MS = 5.0
+MAX_NOTICES = 50
+
+
+@given("an engine state on each of two instances")
+def step_two_states(context):
+    spec = EndpointSpec(name="e1", service="s", address="10.0.0.1:80", domain="a")
+    context.states = [EndpointState(spec, NOW_MS) for _ in range(2)]
+
+
+def relay_claims(states, notices):
+    """Pass on each claim that is news, as peers do, and return how many were passed."""
+    passed = 0
+    while notices and passed < MAX_NOTICES:
+        at_ms, number, attempt = notices.pop(0)
+        passed += 1
+        if states[number].isolate(attempt, at_ms + CLAIM_MS, at_ms):
+            notices.append((at_ms + NOTICE_WAY_MS, 1 - number, attempt))
+    return passed
+
+
+@when('"{first}" and then "{second}" claim it on one each')
+def step_two_claims(context, first, second):
+    notices = [
+        (NOW_MS, 0, first),
+        (NOW_MS, 1, second),
+    ]
+    context.relays = relay_claims(context.states, notices)
+
+
+@then('the engine is kept for "{attempt}" on both')
+def step_kept(context, attempt):
+    assert [state.isolated_by for state in context.states] == [attempt, attempt]
+    assert all(state.is_isolated(NOW_MS + 100) for state in context.states)
+
+
+@then("relaying what was news went on for {count:d} notices at most")
+def step_relays(context, count):
+    assert context.relays <= count, context.relays
+
+
+@when('"{first}" claims the engine and "{second}" ends its own claim')
+def step_end_other(context, first, second):
+    state = context.states[0]
+    state.isolate(first, NOW_MS + CLAIM_MS, NOW_MS)
+    assert not state.isolate(second, NOW_MS + 1, NOW_MS + 1)
+
+
+@then('the engine is kept for "{attempt}" on the first')
+def step_kept_first(context, attempt):
+    assert context.states[0].isolated_by == attempt
+    assert context.states[0].is_isolated(NOW_MS + 100)
--- a/vanillareach/peers/fleet.py
+++ b/vanillareach/peers/fleet.py
@@ -259,7 +259,13 @@
     async def _send_pushes(self, nursery):
         async for push in self._push_queue:
             for record in self.membership.sample(PUSH_FANOUT):
-                nursery.start_soon(self._try_call, record.address, push, PUSH_LIMIT_MS)
+                nursery.start_soon(self._push_to, record.address, push)
+
+    async def _push_to(self, address, push):
+        """Push to one peer and take the losses that its answer tells of."""
+        answer = await self._try_call(address, push, PUSH_LIMIT_MS)
+        if isinstance(answer, Pushed):
+            self._take_losses(answer.losses)
 
     async def _sync_with(self, address):
         """Exchange all differences with one peer; return whether it answered."""
@@ -296,32 +302,52 @@
 
     async def _on_push(self, push):
         news = self.state.take(push.items, self._clock.now_ms())
-        losses = tuple(notice for notice in push.losses if self._take_loss(notice))
+        losses = self._take_losses(push.losses)
         isolations = tuple(
             notice for notice in push.isolations if self._take_isolation(notice)
         )
         self.spread(news, losses, isolations)
-        return Pushed()
+        fingerprints = {notice.fingerprint for notice in push.isolations}
+        return Pushed(self._losses_of(fingerprints))
+
+    def isolate(self, state, attempt, duration_ms, fingerprint):
+        """Keep other requests away from an endpoint, here and on all peers.
 
-    def isolate(self, state, attempt, duration_ms):
-        """Keep other requests away from an endpoint, here and on all peers."""
-        state.isolate(attempt, self._clock.now_ms() + duration_ms)
-        notice = IsolationNotice(state.spec.name, attempt, max(0, round(duration_ms)))
+        Peers that know of more losses of the request answer with them.
+        """
+        now_ms = self._clock.now_ms()
+        state.isolate(attempt, now_ms + duration_ms, now_ms)
+        left_ms = max(0, round(duration_ms))
+        notice = IsolationNotice(state.spec.name, attempt, left_ms, fingerprint)
         self.spread(isolations=(notice,))
 
     def _take_isolation(self, notice):
         state = self.state.directory.endpoints_by_id.get(notice.endpoint)
         if state is None:
             return False
-        until_ms = self._clock.now_ms() + notice.left_ms
-        return state.isolate(notice.attempt, until_ms)
+        now_ms = self._clock.now_ms()
+        return state.isolate(notice.attempt, now_ms + notice.left_ms, now_ms)
 
     def note_loss(self, loss):
         """Record and spread that an endpoint was lost while it ran a request."""
         if self.crashes.note_loss(loss):
-            age_ms = max(0, round(self._clock.now_ms() - loss.at_ms))
-            notice = LossNotice(loss.fingerprint, loss.endpoint, loss.domain, age_ms)
-            self.spread(losses=(notice,))
+            self.spread(losses=(self._notice_of(loss),))
+
+    def _notice_of(self, loss):
+        age_ms = max(0, round(self._clock.now_ms() - loss.at_ms))
+        return LossNotice(loss.fingerprint, loss.endpoint, loss.domain, age_ms)
+
+    def _losses_of(self, fingerprints):
+        """Return the notices of all losses known of some requests."""
+        return tuple(
+            self._notice_of(loss)
+            for fingerprint in fingerprints
+            for loss in self.crashes.losses_of(fingerprint)
+        )
+
+    def _take_losses(self, notices):
+        """Record losses and return the notices that were news."""
+        return tuple(notice for notice in notices if self._take_loss(notice))
 
     def _take_loss(self, notice):
         at_ms = self._clock.now_ms() - notice.age_ms
