Refuse, not time out, what reached no endpoint; count crashes by one rule

Cause: a request whose time ended while a connection was still being made was answered 504, as though it might have run; 'sends' counts attempts, not what left. An abandoned attempt now counts as a run only if a byte may have left. The gateway counted the endpoints of a lost failure domain as crashes against each request beyond it; it shares the entry's rule now. That rule excused a request that took down two endpoints of one domain by its own neighbours' losses; only endpoints that never ran it excuse it. Dead names removed.

--- a/vanillareach/core/dispatching.py
+++ b/vanillareach/core/dispatching.py
@@ -6,9 +6,8 @@
 from vanillareach.core.routing import RequestKind
 from vanillareach.core.span_placement import EngineView, GenerationNeed, place
 
-# Prompts up to these lengths are short and middle ones.
+# Prompts up to this length are short ones.
 SHORT_TOKENS = 16_000
-MIDDLE_TOKENS = 80_000
 # Ranks of the endpoint's priority number taken by one rank of route or team.
 RANKS_PER_PRIORITY = 2
 LAST_PRIORITY = 9
--- a/vanillareach/core/span_placement.py
+++ b/vanillareach/core/span_placement.py
@@ -5,8 +5,8 @@
 charged with the benefit that its writers and readers would lose, beside the benefit
 that the new request itself would lose by its predicted first event. Short prompts
 gather on engines that write already, which costs the writers little and keeps others
-free for long reads. A long prompt is read by several engines at once, as few as its
-objective allows.
+free for long reads. A long prompt is read by several engines at once; how many is what
+costs all of them together least.
 """
 
 from dataclasses import dataclass
--- a/vanillareach/core/suspicion.py
+++ b/vanillareach/core/suspicion.py
@@ -62,12 +62,7 @@
 
     def is_suspect(self, fingerprint, now_ms):
         """Return whether a request has to be run alone."""
-        return self._counted(fingerprint, now_ms) >= 1
-
-    def losses(self, fingerprint, now_ms):
-        """Return how many endpoints were lost while running a request."""
-        losses = self._losses_by_fingerprint.get(fingerprint, ())
-        return sum(now_ms - loss.at_ms < MEMORY_MS for loss in losses)
+        return self.counted(fingerprint, now_ms) >= 1
 
     def losses_of(self, fingerprint):
         """Return the recorded losses of a request."""
@@ -81,7 +76,7 @@
 
     def refusal(self, fingerprint, now_ms):
         """Return the refusal of a quarantined request, or None."""
-        if self._counted(fingerprint, now_ms) < LOSSES_TO_QUARANTINE:
+        if self.counted(fingerprint, now_ms) < LOSSES_TO_QUARANTINE:
             return None
         newest_ms = max(x.at_ms for x in self._losses_by_fingerprint[fingerprint])
         return Refusal(
@@ -92,7 +87,11 @@
             retry_after_ms=newest_ms + QUARANTINE_MS - now_ms,
         )
 
-    def _counted(self, fingerprint, now_ms):
+    def counted(self, fingerprint, now_ms):
+        """Return how many endpoints were lost by what a request does to them.
+
+        Those lost together with others that didn't run it are left out.
+        """
         losses = self._losses_by_fingerprint.get(fingerprint, ())
         return sum(
             now_ms - loss.at_ms < MEMORY_MS and not self._was_with_others(loss)
@@ -100,13 +99,17 @@
         )
 
     def _was_with_others(self, loss):
-        """Return whether other endpoints of the domain were lost at that moment."""
+        """Return whether endpoints that never ran the request were lost with it.
+
+        An endpoint that did run it tells nothing, whoever else was there.
+        """
+        own = self._losses_by_fingerprint[loss.fingerprint]
+        ran_at = {other.endpoint for other in own}
         others = {
             other.endpoint
             for other in self._losses_by_place.values()
             if other.domain == loss.domain
-            and other.endpoint != loss.endpoint
-            and other.fingerprint != loss.fingerprint
+            and other.endpoint not in ran_at
             and abs(other.at_ms - loss.at_ms) <= TOGETHER_MS
         }
         return len(others) >= TOGETHER_COUNT - 1
--- a/vanillareach/features/gateway.feature
+++ b/vanillareach/features/gateway.feature
@@ -62,6 +62,12 @@
       | cut      | 502    | 1     |
       | reset    | 502    | 1     |
 
+  Scenario: A request that reached no endpoint in time is refused, and told when to return
+    Given no connection to any service can be made
+    When a caller calls "/book/a" with "Vanillareach-Deadline-Ms" set to "300"
+    Then the answer is 503
+    And the answer says when to come back
+
   Scenario: A refusal that says not run tells when to come back
     Given all endpoints will "shed"
     When a caller sends "/book/a"
--- a/vanillareach/features/gateway_core.feature
+++ b/vanillareach/features/gateway_core.feature
@@ -93,6 +93,15 @@
     Given an attempt that is given up while event 1 arrives
     Then nothing is sent, and the next attempt asks from the beginning
 
+  Scenario: Endpoints of a domain that are lost together count against no request
+    Given "e1" and "e2" of domain "a" were lost at once, each with a request of its own
+    And the request of "e1" lost "e3" of domain "b" too
+    Then 1 loss counts against it
+
+  Scenario: A request that takes down two endpoints of a domain is not excused by itself
+    Given the same request and a neighbour lost "e1" and then "e2" of domain "a"
+    Then 2 losses count against it
+
   Scenario Outline: Two claims to run alone on one engine settle the same way everywhere
     Given an engine state on each of two instances
     When "<first>" and then "<second>" claim it on one each
--- a/vanillareach/features/steps/gateway.py
+++ b/vanillareach/features/steps/gateway.py
@@ -69,6 +69,22 @@
         endpoint.script = [step] * MANY
 
 
+@given("no connection to any service can be made")
+def step_no_connection(context):
+    async def silence():
+        platform = context.platform
+        names = [e.name for e in endpoints(context) if e.service == "desk"]
+        for name in names:
+            platform.silence_endpoint(name)
+        wanted = {platform.endpoints_by_name[name].address for name in names}
+        state = platform.gateways[0].state
+        await platform.until(
+            lambda: {e.address for e in state.endpoints.usable("desk")} == wanted
+        )
+
+    context.run(silence)
+
+
 @given("every engine refuses memory")
 def step_refuses(context):
     for endpoint in endpoints(context):
--- a/vanillareach/features/steps/gateway_core.py
+++ b/vanillareach/features/steps/gateway_core.py
@@ -13,6 +13,7 @@
 from vanillareach.core.objects import EndpointSpec
 from vanillareach.core.retry_share import RetryShare
 from vanillareach.core.routing import CallerLimits, RequestKind, Route, RouteTable
+from vanillareach.core.suspicion import CrashWatch, Loss
 from vanillareach.endpoints.base import EndpointBrokenError
 from vanillareach.gateway.relay import relay_events
 from vanillareach.gateway.silence import Silence
@@ -334,6 +335,38 @@
     assert context.exchange.events.last_id is None
 
 
+def lose(context, fingerprint, *names_by_domain):
+    """Record losses of endpoints while they ran a request."""
+    for name, domain in names_by_domain:
+        loss = Loss(fingerprint, name, domain, NOW_MS)
+        context.crashes.note_loss(loss)
+
+
+@given('"e1" and "e2" of domain "a" were lost at once, each with a request of its own')
+def step_lost_together(context):
+    context.crashes = CrashWatch()
+    lose(context, "first", ("e1", "a"))
+    lose(context, "second", ("e2", "a"))
+
+
+@given('the request of "e1" lost "e3" of domain "b" too')
+def step_lost_too(context):
+    lose(context, "first", ("e3", "b"))
+
+
+@given('the same request and a neighbour lost "e1" and then "e2" of domain "a"')
+def step_lost_twice(context):
+    context.crashes = CrashWatch()
+    lose(context, "first", ("e1", "a"), ("e2", "a"))
+    lose(context, "neighbour", ("e2", "a"))
+
+
+@then("{count:d} loss counts against it")
+@then("{count:d} losses count against it")
+def step_counted(context, count):
+    assert context.crashes.counted("first", NOW_MS) == count
+
+
 CLAIM_MS = 5_000.0
 # Way of a notice between two instances.
 NOTICE_WAY_MS = 5.0
--- a/vanillareach/features/users_platform/stage.py
+++ b/vanillareach/features/users_platform/stage.py
@@ -22,6 +22,8 @@
 KEY = "team-key"
 HOST = "calls.example"
 CONDITION_LIMIT_S = 20
+# Connections that fill a queue of length 0, with some to spare.
+QUEUE_FILLERS = 4
 ENGINE = {
     "slots": 8,
     "kv_tokens": 100_000,
@@ -42,6 +44,24 @@
         return f"127.0.0.1:{sock.getsockname()[1]}"
 
 
+def full_address():
+    """Return a listening socket whose queue is full, and its address.
+
+    A connection to it is neither made nor refused.
+    """
+    listener = socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(0)
+    host, port = listener.getsockname()
+    callers = [listener]
+    for _ in range(QUEUE_FILLERS):
+        caller = socket.socket()
+        caller.setblocking(False)
+        caller.connect_ex((host, port))
+        callers.append(caller)
+    return callers, f"{host}:{port}"
+
+
 def route(name, kind, service, **values):
     """Return a route as the operator writes it."""
     return {
@@ -122,6 +142,7 @@
         self.endpoints_by_name = {}
         self.gateways = []
         self._number = 0
+        self._sockets = []
 
     async def listen(self, address, handle):
         """Serve `handle` at an address."""
@@ -159,6 +180,13 @@
         }
         self.store.put("servers", name, entry)
 
+    def silence_endpoint(self, name):
+        """List an endpoint at an address where no connection is made."""
+        endpoint = self.endpoints_by_name[name]
+        sockets, endpoint.address = full_address()
+        self._sockets += sockets
+        self.list_endpoint(name, endpoint.service)
+
     async def start_gateway(self, name):
         """Start a gateway and wait until it is ready."""
         settings = GatewaySettings(
--- a/vanillareach/gateway/attempts.py
+++ b/vanillareach/gateway/attempts.py
@@ -101,6 +101,7 @@
             self._dispatcher.end(flight)
             self._silences.forget(silence)
             if result is None and not silence.is_over:
+                exchange.runs += attempt.was_sent
                 self._log_end(attempt, "abandoned", "caller or time gone")
         if result is None:
             result = self._silent_result(attempt)
--- a/vanillareach/gateway/exchange.py
+++ b/vanillareach/gateway/exchange.py
@@ -60,7 +60,7 @@
     deadline_ms : float
         Monotonic time by which the caller must have its answer.
     sends, runs : int
-        Attempts that reached an endpoint, and those that may have run.
+        Attempts made, and those that may have run.
     tried : set of str
         Endpoints that are not asked again.
     fault_at : str or None
@@ -80,7 +80,6 @@
         "first_event_ms",
         "held",
         "last_event_ms",
-        "last_result",
         "longest_pause_ms",
         "request",
         "route",
@@ -105,7 +104,6 @@
         self.runs = 0
         self.tried = set()
         self.held = None
-        self.last_result = None
         self.weights = None
         self.fault_at = None
         self.fingerprint = ""
--- a/vanillareach/gateway/forwarder.py
+++ b/vanillareach/gateway/forwarder.py
@@ -107,7 +107,7 @@
             return None
         exchange = GatewayExchange(request, fields, route, service, team)
         exchange.fingerprint = fingerprint_of(request, fields)
-        losses = state.crashes.losses(exchange.fingerprint, request.received_ms)
+        losses = state.crashes.counted(exchange.fingerprint, request.received_ms)
         if losses >= LOSSES_TO_REFUSE:
             await self._refuse(
                 fields, responder, 503, "quarantined", QUARANTINE_RETRY_MS
@@ -122,7 +122,6 @@
             if target is None:
                 return await self._give_up(exchange, responder, "no_room")
             result = await self._attempts.make(exchange, target, responder)
-            exchange.last_result = result
             if result is AttemptResult.ANSWERED:
                 return self._count("done", "")
             self._exclude(exchange, target)
@@ -180,7 +179,7 @@
         """Answer a request whose time is over."""
         if responder.is_started:
             raise AnswerBrokenError("deadline")
-        if exchange.sends:
+        if exchange.runs:
             await self._refuse(exchange.fields, responder, 504, "deadline")
         else:
             await self._refuse(
