Wake less often: for news of many peers, and for the age of what is known

News now gathers for 18 ms at 72 instances, 2 ms at 9; an age is waited for instead of looked at, with the rank checked each 150 ms.

--- a/vanillareach/gateway/following.py
+++ b/vanillareach/gateway/following.py
@@ -17,6 +17,8 @@
 from vanillareach.log import get_logger
 
 TICK_MS = 50.0
+# The rank may change meanwhile, so no wait for an age is longer than this.
+MAX_TICK_MS = 150.0
 # An endpoint that leaves gets no request two seconds later; asking takes one part,
 # spreading the news and a failed call the rest.
 LIST_AGE_MS = 600.0
@@ -67,10 +69,13 @@
             age_ms = self._state.age_ms(self._state.table_confirmed_ms)
             wait_age_ms = WATCH_AGE_MS + RANK_STEP_MS * rank if rank else 0.0
             if 0 <= age_ms < wait_age_ms:
-                await self._clock.sleep_ms(TICK_MS)
+                await self._wait_for_age(wait_age_ms - age_ms)
                 continue
             await self._attempt(self._ask_configuration)
 
+    async def _wait_for_age(self, left_ms):
+        await self._clock.sleep_ms(min(MAX_TICK_MS, max(TICK_MS, left_ms)))
+
     async def _ask_configuration(self):
         state = self._state
         if self._revision is None:
@@ -101,8 +106,9 @@
         while True:
             rank = self._rank("endpoints")
             age_ms = self._state.age_ms(self._state.endpoints.confirmed_ms)
-            if 0 <= age_ms < LIST_AGE_MS + RANK_STEP_MS * rank:
-                await self._clock.sleep_ms(TICK_MS)
+            wait_age_ms = LIST_AGE_MS + RANK_STEP_MS * rank
+            if 0 <= age_ms < wait_age_ms:
+                await self._wait_for_age(wait_age_ms - age_ms)
                 continue
             await self._attempt(self._ask_endpoints)
 
--- a/vanillareach/gateway/gossip.py
+++ b/vanillareach/gateway/gossip.py
@@ -27,7 +27,7 @@
 COALESCE_MS = 2.0
 COALESCE_MS_PER_PEER = 0.05
 # Datagrams are taken together that come within this time for each peer.
-GATHER_MS_PER_PEER = 0.15
+GATHER_MS_PER_PEER = 0.25
 # An instance is alive that was heard within so many of its turns, and besides.
 ALIVE_TURNS = 4
 ALIVE_SLACK_MS = 300.0
