--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,7 @@
 
 demo: $(SETUP)
 	bash bench/fleet.sh demo python -m bench.demo
+	KEEP_ENTRIES=1 bash bench/fleet.sh soak python -m bench.demo_gateway
 
 test: $(SETUP)
 	KEEP_ENTRIES=1 bash bench/fleet.sh nine python -m vanillareach.features
