--- a/vanillareach/gateway/datagrams.py
+++ b/vanillareach/gateway/datagrams.py
@@ -8,10 +8,14 @@
 
 import trio
 
+from vanillareach.log import get_logger
+
 MAX_DATAGRAM_BYTES = 60_000
 # Datagrams taken in one wake; what is left waits in the socket's buffer.
 MAX_BATCH = 256
 
+log = get_logger("gossip")
+
 
 class DatagramSocket:
     """A bound UDP socket.
@@ -55,10 +59,7 @@
         return errors_by_address
 
     async def receive(self):
-        """Wait for datagrams and return those that have come.
-
-        A datagram of an unreachable peer shows as an error, which is no news here.
-        """
+        """Wait for datagrams and return those that have come."""
         await trio.lowlevel.wait_readable(self._socket)
         received = []
         while len(received) < MAX_BATCH:
@@ -66,8 +67,10 @@
                 received.append(self._socket.recv(MAX_DATAGRAM_BYTES))
             except BlockingIOError:
                 break
-            except ConnectionError:
-                continue
+            except OSError as error:
+                # Shows what became of a datagram sent, not one that came.
+                log.debug("Datagram lost.", cause=str(error))
+                break
         return received
 
 
