--- a/Makefile
+++ b/Makefile
@@ -37,5 +37,7 @@
 clean:
 	rm -rf $(VENV) build
 
+# The matrix of the entry on a moved clock, then real gateways.
 faults: $(SETUP)
 	python -m bench.faults
+	KEEP_ENTRIES=1 bash bench/fleet.sh soak python -m bench.soak --seeds 1,2,3,4,5,6,7,8,9,10
