--- a/bench/demo_gateway.py
+++ b/bench/demo_gateway.py
@@ -9,14 +9,17 @@
 
 import trio
 
-from bench.soak.__main__ import READY_LIMIT_S, RECOVERY_S, until_all_serve
+from bench.soak.__main__ import (
+    READY_LIMIT_S,
+    RECOVERY_S,
+    RELEASE_S,
+    until_all_serve,
+)
 from bench.soak.checks import leftovers, violations
 from bench.soak.faults import Faults
 from bench.soak.world import KINDS, call_once, connect, expected_body, open_world
 
 SEED = 1
-# A reservation is released within this time after its request.
-RELEASE_S = 4.0
 
 
 class Show:
--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -20,6 +20,7 @@
     connect,
     open_world,
 )
+from vanillareach.utils import split_address
 
 READY_LIMIT_S = 60
 # Reservations end by themselves within this time.
@@ -88,16 +89,13 @@
 
 async def version_of(gateway):
     """Return the version that a gateway's metrics show, or None."""
-    host, _, port = gateway.address("metrics").rpartition(":")
+    address = split_address(gateway.address("metrics"))
     data = b""
     try:
         with trio.fail_after(2):
-            stream = await trio.open_tcp_stream(host, int(port))
+            stream = await trio.open_tcp_stream(*address)
             async with stream:
-                request = (
-                    b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
-                )
-                await stream.send_all(request)
+                await stream.send_all(SCRAPE)
                 while part := await stream.receive_some(65_536):
                     data += part
     except (OSError, trio.TooSlowError, trio.BrokenResourceError):
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -3,6 +3,7 @@
 from collections import Counter
 
 from bench.soak.world import event_ids, expected_body
+from vanillareach.platform import names
 
 PROMISES_NOT_RUN = (408, 421, 429, 503)
 NOT_RUN_STEPS = ("shed", "misdirect")
@@ -15,7 +16,7 @@
     broken = []
     for endpoint in world.endpoints_by_name.values():
         for received in endpoint.received:
-            attempt_id = received.values_by_name.get(b"vanillareach-attempt-id", "")
+            attempt_id = received.values_by_name.get(names.ATTEMPT_ID, "")
             if attempt_id not in known:
                 broken.append(f"UNASKED {attempt_id} at {endpoint.name}")
             if received.step not in NOT_RUN_STEPS:
--- a/bench/soak/proxy.py
+++ b/bench/soak/proxy.py
@@ -5,6 +5,8 @@
 
 import trio
 
+from vanillareach.utils import split_address
+
 BYTES = 65_536
 LINGER_RESET = struct.pack("ii", 1, 0)
 
@@ -34,8 +36,8 @@
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Forward for ever."""
-        host, _, port = self.listen.rpartition(":")
-        await trio.serve_tcp(self._serve, int(port), host=host, task_status=task_status)
+        host, port = split_address(self.listen)
+        await trio.serve_tcp(self._serve, port, host=host, task_status=task_status)
 
     def reset_all(self):
         """Reset all open connections."""
@@ -47,8 +49,7 @@
         try:
             if self.mode == "cut":
                 return _reset(near)
-            host, _, port = self.target.rpartition(":")
-            far = await trio.open_tcp_stream(host, int(port))
+            far = await trio.open_tcp_stream(*split_address(self.target))
             self._streams.add(far)
             try:
                 async with trio.open_nursery() as nursery:
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -16,6 +16,7 @@
     configuration,
     free_address,
 )
+from vanillareach.utils import split_address
 
 ENGINES = ("m0", "m1", "m2", "m3")
 DESKS = ("d0", "d1", "d2")
@@ -131,10 +132,10 @@
 async def connect(world, gateway=None):
     """Return a `Caller` at a gateway, or None if it takes no connection."""
     gateway = gateway or world.random.choice(world.gateways)
-    host, _, port = gateway.address("front").rpartition(":")
+    address = split_address(gateway.address("front"))
     try:
         with trio.fail_after(1.0):
-            stream = await trio.open_tcp_stream(host, int(port))
+            stream = await trio.open_tcp_stream(*address)
     except (OSError, trio.TooSlowError):
         await trio.sleep(0.1)
         return None
--- a/vanillareach/core/dispatching.py
+++ b/vanillareach/core/dispatching.py
@@ -1,10 +1,13 @@
 """Where a request goes next, and how long its silence is borne."""
 
-from dataclasses import dataclass
-
 from vanillareach.core.load_picture import EngineLoad, Flight
 from vanillareach.core.routing import RequestKind
-from vanillareach.core.span_placement import EngineView, GenerationNeed, place
+from vanillareach.core.span_placement import (
+    EngineView,
+    GenerationNeed,
+    Placement,
+    place,
+)
 
 # Prompts up to this length are short ones.
 SHORT_TOKENS = 16_000
@@ -48,25 +51,6 @@
 EMPTY = EngineLoad()
 
 
-@dataclass(slots=True, frozen=True)
-class Target:
-    """Endpoint of the next attempt, with the prediction that chose it."""
-
-    endpoint: object
-    helpers: tuple = ()
-    part_ms: float = 0.0
-    first_event_ms: float = 0.0
-    cost: float = 0.0
-    gain: float = 0.0
-    held_tokens: tuple = ()
-
-    @property
-    def tokens_by_holder(self):
-        """Memory to reserve, by helper."""
-        held = zip(self.helpers, self.held_tokens, strict=False)
-        return {helper: tokens for helper, tokens in held if tokens}
-
-
 class Dispatcher:
     """Chooses endpoints over what an instance knows.
 
@@ -84,7 +68,7 @@
         self._number = 0
 
     def choose(self, exchange, now_ms):
-        """Return the `Target` of the next attempt, or None if there is none."""
+        """Return the `Placement` of the next attempt, or None if there is none."""
         state = self._state
         usable = [
             endpoint
@@ -111,7 +95,7 @@
                 + 0.02 * self._random.random()
             )
 
-        return Target(min(usable, key=cost))
+        return Placement(min(usable, key=cost))
 
     def _choose_engine(self, exchange, usable, loads, now_ms):
         fields, route = exchange.fields, exchange.route
@@ -145,15 +129,7 @@
         # A stream that has begun goes on, whatever that costs.
         if chosen.gain < 0 and exchange.first_event_ms is None:
             return None
-        return Target(
-            chosen.engine,
-            chosen.helpers,
-            chosen.part_ms,
-            chosen.first_event_ms,
-            chosen.cost,
-            chosen.gain,
-            chosen.held_tokens,
-        )
+        return chosen
 
     def may_wait(self, exchange, now_ms):
         """Return whether a request without a place may wait for one.
--- a/vanillareach/core/endpoint_health.py
+++ b/vanillareach/core/endpoint_health.py
@@ -68,10 +68,10 @@
         )
         self.unreachable_by_key[endpoint.key] = endpoint
         if is_second:
-            self.note_silent_domain(endpoint.domain, listed)
+            self.set_aside_domain(endpoint.domain, listed)
 
-    def note_silent_domain(self, domain, listed):
-        """Set aside all endpoints of a domain whose instances fell silent."""
+    def set_aside_domain(self, domain, listed):
+        """Set aside all endpoints of a domain, when the way there is in doubt."""
         for endpoint in listed:
             if endpoint.domain == domain:
                 self.unreachable_by_key[endpoint.key] = endpoint
--- a/vanillareach/core/rendezvous.py
+++ b/vanillareach/core/rendezvous.py
@@ -24,7 +24,7 @@
     list of str
         Most preferred first. Removal of one name leaves the others' order unchanged.
     """
-    return sorted(names, key=lambda name: hash64(f"{key}/{name}"), reverse=True)
+    return sorted(names, key=lambda name: _preference(key, name), reverse=True)
 
 
 def rank_of(name, key, names):
@@ -36,20 +36,22 @@
     names : iterable of str
         Candidate owners; `name` need not be among them.
     """
-    own = _preference(key, name)
-    return sum(_preference(key, other) > own for other in names)
+    own = _remembered_preference(key, name)
+    return sum(_remembered_preference(key, other) > own for other in names)
 
 
-@lru_cache(maxsize=MAX_PREFERENCES)
 def _preference(key, name):
     return hash64(f"{key}/{name}")
 
 
+_remembered_preference = lru_cache(maxsize=MAX_PREFERENCES)(_preference)
+
+
 def owner_of(key, names):
     """Return the preferred owner of `key`, or None when there are no names."""
     return max(
         names,
-        key=lambda name: hash64(f"{key}/{name}"),
+        key=lambda name: _preference(key, name),
         default=None,
     )
 
--- a/vanillareach/core/span_placement.py
+++ b/vanillareach/core/span_placement.py
@@ -113,11 +113,11 @@
 
 @dataclass(slots=True, frozen=True)
 class Placement:
-    """A choice.
+    """Endpoint of an attempt, with the prediction that chose it.
 
     Attributes
     ----------
-    engine : ListedEndpoint
+    endpoint : ListedEndpoint
     helpers : tuple of ListedEndpoint
     part_ms : float
         Predicted time of reading one part.
@@ -131,14 +131,20 @@
         Memory to reserve at each helper, 0 for none; empty if the engine has room.
     """
 
-    engine: object
-    helpers: tuple
-    part_ms: float
-    first_event_ms: float
-    cost: float
-    gain: float
+    endpoint: object
+    helpers: tuple = ()
+    part_ms: float = 0.0
+    first_event_ms: float = 0.0
+    cost: float = 0.0
+    gain: float = 0.0
     held_tokens: tuple = ()
 
+    @property
+    def tokens_by_holder(self):
+        """Memory to reserve, by helper."""
+        held = zip(self.helpers, self.held_tokens, strict=False)
+        return {helper: tokens for helper, tokens in held if tokens}
+
 
 def risk(value_ms, limit_ms):
     """Return the chance that a predicted duration breaks its limit, 0 to 1."""
--- a/vanillareach/endpoints/engine.py
+++ b/vanillareach/endpoints/engine.py
@@ -60,18 +60,8 @@
         return "\n".join(lines) + "\nassistant: "
 
 
-class LoadAnswer(msgspec.Struct):
-    """Load report as engines answer it."""
-
-    prefill_waiting_tokens: int = 0
-    running: int = 0
-    waiting: int = 0
-    kv_used_tokens: int = 0
-    kv_capacity_tokens: int = 0
-    leaving: bool = False
-    prefill_urgent_tokens: int = 0
-    urgent_prefill_ms: float = 0.0
-    prefill_ms: float = 0.0
+class LoadAnswer(LoadReport, frozen=True, array_like=False):
+    """Load report as engines answer it, by field names."""
 
 
 class HeldRequest(msgspec.Struct):
--- a/vanillareach/features/steps/gateway.py
+++ b/vanillareach/features/steps/gateway.py
@@ -2,30 +2,19 @@
 
 import re
 
-import msgspec
 import trio
 from behave import given, then, when
 
 from vanillareach.core.suspicion import Loss
-from vanillareach.features.users_platform.stage import KEY, configuration, free_address
+from vanillareach.features.support import endpoints, received
+from vanillareach.features.users_platform.stage import KEY
 from vanillareach.gateway.connections import CallerRequest
 from vanillareach.gateway.forwarder import LOSSES_TO_REFUSE, fingerprint_of
 from vanillareach.platform.calls import PlatformProtocol
-from vanillareach.platform.documents import decode_configuration
 
 MANY = 20
 
 
-def endpoints(context):
-    """Return all stand-in endpoints."""
-    return context.platform.endpoints_by_name.values()
-
-
-def received(context):
-    """Return all requests that reached endpoints."""
-    return [request for endpoint in endpoints(context) for request in endpoint.received]
-
-
 @given('a gateway before engines "{engines}" and services "{services}"')
 def step_gateway(context, engines, services):
     services_by_name = dict.fromkeys(engines.split(","), "model")
@@ -283,193 +272,3 @@
         await context.platform.until(lambda: received(context)[0].left_early)
 
     context.run(ended)
-
-
-@when('the operator writes version {version:d} without the route "{name}"')
-def step_without(context, version, name):
-    document = configuration(version)
-    kept = [route for route in document["routes"] if route["name"] != name]
-
-    async def write():
-        context.platform.store.put("config", "main", {**document, "routes": kept})
-
-    context.run(write)
-
-
-@then('"{path}" is soon refused with {status:d}')
-def step_soon(context, path, status):
-    async def ask():
-        with trio.fail_after(MANY):
-            while (await context.platform.call(path)).status != status:
-                await trio.sleep(0.05)
-
-    context.run(ask)
-
-
-@when("the gateway hears of version {version:d}")
-def step_hears(context, version):
-    gateway = context.platform.gateways[0]
-
-    async def hear():
-
-        table = decode_configuration(msgspec.json.encode(configuration(version)))
-        gateway.state.take_table(table, gateway.clock.now_ms(), "test")
-
-    context.run(hear)
-
-
-@then("version {version:d} stays in force")
-def step_stays_in_force(context, version):
-    assert context.platform.gateways[0].state.table.version == version
-
-
-@when("the store forgets its history while version {version:d} is written")
-def step_forgets(context, version):
-    async def forget():
-        store = context.platform.store
-        store.put("config", "main", configuration(version))
-        store.forget_history()
-
-    context.run(forget)
-
-
-@then("version {version:d} comes into force")
-@then("version {version:d} comes into force on both")
-def step_in_force(context, version):
-    gateways = context.platform.gateways
-
-    async def wait():
-        await context.platform.until(
-            lambda: all(g.state.table.version == version for g in gateways)
-        )
-
-    context.run(wait)
-
-
-@when("the store turns the second gateway away and version {version:d} is written")
-def step_turned_away(context, version):
-    async def turn_away():
-        second = context.platform.gateways[1]
-        second.store._base = f"http://{free_address()}/api/objects"
-        context.platform.store.put("config", "main", configuration(version))
-
-    context.run(turn_away)
-
-
-@when('the endpoint "{name}" leaves')
-def step_leaves_list(context, name):
-    async def leave():
-        context.platform.list_endpoint(name, "desk", state="draining")
-
-    context.run(leave)
-
-
-@when('another writer puts an unreadable entry for "{name}"')
-def step_unreadable(context, name):
-    async def put():
-        context.platform.list_endpoint(name, "desk", slots="many")
-
-    context.run(put)
-
-
-@when('a caller sends {count:d} times "{path}" after the gateways know')
-def step_after(context, count, path):
-    async def call():
-        endpoint_list = context.platform.gateways[0].state.endpoints
-        await context.platform.until(lambda: len(endpoint_list.usable("desk")) == 1)
-        for _ in range(count):
-            answer = await context.platform.call(path)
-            assert answer.status == 200
-
-    context.run(call)
-
-
-@then('only "{name}" was asked')
-def step_only(context, name):
-    asked = {endpoint.name for endpoint in endpoints(context) if endpoint.received}
-    assert asked == {name}, asked
-
-
-@then("the second gateway counts one request at an endpoint")
-def step_counts(context):
-    second = context.platform.gateways[1]
-
-    def counted():
-        loads = second.state.picture.loads_by_engine(second.clock.now_ms())
-        return sum(load.running for load in loads.values()) == 1
-
-    async def wait():
-        await context.platform.until(counted)
-
-    context.run(wait)
-
-
-def take_beacon(context, name, incarnation):
-    """Let the gateway take a beacon of another instance."""
-    gossip = context.platform.gateways[0].gossip
-
-    async def take():
-        beacon = msgspec.structs.replace(
-            gossip._beacon(),
-            name=name,
-            address=free_address(),
-            incarnation=incarnation,
-            sequence=1,
-        )
-        async with trio.open_nursery() as nursery:
-            gossip._take(beacon, nursery)
-
-    context.run(take)
-    return gossip._peers_by_name[name]
-
-
-@given('a beacon of instance "{name}" with incarnation {incarnation:d}')
-def step_beacon(context, name, incarnation):
-    context.peer = take_beacon(context, name, incarnation)
-
-
-@when(
-    '"{name}" is silent for {silent_ms:d} ms and a beacon with incarnation {n:d} comes'
-)
-def step_beacon_after(context, name, silent_ms, n):
-    context.peer.heard_ms -= silent_ms
-    take_beacon(context, name, n)
-
-
-@then('the gateway goes by incarnation {incarnation:d} of "{name}"')
-def step_goes_by(context, incarnation, name):
-    assert context.peer.order == (incarnation, 1), context.peer.order
-
-
-@when("the store cuts all calls")
-def step_store_cut(context):
-    async def cut():
-        context.platform.store.failure = "lost"
-
-    context.run(cut)
-
-
-@when("the gateway is asked to stop")
-def step_stop(context):
-    gateway = context.platform.gateways[0]
-
-    async def stop():
-        context.platform._nursery.start_soon(gateway.stop)
-        await context.platform.until(lambda: gateway.state.is_stopping)
-
-    context.run(stop)
-
-
-@then("the gateway is not ready")
-def step_not_ready(context):
-    gateway = context.platform.gateways[0]
-
-    async def ask():
-        host, _, port = gateway.settings.ready_listen.rpartition(":")
-        stream = await trio.open_tcp_stream(host, int(port))
-        async with stream:
-            await stream.send_all(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
-            context.ready = await stream.receive_some(1000)
-
-    context.run(ask)
-    assert context.ready.startswith(b"HTTP/1.1 503"), context.ready
--- a/vanillareach/features/steps/placement_load.py
+++ b/vanillareach/features/steps/placement_load.py
@@ -83,7 +83,7 @@
         is_short = tokens == SHORT_TOKENS
         flight = Flight(
             id=len(self.chosen),
-            engine=chosen.engine.id,
+            engine=chosen.endpoint.id,
             helpers=tuple(helper.id for helper in chosen.helpers),
             held_tokens=chosen.held_tokens,
             prompt_tokens=tokens,
--- a/vanillareach/features/support.py
+++ b/vanillareach/features/support.py
@@ -53,3 +53,13 @@
             "POST", SCORES, document, idempotency_key=KEY, **headers
         )
     )
+
+
+def endpoints(context):
+    """Return all stand-in endpoints."""
+    return context.platform.endpoints_by_name.values()
+
+
+def received(context):
+    """Return all requests that reached endpoints."""
+    return [request for endpoint in endpoints(context) for request in endpoint.received]
--- a/vanillareach/features/users_platform/stage.py
+++ b/vanillareach/features/users_platform/stage.py
@@ -18,6 +18,7 @@
 from vanillareach.platform.calls import PlatformProtocol
 from vanillareach.platform.orders import PlatformOrders
 from vanillareach.platform.store import PlatformStore
+from vanillareach.utils import split_address
 
 KEY = "team-key"
 HOST = "calls.example"
@@ -226,8 +227,7 @@
     async def connect(self, gateway=0):
         """Return a `Caller` with an open connection."""
         address = self.gateways[gateway].settings.front_listen
-        host, _, port = address.rpartition(":")
-        return Caller(self, await trio.open_tcp_stream(host, int(port)))
+        return Caller(self, await trio.open_tcp_stream(*split_address(address)))
 
     def next_id(self):
         """Return a new attempt id."""
--- a/vanillareach/gateway/attempts.py
+++ b/vanillareach/gateway/attempts.py
@@ -24,7 +24,7 @@
     Attributes
     ----------
     exchange : GatewayExchange
-    target : Target
+    target : Placement
     flight : Flight
     silence : Silence
     was_sent : bool
--- a/vanillareach/gateway/connections.py
+++ b/vanillareach/gateway/connections.py
@@ -6,6 +6,7 @@
 from vanillareach.clock import MS_PER_SECOND
 from vanillareach.gateway.sockets import CALLER_TIMEOUT_MS, watch_liveness
 from vanillareach.log import get_logger
+from vanillareach.utils import split_address
 
 RECEIVE_BYTES = 65_536
 # Bytes of a following request that are read while one is being answered.
@@ -353,8 +354,8 @@
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Accept until `close_idle`, then return when all connections have ended."""
-        host, _, port = self._address.rpartition(":")
-        listeners = await trio.open_tcp_listeners(int(port), host=host, backlog=BACKLOG)
+        host, port = split_address(self._address)
+        listeners = await trio.open_tcp_listeners(port, host=host, backlog=BACKLOG)
         async with trio.open_nursery() as nursery:
             task_status.started()
             with self._accepting:
--- a/vanillareach/gateway/datagrams.py
+++ b/vanillareach/gateway/datagrams.py
@@ -9,6 +9,7 @@
 import trio
 
 from vanillareach.log import get_logger
+from vanillareach.utils import split_address
 
 MAX_DATAGRAM_BYTES = 60_000
 # Datagrams taken in one wake; what is left waits in the socket's buffer.
@@ -31,7 +32,7 @@
     def __init__(self, address):
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.setblocking(False)
-        self._socket.bind(_pair(address))
+        self._socket.bind(split_address(address))
 
     @property
     def address(self):
@@ -53,7 +54,7 @@
         errors_by_address = {}
         for address in addresses:
             try:
-                self._socket.sendto(data, _pair(address))
+                self._socket.sendto(data, split_address(address))
             except OSError as error:
                 errors_by_address[address] = error
         return errors_by_address
@@ -72,8 +73,3 @@
                 log.debug("Datagram lost.", cause=str(error))
                 break
         return received
-
-
-def _pair(address):
-    host, _, port = address.rpartition(":")
-    return host, int(port)
--- a/vanillareach/gateway/gossip.py
+++ b/vanillareach/gateway/gossip.py
@@ -58,6 +58,10 @@
         self.since_ms = since_ms
         self.order = (0, 0)
 
+    def was_heard_within(self, duration_ms, now_ms):
+        """Return whether a beacon came in the last `duration_ms`."""
+        return self.heard_ms is not None and now_ms - self.heard_ms < duration_ms
+
 
 class Gossip:
     """Exchange of beacons.
@@ -103,16 +107,14 @@
 
     def alive_names(self):
         """Return the names of the instances heard lately."""
-        heard_after_ms = self._clock.now_ms() - self._alive_ms()
+        alive_ms = self._alive_ms()
+        now_ms = self._clock.now_ms()
         return [
             peer.name
             for peer in self._peers_by_name.values()
-            if peer.heard_ms is not None and peer.heard_ms > heard_after_ms
+            if peer.was_heard_within(alive_ms, now_ms)
         ]
 
-    def _is_alive(self, peer, now_ms):
-        return peer.heard_ms is not None and now_ms - peer.heard_ms < self._alive_ms()
-
     def heard_ms_by_domain(self):
         """Return when each instance of the other domains was last heard."""
         heard = {}
@@ -276,7 +278,7 @@
             self._state.instances = 1 + len(self._peers_by_name)
             self._changed.set()
         order = (beacon.incarnation, beacon.sequence)
-        was_silent = not self._is_alive(peer, now_ms)
+        was_silent = not peer.was_heard_within(self._alive_ms(), now_ms)
         # An instance that starts again while its clock is behind has a lower order.
         if order <= peer.order and not was_silent:
             return
--- a/vanillareach/gateway/ports.py
+++ b/vanillareach/gateway/ports.py
@@ -75,8 +75,6 @@
         The endpoint takes no further request on the connection.
     fault_at : str
         Address of the helper that made the endpoint refuse, or empty.
-    load : tuple of int or None
-        Running, waiting and slots.
     weights : int or None
     """
 
@@ -86,7 +84,6 @@
     is_other_instance: bool
     is_closing: bool
     fault_at: str
-    load: tuple | None
     weights: int | None
 
 
--- a/vanillareach/gateway/probing.py
+++ b/vanillareach/gateway/probing.py
@@ -47,7 +47,7 @@
             self._clock.now_ms(),
         )
         for domain in silent:
-            state.health.note_silent_domain(domain, state.endpoints.by_id.values())
+            state.health.set_aside_domain(domain, state.endpoints.by_id.values())
             log.warning("Domain silent.", domain=domain)
 
     def _forget_unlisted(self):
--- a/vanillareach/gateway/sockets.py
+++ b/vanillareach/gateway/sockets.py
@@ -5,6 +5,7 @@
 import trio
 
 from vanillareach.clock import MS_PER_SECOND
+from vanillareach.utils import split_address
 
 # A peer without power sends no reset; probes show its loss in two to three seconds.
 KEEP_ALIVE_IDLE_S = 1
@@ -41,11 +42,10 @@
     OSError
         If the connection is refused, unreachable or not made within `limit_ms`.
     """
-    host, _, port = address.rpartition(":")
     sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         with trio.fail_after(limit_ms / MS_PER_SECOND):
-            await sock.connect((host, int(port)))
+            await sock.connect(split_address(address))
         watch_liveness(sock, ENDPOINT_TIMEOUT_MS)
     except trio.TooSlowError as error:
         sock.close()
--- a/vanillareach/log.py
+++ b/vanillareach/log.py
@@ -48,6 +48,11 @@
         if log_format == "json"
         else structlog.dev.ConsoleRenderer(colors=False)
     )
+    _configure(renderer, level, sys.stderr)
+
+
+def _configure(renderer, level, file):
+    """Let all loggers write lines of one shape to `file`."""
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
@@ -57,7 +62,7 @@
             renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(LEVELS_BY_NAME[level]),
-        logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(file=file),
     )
 
 
@@ -123,19 +128,10 @@
 def configure_bounded_logs(level):
     """Write JSON lines to standard output through a `BoundedWriter`, and return it."""
     writer = BoundedWriter(sys.stdout.fileno())
-    structlog.configure(
-        processors=[
-            structlog.processors.add_log_level,
-            structlog.processors.TimeStamper(fmt="iso", utc=True),
-            structlog.processors.format_exc_info,
-            _put_prefix,
-            structlog.processors.JSONRenderer(
-                serializer=lambda event, **_: msgspec.json.encode(event).decode()
-            ),
-        ],
-        wrapper_class=structlog.make_filtering_bound_logger(LEVELS_BY_NAME[level]),
-        logger_factory=structlog.PrintLoggerFactory(file=writer),
+    renderer = structlog.processors.JSONRenderer(
+        serializer=lambda event, **_: msgspec.json.encode(event).decode()
     )
+    _configure(renderer, level, writer)
     return writer
 
 
--- a/vanillareach/platform/calls.py
+++ b/vanillareach/platform/calls.py
@@ -37,23 +37,21 @@
             and name.lower() not in own
             and name.lower() != names.LAST_EVENT_ID
         ]
+        helpers = ",".join(order.helpers) if order.helpers else None
+        value_by_name = {
+            names.DEADLINE_MS: max(1, int(order.left_ms)),
+            names.TARGET: order.endpoint.id,
+            names.TEAM: order.team,
+            names.PRIORITY: order.priority,
+            names.HELPERS: helpers,
+            names.LAST_EVENT_ID: order.last_event_id,
+            names.EXPECT_WEIGHTS: order.weights,
+        }
         added = [
-            (b"Vanillareach-Deadline-Ms", str(max(1, int(order.left_ms))).encode()),
-            (b"Vanillareach-Target-Instance", order.endpoint.id.encode()),
+            (name.title(), str(value).encode())
+            for name, value in value_by_name.items()
+            if value is not None
         ]
-        if order.team is not None:
-            added.append((b"Vanillareach-Tenant", order.team.encode()))
-        if order.priority is not None:
-            priority = str(order.priority).encode()
-            added.append((b"Vanillareach-Request-Priority", priority))
-        if order.helpers:
-            added.append((b"Vanillareach-Helpers", ",".join(order.helpers).encode()))
-        if order.last_event_id is not None:
-            last_event = str(order.last_event_id).encode()
-            added.append((b"Last-Event-Id", last_event))
-        if order.weights is not None:
-            weights = str(order.weights).encode()
-            added.append((b"Vanillareach-Expect-Version", weights))
         return passed + added
 
     def read_answer(self, status, headers):
@@ -69,7 +67,6 @@
             is_other_instance=status == 421 and names.FAULT_AT not in first,
             is_closing=b"close" in closing,
             fault_at=first.get(names.FAULT_AT, b"").decode("latin-1"),
-            load=_load(first.get(names.LOAD)),
             weights=_integer(first.get(names.WEIGHTS)),
         )
 
@@ -104,13 +101,6 @@
     return _integer(prompt) or 0, _integer(answer) or 0
 
 
-def _load(value):
-    parts = [_integer(part) for part in (value or b"").split(b",")]
-    if len(parts) != 3 or None in parts:
-        return None
-    return tuple(parts)
-
-
 def _integer(value):
     text = (value or b"").strip()
     return int(text) if text.isdigit() else None
--- a/vanillareach/platform/orders.py
+++ b/vanillareach/platform/orders.py
@@ -48,7 +48,7 @@
 def _order(endpoint, body):
     headers = [
         (b"Content-Type", b"application/json"),
-        (b"Vanillareach-Target-Instance", endpoint.id.encode()),
+        (names.TARGET.title(), endpoint.id.encode()),
     ]
     return UpstreamRequest(
         address=endpoint.address,
--- a/vanillareach/utils.py
+++ b/vanillareach/utils.py
@@ -15,8 +15,14 @@
     return hashlib.sha256(text.encode()).hexdigest()
 
 
+def split_address(address):
+    """Split a ``host:port`` that has been checked into its parts."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
 def parse_address(address):
-    """Split ``host:port`` into its parts.
+    """Check ``host:port`` and split it into its parts.
 
     Raises
     ------
