Refuse a stream that would outlive a stopping instance

Ruled out: ending later alone; the last stream would need more than the grace. Change: placement predicts the whole answer and is told how long the instance stays; a stream that would outlive it is refused with 503 and a time to return, and what hasn't begun to answer at the end is answered, not cut. The margin for the exit falls from 0.5 to 0.3 s.

--- a/vanillareach/core/dispatching.py
+++ b/vanillareach/core/dispatching.py
@@ -1,5 +1,7 @@
 """Where a request goes next, and how long its silence is borne."""
 
+import math
+
 from vanillareach.core.load_picture import EngineLoad, Flight
 from vanillareach.core.routing import RequestKind
 from vanillareach.core.span_placement import (
@@ -109,6 +111,7 @@
             worth=worth_of(fields),
             domain=self._domain,
             unseen=UNSEEN_PER_INSTANCE * self._state.instances,
+            stay_ms=self._stay_ms(exchange, now_ms),
         )
         health = self._state.health
         # Dispatches of others that are not known yet grow with their number.
@@ -131,13 +134,19 @@
             return None
         return chosen
 
+    def _stay_ms(self, exchange, now_ms):
+        """Return how long this instance stays for a stream that is to begin."""
+        if exchange.first_event_ms is not None:
+            return math.inf
+        return self._state.ends_ms - now_ms
+
     def may_wait(self, exchange, now_ms):
         """Return whether a request without a place may wait for one.
 
         Reading that is in progress ends soon, so a short wait places more than a
         refusal does; a longer one would only use up the caller's time.
         """
-        if exchange.service.engine is None:
+        if exchange.service.engine is None or self._state.is_stopping:
             return False
         waited_ms = now_ms - exchange.request.received_ms
         return waited_ms < WAIT_SHARE * exchange.route.objective_ms
--- a/vanillareach/core/engine_time.py
+++ b/vanillareach/core/engine_time.py
@@ -1,5 +1,7 @@
 """Durations at an engine, from the figures that its service publishes."""
 
+import math
+
 PAIRS_PER_MILLION = 1e6
 TOKENS_PER_1K = 1000.0
 
@@ -41,3 +43,9 @@
     """
     writing = figures.steps_per_pass * step_ms(figures, writers, context_tokens)
     return writing + reading_ms
+
+
+def writing_ms(figures, answer_tokens, writers, context_tokens):
+    """Return the time from the first event of an answer to its last one."""
+    passes = max(0, math.ceil(answer_tokens / figures.steps_per_pass) - 1)
+    return passes * pass_ms(figures, writers, context_tokens)
--- a/vanillareach/core/span_placement.py
+++ b/vanillareach/core/span_placement.py
@@ -9,9 +9,10 @@
 costs all of them together least.
 """
 
+import math
 from dataclasses import dataclass
 
-from vanillareach.core.engine_time import pass_ms, read_ms
+from vanillareach.core.engine_time import pass_ms, read_ms, writing_ms
 from vanillareach.core.load_picture import EngineLoad
 
 # Helpers that an endpoint accepts for one request.
@@ -56,6 +57,8 @@
 # reserving.
 KEPT_MEMORY_SHARE = 0.15
 MIN_HELD_TOKENS = 8_192
+# An answer may take this many times its prediction.
+WHOLE_FACTOR = 1.25
 # Prompts shorter than this are not worth a span.
 SPAN_TOKENS = 12_000
 
@@ -76,6 +79,8 @@
         Failure domain of the instance that asks.
     unseen : float
         Requests that other instances place while they can't be seen here yet.
+    stay_ms : float
+        Time after which the instance that asks is gone, and all answers with it.
     """
 
     prompt_tokens: int
@@ -86,6 +91,7 @@
     worth: float
     domain: str
     unseen: float = 0.0
+    stay_ms: float = math.inf
 
 
 @dataclass(slots=True, frozen=True)
@@ -209,12 +215,14 @@
         return None
     first_ms = _first_event_ms(figures, host, part_ms)
     cost = _host_cost(need, figures, host, part_ms) - _own_loss(need, first_ms)
-    writing_ms = pass_ms(figures, 1, need.prompt_tokens / width)
+    first_pass_ms = pass_ms(figures, 1, need.prompt_tokens / width)
     for view in helpers:
         read_by_ms = _pass_wait_ms(figures, view) + part_ms * view.pace
-        first_ms = max(first_ms, read_by_ms + writing_ms)
+        first_ms = max(first_ms, read_by_ms + first_pass_ms)
         cost += _inflicted(figures, view, part_ms)
         cost += need.worth * view.failure_share + SPAN_COST
+    if _whole_ms(need, figures, host, first_ms) > need.stay_ms:
+        return None
     cost += _own_loss(need, first_ms)
     if need.prompt_tokens >= SPAN_TOKENS:
         cost += _blocking_cost(figures, views, (host, *helpers), part_ms)
@@ -335,6 +343,15 @@
     return wait_ms
 
 
+def _whole_ms(need, figures, view, first_event_ms):
+    """Return the time in which an answer is complete, unless much comes between."""
+    load = view.load
+    context_tokens = load.context_tokens + need.prompt_tokens
+    writers = len(load.writers) + 1
+    rest_ms = writing_ms(figures, need.answer_tokens, writers, context_tokens)
+    return WHOLE_FACTOR * (first_event_ms + rest_ms * view.pace)
+
+
 def _inflicted(figures, view, part_ms):
     """Return the benefit that the requests at an engine lose by further reading."""
     load = view.load
--- a/vanillareach/features/gateway_fleet.feature
+++ b/vanillareach/features/gateway_fleet.feature
@@ -52,6 +52,22 @@
     And the answer closes its connection
     And the gateway is not ready
 
+  Scenario: A stop answers what its endpoint doesn't finish in time
+    Given all endpoints will "mute"
+    And the gateway has 1 s to stop
+    When a caller sends "/book/a" and the gateway is asked to stop
+    Then the answer is 504
+
+  Scenario: A stop refuses a stream that would outlive it, and says when to return
+    Given all endpoints will "stream"
+    And the gateway has 1 s to stop
+    When the gateway is asked to stop
+    And a caller asks "/ask/a" with a prompt of 1000 tokens
+    Then the answer is 200, whole and signed
+    When a caller asks "/ask/a" for 5000 tokens
+    Then the answer is 503
+    And the answer says when to come back
+
   Scenario: An instance that starts again with its clock behind is heard again
     Given a beacon of instance "g9" with incarnation 1000
     When "g9" is silent for 5000 ms and a beacon with incarnation 10 comes
--- a/vanillareach/features/placement_load.feature
+++ b/vanillareach/features/placement_load.feature
@@ -37,6 +37,16 @@
     And a prompt of 270000 tokens arrives with 300 ms left
     Then it is refused
 
+  Scenario Outline: An instance that stops takes no stream that would outlive it
+    Given an instance that stays for <stay> ms
+    When a short prompt arrives whose answer takes some 4000 ms
+    Then it is <outcome>
+
+    Examples:
+      | stay | outcome |
+      | 4400 | refused |
+      | 7000 | placed  |
+
   Scenario: Full engines are not asked
     When 150 short prompts arrive at once
     Then no engine has more than 10 requests
--- a/vanillareach/features/steps/gateway.py
+++ b/vanillareach/features/steps/gateway.py
@@ -122,6 +122,11 @@
     send(context, path, Vanillareach_Token_Usage=f"{tokens},100")
 
 
+@when('a caller asks "{path}" for {tokens:d} tokens')
+def step_asks_for(context, path, tokens):
+    send(context, path, Vanillareach_Token_Usage=f"1000,{tokens}")
+
+
 @when('a caller asks "{path}" for a long stream and reads it late')
 def step_reads_late(context, path):
     async def call():
--- a/vanillareach/features/steps/gateway_fleet.py
+++ b/vanillareach/features/steps/gateway_fleet.py
@@ -177,6 +177,26 @@
     context.run(cut)
 
 
+@given("the gateway has {grace_s:d} s to stop")
+def step_grace(context, grace_s):
+    context.platform.gateways[0].settings.grace_s = grace_s
+
+
+@when('a caller sends "{path}" and the gateway is asked to stop')
+def step_send_and_stop(context, path):
+    stage, gateway = context.platform, context.platform.gateways[0]
+
+    async def call():
+        async with await stage.connect() as caller:
+            await caller.send(path, Vanillareach_Deadline_Ms="60000")
+            await stage.until(lambda: gateway.state.picture.own_count)
+            stage._nursery.start_soon(gateway.stop)
+            with trio.fail_after(CONDITION_LIMIT_S):
+                context.answer = await caller.receive()
+
+    context.run(call)
+
+
 @when("the gateway is asked to stop")
 def step_stop(context):
     gateway = context.platform.gateways[0]
--- a/vanillareach/features/steps/placement_load.py
+++ b/vanillareach/features/steps/placement_load.py
@@ -1,5 +1,7 @@
 """Steps that replay loads against the placement of generations."""
 
+import math
+
 from behave import given, then, when
 
 from vanillareach.core.endpoint_list import ListedEndpoint
@@ -42,6 +44,8 @@
         self.refused = 0
         self.unseen = 0.0
         self.deadline_left_ms = 10_000.0
+        self.stay_ms = math.inf
+        self.answer_tokens = SHORT_ANSWER
 
     def views(self):
         """Return the engines as placement sees them."""
@@ -61,13 +65,14 @@
         worth = SHORT_WORTH if is_short else tokens / 13_000
         need = GenerationNeed(
             tokens,
-            SHORT_ANSWER,
+            self.answer_tokens,
             OBJECTIVE_MS[is_short],
             self.deadline_left_ms,
             PAUSE_MS[is_short],
             worth,
             "a",
             self.unseen,
+            self.stay_ms,
         )
         chosen = place(need, FIGURES, self.views())
         if chosen is None or chosen.gain < 0:
@@ -116,6 +121,18 @@
     replay(context).failure_share_by_id[name] = 0.5
 
 
+@given("an instance that stays for {stay_ms:d} ms")
+def step_stays(context, stay_ms):
+    replay(context).stay_ms = stay_ms
+
+
+@when("a short prompt arrives whose answer takes some {whole_ms:d} ms")
+def step_long_answer(context, whole_ms):
+    state = replay(context)
+    state.answer_tokens = round(whole_ms / FIGURES.step_ms)
+    state.arrive(SHORT_TOKENS)
+
+
 @when("{count:d} short prompts arrive at once")
 def step_short(context, count):
     state = replay(context)
@@ -202,6 +219,12 @@
     assert context.replay.refused == 1, context.replay.chosen[-1]
 
 
+@then("it is placed")
+def step_placed(context):
+    assert context.replay.refused == 0
+    assert len(context.replay.chosen) == 1
+
+
 @then("no engine has more than {count:d} requests")
 def step_no_more(context, count):
     assert max(view.load.running for view in context.replay.views()) <= count
--- a/vanillareach/features/users_platform/stage.py
+++ b/vanillareach/features/users_platform/stage.py
@@ -84,7 +84,7 @@
         "version": version,
         "routes": [
             route("read", "idempotent", "desk"),
-            route("book", "non_idempotent", "desk", max_attempts=1),
+            route("book", "non_idempotent", "desk", timeout_ms=60_000, max_attempts=1),
             route(
                 "ask",
                 "streaming",
--- a/vanillareach/gateway/app.py
+++ b/vanillareach/gateway/app.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from vanillareach.clock import TrioClock
+from vanillareach.clock import MS_PER_SECOND, TrioClock
 from vanillareach.core.routing import CallerLimits
 from vanillareach.gateway.connections import CallerListener
 from vanillareach.gateway.following import StoreFollower
@@ -23,7 +23,9 @@
 # The balancer asks each second and takes an instance out after two misses.
 BALANCER_LEAVES_S = 3.2
 # Kept back from the grace period for the exit itself.
-EXIT_MARGIN_S = 0.5
+EXIT_MARGIN_S = 0.3
+# Kept back from the end for what is answered with a failure then.
+LAST_ANSWERS_MS = 100.0
 LOG_INTERVAL_S = 0.1
 # A process that stood still longer than this distrusts what it knew.
 STANDSTILL_MS = 400.0
@@ -141,9 +143,10 @@
     async def stop(self):
         """Let the balancer leave, then finish what is running."""
         log.info("Stopping.", flights=self.state.picture.own_count)
-        self.state.is_stopping = True
-        self.state.publish()
-        with trio.move_on_after(self.settings.grace_s - EXIT_MARGIN_S):
+        stay_s = self.settings.grace_s - EXIT_MARGIN_S
+        self.state.stop_by(self.clock.now_ms() + stay_s * MS_PER_SECOND)
+        self.forwarder.end_by(self.state.ends_ms - LAST_ANSWERS_MS)
+        with trio.move_on_after(stay_s):
             await trio.sleep(BALANCER_LEAVES_S)
             self.front.close_idle()
             while self.front.open_connections:
--- a/vanillareach/gateway/exchange.py
+++ b/vanillareach/gateway/exchange.py
@@ -117,6 +117,10 @@
         """Identity of the caller's attempt."""
         return self.fields.attempt_id
 
+    def end_by(self, ends_ms):
+        """Bring the deadline forward to `ends_ms`, if it is later."""
+        self.deadline_ms = min(self.deadline_ms, ends_ms)
+
     def note_event(self, now_ms):
         """Record that an event arrived."""
         if self.last_event_ms is None:
--- a/vanillareach/gateway/forwarder.py
+++ b/vanillareach/gateway/forwarder.py
@@ -1,9 +1,11 @@
 """The way of a request: route, team, endpoint, attempts, answer."""
 
+import math
 import random
 
 import msgspec
 
+from vanillareach.clock import MS_PER_SECOND
 from vanillareach.core.dispatching import Dispatcher
 from vanillareach.core.hashing import hash128_hex
 from vanillareach.gateway.attempts import Attempts
@@ -59,6 +61,8 @@
         self._clock = clock
         self._metrics = metrics
         self._random = random.Random()
+        self._ends_ms = math.inf
+        self._scopes_by_exchange = {}
         self._dispatcher = Dispatcher(state, domain, self._random)
         self.silences = SilenceWatch(self._dispatcher, clock)
         self._attempts = Attempts(
@@ -79,11 +83,24 @@
         if exchange is None:
             return
         self._state.retries(exchange.service.name).note_request(request.received_ms)
-        with self._clock.scope_until(exchange.deadline_ms) as scope:
-            await self._serve(exchange, responder)
+        exchange.end_by(self._ends_ms)
+        scope = self._clock.scope_until(exchange.deadline_ms)
+        self._scopes_by_exchange[exchange] = scope
+        try:
+            with scope:
+                await self._serve(exchange, responder)
+        finally:
+            del self._scopes_by_exchange[exchange]
         if scope.cancelled_caught:
             await self._end_late(exchange, responder)
 
+    def end_by(self, ends_ms):
+        """Give every request, also each that comes, an answer by `ends_ms`."""
+        self._ends_ms = ends_ms
+        for exchange, scope in self._scopes_by_exchange.items():
+            exchange.end_by(ends_ms)
+            scope.deadline = exchange.deadline_ms / MS_PER_SECOND
+
     async def _admit(self, request, fields, responder):
         """Return the `GatewayExchange` of a request that may run, or None."""
         state = self._state
@@ -120,7 +137,8 @@
         while True:
             target = await self._choose(exchange)
             if target is None:
-                return await self._give_up(exchange, responder, "no_room")
+                reason = "stopping" if self._state.is_stopping else "no_room"
+                return await self._give_up(exchange, responder, reason)
             result = await self._attempts.make(exchange, target, responder)
             if result is AttemptResult.ANSWERED:
                 return self._count("done", "")
--- a/vanillareach/gateway/state.py
+++ b/vanillareach/gateway/state.py
@@ -1,5 +1,7 @@
 """What one instance of the gateway knows, shared by its tasks."""
 
+import math
+
 from vanillareach.core.endpoint_health import EndpointHealth
 from vanillareach.core.endpoint_list import EndpointList
 from vanillareach.core.load_picture import LoadPicture
@@ -36,6 +38,8 @@
     instances : int
         Instances that are known to share budgets.
     is_stopping : bool
+    ends_ms : float
+        Monotonic time at which this instance ends; infinite unless it is stopping.
     """
 
     def __init__(self, settings, clock):
@@ -49,6 +53,7 @@
         self.crashes = CrashWatch()
         self.instances = 1
         self.is_stopping = False
+        self.ends_ms = math.inf
         self._retries_by_service = {}
         self._listeners = []
         self._packed_table = None
@@ -66,6 +71,12 @@
         for listener in self._listeners:
             listener(only_flights)
 
+    def stop_by(self, ends_ms):
+        """Take no new callers, and tell peers; this instance ends at `ends_ms`."""
+        self.is_stopping = True
+        self.ends_ms = ends_ms
+        self.publish()
+
     @property
     def is_ready(self):
         """Whether new connections should come here."""
