Add emulated deployments and a load tool

One scenario file describes services, kinds of requests, arrivals (Poisson, bursts, shift) and faults. `vanillareach emulate` serves the store and the endpoints; `vanillareach load` sends the requests to gateways and shows results as a table, JSON and plots, against an earlier run. Engines work in passes timed by the core's engine model. The far side of the wire stands in platform/; the stand-in store moved there, since tests and emulation share it.

--- a/vanillareach/cli.py
+++ b/vanillareach/cli.py
@@ -6,6 +6,7 @@
 import typer
 
 import vanillareach.early_signals  # noqa: F401
+from vanillareach.emulation.cli import register_emulation_commands
 from vanillareach.gateway.settings import GATEWAY_SETTINGS, GatewaySettings
 from vanillareach.operator_cli import register_operator_commands
 from vanillareach.settings import SETTINGS, Settings, SettingsError
@@ -81,6 +82,7 @@
 _add_daemon("gateway", _run_gateway, GATEWAY_SETTINGS)
 
 register_operator_commands(app)
+register_emulation_commands(app)
 app.add_typer(standin_app, name="standin")
 
 
--- /dev/null
+++ b/vanillareach/emulation/arrivals.py
@@ -0,0 +1,78 @@
+"""When requests of a scenario arrive, and how large they are."""
+
+import math
+from dataclasses import dataclass
+
+MIN_PROMPT_TOKENS = 100
+MIN_ANSWER_TOKENS = 1
+
+
+@dataclass(slots=True, frozen=True)
+class Arrival:
+    """One request of a caller.
+
+    Attributes
+    ----------
+    number : int
+    at_s : float
+        Time after the start.
+    kind : KindTable
+    prompt_tokens, answer_tokens : int
+        0 for a plain service.
+    """
+
+    number: int
+    at_s: float
+    kind: object
+    prompt_tokens: int
+    answer_tokens: int
+
+
+def rate_factor(arrivals, at_s):
+    """Return by how much the rates are multiplied at a time.
+
+    Parameters
+    ----------
+    arrivals : ArrivalsTable
+    at_s : float
+    """
+    if arrivals.process == "bursts":
+        return arrivals.factor if at_s % arrivals.period_s < arrivals.burst_s else 1.0
+    if arrivals.process == "shift":
+        return arrivals.factor if at_s >= arrivals.at_s else 1.0
+    return 1.0
+
+
+def plan_arrivals(scenario, random):
+    """Return all `Arrival` of a scenario in order of time.
+
+    The times of a kind are a Poisson process whose rate follows the file: drawn at the
+    highest rate and thinned.
+    """
+    drawn = []
+    for kind in scenario.kinds:
+        for at_s in _times(scenario, kind, random):
+            drawn.append((at_s, kind, *_sizes(scenario, kind, random)))
+    drawn.sort(key=lambda item: item[0])
+    return [Arrival(number, *item) for number, item in enumerate(drawn)]
+
+
+def _times(scenario, kind, random):
+    highest = max(1.0, scenario.arrivals.factor)
+    at_s = random.expovariate(kind.per_s * highest)
+    while at_s < scenario.duration_s:
+        if random.random() * highest < rate_factor(scenario.arrivals, at_s):
+            yield at_s
+        at_s += random.expovariate(kind.per_s * highest)
+
+
+def _sizes(scenario, kind, random):
+    if not scenario.is_generation(kind):
+        return 0, 0
+    # The mean of a log-normal lies half a variance above its median.
+    median = math.log(kind.prompt_tokens) - kind.spread**2 / 2
+    prompt = max(MIN_PROMPT_TOKENS, int(random.lognormvariate(median, kind.spread)))
+    if kind.most_prompt_tokens:
+        prompt = min(prompt, kind.most_prompt_tokens)
+    answer = random.expovariate(1.0 / kind.answer_tokens) if kind.answer_tokens else 0
+    return prompt, max(MIN_ANSWER_TOKENS, int(answer))
--- /dev/null
+++ b/vanillareach/emulation/plots.py
@@ -0,0 +1,43 @@
+"""Plots of a report, beside an earlier one if there is one."""
+
+
+class PlotsMissingError(RuntimeError):
+    """The plotting library isn't installed."""
+
+
+def plot_reports(path, report, earlier=None):
+    """Write an SVG: share in time over the run, and quantiles of each kind.
+
+    Raises
+    ------
+    PlotsMissingError
+    """
+    try:
+        from matplotlib.figure import Figure
+    except ImportError as error:
+        raise PlotsMissingError("install vanillareach[plots] for plots") from error
+    figure = Figure(figsize=(10, 4), layout="constrained")
+    over_time, quantiles = figure.subplots(1, 2)
+    reports = [("this run", report, "C0")]
+    if earlier is not None:
+        reports.insert(0, ("earlier", earlier, "C7"))
+    for label, shown, color in reports:
+        over_time.plot(
+            [span.from_s for span in shown.spans],
+            [span.in_time / span.asked for span in shown.spans],
+            label=label,
+            color=color,
+        )
+        _plot_quantiles(quantiles, label, shown, color)
+    over_time.set(xlabel="s from the start", ylabel="share in time", ylim=(0, 1.02))
+    over_time.legend()
+    quantiles.set(ylabel="first event, ms", yscale="log")
+    quantiles.legend()
+    figure.suptitle(report.scenario)
+    figure.savefig(path, format="svg")
+
+
+def _plot_quantiles(axes, label, report, color):
+    names = [kind.name for kind in report.kinds]
+    axes.plot(names, [k.first_p95 for k in report.kinds], "o", label=label, color=color)
+    axes.plot(names, [k.first_p50 for k in report.kinds], "_", color=color)
--- /dev/null
+++ b/vanillareach/emulation/results.py
@@ -0,0 +1,149 @@
+"""What a load run showed: a report, its table, and its comparison with another."""
+
+from pathlib import Path
+
+import msgspec
+
+from vanillareach.emulation.caller import Outcome
+from vanillareach.metrics import Latency
+
+SPAN_S = 2.0
+
+
+class ReportError(ValueError):
+    """A report can't be read."""
+
+
+class KindReport(msgspec.Struct):
+    """Results of one kind of request; durations in ms.
+
+    `first` is the time to the first event, `pause` the longest pause of a stream.
+    """
+
+    name: str
+    asked: int
+    in_time: int
+    late: int
+    refused: int
+    failed: int
+    first_p50: float
+    first_p95: float
+    first_p99: float
+    pause_p95: float
+
+    @property
+    def share_in_time(self):
+        """Part of the requests that got their answer in time."""
+        return self.in_time / self.asked if self.asked else 1.0
+
+
+class SpanReport(msgspec.Struct):
+    """Requests sent in `SPAN_S` seconds from `from_s` on."""
+
+    from_s: float
+    asked: int
+    in_time: int
+
+
+class Report(msgspec.Struct):
+    """Results of one run."""
+
+    scenario: str
+    seed: int
+    targets: int
+    kinds: list[KindReport]
+    spans: list[SpanReport]
+
+
+def build_report(scenario, targets, records):
+    """Return the `Report` of a run's `CallRecord`."""
+    return Report(
+        scenario=scenario.name,
+        seed=scenario.seed,
+        targets=targets,
+        kinds=[
+            _kind_report(kind.name, [r for r in records if r.kind == kind.name])
+            for kind in scenario.kinds
+        ],
+        spans=_spans(records),
+    )
+
+
+def _kind_report(name, records):
+    first, pause = Latency(), Latency()
+    for record in records:
+        if record.outcome in (Outcome.IN_TIME, Outcome.LATE):
+            first.record(record.first_ms)
+            pause.record(record.longest_pause_ms)
+    count_by_outcome = {
+        outcome: sum(record.outcome is outcome for record in records)
+        for outcome in Outcome
+    }
+    return KindReport(
+        name=name,
+        asked=len(records),
+        **{outcome.value: count for outcome, count in count_by_outcome.items()},
+        first_p50=first.quantile(0.5),
+        first_p95=first.quantile(0.95),
+        first_p99=first.quantile(0.99),
+        pause_p95=pause.quantile(0.95),
+    )
+
+
+def _spans(records):
+    by_number = {}
+    for record in records:
+        by_number.setdefault(int(record.at_s // SPAN_S), []).append(record)
+    return [
+        SpanReport(
+            number * SPAN_S,
+            len(members),
+            sum(record.outcome is Outcome.IN_TIME for record in members),
+        )
+        for number, members in sorted(by_number.items())
+    ]
+
+
+def write_report(report, path):
+    """Write a report as JSON."""
+    encoded = msgspec.json.format(msgspec.json.encode(report), indent=1)
+    Path(path).write_bytes(encoded + b"\n")
+
+
+def read_report(path):
+    """Return the report in a JSON file.
+
+    Raises
+    ------
+    ReportError
+        If there is none.
+    """
+    try:
+        return msgspec.json.decode(Path(path).read_bytes(), type=Report)
+    except (OSError, msgspec.MsgspecError) as error:
+        raise ReportError(f"{path}: {error}") from error
+
+
+def table(report, earlier=None):
+    """Return the rows of a report as text, with changes against an earlier one."""
+    earlier_by_name = {kind.name: kind for kind in earlier.kinds} if earlier else {}
+    lines = [
+        f"{'kind':20} {'asked':>6} {'in time':>8} {'late':>5} {'refused':>8} "
+        f"{'failed':>7} {'p50 ms':>7} {'p95 ms':>7} {'p99 ms':>7} {'pause p95':>10}"
+    ]
+    for kind in report.kinds:
+        lines.append(
+            f"{kind.name:20} {kind.asked:6} {kind.share_in_time:8.1%} {kind.late:5} "
+            f"{kind.refused:8} {kind.failed:7} {kind.first_p50:7.0f} "
+            f"{kind.first_p95:7.0f} {kind.first_p99:7.0f} {kind.pause_p95:10.0f}"
+        )
+        before = earlier_by_name.get(kind.name)
+        if before is not None:
+            lines.append(_change(before, kind))
+    return "\n".join(lines)
+
+
+def _change(before, kind):
+    points = 100 * (kind.share_in_time - before.share_in_time)
+    ratio = kind.first_p95 / before.first_p95 if before.first_p95 else float("nan")
+    return f"{'  against earlier':20} {points:+15.1f} points in time, p95 {ratio:.2f} x"
--- /dev/null
+++ b/vanillareach/emulation/scenario.py
@@ -0,0 +1,207 @@
+"""The scenario file: a deployment, its traffic and its faults, checked when read."""
+
+from pathlib import Path
+from typing import Literal
+
+import msgspec
+
+from vanillareach.core.routing import (
+    CallerLimits,
+    EngineFigures,
+    RequestKind,
+    Route,
+    RoutedService,
+    RoutedTeam,
+    RouteTable,
+)
+
+HOST = "emulated.example"
+TEAM = "emulated"
+KEY = "emulated-sample-key"
+# A plain service's answer is late after this many times its usual time, if the file
+# sets no objective.
+PLAIN_OBJECTIVE_FACTOR = 5.0
+
+
+class ScenarioError(ValueError):
+    """The scenario file can't be used; the text says where and why."""
+
+
+class EngineTable(msgspec.Struct, forbid_unknown_fields=True):
+    """Speed and size of a service's engines; see `EngineFigures` for the units."""
+
+    slots: int = 8
+    memory_tokens: int = 405_000
+    step_ms: float = 1.31
+    step_ms_per_writer: float = 0.0018
+    step_ms_per_1k_context: float = 0.00213
+    read_tokens_per_ms: float = 154.0
+    attention_ms_per_1m_pairs: float = 0.162
+    chunk_tokens: int = 2048
+    steps_per_pass: int = 34
+    hop_ms: float = 0.1
+
+    def figures(self):
+        """Return the `EngineFigures`."""
+        return EngineFigures(**msgspec.structs.asdict(self))
+
+
+class ServiceTable(msgspec.Struct, forbid_unknown_fields=True):
+    """A service: `count` engines if `engine` is set, else plain instances."""
+
+    name: str
+    count: int
+    engine: EngineTable | None = None
+    slots: int = 6
+    work_ms: float = 30.0
+
+
+class KindTable(msgspec.Struct, forbid_unknown_fields=True):
+    """A kind of request; tokens only for engines, sizes are means.
+
+    `spread` is the sigma of a log-normal distribution of prompt sizes.
+    """
+
+    name: str
+    service: str
+    per_s: float
+    repeatable: bool = True
+    prompt_tokens: int = 0
+    most_prompt_tokens: int = 0
+    spread: float = 0.5
+    answer_tokens: int = 0
+    objective_ms: float = 0.0
+    pause_ms: float = 0.0
+    deadline_ms: float = 10_000.0
+    attempts: int = 2
+
+
+class ArrivalsTable(msgspec.Struct, forbid_unknown_fields=True):
+    """How the rate of all kinds changes over time.
+
+    ``poisson`` keeps it; ``bursts`` multiplies it by `factor` for `burst_s` of every
+    `period_s`; ``shift`` multiplies it by `factor` from `at_s` on.
+    """
+
+    process: Literal["poisson", "bursts", "shift"] = "poisson"
+    factor: float = 2.0
+    period_s: float = 10.0
+    burst_s: float = 2.0
+    at_s: float = 10.0
+
+
+class FaultTable(msgspec.Struct, forbid_unknown_fields=True):
+    """A fault at some endpoints of a service, or of the store.
+
+    `x` is the factor by which a slow endpoint is slower.
+    """
+
+    kind: Literal[
+        "silent", "slow", "refuse", "fail", "leave", "store_busy", "store_lost"
+    ]
+    at_s: float
+    for_s: float = 3.0
+    service: str = ""
+    count: int = 1
+    x: float = 3.0
+
+
+class Scenario(msgspec.Struct, forbid_unknown_fields=True):
+    """A whole scenario file."""
+
+    name: str
+    services: list[ServiceTable]
+    kinds: list[KindTable]
+    seed: int = 1
+    duration_s: float = 20.0
+    domains: tuple[str, ...] = ("domain-a", "domain-b", "domain-c")
+    arrivals: ArrivalsTable = msgspec.field(default_factory=ArrivalsTable)
+    faults: list[FaultTable] = []
+
+    def service(self, name):
+        """Return a service's table."""
+        return next(service for service in self.services if service.name == name)
+
+    def is_generation(self, kind):
+        """Return whether requests of a kind go to engines."""
+        return self.service(kind.service).engine is not None
+
+    def objective_ms(self, kind):
+        """Return the time in which a request of a kind is owed its answer."""
+        default = PLAIN_OBJECTIVE_FACTOR * self.service(kind.service).work_ms
+        return kind.objective_ms or default
+
+    def route_table(self):
+        """Return the `RouteTable` that the operator writes."""
+        return RouteTable.build(
+            version=1,
+            routes=[self._route(kind) for kind in self.kinds],
+            services=[
+                RoutedService(
+                    service.name, 0, service.engine and service.engine.figures()
+                )
+                for service in self.services
+            ],
+            teams_by_key={KEY: RoutedTeam(TEAM, None)},
+            limits=CallerLimits(),
+        )
+
+    def _route(self, kind):
+        is_generation = self.is_generation(kind)
+        request_kind = RequestKind.STREAM
+        if not is_generation:
+            request_kind = (
+                RequestKind.IDEMPOTENT
+                if kind.repeatable
+                else RequestKind.NON_IDEMPOTENT
+            )
+        return Route(
+            name=kind.name,
+            host=HOST,
+            prefix=f"/{kind.name}/",
+            kind=request_kind,
+            timeout_ms=kind.deadline_ms,
+            objective_ms=self.objective_ms(kind),
+            priority=1,
+            weights_by_service=((kind.service, 1.0),),
+            max_attempts=kind.attempts if kind.repeatable else 1,
+            is_public=False,
+            is_generation=is_generation,
+            is_resumable=is_generation and kind.repeatable,
+            pause_limit_ms=kind.pause_ms,
+        )
+
+
+def read_scenario(path):
+    """Return the `Scenario` in a TOML file.
+
+    Raises
+    ------
+    ScenarioError
+        If the file can't be read, or doesn't fit together.
+    """
+    try:
+        scenario = msgspec.toml.decode(Path(path).read_bytes(), type=Scenario)
+    except (OSError, msgspec.MsgspecError) as error:
+        raise ScenarioError(f"{path}: {error}") from error
+    _check(path, scenario)
+    return scenario
+
+
+def _check(path, scenario):
+    services = {service.name for service in scenario.services}
+    if not scenario.kinds or not services:
+        raise ScenarioError(f"{path}: at least one service and one kind are needed")
+    for index, kind in enumerate(scenario.kinds):
+        if kind.service not in services:
+            raise ScenarioError(f"{path}: kinds[{index}]: no service {kind.service!r}")
+        if kind.per_s <= 0:
+            raise ScenarioError(f"{path}: kinds[{index}]: per_s must be above 0")
+        if scenario.is_generation(kind) and not kind.prompt_tokens:
+            raise ScenarioError(f"{path}: kinds[{index}]: prompt_tokens is missing")
+    for index, fault in enumerate(scenario.faults):
+        needs_service = not fault.kind.startswith("store")
+        if needs_service and fault.service not in services:
+            raise ScenarioError(
+                f"{path}: faults[{index}]: no service {fault.service!r}"
+            )
--- /dev/null
+++ b/vanillareach/emulation/world.py
@@ -0,0 +1,159 @@
+"""Store and endpoints of a scenario, listening on this machine, and their faults."""
+
+import random
+import time
+from dataclasses import replace
+
+import trio
+
+from vanillareach.clock import MS_PER_SECOND, TrioClock
+from vanillareach.core.endpoint_list import ListedEndpoint
+from vanillareach.core.routing import CallerLimits
+from vanillareach.emulation.endpoints import EmulatedEngine, EmulatedService
+from vanillareach.emulation.scenario import KEY, TEAM
+from vanillareach.gateway.connections import CallerListener
+from vanillareach.log import get_logger
+from vanillareach.platform import far_side
+from vanillareach.platform.standin_store import StandinStore
+
+# An entry that leaves stays in the list for this long.
+LEAVING_S = 2.0
+STORE_FAILURES_BY_FAULT = {"store_busy": "busy", "store_lost": "lost"}
+
+log = get_logger("emulation")
+
+
+class EmulatedWorld:
+    """Everything around the gateways.
+
+    Parameters
+    ----------
+    scenario : Scenario
+    next_address : callable
+        Returns an address of this machine to listen at, another one each time.
+
+    Attributes
+    ----------
+    store : StandinStore
+    store_address : str
+    endpoints_by_name : dict of str to EmulatedEndpoint
+    has_traffic : trio.Event
+        Set when the first request reaches an endpoint.
+    """
+
+    def __init__(self, scenario, next_address):
+        self._scenario = scenario
+        self._next_address = next_address
+        self._random = random.Random(scenario.seed)
+        self._listed_by_name = {}
+        self._engines_by_address = {}
+        self._sequence = 0
+        self.store = StandinStore()
+        self.store_address = next_address()
+        self.endpoints_by_name = {}
+        self.has_traffic = trio.Event()
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+        """Serve for ever; started once everything listens."""
+        async with trio.open_nursery() as nursery:
+            await self._listen(nursery, self.store_address, self.store.handle)
+            for service in self._scenario.services:
+                for index in range(service.count):
+                    await self._open_endpoint(nursery, service, index)
+            table = self._scenario.route_table()
+            far_side.write_configuration(self.store, table, {TEAM: [KEY]})
+            task_status.started()
+            await trio.sleep_forever()
+
+    async def play_faults(self):
+        """Play the scenario's faults, counted from the first request."""
+        await self.has_traffic.wait()
+        async with trio.open_nursery() as nursery:
+            for fault in self._scenario.faults:
+                nursery.start_soon(self._play, fault)
+
+    async def _listen(self, nursery, address, handle):
+        listener = CallerListener(
+            address, TrioClock(), CallerLimits, handle, lambda: False
+        )
+        await nursery.start(listener.run)
+
+    def _noting_traffic(self, handle):
+        async def note_and_handle(request, responder):
+            self.has_traffic.set()
+            await handle(request, responder)
+
+        return note_and_handle
+
+    async def _open_endpoint(self, nursery, service, index):
+        name, address = f"{service.name}-{index}", self._next_address()
+        if service.engine is None:
+            endpoint = EmulatedService(
+                name, service.slots, service.work_ms, self._random
+            )
+        else:
+            figures = service.engine.figures()
+            endpoint = EmulatedEngine(name, figures, self._engines_by_address)
+            self._engines_by_address[address] = endpoint
+            nursery.start_soon(endpoint.work)
+        await self._listen(nursery, address, self._noting_traffic(endpoint.handle))
+        self.endpoints_by_name[name] = endpoint
+        domains = self._scenario.domains
+        self._list(
+            ListedEndpoint(
+                id=name,
+                incarnation=int(time.time() * MS_PER_SECOND),
+                service=service.name,
+                address=address,
+                domain=domains[index % len(domains)],
+                slots=endpoint.slots,
+                is_leaving=False,
+            )
+        )
+
+    def _list(self, listed):
+        self._sequence += 1
+        self._listed_by_name[listed.id] = listed
+        far_side.list_endpoint(self.store, listed, self._sequence)
+
+    async def _play(self, fault):
+        await trio.sleep(fault.at_s)
+        if fault.kind in STORE_FAILURES_BY_FAULT:
+            self.store.failure = STORE_FAILURES_BY_FAULT[fault.kind]
+            await trio.sleep(fault.for_s)
+            self.store.failure = ""
+            return
+        hit = self._some_of(fault)
+        log.info("Fault begins.", kind=fault.kind, at=[e.name for e in hit])
+        if fault.kind == "leave":
+            await self._leave(hit, fault.for_s)
+            return
+        for endpoint in hit:
+            if fault.kind == "slow":
+                endpoint.pace = fault.x
+            else:
+                endpoint.fall(fault.kind)
+        await trio.sleep(fault.for_s)
+        for endpoint in hit:
+            endpoint.recover()
+
+    def _some_of(self, fault):
+        members = [
+            self.endpoints_by_name[listed.id]
+            for listed in self._listed_by_name.values()
+            if listed.service == fault.service
+        ]
+        return self._random.sample(members, min(fault.count, len(members)))
+
+    async def _leave(self, hit, for_s):
+        """Let endpoints leave the list, and come back in a new life."""
+        listed = [self._listed_by_name[endpoint.name] for endpoint in hit]
+        for entry in listed:
+            self._list(replace(entry, is_leaving=True))
+        await trio.sleep(LEAVING_S)
+        for entry in listed:
+            far_side.remove_endpoint(self.store, entry.id)
+        await trio.sleep(for_s)
+        for entry in listed:
+            born = int(time.time() * MS_PER_SECOND)
+            self._list(replace(entry, incarnation=born))
--- a/vanillareach/features/users_platform/stage.py
+++ b/vanillareach/features/users_platform/stage.py
@@ -10,13 +10,13 @@
 from vanillareach.clock import TrioClock
 from vanillareach.core.routing import CallerLimits
 from vanillareach.features.users_platform.endpoint import StandinEndpoint
-from vanillareach.features.users_platform.store import StandinStore
 from vanillareach.gateway.app import GatewayApplication
 from vanillareach.gateway.connections import CallerListener
 from vanillareach.gateway.settings import GatewaySettings
 from vanillareach.log import BoundedWriter
 from vanillareach.platform.calls import PlatformProtocol
 from vanillareach.platform.orders import PlatformOrders
+from vanillareach.platform.standin_store import StandinStore
 from vanillareach.platform.store import PlatformStore
 from vanillareach.utils import split_address
 
--- /dev/null
+++ b/vanillareach/platform/far_side.py
@@ -0,0 +1,206 @@
+"""The wire as callers, endpoints and the operator see it, for emulated ones."""
+
+import msgspec
+
+from vanillareach.platform import names
+from vanillareach.platform.documents import (
+    KINDS_BY_WORD,
+    LEAVING,
+    SERVING,
+    TOKENS_PER_1K,
+    ConfigurationDocument,
+    EndpointDocument,
+    EngineDocument,
+    LimitsDocument,
+    RouteDocument,
+    ServiceDocument,
+    TeamDocument,
+)
+
+WORDS_BY_KIND = {kind: word for word, kind in KINDS_BY_WORD.items()}
+
+
+class EndpointRequest(msgspec.Struct):
+    """What an endpoint learns from a request's header.
+
+    Attributes
+    ----------
+    attempt_id : str
+    target : str or None
+        Id of the endpoint that is meant.
+    helpers : tuple of (str, str)
+        Address and ticket of each helper; the ticket may be empty.
+    last_event_id : int
+        Event after which a stream goes on, 0 for a new one.
+    prompt_tokens, answer_tokens, priority : int
+    """
+
+    attempt_id: str
+    target: str | None
+    helpers: tuple[tuple[str, str], ...]
+    last_event_id: int
+    prompt_tokens: int
+    answer_tokens: int
+    priority: int
+
+
+class MemoryOrder(msgspec.Struct):
+    """An order about memory; `hold_ms` and `tokens` are 0 in a release."""
+
+    id: str
+    operation: str
+    tokens: int = 0
+    hold_ms: int = 0
+
+    @property
+    def is_reservation(self):
+        """Whether memory is to be set aside."""
+        return self.operation == "reserve"
+
+
+def is_memory_order(request):
+    """Return whether a request is an order about memory."""
+    return request.path == names.ORDER_PATH
+
+
+def read_memory_order(body):
+    """Return the `MemoryOrder` in a request's body."""
+    return msgspec.json.decode(body, type=MemoryOrder)
+
+
+def read_endpoint_request(headers):
+    """Return the `EndpointRequest` in a list of (name, value) headers."""
+    value_by_name = {name.lower(): value.decode("latin-1") for name, value in headers}
+    prompt, _, answer = value_by_name.get(names.TOKENS, "0,0").partition(",")
+    listed = value_by_name.get(names.HELPERS, "")
+    helpers = [part.partition("/") for part in listed.split(",") if part]
+    return EndpointRequest(
+        attempt_id=value_by_name.get(names.ATTEMPT_ID, ""),
+        target=value_by_name.get(names.TARGET),
+        helpers=tuple((address, ticket) for address, _, ticket in helpers),
+        last_event_id=int(value_by_name.get(names.LAST_EVENT_ID, "0")),
+        prompt_tokens=int(prompt),
+        answer_tokens=int(answer or 0),
+        priority=int(value_by_name.get(names.PRIORITY, "0")),
+    )
+
+
+def answer_headers(attempt_id):
+    """Return the headers of an endpoint's own answer."""
+    return [
+        (names.ATTEMPT_ID.title(), attempt_id.encode()),
+        (names.SIGNATURE.title(), b"emulated"),
+    ]
+
+
+def not_run_headers():
+    """Return the headers of an endpoint that did not begin a request."""
+    return [(names.NOT_RUN.title(), b"1")]
+
+
+def other_instance_headers(own_id):
+    """Return the headers of an endpoint that is not the one that was meant."""
+    return [(names.INSTANCE.title(), own_id.encode())]
+
+
+def caller_headers(attempt_id, key, deadline_ms, prompt_tokens=0, answer_tokens=0):
+    """Return the headers of a caller's request."""
+    headers = [
+        (names.ATTEMPT_ID.title(), attempt_id.encode()),
+        (names.DEADLINE_MS.title(), str(int(deadline_ms)).encode()),
+        (names.AUTHORIZATION.title(), b"Bearer " + key.encode()),
+    ]
+    if prompt_tokens:
+        usage = f"{prompt_tokens},{answer_tokens}"
+        headers.append((names.TOKENS.title(), usage.encode()))
+    return headers
+
+
+def retry_after_ms(headers):
+    """Return when an answer asks its caller to come back, or None."""
+    for name, value in headers:
+        if name.lower() == names.RETRY_AFTER:
+            return float(value) * 1000
+    return None
+
+
+def write_configuration(store, table, keys_by_team):
+    """Write a `RouteTable` to a `StandinStore` as the operator does.
+
+    Parameters
+    ----------
+    store : StandinStore
+    table : RouteTable
+    keys_by_team : dict of str to list of str
+    """
+    limits = table.limits
+    document = ConfigurationDocument(
+        version=table.version,
+        routes=[
+            _route(route)
+            for routes in table.routes_by_host.values()
+            for route in routes
+        ],
+        backends=[_service(x) for x in table.services_by_name.values()],
+        limits=LimitsDocument(
+            limits.header_bytes, limits.body_bytes, limits.header_ms, limits.idle_ms
+        ),
+        tenants=[TeamDocument(team, keys) for team, keys in keys_by_team.items()],
+    )
+    kind, name = names.CONFIGURATION_KIND, names.CONFIGURATION_NAME
+    store.put(kind, name, msgspec.to_builtins(document))
+
+
+def list_endpoint(store, endpoint, sequence):
+    """Write a `ListedEndpoint` to a `StandinStore` as the endpoint itself does."""
+    document = EndpointDocument(
+        backend=endpoint.service,
+        address=endpoint.address,
+        zone=endpoint.domain,
+        version="1",
+        slots=endpoint.slots,
+        state=LEAVING if endpoint.is_leaving else SERVING,
+        cold_remaining_ms=0.0,
+        sequence=sequence,
+        born=endpoint.incarnation,
+    )
+    store.put(names.ENDPOINT_KIND, endpoint.id, msgspec.to_builtins(document))
+
+
+def remove_endpoint(store, endpoint_id):
+    """Remove an endpoint's entry from a `StandinStore`."""
+    store.delete(names.ENDPOINT_KIND, endpoint_id)
+
+
+def _route(route):
+    return RouteDocument(
+        name=route.name,
+        hostname=route.host,
+        path_prefix=route.prefix,
+        route_type=WORDS_BY_KIND[route.kind],
+        timeout_ms=route.timeout_ms,
+        max_attempts=route.max_attempts,
+        target_latency_ms=route.objective_ms,
+        priority=route.priority,
+        backend=route.weights_by_service[0][0],
+        session_affinity=route.is_generation,
+        resumable=route.is_resumable,
+        gap_target_ms=route.pause_limit_ms,
+    )
+
+
+def _service(service):
+    figures = service.engine
+    engine = figures and EngineDocument(
+        slots=figures.slots,
+        kv_tokens=figures.memory_tokens,
+        step_ms=figures.step_ms,
+        per_seq_ms=figures.step_ms_per_writer,
+        context_per_k=figures.step_ms_per_1k_context,
+        read_per_s=figures.read_tokens_per_ms * TOKENS_PER_1K,
+        pairs_per_m=figures.attention_ms_per_1m_pairs,
+        chunk=figures.chunk_tokens,
+        stride=figures.steps_per_pass,
+        hop_ms=figures.hop_ms,
+    )
+    return ServiceDocument(service.name, service.max_connections, engine)
