Listen for callers while an instance loads

Cause: after a kill or a power-off the machine turned callers away until all libraries had loaded (0.45 s of processor time, 0.8 s on half a core). Change: the gateway daemon opens its front and readiness sockets first; callers wait in the backlog, and count as received when the socket began to listen. A request or a readiness question that comes before the store's first answers waits for them, 300 ms at most.

--- a/vanillareach/features/gateway_core.feature
+++ b/vanillareach/features/gateway_core.feature
@@ -93,6 +93,16 @@
     Given an attempt that is given up while event 1 arrives
     Then nothing is sent, and the next attempt asks from the beginning
 
+  Scenario: Callers that connect while an instance loads are served
+    Given a socket that listens early
+    When a caller connects and sends 5000 ms before the listener starts
+    Then the caller is answered
+    And its request counts as received when the socket began to listen
+
+  Scenario: An address that can't be listened at early is left to the application
+    When listening early fails at "127.0.0.1:no-port" and "203.0.113.9:80"
+    Then no socket is kept
+
   Scenario: Datagrams that came meanwhile are taken in one wake
     Given a datagram socket
     When 40 datagrams are sent to it, and to an address that takes none
--- a/vanillareach/features/steps/gateway_core.py
+++ b/vanillareach/features/steps/gateway_core.py
@@ -1,10 +1,13 @@
 """Steps about the decisions of the gateway."""
 
+import socket
 from types import SimpleNamespace
 
 import trio
 from behave import given, then, when
 
+from vanillareach import early_sockets
+from vanillareach.clock import TrioClock
 from vanillareach.core.domain_silence import DomainSilence
 from vanillareach.core.endpoint_health import EndpointHealth
 from vanillareach.core.endpoint_list import EndpointList, ListedEndpoint
@@ -12,9 +15,13 @@
 from vanillareach.core.load_picture import Flight, LoadPicture
 from vanillareach.core.retry_share import RetryShare
 from vanillareach.core.routing import CallerLimits, RequestKind, Route, RouteTable
+from vanillareach.early_sockets import listen_early, take_early_socket
 from vanillareach.endpoints.base import EndpointBrokenError
+from vanillareach.features.users_platform.stage import free_address
+from vanillareach.gateway.connections import CallerListener
 from vanillareach.gateway.relay import relay_events
 from vanillareach.gateway.silence import Silence
+from vanillareach.utils import split_address
 
 NOW_MS = 100_000.0
 
@@ -356,3 +363,58 @@
 @when('domain "{domain}" falls silent')
 def step_falls_silent(context, domain):
     context.health.set_aside_domain(domain, context.endpoints)
+
+
+@given("a socket that listens early")
+def step_early(context):
+    context.address = free_address()
+    listen_early({"FRONT": context.address}, ("FRONT",))
+
+
+@when("a caller connects and sends {age_ms:d} ms before the listener starts")
+def step_waits(context, age_ms):
+    host, port = split_address(context.address)
+    caller = socket.create_connection((host, port))
+    caller.sendall(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+    early = early_sockets._sockets_by_address[context.address]
+    early._since_s -= age_ms / 1000
+    context.age_ms = age_ms
+
+    async def serve():
+        clock = TrioClock()
+        async with trio.open_nursery() as nursery:
+
+            async def handle(request, responder):
+                context.waited_ms = clock.now_ms() - request.received_ms
+                await responder.answer(200, [], b"")
+                nursery.cancel_scope.cancel()
+
+            listener = CallerListener(
+                context.address, clock, CallerLimits, handle, lambda: False
+            )
+            await nursery.start(listener.run)
+
+    trio.run(serve)
+    with caller:
+        context.received = caller.recv(1000)
+
+
+@then("the caller is answered")
+def step_early_answered(context):
+    assert context.received.startswith(b"HTTP/1.1 200"), context.received
+
+
+@then("its request counts as received when the socket began to listen")
+def step_counts(context):
+    assert context.waited_ms >= context.age_ms, context.waited_ms
+
+
+@when('listening early fails at "{first}" and "{second}"')
+def step_early_fails(context, first, second):
+    listen_early({"A": first, "B": second}, ("A", "B", "MISSING"))
+    context.kept = [take_early_socket(first), take_early_socket(second)]
+
+
+@then("no socket is kept")
+def step_none_kept(context):
+    assert context.kept == [None, None]
--- a/vanillareach/gateway/__main__.py
+++ b/vanillareach/gateway/__main__.py
@@ -4,6 +4,13 @@
 import sys
 
 import vanillareach.early_signals  # noqa: F401
+from vanillareach.early_sockets import listen_early
+
+if __name__ == "__main__":
+    # Before all else is loaded, which takes most of a start.
+    listen_early(os.environ, ("VANILLAREACH_FRONT_LISTEN", "VANILLAREACH_READY_LISTEN"))
+
+# ruff: noqa: E402
 from vanillareach.gateway.app import run_gateway
 from vanillareach.gateway.settings import GatewaySettings
 from vanillareach.platform.calls import PlatformProtocol
--- a/vanillareach/gateway/app.py
+++ b/vanillareach/gateway/app.py
@@ -27,6 +27,8 @@
 # Kept back from the end for what is answered with a failure then.
 LAST_ANSWERS_MS = 100.0
 LOG_INTERVAL_S = 0.1
+# Time for the first answers of the store, within the balancer's patience.
+READY_WAIT_MS = 300.0
 # A process that stood still longer than this distrusts what it knew.
 STANDSTILL_MS = 400.0
 WATCHDOG_INTERVAL_S = 0.1
@@ -161,6 +163,7 @@
             log.info("Reload asked for; settings stand until the next start.")
 
     async def _answer_ready(self, request, responder):
+        await self.state.wait_until_complete(READY_WAIT_MS)
         status = 200 if self.state.is_ready else 503
         await responder.answer(status, [], b"")
 
--- a/vanillareach/gateway/connections.py
+++ b/vanillareach/gateway/connections.py
@@ -4,6 +4,7 @@
 import trio
 
 from vanillareach.clock import MS_PER_SECOND
+from vanillareach.early_sockets import take_early_socket
 from vanillareach.gateway.sockets import CALLER_TIMEOUT_MS, watch_liveness
 from vanillareach.log import get_logger
 from vanillareach.utils import split_address
@@ -12,6 +13,8 @@
 # Bytes of a following request that are read while one is being answered.
 AHEAD_BYTES = 65_536
 BACKLOG = 1_024
+# Callers that waited for this instance to load are accepted within this time.
+BACKLOG_DRAIN_MS = 100.0
 # Time for a caller to close its side after the last answer.
 LINGER_MS = 500.0
 
@@ -150,11 +153,14 @@
     ----------
     stream : trio.SocketStream
     listener : CallerListener
+    opened_ms : float or None
+        When the caller connected at the earliest, if it waited for this instance.
     """
 
-    def __init__(self, stream, listener):
+    def __init__(self, stream, listener, opened_ms):
         self._stream = stream
         self._listener = listener
+        self._opened_ms = opened_ms
         self._connection = h11.Connection(
             h11.SERVER,
             max_incomplete_event_size=listener.limits().header_bytes,
@@ -185,6 +191,8 @@
         if head is None:
             return False
         received_ms = self._listener.clock.now_ms()
+        if self._opened_ms is not None:
+            received_ms, self._opened_ms = self._opened_ms, None
         request = CallerRequest(head, await self._read_body(), received_ms)
         responder = Responder(
             self._connection, self._stream, self._listener.is_stopping
@@ -346,6 +354,8 @@
         self.is_closing_idle = False
         self._connections = set()
         self._accepting = trio.CancelScope()
+        self._begin_ms = None
+        self._opened_ms = None
 
     @property
     def open_connections(self):
@@ -355,7 +365,14 @@
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Accept until `close_idle`, then return when all connections have ended."""
         host, port = split_address(self._address)
-        listeners = await trio.open_tcp_listeners(port, host=host, backlog=BACKLOG)
+        early = take_early_socket(self._address)
+        if early is None:
+            listeners = await trio.open_tcp_listeners(port, host=host, backlog=BACKLOG)
+        else:
+            sock = trio.socket.from_stdlib_socket(early.sock)
+            listeners = [trio.SocketListener(sock)]
+            self._begin_ms = self.clock.now_ms()
+            self._opened_ms = self._begin_ms - early.age_ms()
         async with trio.open_nursery() as nursery:
             task_status.started()
             with self._accepting:
@@ -371,9 +388,18 @@
             if connection.is_idle:
                 connection.scope.cancel()
 
+    def _waited_since_ms(self):
+        """Return since when a caller accepted now may have waited, or None."""
+        if self._begin_ms is None:
+            return None
+        if self.clock.now_ms() - self._begin_ms > BACKLOG_DRAIN_MS:
+            self._begin_ms = None
+            return None
+        return self._opened_ms
+
     async def _serve(self, stream):
         watch_liveness(stream.socket, CALLER_TIMEOUT_MS)
-        connection = CallerConnection(stream, self)
+        connection = CallerConnection(stream, self, self._waited_since_ms())
         self._connections.add(connection)
         try:
             await connection.run()
--- a/vanillareach/gateway/forwarder.py
+++ b/vanillareach/gateway/forwarder.py
@@ -27,6 +27,8 @@
 LOSSES_TO_REFUSE = 3
 QUARANTINE_RETRY_MS = 10_000.0
 NOT_READY_RETRY_MS = 300.0
+# A request that comes while an instance starts waits for the store's first answers.
+START_WAIT_MS = 300.0
 # A waiting request looks for room this often.
 WAIT_STEP_MS = 60.0
 
@@ -104,6 +106,7 @@
     async def _admit(self, request, fields, responder):
         """Return the `GatewayExchange` of a request that may run, or None."""
         state = self._state
+        await state.wait_until_complete(START_WAIT_MS)
         table = state.table
         if table is None or not state.endpoints.is_known:
             await self._refuse(fields, responder, 503, "not_ready", NOT_READY_RETRY_MS)
--- a/vanillareach/gateway/state.py
+++ b/vanillareach/gateway/state.py
@@ -2,6 +2,8 @@
 
 import math
 
+import trio
+
 from vanillareach.core.endpoint_health import EndpointHealth
 from vanillareach.core.endpoint_list import EndpointList
 from vanillareach.core.load_picture import LoadPicture
@@ -54,6 +56,7 @@
         self.instances = 1
         self.is_stopping = False
         self.ends_ms = math.inf
+        self._completed = trio.Event()
         self._retries_by_service = {}
         self._listeners = []
         self._packed_table = None
@@ -87,6 +90,17 @@
         """Whether requests can be served."""
         return self.table is not None and self.endpoints.is_known
 
+    async def wait_until_complete(self, limit_ms):
+        """Wait for the first configuration and list, at most `limit_ms`."""
+        if self.is_complete:
+            return
+        with self._clock.scope_until(self._clock.now_ms() + limit_ms):
+            await self._completed.wait()
+
+    def _note_completeness(self):
+        if self.is_complete:
+            self._completed.set()
+
     def limits(self):
         """Return the bounds on callers that are in force."""
         return self.table.limits if self.table else DEFAULT_LIMITS
@@ -112,6 +126,7 @@
         if table.version == held:
             return
         self.table = table
+        self._note_completeness()
         log.info("In force.", version=table.version, before=held, source=source)
         self.publish()
 
@@ -123,6 +138,7 @@
     def take_endpoints(self, listed, revision, confirmed_ms, source):
         """Take a list of endpoints."""
         changes = self.endpoints.take(listed, revision, confirmed_ms)
+        self._note_completeness()
         if changes:
             log.info(
                 "Endpoints.", revision=revision, source=source, changes=changes[:20]
