Tell other failure domains through relays

Change: peers of the own domain are told directly; each other domain gets a message once, through one of its instances, which passes it on. The relay changes with each beacon. What is known of an instance does not change, only its way.

--- a/vanillareach/core/messages.py
+++ b/vanillareach/core/messages.py
@@ -241,6 +241,12 @@
     losses: tuple[tuple[str, str, str], ...]
 
 
+class RelayedDatagram(Wire, tag=23, frozen=True):
+    """A sealed datagram that the receiver takes, and passes on to its domain."""
+
+    datagram: bytes
+
+
 class FlightNews(Wire, tag=22, frozen=True):
     """What changed among the sender's flights since its last message.
 
@@ -298,6 +304,7 @@
     | ShareRequest
     | ShareReply
     | Beacon
+    | RelayedDatagram
     | StateQuery
     | StateReply
     | FlightNews
--- a/vanillareach/features/gateway_core.feature
+++ b/vanillareach/features/gateway_core.feature
@@ -103,6 +103,23 @@
     When listening early fails at "127.0.0.1:no-port" and "203.0.113.9:80"
     Then no socket is kept
 
+  Scenario: Each other domain is told through one relay, the own domain directly
+    Given instances "a2,a3,b1,b2,b3,c1,c2" beside instance "a1"
+    When "a1" tells of something
+    Then "a2,a3" are told directly, and relays of domains "b,c"
+    And a message of "a1" that "b2" passes on goes to "b1,b3"
+
+  Scenario: The relay of a domain changes with each beacon and skips the silent
+    Given instances "b1,b2,b3" beside instance "a1"
+    And instance "b2" is silent
+    When "a1" sends 4 beacons, each followed by 3 messages
+    Then "b1" and "b3" relay 2 beacons each with what follows them
+
+  Scenario: An instance whose domain isn't known yet is told directly
+    Given instances "?1,b1" beside instance "a1"
+    When "a1" tells of something
+    Then "?1" are told directly, and relays of domains "b"
+
   Scenario: Datagrams that came meanwhile are taken in one wake
     Given a datagram socket
     When 40 datagrams are sent to it, and to an address that takes none
--- a/vanillareach/features/gateway_fleet.feature
+++ b/vanillareach/features/gateway_fleet.feature
@@ -39,6 +39,14 @@
     When a caller opens "/book/a" and stays
     Then the second gateway counts one request at an endpoint
 
+  Scenario: Gateways of another domain hear of requests through a relay
+    Given a second gateway in domain "zone-b"
+    And a third gateway in domain "zone-b"
+    And all endpoints will "mute"
+    When a caller opens "/book/a" and stays
+    Then the second gateway counts one request at an endpoint
+    And the third gateway counts one request at an endpoint
+
   Scenario: A silent store leaves requests served
     When the store cuts all calls
     And a caller sends "/read/a"
--- a/vanillareach/features/steps/gateway.py
+++ b/vanillareach/features/steps/gateway.py
@@ -27,15 +27,35 @@
     context.run(start)
 
 
-@given("a second gateway")
-def step_second(context):
+def start_another(context, name, domain):
+    """Start a gateway and wait until all hear each other."""
+
     async def start():
-        second = await context.platform.start_gateway("g2")
-        await context.platform.until(lambda: second.gossip.alive_names())
+        await context.platform.start_gateway(name, domain)
+        others = len(context.platform.gateways) - 1
+        for gateway in context.platform.gateways:
+            await context.platform.until(
+                lambda gateway=gateway: len(gateway.gossip.alive_names()) == others
+            )
 
     context.run(start)
 
 
+@given("a second gateway")
+def step_second(context):
+    start_another(context, "g2", "zone-a")
+
+
+@given('a second gateway in domain "{domain}"')
+def step_second_in(context, domain):
+    start_another(context, "g2", domain)
+
+
+@given('a third gateway in domain "{domain}"')
+def step_third_in(context, domain):
+    start_another(context, "g3", domain)
+
+
 class FirstOnly(list):
     """Script shared by all endpoints: one step for the first request of all."""
 
--- a/vanillareach/features/steps/gateway_core.py
+++ b/vanillareach/features/steps/gateway_core.py
@@ -9,6 +9,7 @@
 from vanillareach import early_sockets
 from vanillareach.clock import TrioClock
 from vanillareach.core.domain_silence import DomainSilence
+from vanillareach.core.domain_tree import DomainTree
 from vanillareach.core.endpoint_health import EndpointHealth
 from vanillareach.core.endpoint_list import EndpointList, ListedEndpoint
 from vanillareach.core.event_stream import EventSplitter
@@ -418,3 +419,68 @@
 @then("no socket is kept")
 def step_none_kept(context):
     assert context.kept == [None, None]
+
+
+def domain_in(name):
+    """Return the domain in an instance's name, empty if it isn't known."""
+    return "" if name[0] == "?" else name[0]
+
+
+@given('instances "{names}" beside instance "{own}"')
+def step_tree(context, names, own):
+    context.tree = DomainTree(domain_in(own))
+    context.peers = [
+        SimpleNamespace(name=name, domain=domain_in(name)) for name in names.split(",")
+    ]
+    context.silent = set()
+
+
+@given('instance "{name}" is silent')
+def step_silent_instance(context, name):
+    context.silent.add(name)
+
+
+def recipients(context):
+    """Return the names of those told directly, and of the relays."""
+    direct, relays = context.tree.recipients(
+        context.peers, lambda peer: peer.name not in context.silent
+    )
+    return [peer.name for peer in direct], [peer.name for peer in relays]
+
+
+@when('"{own}" tells of something')
+def step_tells(context, own):
+    context.told = recipients(context)
+
+
+@then('"{direct}" are told directly, and relays of domains "{domains}"')
+def step_told(context, direct, domains):
+    assert context.told[0] == direct.split(","), context.told
+    assert [name[0] for name in context.told[1]] == domains.split(","), context.told
+
+
+@then('a message of "{origin}" that "{relay}" passes on goes to "{names}"')
+def step_passed_on(context, origin, relay, names):
+    relay_peers = [
+        SimpleNamespace(name=name, domain=domain_in(name))
+        for name in ["a1", *(peer.name for peer in context.peers)]
+        if name != relay
+    ]
+    passed = DomainTree(domain_in(relay)).passes_on_to(relay_peers, origin)
+    assert [peer.name for peer in passed] == names.split(","), passed
+
+
+@when('"{own}" sends {beacons:d} beacons, each followed by {messages:d} messages')
+def step_beacons(context, own, beacons, messages):
+    context.relays = []
+    for _ in range(beacons):
+        context.tree.change_relays()
+        context.relays.append([recipients(context)[1] for _ in range(messages + 1)])
+
+
+@then('"{first}" and "{second}" relay {count:d} beacons each with what follows them')
+def step_relays(context, first, second, count):
+    for spans in context.relays:
+        assert all(relay == spans[0] for relay in spans), spans
+    names = [spans[0][0] for spans in context.relays]
+    assert sorted(names) == sorted([first, second] * count), names
--- a/vanillareach/features/steps/gateway_fleet.py
+++ b/vanillareach/features/steps/gateway_fleet.py
@@ -118,12 +118,12 @@
     assert asked == {name}, asked
 
 
-@then("the second gateway counts one request at an endpoint")
-def step_counts(context):
-    second = context.platform.gateways[1]
+@then("the {number} gateway counts one request at an endpoint")
+def step_counts(context, number):
+    gateway = context.platform.gateways[("first", "second", "third").index(number)]
 
     def counted():
-        loads = second.state.picture.loads_by_engine(second.clock.now_ms())
+        loads = gateway.state.picture.loads_by_engine(gateway.clock.now_ms())
         return sum(load.running for load in loads.values()) == 1
 
     async def wait():
--- a/vanillareach/features/users_platform/stage.py
+++ b/vanillareach/features/users_platform/stage.py
@@ -188,11 +188,11 @@
         self._sockets += sockets
         self.list_endpoint(name, endpoint.service)
 
-    async def start_gateway(self, name):
+    async def start_gateway(self, name, domain="zone-a"):
         """Start a gateway and wait until it is ready."""
         settings = GatewaySettings(
             name=name,
-            domain="zone-a",
+            domain=domain,
             front_listen=free_address(),
             ready_listen=free_address(),
             metrics_listen=free_address(),
--- a/vanillareach/gateway/gossip.py
+++ b/vanillareach/gateway/gossip.py
@@ -1,16 +1,21 @@
 """Beacons between instances: each tells all others its whole state in a datagram.
 
 Beacons go out at every change, and at an interval, by UDP: a lost one is replaced by
-the next. What doesn't fit a datagram, configuration and list, is fetched by a call
-over pynng from a peer whose beacon shows that it has something newer.
+the next. Other failure domains get them through relays, see `core.domain_tree`. What
+doesn't fit a datagram, configuration and list, is fetched by a call over pynng from a
+peer whose beacon shows that it has something newer.
 """
 
+import math
+
 import trio
 
+from vanillareach.core.domain_tree import DomainTree
 from vanillareach.core.messages import (
     Beacon,
     FlightNews,
     MessageError,
+    RelayedDatagram,
     StateQuery,
     unpack_table,
 )
@@ -20,7 +25,7 @@
 from vanillareach.peers.link import PeerSilentError, Sealer
 
 BEACON_INTERVAL_MS = 250.0
-# Peers greeted in one interval without a change; more take turns.
+# With more peers than this, beacons without a change are that much rarer.
 PEERS_PER_INTERVAL = 12
 # Changes within this time share a beacon; it grows with the number of peers, which
 # bounds the datagrams that an instance sends and receives.
@@ -83,20 +88,20 @@
         self._link = link
         self._clock = clock
         self._sealer = Sealer(settings.peer_key)
+        self._tree = DomainTree(settings.domain)
         self._incarnation = clock.wall_ms()
         self._sequence = 0
         self._peers_by_name = {}
         self._changed = trio.Event()
         self._fetches_table = False
         self._fetches_list = False
-        self._turn = 0
-        self._beacon_ms = 0.0
+        self._beacon_ms = -math.inf
         self._only_flights = True
         state.subscribe(self._note_change)
 
     async def run(self):
         """Send and receive for ever."""
-        sock = DatagramSocket(self.address)
+        sock = self._sock = DatagramSocket(self.address)
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._receive, sock, nursery)
@@ -158,13 +163,9 @@
     async def _send(self, sock):
         has_news, only_flights = True, False
         while True:
-            message = self._flight_news() if only_flights else self._beacon()
-            data = self._sealer.seal(message)
-            if len(data) > MAX_DATAGRAM_BYTES:
-                log.warning("Datagram too large.", bytes=len(data))
-            addresses = [peer.address for peer in self._greeted(has_news)]
-            for address, error in sock.send_to_all(data, addresses).items():
-                log.debug("Beacon not sent.", address=address, cause=str(error))
+            if has_news or self._is_turn():
+                message = self._flight_news() if only_flights else self._beacon()
+                self._spread(self._sealer.seal(message))
             with trio.move_on_after(BEACON_INTERVAL_MS / 1000):
                 await self._changed.wait()
                 peers = len(self._peers_by_name)
@@ -173,8 +174,28 @@
             only_flights = has_news and self._only_flights and not self._is_turn()
             self._changed, self._only_flights = trio.Event(), True
 
+    def _spread(self, data):
+        """Send a sealed datagram to all, through relays where that is shorter."""
+        if len(data) > MAX_DATAGRAM_BYTES:
+            log.warning("Datagram too large.", bytes=len(data))
+        self._forget_silent()
+        direct, relays = self._tree.recipients(
+            self._peers_by_name.values(), self._is_alive
+        )
+        self._send_to(data, direct)
+        if relays:
+            self._send_to(self._sealer.seal(RelayedDatagram(data)), relays)
+
+    def _send_to(self, data, peers):
+        addresses = [peer.address for peer in peers]
+        for address, error in self._sock.send_to_all(data, addresses).items():
+            log.debug("Datagram not sent.", address=address, cause=str(error))
+
+    def _is_alive(self, peer):
+        return peer.was_heard_within(self._alive_ms(), self._clock.now_ms())
+
     def _is_turn(self):
-        """Return whether a whole beacon is due to make lost news good."""
+        """Return whether a whole beacon is due, which makes lost news good."""
         now_ms = self._clock.now_ms()
         if now_ms - self._beacon_ms < self.interval_ms():
             return False
@@ -191,19 +212,12 @@
     def _alive_ms(self):
         return ALIVE_TURNS * self.interval_ms() + ALIVE_SLACK_MS
 
-    def _greeted(self, has_news):
-        """Return the peers that get the next beacon: all for news, else some."""
+    def _forget_silent(self):
         now_ms = self._clock.now_ms()
         for peer in list(self._peers_by_name.values()):
             if now_ms - self._last_sign_ms(peer) > FORGET_MS:
                 del self._peers_by_name[peer.name]
                 self._state.instances = 1 + len(self._peers_by_name)
-        peers = list(self._peers_by_name.values())
-        if has_news or len(peers) <= PEERS_PER_INTERVAL:
-            return peers
-        start = self._turn % len(peers)
-        self._turn += PEERS_PER_INTERVAL
-        return (peers + peers)[start : start + PEERS_PER_INTERVAL]
 
     def _last_sign_ms(self, peer):
         return peer.since_ms if peer.heard_ms is None else peer.heard_ms
@@ -221,6 +235,7 @@
         )
 
     def _beacon(self):
+        self._tree.change_relays()
         now_ms = self._clock.now_ms()
         state = self._state
         self._sequence += 1
@@ -253,11 +268,25 @@
         except MessageError as error:
             log.warning("Datagram refused.", cause=str(error))
             return
+        if isinstance(message, RelayedDatagram):
+            message = self._pass_on(message.datagram)
         if isinstance(message, Beacon) and message.name != self.name:
             self._take(message, nursery)
         elif isinstance(message, FlightNews):
             self._take_news(message)
 
+    def _pass_on(self, data):
+        """Pass a datagram on to the own domain and return its message, or None."""
+        try:
+            message = self._sealer.open(data)
+        except MessageError as error:
+            log.warning("Relayed datagram refused.", cause=str(error))
+            return None
+        name = getattr(message, "name", "")
+        peers = self._peers_by_name.values()
+        self._send_to(data, self._tree.passes_on_to(peers, name))
+        return message
+
     def _take_news(self, news):
         peer = self._peers_by_name.get(news.name)
         order = (news.incarnation, news.sequence)
