Learn which engines are slow from the streams they write

Cause: placement took every engine for as fast as its service publishes; an engine that turned slow got its full share, and its short streams were late. Change: each instance compares the median gap between the events of its own streams with the length of a pass as the engine is loaded, while nothing is read there, and tells the others factors of 1.4 and more; they last 3 s. Placement counts them in waits, reads, pauses and the time an engine is occupied.

--- a/vanillareach/core/dispatching.py
+++ b/vanillareach/core/dispatching.py
@@ -2,6 +2,7 @@
 
 import math
 
+from vanillareach.core.engine_time import pass_ms
 from vanillareach.core.load_picture import EngineLoad, Flight
 from vanillareach.core.routing import RequestKind
 from vanillareach.core.span_placement import (
@@ -121,6 +122,7 @@
                 endpoint,
                 loads.get(endpoint.id, EMPTY),
                 health.failure_share(endpoint.key, now_ms),
+                self._state.paces.pace(endpoint.id, now_ms),
                 jitter=jitter * self._random.random(),
             )
             for endpoint in usable
@@ -140,6 +142,22 @@
             return math.inf
         return self._state.ends_ms - now_ms
 
+    def expected_gap_ms(self, now_ms):
+        """Return a function of an engine's id; see `EnginePaces.learn`."""
+        state = self._state
+        loads = state.picture.loads_by_engine(now_ms)
+
+        def expected(engine):
+            listed, load = state.endpoints.by_id.get(engine), loads.get(engine)
+            if listed is None or load is None or load.reading_ms or not load.writers:
+                return None
+            service = state.table.services_by_name.get(listed.service)
+            if service is None or service.engine is None:
+                return None
+            return pass_ms(service.engine, len(load.writers), load.context_tokens)
+
+        return expected
+
     def may_wait(self, exchange, now_ms):
         """Return whether a request without a place may wait for one.
 
--- /dev/null
+++ b/vanillareach/core/engine_pace.py
@@ -0,0 +1,102 @@
+"""How much slower than published an engine is, learnt from the streams it writes.
+
+While nothing is read at an engine, its events come one pass apart, and the length of a
+pass is known from the published figures. The median of the gaps seen in a while tells
+the factor; single long gaps, of a pause on the way, don't move it. What one instance
+learns it tells the others, since each sees only its own streams.
+"""
+
+from statistics import median
+
+# Gaps that an estimate needs, and the time after which gaps and estimates are dropped.
+LEAST_GAPS = 4
+GAPS_MS = 1_500.0
+MEMORY_MS = 3_000.0
+# Events are counted to the ms and pass through buffers: smaller factors are noise.
+LEAST_PACE = 1.4
+
+
+class EnginePaces:
+    """Factors by engine id; 1 where nothing else is known.
+
+    Attributes
+    ----------
+    own : dict of str to float
+        Factors that this instance has learnt itself and still holds.
+    """
+
+    __slots__ = ("_gaps_by_engine", "_told_by_engine", "own", "_own_ms_by_engine")
+
+    def __init__(self):
+        self._gaps_by_engine = {}
+        self._told_by_engine = {}
+        self._own_ms_by_engine = {}
+        self.own = {}
+
+    def note_gap(self, engine, gap_ms, now_ms):
+        """Record the time between two events of one stream."""
+        self._gaps_by_engine.setdefault(engine, []).append((now_ms, gap_ms))
+
+    def forget_gaps(self):
+        """Drop all gaps, after this process stood still."""
+        self._gaps_by_engine.clear()
+
+    def learn(self, expected_gap_ms, now_ms):
+        """Learn from the gaps that were noted.
+
+        Parameters
+        ----------
+        expected_gap_ms : callable
+            Returns the published length of a pass of an engine as it is loaded, or
+            None if reading stretches its passes.
+        now_ms : float
+
+        Returns
+        -------
+        list of (str, float)
+            Engines whose factor has become another.
+        """
+        changed = self._drop_old(now_ms)
+        for engine, gaps in list(self._gaps_by_engine.items()):
+            expected_ms = expected_gap_ms(engine)
+            if expected_ms is None:
+                del self._gaps_by_engine[engine]
+                continue
+            recent = [gap for at_ms, gap in gaps if now_ms - at_ms < GAPS_MS]
+            if len(recent) < LEAST_GAPS:
+                continue
+            del self._gaps_by_engine[engine]
+            changed += self._put(engine, median(recent) / expected_ms, now_ms)
+        return changed
+
+    def take(self, told, now_ms):
+        """Take factors that a peer has learnt, as pairs of engine and factor."""
+        for engine, pace in told:
+            self._told_by_engine[engine] = (pace, now_ms)
+
+    def pace(self, engine, now_ms):
+        """Return the factor of an engine."""
+        if engine in self.own:
+            return self.own[engine]
+        pace, told_ms = self._told_by_engine.get(engine, (1.0, now_ms))
+        return pace if now_ms - told_ms < MEMORY_MS else 1.0
+
+    def _put(self, engine, pace, now_ms):
+        before = self.own.pop(engine, 1.0)
+        after = pace if pace >= LEAST_PACE else 1.0
+        if after > 1.0:
+            self.own[engine] = after
+            self._own_ms_by_engine[engine] = now_ms
+        elif self._told_by_engine.pop(engine, None) is None and before == 1.0:
+            return []
+        return [(engine, after)]
+
+    def _drop_old(self, now_ms):
+        old = [
+            engine
+            for engine in self.own
+            if now_ms - self._own_ms_by_engine[engine] > MEMORY_MS
+        ]
+        for engine in old:
+            del self.own[engine]
+        return [(engine, 1.0) for engine in old]
--- a/vanillareach/core/messages.py
+++ b/vanillareach/core/messages.py
@@ -224,6 +224,8 @@
         Requests that the sender has at endpoints.
     losses : tuple of (str, str, str)
         Recent crashes: fingerprint of the request, endpoint, failure domain.
+    paces : tuple of (str, float)
+        Engines that the sender has seen to be slow, and by which factor.
     """
 
     name: str
@@ -239,6 +241,7 @@
     endpoints_age_ms: float
     flights: tuple[Flight, ...]
     losses: tuple[tuple[str, str, str], ...]
+    paces: tuple[tuple[str, float], ...] = ()
 
 
 class RelayedDatagram(Wire, tag=23, frozen=True):
--- a/vanillareach/core/span_placement.py
+++ b/vanillareach/core/span_placement.py
@@ -206,7 +206,12 @@
     if not hosts:
         return None
     part_ms = read_ms(figures, need.prompt_tokens, width)
-    host = min(hosts, key=lambda view: _host_cost(need, figures, view, part_ms))
+    host = min(
+        hosts,
+        key=lambda view: (
+            _host_cost(need, figures, view, part_ms) + _occupancy_cost(view, part_ms)
+        ),
+    )
     helpers = _helpers(figures, host, views, width, part_ms)
     if helpers is None:
         return None
@@ -214,7 +219,9 @@
     if held is None:
         return None
     first_ms = _first_event_ms(figures, host, part_ms)
-    cost = _host_cost(need, figures, host, part_ms) - _own_loss(need, first_ms)
+    pause_ms = _pause_ms(figures, host)
+    cost = _host_cost(need, figures, host, part_ms)
+    cost -= _own_loss(need, first_ms, pause_ms)
     first_pass_ms = pass_ms(figures, 1, need.prompt_tokens / width)
     for view in helpers:
         read_by_ms = _pass_wait_ms(figures, view) + part_ms * view.pace
@@ -223,12 +230,12 @@
         cost += need.worth * view.failure_share + SPAN_COST
     if _whole_ms(need, figures, host, first_ms) > need.stay_ms:
         return None
-    cost += _own_loss(need, first_ms)
+    cost += _own_loss(need, first_ms, pause_ms)
     if need.prompt_tokens >= SPAN_TOKENS:
         cost += _blocking_cost(figures, views, (host, *helpers), part_ms)
     gain = need.worth - cost
     if need.prompt_tokens >= SPAN_TOKENS:
-        cost += OCCUPANCY_COST * width * (part_ms / MS_PER_SECOND) ** 2
+        cost += sum(_occupancy_cost(view, part_ms) for view in (host, *helpers))
     endpoints = tuple(view.endpoint for view in helpers)
     return Placement(host.endpoint, endpoints, part_ms, first_ms, cost, gain, held)
 
@@ -289,7 +296,8 @@
 
 def _host_cost(need, figures, view, part_ms):
     load = view.load
-    cost = _own_loss(need, _first_event_ms(figures, view, part_ms))
+    first_ms = _first_event_ms(figures, view, part_ms)
+    cost = _own_loss(need, first_ms, _pause_ms(figures, view))
     cost += _inflicted(figures, view, part_ms)
     cost += need.worth * view.failure_share + view.jitter
     cost += _gathering_cost(need, figures, load)
@@ -311,15 +319,29 @@
         _inflicted(figures, view, part_ms)
         + view.failure_share
         + view.load.reading_ms / WAIT_PER_COST_MS
+        + _occupancy_cost(view, part_ms)
     )
 
 
-def _own_loss(need, first_event_ms):
-    late = LATE_LOSS * risk(first_event_ms, need.objective_left_ms)
+def _occupancy_cost(view, part_ms):
+    return OCCUPANCY_COST * (part_ms * view.pace / MS_PER_SECOND) ** 2
+
+
+def _own_loss(need, first_event_ms, pause_ms):
+    late = risk(first_event_ms, need.objective_left_ms)
+    if need.pause_limit_ms:
+        late = max(late, risk(pause_ms, need.pause_limit_ms))
+    late *= LATE_LOSS
     lost = risk(first_event_ms, need.deadline_left_ms)
     return need.worth * (lost + (1.0 - lost) * late)
 
 
+def _pause_ms(figures, view):
+    """Return the pause between the events of a request that joins the writers."""
+    load = view.load
+    return pass_ms(figures, len(load.writers) + 1, load.context_tokens) * view.pace
+
+
 def _wait_ms(figures, view):
     """Return the time until an engine begins to read a request of its own."""
     return view.load.reading_ms * view.pace + _pass_wait_ms(figures, view)
--- a/vanillareach/features/gateway_core.feature
+++ b/vanillareach/features/gateway_core.feature
@@ -120,6 +120,31 @@
     When "a1" tells of something
     Then "?1" are told directly, and relays of domains "b"
 
+  Scenario Outline: An engine's pace is learnt from the gaps between its events
+    When an engine that owes a pass of 45 ms shows gaps of "<gaps>" ms
+    Then its pace is <pace>
+
+    Examples:
+      | gaps               | pace |
+      | 45,46,44,47        | 1.0  |
+      | 180,181,179,185    | 4.0  |
+      | 45,46,900,44       | 1.0  |
+      | 180,180            | 1.0  |
+      | 60,60,61,59        | 1.0  |
+
+  Scenario: Gaps while an engine reads say nothing of its pace
+    When an engine that reads shows gaps of "180,181,179,185" ms
+    Then its pace is 1.0
+
+  Scenario: A pace is forgotten, told by others, and corrected
+    When an engine that owes a pass of 45 ms shows gaps of "180,181,179,185" ms
+    And 4000 ms go by
+    Then its pace is 1.0
+    When a peer tells that its pace is 3.0
+    Then its pace is 3.0
+    When an engine that owes a pass of 45 ms shows gaps of "45,45,46,44" ms
+    Then its pace is 1.0
+
   Scenario: Datagrams that came meanwhile are taken in one wake
     Given a datagram socket
     When 40 datagrams are sent to it, and to an address that takes none
--- a/vanillareach/features/placement_load.feature
+++ b/vanillareach/features/placement_load.feature
@@ -57,6 +57,21 @@
     When 10 short prompts arrive at once
     Then engine "e0" has no request
 
+  Scenario: A slow engine gets no work while others are free
+    Given engine "e0" is 4 times slower
+    When 10 short prompts arrive at once
+    Then engine "e0" has no request
+
+  Scenario: A slow engine reads no part of a long prompt while others are free
+    Given engine "e0" is 4 times slower
+    When a prompt of 182000 tokens arrives
+    Then engine "e0" has no request
+
+  Scenario: An engine too slow for the pauses owed is the last choice
+    Given every engine but "e1" is 6 times slower
+    When 5 short prompts arrive at once
+    Then engine "e1" has 5 requests
+
   Scenario Outline: Many instances leave room for each other's unseen requests
     When 5 short prompts arrive at once
     Then with <unseen> unseen requests the next one <choice> them
--- a/vanillareach/features/steps/gateway_core.py
+++ b/vanillareach/features/steps/gateway_core.py
@@ -12,6 +12,7 @@
 from vanillareach.core.domain_tree import DomainTree
 from vanillareach.core.endpoint_health import EndpointHealth
 from vanillareach.core.endpoint_list import EndpointList, ListedEndpoint
+from vanillareach.core.engine_pace import EnginePaces
 from vanillareach.core.event_stream import EventSplitter
 from vanillareach.core.load_picture import Flight, LoadPicture
 from vanillareach.core.retry_share import RetryShare
@@ -484,3 +485,44 @@
         assert all(relay == spans[0] for relay in spans), spans
     names = [spans[0][0] for spans in context.relays]
     assert sorted(names) == sorted([first, second] * count), names
+
+
+def paces(context):
+    """Return the scenario's paces."""
+    if not hasattr(context, "paces"):
+        context.paces, context.now_ms = EnginePaces(), NOW_MS
+    return context.paces
+
+
+def show_gaps(context, gaps, expected_ms):
+    """Note gaps of engine "e1" and learn from them."""
+    for gap in gaps.split(","):
+        paces(context).note_gap("e1", float(gap), context.now_ms)
+    context.paces.learn(lambda engine: expected_ms, context.now_ms)
+
+
+@when('an engine that owes a pass of {expected_ms:d} ms shows gaps of "{gaps}" ms')
+def step_gaps(context, expected_ms, gaps):
+    show_gaps(context, gaps, expected_ms)
+
+
+@when('an engine that reads shows gaps of "{gaps}" ms')
+def step_gaps_reading(context, gaps):
+    show_gaps(context, gaps, None)
+
+
+@when("{duration_ms:d} ms go by")
+def step_go_by(context, duration_ms):
+    context.now_ms += duration_ms
+    context.paces.learn(lambda engine: 45.0, context.now_ms)
+
+
+@when("a peer tells that its pace is {pace:g}")
+def step_peer_tells(context, pace):
+    context.paces.take((("e1", pace),), context.now_ms)
+
+
+@then("its pace is {pace:g}")
+def step_pace(context, pace):
+    found = context.paces.pace("e1", context.now_ms)
+    assert abs(found - pace) < 0.05, found
--- a/vanillareach/features/steps/placement_load.py
+++ b/vanillareach/features/steps/placement_load.py
@@ -40,6 +40,7 @@
         self.picture = LoadPicture()
         self.now_ms = 0.0
         self.failure_share_by_id = {}
+        self.pace_by_id = {}
         self.chosen = []
         self.refused = 0
         self.unseen = 0.0
@@ -55,6 +56,7 @@
                 engine,
                 loads.get(engine.id, EngineLoad()),
                 self.failure_share_by_id.get(engine.id, 0.0),
+                self.pace_by_id.get(engine.id, 1.0),
             )
             for engine in ENGINES
         ]
@@ -121,6 +123,17 @@
     replay(context).failure_share_by_id[name] = 0.5
 
 
+@given('engine "{name}" is {pace:d} times slower')
+def step_slow(context, name, pace):
+    replay(context).pace_by_id[name] = pace
+
+
+@given('every engine but "{name}" is {pace:d} times slower')
+def step_all_slow(context, name, pace):
+    paces = {engine.id: pace for engine in ENGINES if engine.id != name}
+    replay(context).pace_by_id.update(paces)
+
+
 @given("an instance that stays for {stay_ms:d} ms")
 def step_stays(context, stay_ms):
     replay(context).stay_ms = stay_ms
@@ -252,3 +265,9 @@
         state.write()
     running = max(view.load.running for view in state.views())
     assert (running == 7) is (choice == "joins"), running
+
+
+@then('engine "{name}" has {count:d} requests')
+def step_has(context, name, count):
+    hosts = [flight.engine for _, flight in context.replay.chosen]
+    assert hosts.count(name) == count, hosts
--- a/vanillareach/gateway/app.py
+++ b/vanillareach/gateway/app.py
@@ -108,6 +108,7 @@
         add("log_lines_dropped", "Log lines left out.", lambda: self.writer.dropped)
         add("store_calls", "Calls to the store.", lambda: self.store.calls)
         add("instances", "Instances known.", lambda: state.instances)
+        add("slow_engines", "Engines seen slow.", lambda: len(state.paces.own))
         add("flights", "Own requests at endpoints.", lambda: state.picture.own_count)
         add(
             "configuration_version",
@@ -138,6 +139,7 @@
         nursery.start_soon(self.follower.run)
         nursery.start_soon(self.reservations.run)
         nursery.start_soon(self.forwarder.silences.run)
+        nursery.start_soon(self.forwarder.paces.run)
         nursery.start_soon(ReachabilityProber(self.state, self.gossip, self.clock).run)
         for listener in (self.front, self.ready, self.scrape):
             await nursery.start(listener.run)
--- a/vanillareach/gateway/attempts.py
+++ b/vanillareach/gateway/attempts.py
@@ -14,6 +14,8 @@
 HELD_ANSWER_BYTES = 4 * 1024 * 1024
 # Time for a connection that shows whether an endpoint still lives.
 LOSS_CHECK_MS = 300.0
+# A caller that takes longer for an event hides when the next one came.
+SLOW_DELIVERY_MS = 15.0
 
 log = get_logger("request")
 
@@ -29,9 +31,18 @@
     silence : Silence
     was_sent : bool
         Whether a byte may have left.
+    was_delayed : bool
+        Whether the caller took the last event slowly, or there was none.
     """
 
-    __slots__ = ("exchange", "flight", "silence", "target", "was_sent")
+    __slots__ = (
+        "exchange",
+        "flight",
+        "silence",
+        "target",
+        "was_delayed",
+        "was_sent",
+    )
 
     def __init__(self, exchange, target, flight, silence):
         self.exchange = exchange
@@ -39,6 +50,7 @@
         self.flight = flight
         self.silence = silence
         self.was_sent = False
+        self.was_delayed = True
 
     def note_sending(self):
         """Record that bytes may leave from now on."""
@@ -200,7 +212,10 @@
     def _note_events(self, attempt):
         """Record that whole events arrived."""
         exchange, flight = attempt.exchange, attempt.flight
-        exchange.note_event(self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        pause_ms = exchange.note_event(now_ms)
+        if pause_ms is not None and not attempt.was_delayed:
+            self._state.paces.note_gap(flight.engine, pause_ms, now_ms)
         if flight.is_reading:
             self._dispatcher.note_first_event(flight)
             self._metrics.record_first_token(
@@ -209,8 +224,13 @@
 
     def _note_delivery(self, attempt):
         """Wait for the endpoint again, after the caller has taken what came."""
-        limit_ms = self._dispatcher.gap_limit_ms(attempt.exchange)
-        attempt.silence.extend(self._clock.now_ms() + limit_ms)
+        exchange, now_ms = attempt.exchange, self._clock.now_ms()
+        arrived_ms = exchange.last_event_ms
+        attempt.was_delayed = (
+            arrived_ms is None or now_ms - arrived_ms > SLOW_DELIVERY_MS
+        )
+        limit_ms = self._dispatcher.gap_limit_ms(exchange)
+        attempt.silence.extend(now_ms + limit_ms)
 
     async def _note_result(self, attempt, result, detail):
         exchange, target = attempt.exchange, attempt.target
--- a/vanillareach/gateway/exchange.py
+++ b/vanillareach/gateway/exchange.py
@@ -122,13 +122,14 @@
         self.deadline_ms = min(self.deadline_ms, ends_ms)
 
     def note_event(self, now_ms):
-        """Record that an event arrived."""
-        if self.last_event_ms is None:
+        """Record that an event arrived; return the pause before it, or None."""
+        before_ms, self.last_event_ms = self.last_event_ms, now_ms
+        if before_ms is None:
             self.first_event_ms = round(now_ms - self.request.received_ms)
-        else:
-            pause_ms = now_ms - self.last_event_ms
-            self.longest_pause_ms = max(self.longest_pause_ms, pause_ms)
-        self.last_event_ms = now_ms
+            return None
+        pause_ms = now_ms - before_ms
+        self.longest_pause_ms = max(self.longest_pause_ms, pause_ms)
+        return pause_ms
 
     @property
     def priority(self):
--- a/vanillareach/gateway/gossip.py
+++ b/vanillareach/gateway/gossip.py
@@ -254,6 +254,7 @@
             endpoints_age_ms=state.age_ms(state.endpoints.confirmed_ms),
             flights=state.picture.own_flights(now_ms),
             losses=tuple((x.fingerprint, x.endpoint, x.domain) for x in losses),
+            paces=tuple(state.paces.own.items()),
         )
 
     async def _receive(self, sock, nursery):
@@ -318,6 +319,7 @@
         peer.domain = beacon.domain
         peer.heard_ms = now_ms
         self._state.picture.take(beacon.name, beacon.flights, now_ms)
+        self._state.paces.take(beacon.paces, now_ms)
         self._take_losses(beacon, now_ms)
         self._compare(peer, beacon, now_ms, nursery)
 
--- /dev/null
+++ b/vanillareach/gateway/pacing.py
@@ -0,0 +1,36 @@
+"""Learns now and then which engines are slow, from the streams that pass here."""
+
+from vanillareach.log import get_logger
+
+INTERVAL_MS = 500.0
+
+log = get_logger("pacing")
+
+
+class PaceLearner:
+    """Lets the instance's `EnginePaces` learn.
+
+    Parameters
+    ----------
+    state : GatewayState
+    dispatcher : Dispatcher
+        Knows what an engine would need by its figures.
+    clock : Clock
+    """
+
+    def __init__(self, state, dispatcher, clock):
+        self._state = state
+        self._dispatcher = dispatcher
+        self._clock = clock
+
+    async def run(self):
+        """Learn for ever."""
+        while True:
+            await self._clock.sleep_ms(INTERVAL_MS)
+            now_ms = self._clock.now_ms()
+            expected = self._dispatcher.expected_gap_ms(now_ms)
+            changed = self._state.paces.learn(expected, now_ms)
+            for engine, pace in changed:
+                log.info("Engine pace.", endpoint=engine, pace=round(pace, 2))
+            if changed:
+                self._state.publish()
--- a/vanillareach/gateway/state.py
+++ b/vanillareach/gateway/state.py
@@ -6,6 +6,7 @@
 
 from vanillareach.core.endpoint_health import EndpointHealth
 from vanillareach.core.endpoint_list import EndpointList
+from vanillareach.core.engine_pace import EnginePaces
 from vanillareach.core.load_picture import LoadPicture
 from vanillareach.core.messages import StateReply, pack_table
 from vanillareach.core.retry_share import RetryShare
@@ -37,6 +38,7 @@
     picture : LoadPicture
     health : EndpointHealth
     crashes : CrashWatch
+    paces : EnginePaces
     instances : int
         Instances that are known to share budgets.
     is_stopping : bool
@@ -53,6 +55,7 @@
         self.picture = LoadPicture()
         self.health = EndpointHealth()
         self.crashes = CrashWatch()
+        self.paces = EnginePaces()
         self.instances = 1
         self.is_stopping = False
         self.ends_ms = math.inf
@@ -149,6 +152,7 @@
         """Forget how fresh everything is, after the process stood still."""
         self.table_confirmed_ms = None
         self.endpoints.confirmed_ms = None
+        self.paces.forget_gaps()
 
     def age_ms(self, confirmed_ms):
         """Return the time since a confirmation, or `NEVER_MS`."""
