Let no confirmation grow younger as instances tell it around

Instances told each other how long ago the store had confirmed what they hold; the way of a message isn't in an age, and each took the youngest age it heard. Ruled out: a slow or failing fetch (no fetch failed; 70 instances had version 47 within 0.3 s), a store that turned calls away (no call failed), stale reads. Change: each confirmation has a stamp; what was first learnt of one, or older, stands.

--- a/vanillareach/core/messages.py
+++ b/vanillareach/core/messages.py
@@ -226,6 +226,8 @@
         Recent crashes: fingerprint of the request, endpoint, failure domain.
     paces : tuple of (str, float)
         Engines that the sender has seen to be slow, and by which factor.
+    configuration_stamp, endpoints_stamp : int
+        Identities of the confirmations; see `Freshness`.
     """
 
     name: str
@@ -242,6 +244,8 @@
     flights: tuple[Flight, ...]
     losses: tuple[tuple[str, str, str], ...]
     paces: tuple[tuple[str, float], ...] = ()
+    configuration_stamp: int = 0
+    endpoints_stamp: int = 0
 
 
 class RelayedDatagram(Wire, tag=23, frozen=True):
@@ -285,6 +289,8 @@
     endpoints: tuple[ListedEndpoint, ...] | None
     endpoints_revision: int
     endpoints_age_ms: float
+    configuration_stamp: int = 0
+    endpoints_stamp: int = 0
 
 
 Message = (
--- a/vanillareach/features/gateway_core.feature
+++ b/vanillareach/features/gateway_core.feature
@@ -145,6 +145,19 @@
     When an engine that owes a pass of 45 ms shows gaps of "45,45,46,44" ms
     Then its pace is 1.0
 
+  Scenario: A confirmation told around for long doesn't grow younger
+    Given 6 instances that tell each other the age of a confirmation, 20 ms on the way
+    When they have done so for 5000 ms since the store confirmed it
+    Then none of them takes it for younger than 4880 ms
+
+  Scenario: A later confirmation counts at once, an earlier one no more
+    Given 6 instances that tell each other the age of a confirmation, 20 ms on the way
+    When they have done so for 1000 ms since the store confirmed it
+    And the store confirms it once more to the last of them
+    And they have done so for 500 ms since the store confirmed it
+    Then none of them takes it for younger than 380 ms
+    And none of them takes it for older than 500 ms
+
   Scenario: Datagrams that came meanwhile are taken in one wake
     Given a datagram socket
     When 40 datagrams are sent to it, and to an address that takes none
--- a/vanillareach/features/steps/gateway_core.py
+++ b/vanillareach/features/steps/gateway_core.py
@@ -14,6 +14,7 @@
 from vanillareach.core.endpoint_list import EndpointList, ListedEndpoint
 from vanillareach.core.engine_pace import EnginePaces
 from vanillareach.core.event_stream import EventSplitter
+from vanillareach.core.freshness import Freshness
 from vanillareach.core.load_picture import Flight, LoadPicture
 from vanillareach.core.retry_share import RetryShare
 from vanillareach.core.routing import CallerLimits, RequestKind, Route, RouteTable
@@ -526,3 +527,46 @@
 def step_pace(context, pace):
     found = context.paces.pace("e1", context.now_ms)
     assert abs(found - pace) < 0.05, found
+
+
+@given(
+    "{count:d} instances that tell each other the age of a confirmation, "
+    "{way_ms:d} ms on the way"
+)
+def step_tellers(context, count, way_ms):
+    context.told_ms = NOW_MS
+    context.way_ms = way_ms
+    context.tellers = [Freshness() for _ in range(count)]
+    context.tellers[0].confirm(1, NOW_MS)
+
+
+@when("they have done so for {duration_ms:d} ms since the store confirmed it")
+def step_tell_around(context, duration_ms):
+    until_ms = context.told_ms + duration_ms
+    while context.told_ms < until_ms:
+        sent = [
+            (teller.stamp, context.told_ms - teller.confirmed_ms)
+            for teller in context.tellers
+            if teller.confirmed_ms is not None
+        ]
+        context.told_ms += context.way_ms
+        for stamp, age_ms in sent:
+            for teller in context.tellers:
+                teller.confirm(stamp, context.told_ms - age_ms)
+
+
+@when("the store confirms it once more to the last of them")
+def step_once_more(context):
+    context.tellers[-1].confirm(2, context.told_ms)
+
+
+@then("none of them takes it for younger than {age_ms:d} ms")
+def step_not_younger(context, age_ms):
+    ages = [context.told_ms - teller.confirmed_ms for teller in context.tellers]
+    assert min(ages) >= age_ms, ages
+
+
+@then("none of them takes it for older than {age_ms:d} ms")
+def step_not_older(context, age_ms):
+    ages = [context.told_ms - teller.confirmed_ms for teller in context.tellers]
+    assert max(ages) <= age_ms, ages
--- a/vanillareach/gateway/app.py
+++ b/vanillareach/gateway/app.py
@@ -118,12 +118,12 @@
         add(
             "configuration_age_ms",
             "Time since the store confirmed the configuration.",
-            lambda: state.age_ms(state.table_confirmed_ms),
+            state.table_age_ms,
         )
         add(
             "endpoints_age_ms",
             "Time since the store confirmed the list.",
-            lambda: state.age_ms(state.endpoints.confirmed_ms),
+            state.list_age_ms,
         )
         add(
             "connections",
--- a/vanillareach/gateway/following.py
+++ b/vanillareach/gateway/following.py
@@ -66,7 +66,7 @@
     async def _follow_configuration(self):
         while True:
             rank = self._rank("configuration")
-            age_ms = self._state.age_ms(self._state.table_confirmed_ms)
+            age_ms = self._state.table_age_ms()
             wait_age_ms = WATCH_AGE_MS + RANK_STEP_MS * rank if rank else 0.0
             if 0 <= age_ms < wait_age_ms:
                 await self._wait_for_age(wait_age_ms - age_ms)
@@ -105,7 +105,7 @@
     async def _follow_endpoints(self):
         while True:
             rank = self._rank("endpoints")
-            age_ms = self._state.age_ms(self._state.endpoints.confirmed_ms)
+            age_ms = self._state.list_age_ms()
             wait_age_ms = LIST_AGE_MS + RANK_STEP_MS * rank
             if 0 <= age_ms < wait_age_ms:
                 await self._wait_for_age(wait_age_ms - age_ms)
--- a/vanillareach/gateway/gossip.py
+++ b/vanillareach/gateway/gossip.py
@@ -248,10 +248,12 @@
             sequence=self._sequence,
             is_leaving=state.is_stopping,
             configuration_version=state.table.version if state.table else -1,
-            configuration_age_ms=state.age_ms(state.table_confirmed_ms),
+            configuration_age_ms=state.table_age_ms(),
+            configuration_stamp=state.table_freshness.stamp,
+            endpoints_stamp=state.list_freshness.stamp,
             endpoints_revision=state.endpoints.revision,
             endpoints_digest=state.endpoints.digest,
-            endpoints_age_ms=state.age_ms(state.endpoints.confirmed_ms),
+            endpoints_age_ms=state.list_age_ms(),
             flights=state.picture.own_flights(now_ms),
             losses=tuple((x.fingerprint, x.endpoint, x.domain) for x in losses),
             paces=tuple(state.paces.own.items()),
@@ -341,17 +343,19 @@
         if beacon.configuration_age_ms >= 0:
             held = state.table.version if state.table else -1
             if beacon.configuration_version == held:
-                state.confirm_table(now_ms - beacon.configuration_age_ms)
+                confirmed_ms = now_ms - beacon.configuration_age_ms
+                state.confirm_table(confirmed_ms, beacon.configuration_stamp)
             wants_table = beacon.configuration_version > held
         if beacon.endpoints_age_ms >= 0:
             endpoints = state.endpoints
             confirmed_ms = now_ms - beacon.endpoints_age_ms
-            is_newer = (
-                endpoints.confirmed_ms is None or confirmed_ms > endpoints.confirmed_ms
-            )
+            stamp = beacon.endpoints_stamp
+            is_newer = state.list_freshness.is_news(stamp, confirmed_ms)
             if is_newer and beacon.endpoints_revision >= endpoints.revision:
                 if beacon.endpoints_digest == endpoints.digest:
-                    endpoints.confirm(beacon.endpoints_revision, confirmed_ms)
+                    state.confirm_endpoints(
+                        beacon.endpoints_revision, confirmed_ms, stamp
+                    )
                 else:
                     wants_list = True
         # Peers tell of the same news at once; it is fetched from one of them.
@@ -379,11 +383,14 @@
         now_ms = self._clock.now_ms()
         if table is not None:
             confirmed_ms = now_ms - max(0.0, reply.configuration_age_ms)
-            self._state.take_table(table, confirmed_ms, peer.name)
+            self._state.take_table(
+                table, confirmed_ms, peer.name, reply.configuration_stamp
+            )
         if reply.endpoints is not None and reply.endpoints_age_ms >= 0:
             self._state.take_endpoints(
                 reply.endpoints,
                 reply.endpoints_revision,
                 now_ms - reply.endpoints_age_ms,
                 peer.name,
+                reply.endpoints_stamp,
             )
--- a/vanillareach/gateway/state.py
+++ b/vanillareach/gateway/state.py
@@ -1,12 +1,14 @@
 """What one instance of the gateway knows, shared by its tasks."""
 
 import math
+import secrets
 
 import trio
 
 from vanillareach.core.endpoint_health import EndpointHealth
 from vanillareach.core.endpoint_list import EndpointList
 from vanillareach.core.engine_pace import EnginePaces
+from vanillareach.core.freshness import Freshness
 from vanillareach.core.load_picture import LoadPicture
 from vanillareach.core.messages import StateReply, pack_table
 from vanillareach.core.retry_share import RetryShare
@@ -16,10 +18,16 @@
 
 DEFAULT_LIMITS = CallerLimits()
 NEVER_MS = -1.0
+STAMP_BITS = 48
 
 log = get_logger("state")
 
 
+def new_stamp():
+    """Return the identity of a confirmation that this instance got itself."""
+    return secrets.randbits(STAMP_BITS) or 1
+
+
 class GatewayState:
     """Configuration, endpoints, load and health as this instance knows them.
 
@@ -32,8 +40,8 @@
     ----------
     table : RouteTable or None
         Newest configuration seen; it never falls to an older version.
-    table_confirmed_ms : float or None
-        When the store last confirmed `table`, as this instance knows.
+    table_freshness, list_freshness : Freshness
+        When the store last confirmed `table` and the list of endpoints.
     endpoints : EndpointList
     picture : LoadPicture
     health : EndpointHealth
@@ -50,7 +58,8 @@
         self._settings = settings
         self._clock = clock
         self.table = None
-        self.table_confirmed_ms = None
+        self.table_freshness = Freshness()
+        self.list_freshness = Freshness()
         self.endpoints = EndpointList()
         self.picture = LoadPicture()
         self.health = EndpointHealth()
@@ -120,12 +129,23 @@
             self._retries_by_service[service] = share
         return share
 
-    def take_table(self, table, confirmed_ms, source):
-        """Take a configuration if it is newer than the one in force."""
+    def take_table(self, table, confirmed_ms, source, stamp=None):
+        """Take a configuration if it is newer than the one in force.
+
+        Parameters
+        ----------
+        table : RouteTable
+        confirmed_ms : float
+            When the store confirmed it.
+        source : str
+            "store", or the peer that told.
+        stamp : int or None
+            Identity of the confirmation; None if it is this instance's own.
+        """
         held = self.table.version if self.table else None
         if held is not None and table.version < held:
             return
-        self.confirm_table(confirmed_ms)
+        self.confirm_table(confirmed_ms, stamp)
         if table.version == held:
             return
         self.table = table
@@ -133,13 +153,19 @@
         log.info("In force.", version=table.version, before=held, source=source)
         self.publish()
 
-    def confirm_table(self, confirmed_ms):
-        """Note that the store confirmed the configuration at `confirmed_ms`."""
-        if self.table_confirmed_ms is None or confirmed_ms > self.table_confirmed_ms:
-            self.table_confirmed_ms = confirmed_ms
+    def confirm_table(self, confirmed_ms, stamp=None):
+        """Note that the store confirmed the configuration; see `take_table`."""
+        self.table_freshness.confirm(stamp or new_stamp(), confirmed_ms)
 
-    def take_endpoints(self, listed, revision, confirmed_ms, source):
-        """Take a list of endpoints."""
+    def confirm_endpoints(self, revision, confirmed_ms, stamp):
+        """Note that the list held is that of `revision`; see `take_table`."""
+        self.list_freshness.confirm(stamp, confirmed_ms)
+        self.endpoints.confirm(revision, confirmed_ms)
+
+    def take_endpoints(self, listed, revision, confirmed_ms, source, stamp=None):
+        """Take a list of endpoints; see `take_table`."""
+        if revision >= self.endpoints.revision:
+            self.list_freshness.confirm(stamp or new_stamp(), confirmed_ms)
         changes = self.endpoints.take(listed, revision, confirmed_ms)
         self._note_completeness()
         if changes:
@@ -150,27 +176,37 @@
 
     def distrust(self):
         """Forget how fresh everything is, after the process stood still."""
-        self.table_confirmed_ms = None
+        self.table_freshness.forget()
+        self.list_freshness.forget()
         self.endpoints.confirmed_ms = None
         self.paces.forget_gaps()
 
-    def age_ms(self, confirmed_ms):
-        """Return the time since a confirmation, or `NEVER_MS`."""
-        if confirmed_ms is None:
+    def table_age_ms(self):
+        """Return the time since the configuration was confirmed, or `NEVER_MS`."""
+        return self._age_ms(self.table_freshness)
+
+    def list_age_ms(self):
+        """Return the time since the list was confirmed, or `NEVER_MS`."""
+        return self._age_ms(self.list_freshness)
+
+    def _age_ms(self, freshness):
+        if freshness.confirmed_ms is None:
             return NEVER_MS
-        return max(0.0, self._clock.now_ms() - confirmed_ms)
+        return max(0.0, self._clock.now_ms() - freshness.confirmed_ms)
 
     def reply(self, query):
         """Return the `StateReply` to a peer's `StateQuery`."""
         endpoints = self.endpoints
         return StateReply(
             configuration=self._packed() if query.wants_configuration else None,
-            configuration_age_ms=self.age_ms(self.table_confirmed_ms),
+            configuration_age_ms=self.table_age_ms(),
+            configuration_stamp=self.table_freshness.stamp,
             endpoints=tuple(endpoints.by_id.values())
             if query.wants_endpoints and endpoints.is_known
             else None,
             endpoints_revision=endpoints.revision,
-            endpoints_age_ms=self.age_ms(endpoints.confirmed_ms),
+            endpoints_age_ms=self.list_age_ms(),
+            endpoints_stamp=self.list_freshness.stamp,
         )
 
     def _packed(self):
