Add log commands and baselines of placement

`vanillareach explain ID` shows what the logs of all instances tell of a request and of its endpoints meanwhile; `vanillareach predictions` compares predicted with seen times to the first event. A gateway's setting placement takes baselines (random, round robin, least loaded, linear cost) beside the policy in use, to compare them under one load.

--- a/vanillareach/core/dispatching.py
+++ b/vanillareach/core/dispatching.py
@@ -9,7 +9,6 @@
     EngineView,
     GenerationNeed,
     Placement,
-    place,
 )
 
 # Prompts up to this length are short ones.
@@ -62,12 +61,14 @@
     state : GatewayState
     domain : str
     random : random.Random
+    policy : EnginePolicy
     """
 
-    def __init__(self, state, domain, random):
+    def __init__(self, state, domain, random, policy):
         self._state = state
         self._domain = domain
         self._random = random
+        self._policy = policy
         self._number = 0
 
     def choose(self, exchange, now_ms):
@@ -128,7 +129,7 @@
             for endpoint in usable
         ]
         self._random.shuffle(views)
-        chosen = place(need, exchange.service.engine, views)
+        chosen = self._policy.place(need, exchange.service.engine, views)
         if chosen is None:
             return None
         # A stream that has begun goes on, whatever that costs.
--- /dev/null
+++ b/vanillareach/core/engine_policies.py
@@ -0,0 +1,116 @@
+"""Ways to choose an engine for a generation: the one in use, and baselines.
+
+Baselines stand beside it so that any deployment can compare them under its own load; a
+gateway takes one by its setting ``placement``. All of them refuse what no engine has
+room for. `LinearCost` follows the cost of the Infera KV-aware routing page, work left
+to read plus blocks in use.
+"""
+
+from abc import ABC, abstractmethod
+
+from vanillareach.core.engine_time import read_ms
+from vanillareach.core.span_placement import (
+    Placement,
+    first_event_ms,
+    place,
+    views_with_room,
+)
+
+BLOCK_TOKENS = 16
+# Weight of a block that is to be read against one that is in use.
+READ_WEIGHT = 1.0
+
+
+class EnginePolicy(ABC):
+    """Chooses the engine of a generation."""
+
+    @abstractmethod
+    def place(self, need, figures, views):
+        """Return the `Placement`, or None if nothing has room.
+
+        Parameters
+        ----------
+        need : GenerationNeed
+        figures : EngineFigures
+        views : list of EngineView
+            In random order.
+        """
+
+
+class PredictedLoss(EnginePolicy):
+    """Least predicted loss of benefit, with helpers; see `span_placement`."""
+
+    def place(self, need, figures, views):
+        """Place; see `EnginePolicy`."""
+        return place(need, figures, views)
+
+
+class SingleEngine(EnginePolicy):
+    """Base of the baselines, which read each prompt on one engine."""
+
+    def place(self, need, figures, views):
+        """Place; see `EnginePolicy`."""
+        ready = views_with_room(need, figures, views)
+        if not ready:
+            return None
+        view = self.choose(need, figures, ready)
+        part_ms = read_ms(figures, need.prompt_tokens)
+        first_ms = first_event_ms(figures, view, part_ms)
+        return Placement(view.endpoint, part_ms=part_ms, first_event_ms=first_ms)
+
+    @abstractmethod
+    def choose(self, need, figures, views):
+        """Return one of `views`; there is at least one."""
+
+
+class RandomEngine(SingleEngine):
+    """Any engine."""
+
+    def choose(self, need, figures, views):
+        """Choose; the views come in random order."""
+        return views[0]
+
+
+class RoundRobin(SingleEngine):
+    """Engines in turn, by their ids."""
+
+    def __init__(self):
+        self._turn = 0
+
+    def choose(self, need, figures, views):
+        """Choose; see `SingleEngine`."""
+        self._turn += 1
+        ordered = sorted(views, key=lambda view: view.endpoint.id)
+        return ordered[self._turn % len(ordered)]
+
+
+class LeastLoaded(SingleEngine):
+    """The engine with the fewest requests."""
+
+    def choose(self, need, figures, views):
+        """Choose; see `SingleEngine`."""
+        return min(views, key=lambda view: view.load.running)
+
+
+class LinearCost(SingleEngine):
+    """Blocks left to read, weighted, plus blocks in use."""
+
+    def choose(self, need, figures, views):
+        """Choose; see `SingleEngine`."""
+
+        def cost(view):
+            to_read = view.load.reading_ms * figures.read_tokens_per_ms
+            in_use = view.load.memory_tokens
+            return (READ_WEIGHT * to_read + in_use) / BLOCK_TOKENS
+
+        return min(views, key=cost)
+
+
+POLICIES_BY_NAME = {
+    "predicted-loss": PredictedLoss,
+    "random": RandomEngine,
+    "round-robin": RoundRobin,
+    "least-loaded": LeastLoaded,
+    "linear-cost": LinearCost,
+}
+DEFAULT_POLICY = "predicted-loss"
--- a/vanillareach/core/span_placement.py
+++ b/vanillareach/core/span_placement.py
@@ -169,7 +169,7 @@
     figures : EngineFigures
     views : list of EngineView
     """
-    hosts = [view for view in views if _has_room(need, figures, view)]
+    hosts = views_with_room(need, figures, views)
     over_memories = not hosts
     if over_memories:
         hosts = _hosts_by_free_memory(figures, views)
@@ -181,6 +181,11 @@
     return best
 
 
+def views_with_room(need, figures, views):
+    """Return the engines that can hold a whole prompt and its answer."""
+    return [view for view in views if _has_room(need, figures, view)]
+
+
 def _has_room(need, figures, view):
     load = view.load
     tokens = need.prompt_tokens + need.answer_tokens
@@ -218,7 +223,7 @@
     held = _held_tokens(need, figures, host, helpers) if over_memories else ()
     if held is None:
         return None
-    first_ms = _first_event_ms(figures, host, part_ms)
+    first_ms = first_event_ms(figures, host, part_ms)
     pause_ms = _pause_ms(figures, host)
     cost = _host_cost(need, figures, host, part_ms)
     cost -= _own_loss(need, first_ms, pause_ms)
@@ -296,7 +301,7 @@
 
 def _host_cost(need, figures, view, part_ms):
     load = view.load
-    first_ms = _first_event_ms(figures, view, part_ms)
+    first_ms = first_event_ms(figures, view, part_ms)
     cost = _own_loss(need, first_ms, _pause_ms(figures, view))
     cost += _inflicted(figures, view, part_ms)
     cost += need.worth * view.failure_share + view.jitter
@@ -327,12 +332,12 @@
     return OCCUPANCY_COST * (part_ms * view.pace / MS_PER_SECOND) ** 2
 
 
-def _own_loss(need, first_event_ms, pause_ms):
-    late = risk(first_event_ms, need.objective_left_ms)
+def _own_loss(need, first_ms, pause_ms):
+    late = risk(first_ms, need.objective_left_ms)
     if need.pause_limit_ms:
         late = max(late, risk(pause_ms, need.pause_limit_ms))
     late *= LATE_LOSS
-    lost = risk(first_event_ms, need.deadline_left_ms)
+    lost = risk(first_ms, need.deadline_left_ms)
     return need.worth * (lost + (1.0 - lost) * late)
 
 
@@ -355,7 +360,16 @@
     return 0.5 * pass_ms(figures, len(load.writers), load.context_tokens) * view.pace
 
 
-def _first_event_ms(figures, view, part_ms):
+def first_event_ms(figures, view, part_ms):
+    """Return the predicted time to the first event of a prompt on one engine.
+
+    Parameters
+    ----------
+    figures : EngineFigures
+    view : EngineView
+    part_ms : float
+        Time of reading the prompt, or the engine's part of it.
+    """
     load = view.load
     wait_ms = _wait_ms(figures, view) + part_ms * view.pace
     writing = pass_ms(figures, len(load.writers) + 1, load.context_tokens)
@@ -365,13 +379,13 @@
     return wait_ms
 
 
-def _whole_ms(need, figures, view, first_event_ms):
+def _whole_ms(need, figures, view, first_ms):
     """Return the time in which an answer is complete, unless much comes between."""
     load = view.load
     context_tokens = load.context_tokens + need.prompt_tokens
     writers = len(load.writers) + 1
     rest_ms = writing_ms(figures, need.answer_tokens, writers, context_tokens)
-    return WHOLE_FACTOR * (first_event_ms + rest_ms * view.pace)
+    return WHOLE_FACTOR * (first_ms + rest_ms * view.pace)
 
 
 def _inflicted(figures, view, part_ms):
--- a/vanillareach/features/gateway_core.feature
+++ b/vanillareach/features/gateway_core.feature
@@ -158,6 +158,22 @@
     Then none of them takes it for younger than 380 ms
     And none of them takes it for older than 500 ms
 
+  Scenario Outline: Baselines choose an engine each in their way
+    Given engines "e1,e2,e3" with 2, 0 and 1 requests and 100, 9000 and 200 tokens
+    When prompts are placed 3 times by "<policy>"
+    Then they go to "<engines>"
+
+    Examples:
+      | policy       | engines  |
+      | round-robin  | e2,e3,e1 |
+      | least-loaded | e2,e2,e2 |
+      | linear-cost  | e1,e1,e1 |
+      | random       | e1,e1,e1 |
+
+  Scenario: No policy places what no engine has room for
+    Given engines "e1,e2,e3" with 99, 99 and 99 requests and 100, 9000 and 200 tokens
+    Then every policy refuses a prompt
+
   Scenario: Datagrams that came meanwhile are taken in one wake
     Given a datagram socket
     When 40 datagrams are sent to it, and to an address that takes none
--- a/vanillareach/features/steps/gateway_core.py
+++ b/vanillareach/features/steps/gateway_core.py
@@ -13,12 +13,15 @@
 from vanillareach.core.endpoint_health import EndpointHealth
 from vanillareach.core.endpoint_list import EndpointList, ListedEndpoint
 from vanillareach.core.engine_pace import EnginePaces
+from vanillareach.core.engine_policies import POLICIES_BY_NAME
 from vanillareach.core.event_stream import EventSplitter
 from vanillareach.core.freshness import Freshness
-from vanillareach.core.load_picture import Flight, LoadPicture
+from vanillareach.core.load_picture import EngineLoad, Flight, LoadPicture
 from vanillareach.core.retry_share import RetryShare
 from vanillareach.core.routing import CallerLimits, RequestKind, Route, RouteTable
+from vanillareach.core.span_placement import EngineView, GenerationNeed
 from vanillareach.early_sockets import listen_early, take_early_socket
+from vanillareach.emulation.scenario import EngineTable
 from vanillareach.endpoints.base import EndpointBrokenError
 from vanillareach.features.users_platform.stage import free_address
 from vanillareach.gateway.connections import CallerListener
@@ -570,3 +573,38 @@
 def step_not_older(context, age_ms):
     ages = [context.told_ms - teller.confirmed_ms for teller in context.tellers]
     assert max(ages) <= age_ms, ages
+
+
+NEED = GenerationNeed(1_000, 100, 300.0, 10_000.0, 250.0, 1.0, "a")
+
+
+@given(
+    'engines "{names}" with {a:d}, {b:d} and {c:d} requests and {x:d}, {y:d} and {z:d} '
+    "tokens"
+)
+def step_engines(context, names, a, b, c, x, y, z):
+    loads = zip(names.split(","), (a, b, c), (x, y, z), strict=True)
+    context.views = [
+        EngineView(make_endpoint(name), EngineLoad(running=running, memory_tokens=held))
+        for name, running, held in loads
+    ]
+
+
+@when('prompts are placed {count:d} times by "{policy}"')
+def step_place_by(context, count, policy):
+    chooser, figures = POLICIES_BY_NAME[policy](), EngineTable().figures()
+    placed = [chooser.place(NEED, figures, context.views) for _ in range(count)]
+    context.placed = [placement.endpoint.id for placement in placed]
+
+
+@then('they go to "{names}"')
+def step_go_to(context, names):
+    assert context.placed == names.split(","), context.placed
+
+
+@then("every policy refuses a prompt")
+def step_all_refuse(context):
+    figures = EngineTable().figures()
+    assert len(POLICIES_BY_NAME) == 5
+    for policy in POLICIES_BY_NAME.values():
+        assert policy().place(NEED, figures, context.views) is None, policy
--- a/vanillareach/gateway/app.py
+++ b/vanillareach/gateway/app.py
@@ -1,11 +1,14 @@
 """The application of one gateway instance and its life-cycle hooks."""
 
+import random
 import signal
 import time
 
 import trio
 
 from vanillareach.clock import MS_PER_SECOND, TrioClock
+from vanillareach.core.dispatching import Dispatcher
+from vanillareach.core.engine_policies import POLICIES_BY_NAME
 from vanillareach.core.routing import CallerLimits
 from vanillareach.gateway.connections import CallerListener
 from vanillareach.gateway.following import StoreFollower
@@ -78,6 +81,8 @@
         self.gossip = Gossip(settings, self.state, self.link, clock)
         self.follower = StoreFollower(self.store, self.state, self.gossip, clock)
         self.reservations = ReservationKeeper(self.orders, clock)
+        policy = POLICIES_BY_NAME[settings.placement]()
+        dispatcher = Dispatcher(self.state, settings.domain, random.Random(), policy)
         self.forwarder = Forwarder(
             self.state,
             self.protocol,
@@ -85,7 +90,7 @@
             self.reservations,
             clock,
             self.metrics,
-            settings.domain,
+            dispatcher,
         )
         self.front = self._listener(
             settings.front_listen, self.state.limits, self.forwarder.handle
--- a/vanillareach/gateway/forwarder.py
+++ b/vanillareach/gateway/forwarder.py
@@ -6,7 +6,6 @@
 import msgspec
 
 from vanillareach.clock import MS_PER_SECOND
-from vanillareach.core.dispatching import Dispatcher
 from vanillareach.core.hashing import hash128_hex
 from vanillareach.gateway.attempts import Attempts
 from vanillareach.gateway.connections import AnswerBrokenError
@@ -54,11 +53,12 @@
     reservations : ReservationKeeper
     clock : Clock
     metrics : Metrics
-    domain : str
-        Failure domain of this instance.
+    dispatcher : Dispatcher
     """
 
-    def __init__(self, state, protocol, orders, reservations, clock, metrics, domain):
+    def __init__(
+        self, state, protocol, orders, reservations, clock, metrics, dispatcher
+    ):
         self._state = state
         self._protocol = protocol
         self._clock = clock
@@ -66,7 +66,7 @@
         self._random = random.Random()
         self._ends_ms = math.inf
         self._scopes_by_exchange = {}
-        self._dispatcher = Dispatcher(state, domain, self._random)
+        self._dispatcher = dispatcher
         self.silences = SilenceWatch(self._dispatcher, clock)
         self.paces = PaceLearner(state, self._dispatcher, clock)
         self._attempts = Attempts(
--- a/vanillareach/gateway/settings.py
+++ b/vanillareach/gateway/settings.py
@@ -1,11 +1,13 @@
 """Settings of the gateway daemon, in the same form as those of the entry daemon."""
 
+from vanillareach.core.engine_policies import DEFAULT_POLICY, POLICIES_BY_NAME
 from vanillareach.settings import (
     SETTINGS_BY_NAME,
     CheckedSettings,
     Setting,
     check_address,
     check_between,
+    check_one_of,
 )
 
 
@@ -54,6 +56,14 @@
         "Window of the retry budget.",
         check_between(0.1, 3_600.0),
     ),
+    Setting(
+        "placement",
+        str,
+        DEFAULT_POLICY,
+        "",
+        "How an engine is chosen; all but the default are baselines to compare with.",
+        check_one_of(*POLICIES_BY_NAME),
+    ),
     SETTINGS_BY_NAME["log_level"],
 )
 
--- /dev/null
+++ b/vanillareach/log_cli.py
@@ -0,0 +1,54 @@
+"""Commands that read decision logs."""
+
+import sys
+from typing import Annotated
+
+import typer
+
+from vanillareach.decision_log import (
+    predictions,
+    predictions_table,
+    read_lines,
+    story,
+)
+
+LogFiles = Annotated[
+    list[str] | None, typer.Argument(help="Logs of any instances; none reads stdin.")
+]
+
+
+def register_log_commands(app):
+    """Add the commands to the command line."""
+    app.command(name="explain")(explain)
+    app.command(name="predictions")(show_predictions)
+
+
+def explain(
+    request_id: Annotated[str, typer.Argument(help="Id of the caller's attempt.")],
+    files: LogFiles = None,
+):
+    """Show what logs tell of a request, with what befell its endpoints meanwhile."""
+    told = story(_read(files), request_id)
+    if not told:
+        typer.echo(f"explain: no line tells of {request_id!r}", err=True)
+        raise typer.Exit(1)
+    typer.echo(told)
+
+
+def show_predictions(files: LogFiles = None):
+    """Show how far predicted times to the first event were from those seen."""
+    typer.echo(predictions_table(predictions(_read(files))))
+
+
+def _read(files):
+    if not files:
+        return list(read_lines(sys.stdin))
+    lines = []
+    for path in files:
+        try:
+            with open(path, encoding="utf-8", errors="replace") as stream:
+                lines += read_lines(stream)
+        except OSError as error:
+            typer.echo(f"logs: {error}", err=True)
+            raise typer.Exit(2) from error
+    return lines
