Fuzz all that meets the outside; refuse two kinds of bad entries

Cause, found by the new checks: an entry of an instance that isn't one (another writer's) raised an error that would have ended the process; an endpoint's address with a port over 65,535 was listed, and each request sent there would have met an internal error.

--- /dev/null
+++ b/vanillareach/features/steps/fuzz.py
@@ -0,0 +1,456 @@
+"""Steps that feed changed inputs to every part that meets the outside."""
+
+import random
+from types import SimpleNamespace
+from unittest import mock
+
+import h11
+import msgspec
+import trio
+from behave import given, then, when
+from hypothesis import example
+from hypothesis import given as given_any
+from hypothesis import strategies as st
+
+from vanillareach.control.object_api import PlatformError
+from vanillareach.features.steps.properties import CHECKED
+from vanillareach.features.support import endpoints
+from vanillareach.features.users_platform.endpoint import answer_to
+from vanillareach.features.users_platform.stage import (
+    HOST,
+    KEY,
+    configuration,
+    free_address,
+)
+from vanillareach.gateway.gossip import Gossip
+from vanillareach.gateway.settings import GatewaySettings
+from vanillareach.gateway.state import GatewayState
+from vanillareach.platform.calls import PlatformProtocol
+from vanillareach.platform.documents import (
+    DocumentError,
+    ObjectDocument,
+    decode_configuration,
+    decode_endpoint,
+)
+from vanillareach.platform.store import PlatformStore
+from vanillareach.utils import split_address
+
+ANSWER_LIMIT_S = 20
+MAX_PORT = 65_535
+ENTRY = {
+    "backend": "desk",
+    "address": "10.0.0.1:80",
+    "zone": "zone-a",
+    "version": "1",
+    "slots": 8,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "sequence": 1,
+    "born": 1,
+}
+ODD_VALUES = st.one_of(
+    st.none(),
+    st.booleans(),
+    st.integers(-(2**70), 2**70),
+    st.floats(allow_nan=False),
+    st.text(max_size=8),
+    st.sampled_from(("", ":", "10.0.0.1:", ":80", "10.0.0.1:99999", "::1:80", "x:80")),
+    st.lists(st.integers(0, 3), max_size=2),
+    st.dictionaries(st.text(max_size=3), st.integers(0, 3), max_size=2),
+)
+
+
+def paths_in(value, path=()):
+    """Return the paths of all values in a document."""
+    found = [path] if path else []
+    if isinstance(value, dict):
+        for name in value:
+            found += paths_in(value[name], (*path, name))
+    elif isinstance(value, list):
+        for index in range(len(value)):
+            found += paths_in(value[index], (*path, index))
+    return found
+
+
+def with_value(document, path, value):
+    """Return a copy of a document with another value at a path."""
+    copy = msgspec.json.decode(msgspec.json.encode(document))
+    place = copy
+    for step in path[:-1]:
+        place = place[step]
+    place[path[-1]] = value
+    return copy
+
+
+def changed_documents(document):
+    """Return a strategy of documents with one to three values changed."""
+
+    def change(changes):
+        changed = document
+        for path, value in changes:
+            try:
+                changed = with_value(changed, path, value)
+            except (KeyError, IndexError, TypeError):
+                continue
+        return msgspec.json.encode(changed)
+
+    one = st.tuples(st.sampled_from(paths_in(document)), ODD_VALUES)
+    return st.lists(one, min_size=1, max_size=3).map(change)
+
+
+def changed_bytes(data, chooser):
+    """Return bytes with some flipped, left out, doubled or cut."""
+    changed = bytearray(data)
+    for _ in range(chooser.randrange(1, 4)):
+        at = chooser.randrange(len(changed))
+        kind = chooser.choice(("flip", "drop", "double", "cut", "insert"))
+        if kind == "flip":
+            changed[at] ^= 1 << chooser.randrange(8)
+        elif kind == "drop":
+            del changed[at : at + chooser.randrange(1, 20)]
+        elif kind == "double":
+            changed[at:at] = changed[at : at + chooser.randrange(1, 60)]
+        elif kind == "cut":
+            del changed[max(1, at) :]
+        else:
+            changed[at:at] = chooser.randbytes(chooser.randrange(1, 8))
+        if not changed:
+            changed += b"x"
+    return bytes(changed)
+
+
+@then("changed configurations are tables that match requests, or refused")
+def step_configurations(context):
+    outcomes = set()
+
+    @CHECKED
+    @given_any(changed_documents(configuration(4)))
+    def check(data):
+        try:
+            table = decode_configuration(data)
+        except DocumentError:
+            outcomes.add("refused")
+            return
+        outcomes.add("read")
+        route = table.match(HOST, "/read/a")
+        if route is not None:
+            assert isinstance(route.pick_service(0.5), str)
+
+    check()
+    assert outcomes == {"refused", "read"}, outcomes
+
+
+@then("changed entries of endpoints have an address to connect to, or are refused")
+def step_entries(context):
+    outcomes = set()
+
+    stored = {"metadata": {"name": "d1", "rev": 3}, "spec": ENTRY}
+
+    def with_address(address):
+        return msgspec.json.encode(with_value(stored, ("spec", "address"), address))
+
+    @CHECKED
+    @example(with_address("10.0.0.1:99999"))
+    @example(with_address("10.0.0.1:0"))
+    @example(with_address(":80"))
+    @given_any(changed_documents(stored))
+    def check(data):
+        try:
+            stored = msgspec.json.decode(data, type=ObjectDocument)
+            endpoint = decode_endpoint(stored)
+        except (msgspec.MsgspecError, DocumentError):
+            outcomes.add("refused")
+            return
+        outcomes.add("read")
+        host, port = split_address(endpoint.address)
+        assert host
+        assert 0 < port <= MAX_PORT, port
+
+    check()
+    assert outcomes == {"refused", "read"}, outcomes
+
+
+class FixedPool:
+    """Answers each call of the store's client with the same response."""
+
+    def __init__(self, status, content):
+        self._response = SimpleNamespace(status=status, content=content)
+
+    async def request(self, *arguments, **values):
+        """Return the response."""
+        return self._response
+
+
+async def call_everything(store):
+    """Make each call of a store and return the names of the errors."""
+    errors = set()
+    for call, *arguments in (
+        (store.read_configuration,),
+        (store.wait_for_configuration, 1, 0),
+        (store.list_endpoints,),
+        (store.list_instances,),
+        (store.register_instance, "g1", "127.0.0.1:1"),
+        (store.remove_instance, "g1"),
+    ):
+        try:
+            await call(*arguments)
+        except PlatformError as error:
+            errors.add(type(error).__name__)
+    return errors
+
+
+@then("no changed answer of the store raises anything but its own errors")
+def step_store_answers(context):
+    errors = set()
+    stored = {"metadata": {"name": "main", "rev": 3}, "spec": configuration(4)}
+    entry = {"metadata": {"name": "d1", "rev": 3}, "spec": ENTRY}
+    page = {"items": [entry, stored], "more": False, "at": 7}
+    watch = {"events": [{"object": stored, "deleted": False}], "at": 9}
+    documents = st.one_of(
+        changed_documents(stored),
+        changed_documents(page),
+        changed_documents(watch),
+        st.binary(max_size=40),
+    )
+
+    @CHECKED
+    @given_any(st.sampled_from((200, 404, 409, 410, 429, 500)), documents)
+    def check(status, data):
+        store = PlatformStore("127.0.0.1:1")
+        store._pool = FixedPool(status, data)
+        errors.update(trio.run(call_everything, store))
+
+    check()
+    assert errors, "no change led to an error"
+
+
+@then("no changed datagram of a peer raises an error, sealed or not")
+def step_datagrams(context):
+    chooser = random.Random(3)
+    clock = SimpleNamespace(now_ms=lambda: 5_000.0, wall_ms=lambda: 1e12)
+
+    async def check():
+        async with trio.open_nursery() as nursery:
+            gossips = [
+                Gossip(settings, GatewayState(settings, clock), None, clock)
+                for settings in (
+                    GatewaySettings(name=name, peer_listen=free_address())
+                    for name in ("g1", "g2")
+                )
+            ]
+            sealer = gossips[0]._sealer
+            beacon = sealer.seal(gossips[0]._beacon())
+            payload = beacon[len(beacon) - len(sealer.seal(gossips[0]._beacon())) :]
+            digest_bytes = len(sealer._digest(b""))
+            for number in range(2_000):
+                if number % 2:
+                    data = changed_bytes(beacon, chooser)
+                else:
+                    inner = changed_bytes(payload[digest_bytes:], chooser)
+                    data = sealer._digest(inner) + inner
+                gossips[1]._take_datagram(data, nursery)
+            nursery.cancel_scope.cancel()
+
+    trio.run(check)
+
+
+@then("no changed header of a caller or an endpoint raises an error")
+def step_headers(context):
+    chooser = random.Random(4)
+    protocol = PlatformProtocol()
+    valid = [
+        (b"Vanillareach-Attempt-Id", b"a1"),
+        (b"Vanillareach-Deadline-Ms", b"5000"),
+        (b"Vanillareach-Token-Usage", b"1000,100"),
+        (b"Authorization", b"Bearer " + KEY.encode()),
+        (b"Last-Event-Id", b"4"),
+        (b"Connection", b"close, x-hop"),
+        (b"Vanillareach-Weight-Versions", b"3"),
+    ]
+    for _ in range(2_000):
+        headers = [
+            (name, changed_bytes(value, chooser) if chooser.random() < 0.5 else value)
+            for name, value in valid
+        ]
+        fields = protocol.read_request(headers)
+        assert fields.prompt_tokens >= 0
+        assert fields.limit_ms is None or isinstance(fields.limit_ms, float)
+        protocol.read_answer(200, headers)
+
+
+def request_bytes(number):
+    """Return a valid request with an id of its own."""
+    body = b"body"
+    return (
+        f"POST /read/{number} HTTP/1.1\r\nHost: {HOST}\r\n"
+        f"Vanillareach-Attempt-Id: fuzz-{number}\r\n"
+        "Vanillareach-Deadline-Ms: 5000\r\n"
+        f"Authorization: Bearer {KEY}\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    ).encode() + body
+
+
+async def exchange(address, data):
+    """Send bytes, end the sending, and return all that comes back."""
+    received = b""
+    stream = await trio.open_tcp_stream(*split_address(address))
+    async with stream:
+        try:
+            await stream.send_all(data)
+            await stream.send_eof()
+            while part := await stream.receive_some(65_536):
+                received += part
+        except trio.BrokenResourceError:
+            pass
+    return received
+
+
+@when("{count:d} callers send changed requests")
+def step_changed_requests(context, count):
+    chooser = random.Random(5)
+    address = context.platform.gateways[0].settings.front_listen
+    context.sent = [changed_bytes(request_bytes(n), chooser) for n in range(count)]
+    context.received = []
+
+    async def send():
+        with trio.fail_after(ANSWER_LIMIT_S):
+            for data in context.sent:
+                context.received.append(await exchange(address, data))
+
+    with mock.patch("vanillareach.gateway.connections.log") as context.log:
+        context.run(send)
+
+
+@then("the gateway met no error of its own")
+def step_no_internal_error(context):
+    assert not context.log.exception.called, context.log.exception.mock_calls
+
+
+@then("each got an answer or a closed connection")
+def step_each_answered(context):
+    assert len(context.received) == len(context.sent)
+    wrong = [x for x in context.received if x and not x.startswith(b"HTTP/1.1 ")]
+    assert not wrong, wrong[:3]
+    statuses = {x[9:12] for x in context.received if x}
+    assert len(statuses) > 1, statuses
+
+
+@then("endpoints got only requests that were sent whole")
+def step_only_whole(context):
+    for endpoint in endpoints(context):
+        for received in endpoint.received:
+            path, body = received.path.encode(), received.body or b""
+            assert any(path in data and body in data for data in context.sent), path
+
+
+@then('a caller that sends "{path}" is answered')
+def step_still_serves(context, path):
+    async def call():
+        context.answer = await context.platform.call(path)
+
+    context.run(call)
+    assert context.answer.status == 200
+
+
+@given("a gateway before an endpoint that answers with changed bytes")
+def step_raw_endpoint(context):
+    stage, chooser = context.platform, random.Random(6)
+    context.sent_by_attempt = {}
+
+    async def answer(stream):
+        async with stream:
+            data = b""
+            while b"\r\n\r\n" not in data:
+                part = await stream.receive_some(65_536)
+                if not part:
+                    return
+                data += part
+            lines = data.lower().split(b"\r\n")
+            ids = [x for x in lines if x.startswith(b"vanillareach-attempt-id: ")]
+            attempt_id = ids[0].partition(b": ")[2].decode()
+            body = answer_to(attempt_id)
+            valid = (
+                f"HTTP/1.1 200 OK\r\nVanillareach-Attempt-Id: {attempt_id}\r\n"
+                "Vanillareach-Response-Signature: signed\r\n"
+                f"Content-Length: {len(body)}\r\n\r\n{body}"
+            ).encode()
+            is_valid = chooser.random() < 0.3
+            sent = valid if is_valid else changed_head(valid, chooser)
+            context.sent_by_attempt[attempt_id] = sent
+            try:
+                await stream.send_all(sent)
+            except trio.BrokenResourceError:
+                return
+
+    async def start():
+        await stage.open({"d1": "desk"})
+        address = free_address()
+        host, port = split_address(address)
+        listeners = await trio.open_tcp_listeners(port, host=host)
+        stage._nursery.start_soon(trio.serve_listeners, answer, listeners)
+        stage.endpoints_by_name["d1"].address = address
+        stage.list_endpoint("d1", "desk")
+        await stage.start_gateway("g1")
+
+    context.run(start)
+
+
+def changed_head(data, chooser):
+    """Return an answer with a changed head, or cut in its body."""
+    head, body = data.split(b"\r\n\r\n", 1)
+    if chooser.random() < 0.5:
+        return data[: len(head) + 4 + chooser.randrange(len(body))]
+    return changed_bytes(head + b"\r\n\r\n", chooser) + body
+
+
+@when("{count:d} callers ask it")
+def step_ask_raw(context, count):
+    context.answers = []
+
+    async def ask():
+        with trio.fail_after(ANSWER_LIMIT_S):
+            for _ in range(count):
+                attempt_id = context.platform.next_id()
+                answer = await context.platform.call(
+                    "/book/a", Vanillareach_Attempt_Id=attempt_id
+                )
+                context.answers.append((attempt_id, answer))
+
+    with mock.patch("vanillareach.gateway.connections.log") as context.log:
+        context.run(ask)
+
+
+@then("each whole success is the endpoint's own")
+def step_own(context):
+    for attempt_id, answer in context.answers:
+        if answer.status != 200 or not answer.is_whole:
+            continue
+        sent = context.sent_by_attempt[attempt_id]
+        head, body = read_answer(sent)
+        values_by_name = {name.lower(): value for name, value in head.headers}
+        assert head.status_code == 200, sent
+        assert answer.body == body, sent
+        assert values_by_name[b"vanillareach-attempt-id"] == attempt_id.encode(), sent
+        assert b"vanillareach-response-signature" in values_by_name, sent
+
+
+def read_answer(data):
+    """Return the head and the body that bytes from an endpoint stand for."""
+    client = h11.Connection(h11.CLIENT)
+    client.send(h11.Request(method="GET", target="/", headers=[("Host", "x")]))
+    client.send(h11.EndOfMessage())
+    client.receive_data(data)
+    client.receive_data(b"")
+    head, body = None, b""
+    while not isinstance(event := client.next_event(), h11.EndOfMessage):
+        if isinstance(event, h11.Response):
+            head = event
+        elif isinstance(event, h11.Data):
+            body += bytes(event.data)
+    return head, body
+
+
+@then("the changes led to both successes and failures")
+def step_both(context):
+    statuses = {answer.status for _, answer in context.answers}
+    assert 200 in statuses and 502 in statuses, statuses
--- a/vanillareach/platform/documents.py
+++ b/vanillareach/platform/documents.py
@@ -12,6 +12,7 @@
     RoutedTeam,
     RouteTable,
 )
+from vanillareach.utils import parse_address
 
 KINDS_BY_WORD = {
     "idempotent": RequestKind.IDEMPOTENT,
@@ -243,9 +244,10 @@
         raise DocumentError(f"{stored.metadata.name}: {error}") from error
     if entry.state not in (LEAVING, SERVING):
         raise DocumentError(f"{stored.metadata.name}: state {entry.state!r}")
-    host, _, port = entry.address.rpartition(":")
-    if not host or not port.isdigit():
-        raise DocumentError(f"{stored.metadata.name}: address {entry.address!r}")
+    try:
+        parse_address(entry.address)
+    except ValueError as error:
+        raise DocumentError(f"{stored.metadata.name}: {error}") from error
     return ListedEndpoint(
         id=stored.metadata.name,
         incarnation=entry.born,
--- a/vanillareach/platform/store.py
+++ b/vanillareach/platform/store.py
@@ -11,6 +11,7 @@
     PlatformUnavailableError,
 )
 from vanillareach.gateway.ports import DeploymentStore
+from vanillareach.log import get_logger
 from vanillareach.platform import names
 from vanillareach.platform.documents import (
     DocumentError,
@@ -20,6 +21,9 @@
     decode_configuration,
     decode_endpoint,
 )
+from vanillareach.utils import parse_address
+
+log = get_logger("store")
 
 JSON_HEADERS = ((b"Content-Type", b"application/json"),)
 INSTANCE_KIND = "vanillareach-instances"
@@ -97,13 +101,18 @@
     async def list_instances(self):
         """List the instances; see `DeploymentStore`."""
         items, _ = await self._list(INSTANCE_KIND)
-        return [
-            (
-                item.metadata.name,
-                msgspec.json.decode(item.spec, type=InstanceSpec).address,
-            )
-            for item in items
-        ]
+        found = []
+        for item in items:
+            try:
+                spec = msgspec.json.decode(item.spec, type=InstanceSpec)
+                parse_address(spec.address)
+            except ValueError as error:
+                # Another writer's entry; it names no instance to greet.
+                name = item.metadata.name
+                log.warning("Unreadable instance.", name=name, cause=str(error))
+                continue
+            found.append((item.metadata.name, spec.address))
+        return found
 
     async def register_instance(self, name, address):
         """Write this instance's entry; see `DeploymentStore`."""
