Show what gateways know; compare policies of placement on emulated deployments

Each gateway serves its state as JSON at the metrics address: versions and their ages, endpoints with the reason why one gets no work, peers, retries left, memory held. `vanillareach gateways` shows it for several instances. `make policies` plays the emulated deployments of both users once for each policy and bounds the ratio of the best baseline to ours; it hasn't been run on an idle machine yet.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 export PYTHONHASHSEED := 0
 export PATH := $(CURDIR)/$(VENV)/bin:$(PATH)
 
-.PHONY: demo soak test bench capacity faults lint clean
+.PHONY: demo soak test bench policies capacity faults lint clean
 
 demo: $(SETUP)
 	bash bench/fleet.sh demo python -m bench.demo
@@ -21,6 +21,11 @@
 bench: $(SETUP)
 	bash bench/run.sh
 
+# The policies of placement on emulated deployments of the users' sizes.
+policies: $(SETUP)
+	bash bench/policies.sh docs/samples/scenarios/metselvak.toml \
+		docs/samples/scenarios/tsagaan-tal.toml
+
 capacity: $(SETUP)
 	bash bench/fleet.sh relay python -m bench.capacity
 
--- a/bench/layout.py
+++ b/bench/layout.py
@@ -4,6 +4,7 @@
 them. Nothing here starts a process.
 """
 
+import os
 import sys
 from dataclasses import dataclass
 
@@ -149,15 +150,15 @@
         """Return the address in one of the rows of `GATEWAY_PORTS`."""
         return f"{HOST}:{GATEWAY_PORTS[row] + self.number}"
 
-    def command(self):
+    def command(self, domain="zone-a", store="", options=""):
         """Return the command that starts it; its store is a proxy of the soak."""
         return (
-            f"{RUN} gateway --name g{self.number} --domain zone-a --grace-s 8"
+            f"{RUN} gateway --name g{self.number} --domain {domain} --grace-s 8"
             f" --front-listen {self.address('front')}"
             f" --ready-listen {self.address('ready')}"
             f" --metrics-listen {self.address('metrics')}"
             f" --peer-listen {self.address('peer')}"
-            f" --store {self.address('store')}"
+            f" --store {store or self.address('store')}{options}"
         )
 
 
@@ -168,6 +169,8 @@
     "peer": 19_400,
     "store": 19_500,
 }
+FIRST_EMULATED_PORT = 21_000
+EMULATED_GATEWAYS = tuple(Gateway(number) for number in range(3))
 GATEWAYS_BY_LAYOUT = {
     "soak": tuple(Gateway(number) for number in range(4)),
     "soak-large": tuple(Gateway(number) for number in range(60)),
@@ -208,8 +211,26 @@
     )
 
 
+def emulated_commands(policy):
+    """Yield the commands of gateways with a policy before an emulated deployment.
+
+    The environment names the scenario file, ``SCENARIO``.
+    """
+    yield f"{RUN} emulate {os.environ['SCENARIO']} --first-port {FIRST_EMULATED_PORT}"
+    store = f"{HOST}:{FIRST_EMULATED_PORT}"
+    for gateway in EMULATED_GATEWAYS:
+        options = f" --placement {policy} --log-level warning"
+        yield gateway.command(domain_of(gateway.number), store, options)
+
+
 def commands_of(name):
     """Yield the commands of a layout by its name."""
+    if name == "emulated-targets":
+        yield ",".join(gateway.address("front") for gateway in EMULATED_GATEWAYS)
+        return
+    if name.startswith("emulated-"):
+        yield from emulated_commands(name.removeprefix("emulated-"))
+        return
     if name in GATEWAYS_BY_LAYOUT:
         for gateway in GATEWAYS_BY_LAYOUT[name]:
             yield gateway.command()
--- /dev/null
+++ b/bench/policies.py
@@ -0,0 +1,67 @@
+"""Compares policies of placement: one table over the reports of ``vanillareach load``.
+
+``bench/policies.sh`` plays a scenario once for each policy, with the same requests, and
+then runs this over the reports. The bound is a ratio between policies of one run.
+"""
+
+import sys
+from pathlib import Path
+
+from bench.figures import Figure, report
+from vanillareach.core.engine_policies import DEFAULT_POLICY
+from vanillareach.emulation.results import read_report
+
+FOLDER = Path("build/policies")
+# The policy in use serves at least as much in time as the best baseline, but for what
+# two runs of the same policy differ by on a shared machine.
+MOST_RATIO = 1.03
+
+
+def read_reports(folder, scenario):
+    """Return the `Report` of each policy by its name."""
+    paths = sorted(folder.glob(f"{scenario}.*.json"))
+    return {path.name.split(".")[1]: read_report(path) for path in paths}
+
+
+def benefit_in_time(outcome):
+    """Return the mean over kinds of the share in time."""
+    return sum(kind.share_in_time for kind in outcome.kinds) / len(outcome.kinds)
+
+
+def table(reports_by_policy):
+    """Return the share in time of each kind by policy, and their mean, as text."""
+    names = [kind.name for kind in next(iter(reports_by_policy.values())).kinds]
+    lines = [f"{'policy':16}" + "".join(f"{name:>10}" for name in (*names, "mean"))]
+    for policy, outcome in reports_by_policy.items():
+        shares = [kind.share_in_time for kind in outcome.kinds]
+        shares.append(benefit_in_time(outcome))
+        lines.append(f"{policy:16}" + "".join(f"{share:10.3f}" for share in shares))
+    return "\n".join(lines)
+
+
+def figures(scenario, reports_by_policy):
+    """Return the figure that has a bound."""
+    own = benefit_in_time(reports_by_policy[DEFAULT_POLICY])
+    best = max(
+        benefit_in_time(outcome)
+        for policy, outcome in reports_by_policy.items()
+        if policy != DEFAULT_POLICY
+    )
+    name = f"{scenario}: best baseline's share in time against ours"
+    return [Figure(name, best / own, "ratio", MOST_RATIO)]
+
+
+def main():
+    """Print the tables of all scenarios played; exit with 1 past a bound."""
+    scenarios = sorted({path.name.split(".")[0] for path in FOLDER.glob("*.json")})
+    found = []
+    for scenario in scenarios:
+        reports_by_policy = read_reports(FOLDER, scenario)
+        print(f"{scenario}: share in time")
+        print(table(reports_by_policy))
+        found += figures(scenario, reports_by_policy)
+    sys.exit(report(found))
+
+
+if __name__ == "__main__":
+    main()
--- a/vanillareach/cli.py
+++ b/vanillareach/cli.py
@@ -8,6 +8,7 @@
 import vanillareach.early_signals  # noqa: F401
 from vanillareach.emulation.cli import register_emulation_commands
 from vanillareach.gateway.settings import GATEWAY_SETTINGS, GatewaySettings
+from vanillareach.gateways_cli import register_gateways_command
 from vanillareach.log_cli import register_log_commands
 from vanillareach.operator_cli import register_operator_commands
 from vanillareach.settings import SETTINGS, Settings, SettingsError
@@ -85,6 +86,7 @@
 register_operator_commands(app)
 register_emulation_commands(app)
 register_log_commands(app)
+register_gateways_command(app)
 app.add_typer(standin_app, name="standin")
 
 
--- a/vanillareach/core/endpoint_health.py
+++ b/vanillareach/core/endpoint_health.py
@@ -80,6 +80,10 @@
         """Take an endpoint back after a connection was made."""
         self.unreachable_by_key.pop(key, None)
 
+    def is_shunned(self, key, now_ms):
+        """Return whether an endpoint fails too often to get work beside others."""
+        return self.failure_share(key, now_ms) >= SHUNNED_SHARE
+
     def prefer_sound(self, endpoints, now_ms):
         """Return the endpoints that aren't shunned, or all if none is left."""
         reachable = [
@@ -90,7 +94,7 @@
         sound = [
             endpoint
             for endpoint in reachable
-            if self.failure_share(endpoint.key, now_ms) < SHUNNED_SHARE
+            if not self.is_shunned(endpoint.key, now_ms)
         ]
         return sound or reachable or endpoints
 
--- a/vanillareach/core/retry_share.py
+++ b/vanillareach/core/retry_share.py
@@ -45,14 +45,18 @@
         instances : int
             Instances that share the slack.
         """
+        if not self.left(instances, now_ms):
+            return False
+        self._retries_ms.append(now_ms)
+        return True
+
+    def left(self, instances, now_ms):
+        """Return how many retries this instance may take now."""
         self._forget(now_ms)
         allowed = USED_SHARE * (
             self._slack / max(1, instances) + self._ratio * len(self._requests_ms)
         )
-        if len(self._retries_ms) + 1 > allowed:
-            return False
-        self._retries_ms.append(now_ms)
-        return True
+        return max(0, int(allowed) - len(self._retries_ms))
 
     def _forget(self, now_ms):
         for times in (self._requests_ms, self._retries_ms):
--- a/vanillareach/features/gateway_fleet.feature
+++ b/vanillareach/features/gateway_fleet.feature
@@ -47,6 +47,14 @@
     Then the second gateway counts one request at an endpoint
     And the third gateway counts one request at an endpoint
 
+  Scenario: Operators see what each gateway knows and why it shuns an endpoint
+    Given a second gateway in domain "zone-b"
+    And the endpoint "m1" can't be reached and "m2" failed 5 attempts
+    When the endpoint "d1" leaves
+    Then the first gateway reports "d1" leaving, "m1" unreachable, "m2" shunned
+    And its report names its peer, its version and the retries that are left
+    And the table of both gateways has a row for each and one for a silent one
+
   Scenario: A silent store leaves requests served
     When the store cuts all calls
     And a caller sends "/read/a"
--- a/vanillareach/features/steps/gateway_fleet.py
+++ b/vanillareach/features/steps/gateway_fleet.py
@@ -10,7 +10,10 @@
     configuration,
     free_address,
 )
+from vanillareach.gateway.report import InstanceReport
+from vanillareach.gateways_cli import endpoints_table, instances_table
 from vanillareach.platform.documents import decode_configuration
+from vanillareach.utils import split_address
 
 
 @when('the operator writes version {version:d} without the route "{name}"')
@@ -221,3 +224,75 @@
 
     context.run(ask)
     assert context.ready.startswith(b"HTTP/1.1 503"), context.ready
+
+
+@given('the endpoint "{gone}" can\'t be reached and "{bad}" failed {count:d} attempts')
+def step_bad_endpoints(context, gone, bad, count):
+    context.spoilt = (gone, bad, count)
+
+
+def spoil(context, state):
+    """Let a gateway see the faults of the scenario's endpoints."""
+    gone, bad, count = context.spoilt
+    by_id = state.endpoints.by_id
+    state.health.note_unreachable(by_id[gone], [])
+    for _ in range(count):
+        state.health.note(by_id[bad].key, True, context.platform.clock.now_ms())
+
+
+async def fetch_report(context, number):
+    """Return the report of a gateway, asked at its metrics address."""
+    address = context.platform.gateways[number].settings.metrics_listen
+    stream = await trio.open_tcp_stream(*split_address(address))
+    async with stream:
+        await stream.send_all(
+            b"GET /state HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+        )
+        data = b""
+        while part := await stream.receive_some(65_536):
+            data += part
+    return msgspec.json.decode(data.partition(b"\r\n\r\n")[2], type=InstanceReport)
+
+
+@then(
+    'the first gateway reports "{leaving}" leaving, "{gone}" unreachable, '
+    '"{bad}" shunned'
+)
+def step_reports(context, leaving, gone, bad):
+    first = context.platform.gateways[0]
+    wanted = {leaving: "leaving", gone: "unreachable", bad: "shunned"}
+
+    async def ask():
+        await context.platform.until(
+            lambda: len(first.state.endpoints.usable("desk")) == 1
+        )
+        second = await fetch_report(context, 1)
+        # Nothing runs between the faults and the report, so none is over yet.
+        spoil(context, first.state)
+        own = msgspec.json.decode(first._encoded_report(), type=InstanceReport)
+        context.reports = [own, second]
+
+    context.run(ask)
+    standing = {e.id: e.standing for e in context.reports[0].endpoints}
+    assert standing == {**wanted, "d2": "usable"}, standing
+
+
+@then("its report names its peer, its version and the retries that are left")
+def step_report_names(context):
+    report = context.reports[0]
+    assert [(peer.name, peer.domain) for peer in report.peers] == [("g2", "zone-b")]
+    assert report.peers[0].heard_ms_ago >= 0
+    assert (
+        report.configuration_version == context.platform.gateways[0].state.table.version
+    )
+    assert report.retries_left_by_service["model"] > 0
+
+
+@then("the table of both gateways has a row for each and one for a silent one")
+def step_report_table(context):
+    reports = dict(zip(("x:1", "x:2"), context.reports, strict=True))
+    rows = instances_table({**reports, "x:3": None}).splitlines()
+    assert len(rows) == 4
+    assert rows[1].startswith("g1 ") and rows[2].startswith("g2 "), rows
+    assert rows[3].split() == ["x:3", "no", "answer"], rows
+    assert len(endpoints_table(context.reports[0]).splitlines()) == 5
--- a/vanillareach/gateway/app.py
+++ b/vanillareach/gateway/app.py
@@ -4,6 +4,7 @@
 import signal
 import time
 
+import msgspec
 import trio
 
 from vanillareach.clock import MS_PER_SECOND, TrioClock
@@ -15,6 +16,7 @@
 from vanillareach.gateway.forwarder import Forwarder
 from vanillareach.gateway.gossip import Gossip
 from vanillareach.gateway.probing import ReachabilityProber
+from vanillareach.gateway.report import STATE_PATH, build_report
 from vanillareach.gateway.reservations import ReservationKeeper
 from vanillareach.gateway.state import GatewayState
 from vanillareach.log import configure_bounded_logs, get_logger
@@ -175,9 +177,20 @@
         await responder.answer(status, [], b"")
 
     async def _answer_metrics(self, request, responder):
+        if request.path == STATE_PATH:
+            headers = [(b"Content-Type", b"application/json")]
+            await responder.answer(200, headers, self._encoded_report())
+            return
         headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
         await responder.answer(200, headers, self.metrics.render())
 
+    def _encoded_report(self):
+        now_ms = self.clock.now_ms()
+        report = build_report(
+            self.settings, self.state, self.gossip, self.reservations, now_ms
+        )
+        return msgspec.json.encode(report)
+
     async def _write_logs(self):
         while True:
             await trio.sleep(LOG_INTERVAL_S)
--- a/vanillareach/gateway/gossip.py
+++ b/vanillareach/gateway/gossip.py
@@ -120,6 +120,18 @@
             if peer.was_heard_within(alive_ms, now_ms)
         ]
 
+    def peers_heard(self):
+        """Return (name, domain, time since it was heard) of each peer; -1 for never."""
+        now_ms = self._clock.now_ms()
+        return [
+            (
+                peer.name,
+                peer.domain,
+                -1.0 if peer.heard_ms is None else now_ms - peer.heard_ms,
+            )
+            for peer in self._peers_by_name.values()
+        ]
+
     def heard_ms_by_domain(self):
         """Return when each instance of the other domains was last heard."""
         heard = {}
--- /dev/null
+++ b/vanillareach/gateway/report.py
@@ -0,0 +1,138 @@
+"""What one gateway instance knows and why, for operators.
+
+Served as JSON at the metrics address; ``vanillareach gateways`` shows it.
+"""
+
+import msgspec
+
+from vanillareach.core.load_picture import EngineLoad
+
+STATE_PATH = "/state"
+NO_LOAD = EngineLoad()
+
+
+class EndpointReport(msgspec.Struct):
+    """An endpoint, and why it gets no or less work.
+
+    Attributes
+    ----------
+    id, service, domain, address : str
+    standing : str
+        "usable", "leaving", "unreachable" or "shunned".
+    failure_share : float
+        Recent share of attempts that failed.
+    pace : float
+        Factor by which it is slower than published.
+    running : int
+        Requests of all instances there.
+    reading_ms : float
+        Reading that is left there.
+    """
+
+    id: str
+    service: str
+    domain: str
+    address: str
+    standing: str
+    failure_share: float
+    pace: float
+    running: int
+    reading_ms: float
+
+
+class PeerReport(msgspec.Struct):
+    """Another instance; `heard_ms_ago` is -1 if it was never heard."""
+
+    name: str
+    domain: str
+    heard_ms_ago: float
+
+
+class InstanceReport(msgspec.Struct):
+    """Everything that one instance tells of itself.
+
+    Attributes
+    ----------
+    configuration_version : int
+        -1 without a configuration.
+    configuration_age_ms, list_age_ms : float
+        Time since the store confirmed them; -1 if it never did.
+    flights, reservations : int
+        Own requests at endpoints, and memory held for them.
+    retries_left_by_service : dict of str to int
+        Retries that this instance may send now.
+    """
+
+    name: str
+    domain: str
+    is_ready: bool
+    is_stopping: bool
+    configuration_version: int
+    configuration_age_ms: float
+    list_age_ms: float
+    flights: int
+    reservations: int
+    retries_left_by_service: dict[str, int]
+    endpoints: list[EndpointReport]
+    peers: list[PeerReport]
+
+
+def build_report(settings, state, gossip, reservations, now_ms):
+    """Return the `InstanceReport` of this instance.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+    state : GatewayState
+    gossip : Gossip
+    reservations : ReservationKeeper
+    now_ms : float
+    """
+    table = state.table
+    loads = state.picture.loads_by_engine(now_ms)
+    return InstanceReport(
+        name=settings.name,
+        domain=settings.domain,
+        is_ready=state.is_ready,
+        is_stopping=state.is_stopping,
+        configuration_version=table.version if table else -1,
+        configuration_age_ms=state.table_age_ms(),
+        list_age_ms=state.list_age_ms(),
+        flights=state.picture.own_count,
+        reservations=reservations.held_count,
+        retries_left_by_service={
+            service: state.retries(service).left(state.instances, now_ms)
+            for service in (table.services_by_name if table else ())
+        },
+        endpoints=[
+            _endpoint(state, endpoint, loads.get(endpoint.id, NO_LOAD), now_ms)
+            for endpoint in state.endpoints.by_id.values()
+        ],
+        peers=[
+            PeerReport(name, domain, round(heard_ms_ago))
+            for name, domain, heard_ms_ago in gossip.peers_heard()
+        ],
+    )
+
+
+def _endpoint(state, endpoint, load, now_ms):
+    health = state.health
+    failure_share = health.failure_share(endpoint.key, now_ms)
+    standing = "usable"
+    if state.endpoints.is_leaving(endpoint):
+        standing = "leaving"
+    elif endpoint.key in health.unreachable_by_key:
+        standing = "unreachable"
+    elif health.is_shunned(endpoint.key, now_ms):
+        standing = "shunned"
+    return EndpointReport(
+        id=endpoint.id,
+        service=endpoint.service,
+        domain=endpoint.domain,
+        address=endpoint.address,
+        standing=standing,
+        failure_share=round(failure_share, 3),
+        pace=round(state.paces.pace(endpoint.id, now_ms), 2),
+        running=load.running,
+        reading_ms=round(load.reading_ms),
+    )
--- a/vanillareach/gateway/reservations.py
+++ b/vanillareach/gateway/reservations.py
@@ -60,6 +60,11 @@
         self._kept_by_id = {}
         self._nursery = None
 
+    @property
+    def held_count(self):
+        """Number of reservations that are kept."""
+        return len(self._kept_by_id)
+
     async def run(self):
         """Renew what is held, for ever."""
         async with trio.open_nursery() as nursery:
