--- a/vanillareach/core/dispatching.py
+++ b/vanillareach/core/dispatching.py
@@ -4,12 +4,12 @@
 
 from vanillareach.core.engine_time import pass_ms
 from vanillareach.core.load_picture import EngineLoad, Flight
-from vanillareach.core.routing import RequestKind
-from vanillareach.core.span_placement import (
+from vanillareach.core.placement_types import (
     EngineView,
     GenerationNeed,
     Placement,
 )
+from vanillareach.core.routing import RequestKind
 
 # Prompts up to this length are short ones.
 SHORT_TOKENS = 16_000
--- a/vanillareach/core/engine_policies.py
+++ b/vanillareach/core/engine_policies.py
@@ -9,8 +9,8 @@
 from abc import ABC, abstractmethod
 
 from vanillareach.core.engine_time import read_ms
+from vanillareach.core.placement_types import Placement
 from vanillareach.core.span_placement import (
-    Placement,
     first_event_ms,
     place,
     views_with_room,
--- a/vanillareach/core/span_placement.py
+++ b/vanillareach/core/span_placement.py
@@ -9,11 +9,8 @@
 costs all of them together least.
 """
 
-import math
-from dataclasses import dataclass
-
 from vanillareach.core.engine_time import pass_ms, read_ms, writing_ms
-from vanillareach.core.load_picture import EngineLoad
+from vanillareach.core.placement_types import Placement
 
 # Helpers that an endpoint accepts for one request.
 MAX_HELPERS = 16
@@ -63,95 +60,6 @@
 SPAN_TOKENS = 12_000
 
 
-@dataclass(slots=True, frozen=True)
-class GenerationNeed:
-    """What a generation needs and is owed.
-
-    Attributes
-    ----------
-    prompt_tokens, answer_tokens : int
-    objective_left_ms : float
-        Time left for the first event to be in time; may be negative.
-    deadline_left_ms : float
-        Time after which an answer is worth nothing.
-    pause_limit_ms, worth : float
-    domain : str
-        Failure domain of the instance that asks.
-    unseen : float
-        Requests that other instances place while they can't be seen here yet.
-    stay_ms : float
-        Time after which the instance that asks is gone, and all answers with it.
-    """
-
-    prompt_tokens: int
-    answer_tokens: int
-    objective_left_ms: float
-    deadline_left_ms: float
-    pause_limit_ms: float
-    worth: float
-    domain: str
-    unseen: float = 0.0
-    stay_ms: float = math.inf
-
-
-@dataclass(slots=True, frozen=True)
-class EngineView:
-    """One engine as placement sees it.
-
-    Attributes
-    ----------
-    endpoint : ListedEndpoint
-    load : EngineLoad
-    failure_share : float
-        Recent share of attempts that failed there, 0 to 1.
-    pace : float
-        Factor by which it is slower than published.
-    jitter : float
-        Random cost, in worth, that keeps instances with the same picture apart.
-    """
-
-    endpoint: object
-    load: EngineLoad
-    failure_share: float = 0.0
-    pace: float = 1.0
-    jitter: float = 0.0
-
-
-@dataclass(slots=True, frozen=True)
-class Placement:
-    """Endpoint of an attempt, with the prediction that chose it.
-
-    Attributes
-    ----------
-    endpoint : ListedEndpoint
-    helpers : tuple of ListedEndpoint
-    part_ms : float
-        Predicted time of reading one part.
-    first_event_ms : float
-        Predicted time to the first event.
-    cost : float
-        Predicted loss of benefit, in worth.
-    gain : float
-        Predicted benefit less what others lose; below 0 it is better refused.
-    held_tokens : tuple of int
-        Memory to reserve at each helper, 0 for none; empty if the engine has room.
-    """
-
-    endpoint: object
-    helpers: tuple = ()
-    part_ms: float = 0.0
-    first_event_ms: float = 0.0
-    cost: float = 0.0
-    gain: float = 0.0
-    held_tokens: tuple = ()
-
-    @property
-    def tokens_by_holder(self):
-        """Memory to reserve, by helper."""
-        held = zip(self.helpers, self.held_tokens, strict=False)
-        return {helper: tokens for helper, tokens in held if tokens}
-
-
 def risk(value_ms, limit_ms):
     """Return the chance that a predicted duration breaks its limit, 0 to 1."""
     if limit_ms <= 0:
--- a/vanillareach/emulation/world.py
+++ b/vanillareach/emulation/world.py
@@ -11,7 +11,7 @@
 from vanillareach.core.routing import CallerLimits
 from vanillareach.emulation.endpoints import EmulatedEngine, EmulatedService
 from vanillareach.emulation.scenario import KEY, TEAM
-from vanillareach.gateway.connections import CallerListener
+from vanillareach.gateway.listener import CallerListener
 from vanillareach.log import get_logger
 from vanillareach.platform import far_side
 from vanillareach.platform.standin_store import StandinStore
--- a/vanillareach/features/steps/placement_load.py
+++ b/vanillareach/features/steps/placement_load.py
@@ -7,8 +7,9 @@
 from vanillareach.core.endpoint_list import ListedEndpoint
 from vanillareach.core.engine_time import pass_ms
 from vanillareach.core.load_picture import EngineLoad, Flight, LoadPicture
+from vanillareach.core.placement_types import EngineView, GenerationNeed
 from vanillareach.core.routing import EngineFigures
-from vanillareach.core.span_placement import EngineView, GenerationNeed, place
+from vanillareach.core.span_placement import place
 
 FIGURES = EngineFigures(
     slots=8,
--- a/vanillareach/features/users_platform/stage.py
+++ b/vanillareach/features/users_platform/stage.py
@@ -11,7 +11,7 @@
 from vanillareach.core.routing import CallerLimits
 from vanillareach.features.users_platform.endpoint import StandinEndpoint
 from vanillareach.gateway.app import GatewayApplication
-from vanillareach.gateway.connections import CallerListener
+from vanillareach.gateway.listener import CallerListener
 from vanillareach.gateway.settings import GatewaySettings
 from vanillareach.log import BoundedWriter
 from vanillareach.platform.calls import PlatformProtocol
--- a/vanillareach/gateway/app.py
+++ b/vanillareach/gateway/app.py
@@ -11,10 +11,10 @@
 from vanillareach.core.dispatching import Dispatcher
 from vanillareach.core.engine_policies import POLICIES_BY_NAME
 from vanillareach.core.routing import CallerLimits
-from vanillareach.gateway.connections import CallerListener
 from vanillareach.gateway.following import StoreFollower
 from vanillareach.gateway.forwarder import Forwarder
 from vanillareach.gateway.gossip import Gossip
+from vanillareach.gateway.listener import CallerListener
 from vanillareach.gateway.probing import ReachabilityProber
 from vanillareach.gateway.report import STATE_PATH, build_report
 from vanillareach.gateway.reservations import ReservationKeeper
--- a/vanillareach/gateway/gossip.py
+++ b/vanillareach/gateway/gossip.py
@@ -19,6 +19,7 @@
     StateQuery,
     unpack_table,
 )
+from vanillareach.core.peer import Peer
 from vanillareach.core.suspicion import Loss
 from vanillareach.gateway.datagrams import MAX_DATAGRAM_BYTES, DatagramSocket
 from vanillareach.log import get_logger
@@ -44,30 +45,6 @@
 log = get_logger("gossip")
 
 
-class Peer:
-    """Another instance.
-
-    Attributes
-    ----------
-    heard_ms : float or None
-        When its last beacon came.
-    """
-
-    __slots__ = ("address", "domain", "heard_ms", "name", "order", "since_ms")
-
-    def __init__(self, name, address, since_ms):
-        self.name = name
-        self.address = address
-        self.domain = ""
-        self.heard_ms = None
-        self.since_ms = since_ms
-        self.order = (0, 0)
-
-    def was_heard_within(self, duration_ms, now_ms):
-        """Return whether a beacon came in the last `duration_ms`."""
-        return self.heard_ms is not None and now_ms - self.heard_ms < duration_ms
-
-
 class Gossip:
     """Exchange of beacons.
 
@@ -92,6 +69,7 @@
         self._incarnation = clock.wall_ms()
         self._sequence = 0
         self._peers_by_name = {}
+        self._sock = None
         self._changed = trio.Event()
         self._fetches_table = False
         self._fetches_list = False
@@ -101,14 +79,14 @@
 
     async def run(self):
         """Send and receive for ever."""
-        sock = self._sock = DatagramSocket(self.address)
+        self._sock = DatagramSocket(self.address)
         try:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._receive, sock, nursery)
-                nursery.start_soon(self._send, sock)
+                nursery.start_soon(self._receive, nursery)
+                nursery.start_soon(self._send)
                 nursery.start_soon(self._link.serve, self._answer)
         finally:
-            sock.close()
+            self._sock.close()
 
     def alive_names(self):
         """Return the names of the instances heard lately."""
@@ -172,7 +150,7 @@
         self._only_flights = self._only_flights and only_flights
         self._changed.set()
 
-    async def _send(self, sock):
+    async def _send(self):
         has_news, only_flights = True, False
         while True:
             if has_news or self._is_turn():
@@ -271,9 +249,9 @@
             paces=tuple(state.paces.own.items()),
         )
 
-    async def _receive(self, sock, nursery):
+    async def _receive(self, nursery):
         while True:
-            for data in await sock.receive():
+            for data in await self._sock.receive():
                 self._take_datagram(data, nursery)
             await self._clock.sleep_ms(GATHER_MS_PER_PEER * len(self._peers_by_name))
 
