Tell others at once what the store confirmed; ask it one after another

Confirmations no longer grow younger, and an instance told of its own only with its next beacon, up to 1.5 s later; by then 65 instances of one and the same rank asked themselves. Change: who got an answer from the store tells the others at once; instances behind rank 5 ask 10 ms after each other.

--- a/vanillareach/features/gateway_news.feature
+++ b/vanillareach/features/gateway_news.feature
@@ -39,3 +39,8 @@
     And they have done so for 500 ms since the store confirmed it
     Then none of them takes it for younger than 380 ms
     And none of them takes it for older than 500 ms
+
+  Scenario: Instances ask the store one after another, all in time
+    When 72 instances order themselves by rank
+    Then each of the first 36 asks at least 10 ms after the one before
+    And the last asks within 1000 ms after the first
--- a/vanillareach/features/steps/gateway_news.py
+++ b/vanillareach/features/steps/gateway_news.py
@@ -1,5 +1,6 @@
 """Steps about what instances tell each other, and while one loads."""
 
+import itertools
 import socket
 from types import SimpleNamespace
 
@@ -13,6 +14,7 @@
 from vanillareach.core.routing import CallerLimits
 from vanillareach.early_sockets import listen_early, take_early_socket
 from vanillareach.features.users_platform.stage import free_address
+from vanillareach.gateway.following import rank_delay_ms
 from vanillareach.gateway.listener import CallerListener
 from vanillareach.utils import split_address
 
@@ -180,3 +182,20 @@
 def step_not_older(context, age_ms):
     ages = [context.told_ms - teller.confirmed_ms for teller in context.tellers]
     assert max(ages) <= age_ms, ages
+
+
+@when("{count:d} instances order themselves by rank")
+def step_ranks(context, count):
+    context.delays = [rank_delay_ms(rank) for rank in range(count)]
+
+
+@then("each of the first {count:d} asks at least {step_ms:d} ms after the one before")
+def step_rank_steps(context, count, step_ms):
+    delays = context.delays[:count]
+    steps = [after - before for before, after in itertools.pairwise(delays)]
+    assert min(steps) >= step_ms, steps
+
+
+@then("the last asks within {limit_ms:d} ms after the first")
+def step_last_rank(context, limit_ms):
+    assert max(context.delays) - min(context.delays) <= limit_ms, context.delays[-1]
--- a/vanillareach/gateway/following.py
+++ b/vanillareach/gateway/following.py
@@ -27,12 +27,21 @@
 WATCH_AGE_MS = 1_250.0
 RANK_STEP_MS = 120.0
 MAX_RANK = 5
+# Those behind that rank follow closely, so that not all of them ask at once.
+LATE_RANK_STEP_MS = 10.0
+MAX_LATE_RANK = 35
 RETRY_MS = 200.0
 REGISTER_INTERVAL_MS = 5_000.0
 
 log = get_logger("store")
 
 
+def rank_delay_ms(rank):
+    """Return how much later an instance of some rank asks than the first one."""
+    late_rank = max(0, min(rank, MAX_LATE_RANK) - MAX_RANK)
+    return RANK_STEP_MS * min(rank, MAX_RANK) + LATE_RANK_STEP_MS * late_rank
+
+
 class StoreFollower:
     """Follows the store.
 
@@ -60,18 +69,18 @@
             nursery.start_soon(self._follow_instances)
 
     def _rank(self, matter):
-        names = self._gossip.alive_names()
-        return min(MAX_RANK, rank_of(self._gossip.name, matter, names))
+        return rank_of(self._gossip.name, matter, self._gossip.alive_names())
 
     async def _follow_configuration(self):
         while True:
             rank = self._rank("configuration")
             age_ms = self._state.table_age_ms()
-            wait_age_ms = WATCH_AGE_MS + RANK_STEP_MS * rank if rank else 0.0
+            wait_age_ms = WATCH_AGE_MS + rank_delay_ms(rank) if rank else 0.0
             if 0 <= age_ms < wait_age_ms:
                 await self._wait_for_age(wait_age_ms - age_ms)
                 continue
-            await self._attempt(self._ask_configuration)
+            if await self._attempt(self._ask_configuration):
+                self._state.publish()
 
     async def _wait_for_age(self, left_ms):
         await self._clock.sleep_ms(min(MAX_TICK_MS, max(TICK_MS, left_ms)))
@@ -106,11 +115,13 @@
         while True:
             rank = self._rank("endpoints")
             age_ms = self._state.list_age_ms()
-            wait_age_ms = LIST_AGE_MS + RANK_STEP_MS * rank
+            wait_age_ms = LIST_AGE_MS + rank_delay_ms(rank)
             if 0 <= age_ms < wait_age_ms:
                 await self._wait_for_age(wait_age_ms - age_ms)
                 continue
-            await self._attempt(self._ask_endpoints)
+            if await self._attempt(self._ask_endpoints):
+                # Others ask themselves unless they hear of it soon.
+                self._state.publish()
 
     async def _ask_endpoints(self):
         asked_ms = self._clock.now_ms()
@@ -136,12 +147,15 @@
                 log.info("Entry removed.", instance=name)
 
     async def _attempt(self, ask, *arguments):
+        """Ask the store and return whether it answered; wait a little if not."""
         try:
             await ask(*arguments)
-            self._note_reachable(True, "")
         except (PlatformUnavailableError, PlatformConflictError) as error:
             self._note_reachable(False, str(error))
             await self._clock.sleep_ms(RETRY_MS)
+            return False
+        self._note_reachable(True, "")
+        return True
 
     def _note_reachable(self, is_reachable, cause):
         if is_reachable is self._is_reachable:
