--- a/vanillareach/emulation/caller.py
+++ b/vanillareach/emulation/caller.py
@@ -14,6 +14,8 @@
 # Tries of a caller, the first included.
 MAX_TRIES = 2
 EVENT_END = b"\n\n"
+# Bytes of a failure's body that are read.
+FAILURE_BYTES = 1_048_576
 REFUSALS = frozenset((429, 503))
 
 
@@ -89,7 +91,7 @@
         self.records.append(record)
 
     async def _try_until_answered(self, arrival, record, began_ms):
-        while record.tries < MAX_TRIES:
+        while True:
             record.tries += 1
             try:
                 status, wait_ms = await self._try(arrival, record, began_ms)
@@ -98,11 +100,10 @@
             except EndpointBrokenError:
                 status, wait_ms = None, None
             record.outcome = self._outcome(arrival, record, status)
-            is_over = status == 200 or wait_ms is None
-            if is_over and not (status != 200 and arrival.kind.repeatable):
+            may_return = wait_ms is not None or arrival.kind.repeatable
+            if status == 200 or not may_return or record.tries == MAX_TRIES:
                 return
-            if record.tries < MAX_TRIES:
-                await self._clock.sleep_ms(wait_ms or 0.0)
+            await self._clock.sleep_ms(wait_ms or 0.0)
 
     def _outcome(self, arrival, record, status):
         if status in REFUSALS:
@@ -121,7 +122,7 @@
         request = self._request(arrival, record.tries, elapsed_ms)
         async with open_upstream(request, lambda: None) as answer:
             if answer.status != 200:
-                await answer.read(1 << 20)
+                await answer.read(FAILURE_BYTES)
                 return answer.status, far_side.retry_after_ms(answer.headers)
             await self._read(arrival, answer, record, began_ms)
             return answer.status, None
--- a/vanillareach/emulation/endpoints.py
+++ b/vanillareach/emulation/endpoints.py
@@ -1,5 +1,7 @@
 """Emulated engines and plain services behind the platform's wire."""
 
+from abc import ABC, abstractmethod
+
 import trio
 
 from vanillareach.clock import MS_PER_SECOND
@@ -13,7 +15,7 @@
 ]
 
 
-class EmulatedEndpoint:
+class EmulatedEndpoint(ABC):
     """What engines and plain services have in common.
 
     Parameters
@@ -68,11 +70,13 @@
             return await responder.answer(500, headers, b"emulated failure")
         return await self._run(fields, responder)
 
+    @abstractmethod
     def _has_room(self, fields):
-        raise NotImplementedError
+        """Return whether a request can begin."""
 
+    @abstractmethod
     async def _run(self, fields, responder):
-        raise NotImplementedError
+        """Run a request and answer it."""
 
     async def _answer_order(self, request, responder):
         await responder.answer(404, [], b"")
