--- a/vanillareach/core/engine_pace.py
+++ b/vanillareach/core/engine_pace.py
@@ -63,11 +63,13 @@
             if expected_ms is None:
                 del self._gaps_by_engine[engine]
                 continue
-            recent = [gap for at_ms, gap in gaps if now_ms - at_ms < GAPS_MS]
+            recent = [(at_ms, gap) for at_ms, gap in gaps if now_ms - at_ms < GAPS_MS]
+            self._gaps_by_engine[engine] = recent
             if len(recent) < LEAST_GAPS:
                 continue
             del self._gaps_by_engine[engine]
-            changed += self._put(engine, median(recent) / expected_ms, now_ms)
+            pace = median(gap for _, gap in recent) / expected_ms
+            changed += self._put(engine, pace, now_ms)
         return changed
 
     def take(self, told, now_ms):
@@ -93,6 +95,11 @@
         return [(engine, after)]
 
     def _drop_old(self, now_ms):
+        self._told_by_engine = {
+            engine: (pace, told_ms)
+            for engine, (pace, told_ms) in self._told_by_engine.items()
+            if now_ms - told_ms < MEMORY_MS
+        }
         old = [
             engine
             for engine in self.own
--- a/vanillareach/features/engine_choice.feature
+++ b/vanillareach/features/engine_choice.feature
@@ -25,6 +25,12 @@
     When an engine that owes a pass of 45 ms shows gaps of "45,45,46,44" ms
     Then its pace is 1.0
 
+  Scenario: Nothing is kept of engines that were seen or told of long ago
+    When an engine that owes a pass of 45 ms shows gaps of "180,180" ms
+    And a peer tells that its pace is 3.0
+    And 4000 ms go by
+    Then no gap and no pace is kept
+
   Scenario Outline: Baselines choose an engine each in their way
     Given engines "e1,e2,e3" with 2, 0 and 1 requests and 100, 9000 and 200 tokens
     When prompts are placed 3 times by "<policy>"
--- a/vanillareach/features/steps/engine_choice.py
+++ b/vanillareach/features/steps/engine_choice.py
@@ -47,6 +47,13 @@
     context.paces.take((("e1", pace),), context.now_ms)
 
 
+@then("no gap and no pace is kept")
+def step_nothing_kept(context):
+    kept = context.paces
+    assert not any(kept._gaps_by_engine.values()), kept._gaps_by_engine
+    assert not kept._told_by_engine, kept._told_by_engine
+
+
 @then("its pace is {pace:g}")
 def step_pace(context, pace):
     found = context.paces.pace("e1", context.now_ms)
