Say once what stood twice: opened datagrams, the length of short prompts, a host's cost

The cost of a host was worked out with its own loss, which was then taken off again: it is the cost besides that loss now.

--- a/vanillareach/core/span_placement.py
+++ b/vanillareach/core/span_placement.py
@@ -119,12 +119,7 @@
     if not hosts:
         return None
     part_ms = read_ms(figures, need.prompt_tokens, width)
-    host = min(
-        hosts,
-        key=lambda view: (
-            _host_cost(need, figures, view, part_ms) + _occupancy_cost(view, part_ms)
-        ),
-    )
+    host = min(hosts, key=lambda view: _host_rank(need, figures, view, part_ms))
     helpers = _helpers(figures, host, views, width, part_ms)
     if helpers is None:
         return None
@@ -134,7 +129,6 @@
     first_ms = first_event_ms(figures, host, part_ms)
     pause_ms = _pause_ms(figures, host)
     cost = _host_cost(need, figures, host, part_ms)
-    cost -= _own_loss(need, first_ms, pause_ms)
     first_pass_ms = pass_ms(figures, 1, need.prompt_tokens / width)
     for view in helpers:
         read_by_ms = _pass_wait_ms(figures, view) + part_ms * view.pace
@@ -207,11 +201,18 @@
     return BURST_FACTOR * LATE_LOSS * worth_per_second * blocked_s
 
 
+def _host_rank(need, figures, view, part_ms):
+    """Return the cost by which hosts compare, before the helpers are known."""
+    first_ms = first_event_ms(figures, view, part_ms)
+    cost = _host_cost(need, figures, view, part_ms)
+    cost += _own_loss(need, first_ms, _pause_ms(figures, view))
+    return cost + _occupancy_cost(view, part_ms)
+
+
 def _host_cost(need, figures, view, part_ms):
+    """Return the cost of a host besides what the request itself loses."""
     load = view.load
-    first_ms = first_event_ms(figures, view, part_ms)
-    cost = _own_loss(need, first_ms, _pause_ms(figures, view))
-    cost += _inflicted(figures, view, part_ms)
+    cost = _inflicted(figures, view, part_ms)
     cost += need.worth * view.failure_share + view.jitter
     cost += _gathering_cost(need, figures, load)
     if view.endpoint.domain != need.domain:
--- a/vanillareach/decision_log.py
+++ b/vanillareach/decision_log.py
@@ -8,8 +8,9 @@
 from dataclasses import dataclass
 from datetime import datetime
 
+from vanillareach.core.dispatching import SHORT_TOKENS
+
 MS_PER_SECOND = 1000.0
-SHORT_TOKENS = 16_000
 QUANTILES = (0.1, 0.5, 0.9, 0.99)
 DISPATCHED = "[request] Dispatched."
 ENDED = "[request] Attempt ended."
--- a/vanillareach/features/steps/fuzz.py
+++ b/vanillareach/features/steps/fuzz.py
@@ -25,6 +25,7 @@
 from vanillareach.gateway.gossip import Gossip
 from vanillareach.gateway.settings import GatewaySettings
 from vanillareach.gateway.state import GatewayState
+from vanillareach.peers.link import DIGEST_BYTES
 from vanillareach.platform.calls import PlatformProtocol
 from vanillareach.platform.documents import (
     DocumentError,
@@ -240,13 +241,12 @@
             ]
             sealer = gossips[0]._sealer
             beacon = sealer.seal(gossips[0]._beacon())
-            payload = beacon[len(beacon) - len(sealer.seal(gossips[0]._beacon())) :]
-            digest_bytes = len(sealer._digest(b""))
+            payload = beacon[DIGEST_BYTES:]
             for number in range(2_000):
                 if number % 2:
                     data = changed_bytes(beacon, chooser)
                 else:
-                    inner = changed_bytes(payload[digest_bytes:], chooser)
+                    inner = changed_bytes(payload, chooser)
                     data = sealer._digest(inner) + inner
                 gossips[1]._take_datagram(data, nursery)
             nursery.cancel_scope.cancel()
--- a/vanillareach/gateway/gossip.py
+++ b/vanillareach/gateway/gossip.py
@@ -256,11 +256,7 @@
             await self._clock.sleep_ms(GATHER_MS_PER_PEER * len(self._peers_by_name))
 
     def _take_datagram(self, data, nursery):
-        try:
-            message = self._sealer.open(data)
-        except MessageError as error:
-            log.warning("Datagram refused.", cause=str(error))
-            return
+        message = self._open(data)
         if isinstance(message, RelayedDatagram):
             message = self._pass_on(message.datagram)
         if isinstance(message, Beacon) and message.name != self.name:
@@ -270,16 +266,22 @@
 
     def _pass_on(self, data):
         """Pass a datagram on to the own domain and return its message, or None."""
-        try:
-            message = self._sealer.open(data)
-        except MessageError as error:
-            log.warning("Relayed datagram refused.", cause=str(error))
+        message = self._open(data)
+        if message is None:
             return None
         name = getattr(message, "name", "")
         peers = self._peers_by_name.values()
         self._send_to(data, self._tree.passes_on_to(peers, name))
         return message
 
+    def _open(self, data):
+        """Return the message in a sealed datagram, or None if it is none."""
+        try:
+            return self._sealer.open(data)
+        except MessageError as error:
+            log.warning("Datagram refused.", cause=str(error))
+            return None
+
     def _take_news(self, news):
         peer = self._peers_by_name.get(news.name)
         order = (news.incarnation, news.sequence)
