--- a/vanillareach/core/dispatching.py
+++ b/vanillareach/core/dispatching.py
@@ -2,6 +2,8 @@
 
 import math
 
+import msgspec
+
 from vanillareach.core.engine_time import pass_ms
 from vanillareach.core.load_state import EngineLoad, InFlightRequest
 from vanillareach.core.placement_types import (
@@ -10,6 +12,7 @@
     Placement,
 )
 from vanillareach.core.routing import RequestKind
+from vanillareach.core.state_change import ChangeKind
 
 # Longest prompt that counts as short in the priority number sent to endpoints.
 SHORT_PROMPT_TOKENS = 16_000
@@ -42,6 +45,9 @@
 # Expected number of requests that one other instance has placed but not yet reported:
 # the request rate of an instance times the latency of load updates, about 10 ms.
 UNREPORTED_REQUESTS_PER_INSTANCE = 0.015
+# Share of those that a placer doesn't know yet: the ones that other domains place,
+# which reach it within some 4 ms.
+PLACER_UNREPORTED_SHARE = 0.3
 # Maximum time that a request waits for an engine with room, as a share of its latency
 # objective.
 MAX_WAIT_OBJECTIVE_SHARE = 0.25
@@ -81,24 +87,73 @@
         self._last_flight_id = 0
 
     def choose(self, exchange, now_ms):
-        """Return the `Placement` of the next attempt, or None.
+        """Return the `Placement` of the next attempt, or None; see `place`."""
+        return self.place(
+            exchange.service.name,
+            self.generation_request(exchange, now_ms),
+            exchange.excluded_endpoints,
+            exchange.first_event_ms is None,
+            now_ms,
+        )
+
+    def generation_request(self, exchange, now_ms):
+        """Return the `GenerationRequest` to place, or None for a plain call."""
+        fields, route = exchange.fields, exchange.route
+        if exchange.service.engine is None or not fields.prompt_tokens:
+            return None
+        waited_ms = now_ms - exchange.request.received_ms
+        return GenerationRequest(
+            prompt_tokens=fields.prompt_tokens,
+            answer_tokens=fields.answer_tokens,
+            time_to_objective_ms=route.objective_ms - waited_ms - CALLER_LATENCY_MS,
+            time_to_deadline_ms=exchange.deadline_ms - now_ms,
+            pause_limit_ms=route.pause_limit_ms,
+            worth=worth_of(fields),
+            domain=self._domain,
+            time_to_shutdown_ms=self._time_to_shutdown_ms(exchange, now_ms),
+        )
+
+    def place(self, service, generation, excluded, may_be_refused, now_ms):
+        """Return the `Placement` of an attempt by the load known here, or None.
 
         None means that no endpoint has room, or that the request would cost more than
         it is worth.
+
+        Parameters
+        ----------
+        service : str
+        generation : GenerationRequest or None
+            None for a call of a plain service.
+        excluded : collection of str
+            Ids of endpoints that are not to be used.
+        may_be_refused : bool
+            Whether a request that costs more than it is worth is refused; a stream
+            that has begun is continued.
+        now_ms : float
         """
         state = self._state
         candidates = [
             endpoint
-            for endpoint in state.endpoints.usable(exchange.service.name)
-            if endpoint.id not in exchange.excluded_endpoints
+            for endpoint in state.endpoints.usable(service)
+            if endpoint.id not in excluded
         ]
         candidates = state.health.prefer_healthy(candidates, now_ms)
         if not candidates:
             return None
         loads = state.load_state.loads_by_engine(now_ms)
-        if exchange.service.engine is None or not exchange.fields.prompt_tokens:
+        if generation is None:
             return self._choose_plain(candidates, loads, now_ms)
-        return self._choose_engine(exchange, candidates, loads, now_ms)
+        figures = state.configuration.services_by_name[service].engine
+        placement = self._policy.place(
+            msgspec.structs.replace(
+                generation, unreported_requests=self._unreported_requests()
+            ),
+            figures,
+            self._engine_views(candidates, loads, now_ms),
+        )
+        if placement is None or (placement.gain < 0 and may_be_refused):
+            return None
+        return placement
 
     def _choose_plain(self, candidates, loads, now_ms):
         health = self._state.health
@@ -114,44 +169,33 @@
 
         return Placement(min(candidates, key=cost))
 
-    def _choose_engine(self, exchange, candidates, loads, now_ms):
-        fields, route = exchange.fields, exchange.route
-        waited_ms = now_ms - exchange.request.received_ms
-        request = GenerationRequest(
-            prompt_tokens=fields.prompt_tokens,
-            answer_tokens=fields.answer_tokens,
-            time_to_objective_ms=route.objective_ms - waited_ms - CALLER_LATENCY_MS,
-            time_to_deadline_ms=exchange.deadline_ms - now_ms,
-            pause_limit_ms=route.pause_limit_ms,
-            worth=worth_of(fields),
-            domain=self._domain,
-            unreported_requests=UNREPORTED_REQUESTS_PER_INSTANCE
-            * self._state.instance_count,
-            time_to_shutdown_ms=self._time_to_shutdown_ms(exchange, now_ms),
-        )
-        health = self._state.health
-        # The more instances there are, the more placements are not known here yet.
+    def _unreported_requests(self):
+        """Return the expected requests that others have placed but not reported."""
+        state = self._state
+        per_instance = UNREPORTED_REQUESTS_PER_INSTANCE
+        if state.is_placer:
+            per_instance *= PLACER_UNREPORTED_SHARE
+        return per_instance * state.instance_count
+
+    def _engine_views(self, candidates, loads, now_ms):
+        """Return the `EngineView` of each candidate, in random order."""
+        health, paces = self._state.health, self._state.paces
+        # The more instances place requests, the more placements are not known here yet.
         jitter = COST_JITTER_PER_INSTANCE * min(
-            self._state.instance_count, MAX_JITTER_INSTANCES
+            self._state.placing_instance_count, MAX_JITTER_INSTANCES
         )
         views = [
             EngineView(
                 endpoint,
                 loads.get(endpoint.id, NO_LOAD),
                 health.failure_share(endpoint.key, now_ms),
-                self._state.paces.pace(endpoint.id, now_ms),
+                paces.pace(endpoint.id, now_ms),
                 jitter=jitter * self._random.random(),
             )
             for endpoint in candidates
         ]
         self._random.shuffle(views)
-        placement = self._policy.place(request, exchange.service.engine, views)
-        if placement is None:
-            return None
-        # A stream that has begun is continued, even if its cost exceeds its worth.
-        if placement.gain < 0 and exchange.first_event_ms is None:
-            return None
-        return placement
+        return views
 
     def _time_to_shutdown_ms(self, exchange, now_ms):
         """Return the time until this instance ends; infinite if the stream has begun.
@@ -163,28 +207,39 @@
         return self._state.stop_deadline_ms - now_ms
 
     def event_gap_predictor(self, now_ms):
-        """Return the function `expected_gap_ms` that `EnginePaces.learn` takes."""
-        state = self._state
-        loads = state.load_state.loads_by_engine(now_ms)
+        """Return the function `expected_gap_ms` that `EnginePaces.update_paces` takes.
+
+        It predicts by the load known here.
+        """
+        loads = self._state.load_state.loads_by_engine(now_ms)
 
         def expected_gap_ms(engine):
-            endpoint, load = state.endpoints.by_id.get(engine), loads.get(engine)
-            if (
-                endpoint is None
-                or load is None
-                or load.pending_prefill_ms
-                or not load.decoding_requests
-            ):
+            load = loads.get(engine)
+            if load is None:
                 return None
-            service = state.configuration.services_by_name.get(endpoint.service)
-            if service is None or service.engine is None:
-                return None
-            return pass_ms(
-                service.engine, len(load.decoding_requests), load.context_tokens
+            return self.event_gap_ms(
+                engine,
+                len(load.decoding_requests),
+                load.context_tokens,
+                load.pending_prefill_ms,
             )
 
         return expected_gap_ms
 
+    def event_gap_ms(self, engine, decoding_count, context_tokens, pending_prefill_ms):
+        """Return the time between events of an engine by its published figures.
+
+        None if it isn't known, or if prefill lengthens the time.
+        """
+        state = self._state
+        endpoint = state.endpoints.by_id.get(engine)
+        if endpoint is None or pending_prefill_ms or not decoding_count:
+            return None
+        service = state.configuration.services_by_name.get(endpoint.service)
+        if service is None or service.engine is None:
+            return None
+        return pass_ms(service.engine, decoding_count, context_tokens)
+
     def may_wait(self, exchange, now_ms):
         """Return whether a request for which no engine has room may wait.
 
@@ -198,37 +253,50 @@
 
     def record_dispatch(self, exchange, placement, now_ms):
         """Record the dispatch of a request and return its `InFlightRequest`."""
-        self._last_flight_id += 1
+        flight = placed_flight(
+            self.unplaced_flight(exchange, placement.flight_id), placement
+        )
+        self._state.load_state.add(flight, now_ms)
+        self._state.publish(ChangeKind.FLIGHTS)
+        return flight
+
+    def unplaced_flight(self, exchange, flight_id=0):
+        """Return the `InFlightRequest` of a request whose endpoint isn't chosen yet.
+
+        Parameters
+        ----------
+        exchange : GatewayExchange
+        flight_id : int
+            Id of the flight; 0 for a new one.
+        """
+        if not flight_id:
+            self._last_flight_id += 1
+            flight_id = self._last_flight_id
         fields, route = exchange.fields, exchange.route
-        flight = InFlightRequest(
-            id=self._last_flight_id,
-            engine=placement.endpoint.id,
-            helpers=tuple(helper.id for helper in placement.helpers),
-            reserved_tokens=placement.reserved_tokens,
+        return InFlightRequest(
+            id=flight_id,
+            engine="",
+            helpers=(),
+            reserved_tokens=(),
             prompt_tokens=fields.prompt_tokens,
-            memory_tokens=fields.prompt_tokens
-            + fields.answer_tokens
-            - sum(placement.reserved_tokens),
-            part_prefill_ms=placement.part_prefill_ms,
+            memory_tokens=fields.prompt_tokens + fields.answer_tokens,
+            part_prefill_ms=0.0,
             objective_ms=route.objective_ms,
             pause_limit_ms=route.pause_limit_ms,
             worth=worth_of(fields),
             is_prefilling=True,
             age_ms=0.0,
         )
-        self._state.load_state.add(flight, now_ms)
-        self._state.publish(only_flights=True)
-        return flight
 
     def record_first_event(self, flight):
         """Record that the first event of an in-flight request has arrived."""
         self._state.load_state.mark_decoding(flight)
-        self._state.publish(only_flights=True)
+        self._state.publish(ChangeKind.FLIGHTS)
 
     def record_end(self, flight):
         """Record that an in-flight request has ended."""
         self._state.load_state.remove(flight.id)
-        self._state.publish(only_flights=True)
+        self._state.publish(ChangeKind.FLIGHTS)
 
     def endpoint_priority(self, exchange):
         """Return the priority number for the endpoint, or None for the default.
@@ -295,18 +363,18 @@
         requests.
         """
         loads = self._state.load_state.loads_by_engine(now_ms)
-        return any(
-            loads[engine].pending_prefill_ms > BUSY_PREFILL_MS
+        return explains_silence(
+            loads[engine].pending_prefill_ms
             for engine in (flight.engine, *flight.helpers)
             if engine in loads
         )
 
-    def retry_after_ms(self, exchange, now_ms):
+    def retry_after_ms(self, service, now_ms):
         """Return the delay after which a refused caller should try again.
 
         It is the median of the engines' pending prefill, within bounds and with jitter.
         """
-        engines = [e.id for e in self._state.endpoints.usable(exchange.service.name)]
+        engines = [e.id for e in self._state.endpoints.usable(service)]
         loads = self._state.load_state.loads_by_engine(now_ms)
         pending_prefills_ms = sorted(
             loads.get(engine, NO_LOAD).pending_prefill_ms for engine in engines
@@ -320,6 +388,23 @@
         return max(MIN_RETRY_AFTER_MS, min(MAX_RETRY_AFTER_MS, wait_ms)) * (1 + jitter)
 
 
+def explains_silence(pending_prefills_ms):
+    """Return whether pending prefill of an engine explains that no event comes."""
+    return any(pending_ms > BUSY_PREFILL_MS for pending_ms in pending_prefills_ms)
+
+
+def placed_flight(flight, placement):
+    """Return an `InFlightRequest` with the endpoints that were chosen for it."""
+    return msgspec.structs.replace(
+        flight,
+        engine=placement.endpoint.id,
+        helpers=tuple(helper.id for helper in placement.helpers),
+        reserved_tokens=placement.reserved_tokens,
+        memory_tokens=flight.memory_tokens - sum(placement.reserved_tokens),
+        part_prefill_ms=placement.part_prefill_ms,
+    )
+
+
 def worth_of(fields):
     """Return the relative worth of a generation.
 
--- a/vanillareach/core/endpoint_health.py
+++ b/vanillareach/core/endpoint_health.py
@@ -4,6 +4,9 @@
 OUTCOME_WEIGHT = 0.4
 # Without new outcomes the failure share halves in this time.
 FAILURE_HALF_LIFE_MS = 2_000.0
+# After an endpoint was found reachable, a peer's report that it isn't is ignored for
+# this time: that peer may be cut off.
+VERIFIED_REACHABLE_TTL_MS = 3_000.0
 # An endpoint with at least this failure share gets work only if no healthy one is left.
 OUTLIER_FAILURE_SHARE = 0.75
 
@@ -21,9 +24,15 @@
         Endpoints ejected because they were unreachable.
     """
 
-    __slots__ = ("_share_by_key", "_updated_ms_by_key", "unreachable_by_key")
+    __slots__ = (
+        "_reachable_ms_by_key",
+        "_share_by_key",
+        "_updated_ms_by_key",
+        "unreachable_by_key",
+    )
 
     def __init__(self):
+        self._reachable_ms_by_key = {}
         self._share_by_key = {}
         self._updated_ms_by_key = {}
         self.unreachable_by_key = {}
@@ -70,15 +79,32 @@
         if is_second:
             self.eject_domain(endpoint.domain, listed)
 
+    def record_reported_unreachable(self, endpoint, now_ms):
+        """Eject an endpoint that a peer could not reach, until a probe reaches it."""
+        reachable_ms = self._reachable_ms_by_key.get(endpoint.key)
+        if reachable_ms is None or now_ms - reachable_ms > VERIFIED_REACHABLE_TTL_MS:
+            self.unreachable_by_key[endpoint.key] = endpoint
+
     def eject_domain(self, domain, listed):
         """Eject all endpoints of a domain because its network path is in doubt."""
         for endpoint in listed:
             if endpoint.domain == domain:
                 self.unreachable_by_key[endpoint.key] = endpoint
 
-    def record_reachable(self, key):
-        """Readmit an endpoint after a connection to it was made."""
+    def record_reachable(self, key, now_ms=None):
+        """Readmit an endpoint.
+
+        Parameters
+        ----------
+        key : tuple
+        now_ms : float or None
+            When a connection to it was made; None if it is no longer listed.
+        """
         self.unreachable_by_key.pop(key, None)
+        if now_ms is None:
+            self._reachable_ms_by_key.pop(key, None)
+        else:
+            self._reachable_ms_by_key[key] = now_ms
 
     def is_outlier(self, key, now_ms):
         """Return whether an endpoint fails too often to be used beside healthy ones."""
--- a/vanillareach/core/engine_pace.py
+++ b/vanillareach/core/engine_pace.py
@@ -40,6 +40,11 @@
         self._learned_ms_by_engine = {}
         self.own_paces = {}
 
+    @property
+    def has_own_data(self):
+        """Whether gaps or own factors are stored, which expire."""
+        return bool(self._gaps_by_engine or self.own_paces)
+
     def record_gap(self, engine, gap_ms, now_ms):
         """Record the time between two events of one stream."""
         self._gaps_by_engine.setdefault(engine, []).append((now_ms, gap_ms))
@@ -75,6 +80,9 @@
                 if now_ms - observed_ms < GAP_TTL_MS
             ]
             self._gaps_by_engine[engine] = recent_gaps
+            if not recent_gaps:
+                del self._gaps_by_engine[engine]
+                continue
             if len(recent_gaps) < MIN_GAPS_PER_ESTIMATE:
                 continue
             del self._gaps_by_engine[engine]
@@ -82,6 +90,22 @@
             changes += self._set_own_pace(engine, pace, now_ms)
         return changes
 
+    def slow_engines(self, expected_gap_ms, now_ms):
+        """Return the set of engines whose recorded gaps suggest that they are slow.
+
+        It is meant for a prediction by load that may not be complete; see
+        `update_paces`.
+        """
+        slow = set()
+        for engine, gaps in self._gaps_by_engine.items():
+            expected_ms = expected_gap_ms(engine)
+            recent = [gap for seen_ms, gap in gaps if now_ms - seen_ms < GAP_TTL_MS]
+            if len(recent) < MIN_GAPS_PER_ESTIMATE or expected_ms is None:
+                continue
+            if median(recent) >= MIN_SLOW_PACE * expected_ms:
+                slow.add(engine)
+        return slow
+
     def merge_peer_paces(self, peer_paces, now_ms):
         """Store factors that a peer has learned, as pairs of engine and factor."""
         for engine, pace in peer_paces:
--- a/vanillareach/core/load_state.py
+++ b/vanillareach/core/load_state.py
@@ -160,6 +160,16 @@
         if self._changes.started_by_id.pop(flight_id, None) is None:
             self._changes.ended_ids.add(flight_id)
 
+    def peer_flight_count(self, peer):
+        """Return the number of a peer's in-flight requests."""
+        flights = self._flights_by_peer.get(peer)
+        return len(flights.by_id) if flights is not None else 0
+
+    def peer_flight(self, peer, flight_id):
+        """Return a peer's in-flight request, or None."""
+        flights = self._flights_by_peer.get(peer)
+        return flights.by_id.get(flight_id) if flights is not None else None
+
     def own_flights(self, now_ms):
         """Return a tuple of the own in-flight requests, with their ages updated."""
         for flight in self._own_flights.by_id.values():
--- a/vanillareach/core/messages.py
+++ b/vanillareach/core/messages.py
@@ -14,6 +14,7 @@
 from vanillareach.core.endpoint_list import ListedEndpoint
 from vanillareach.core.ledger import Claim, ClaimRecord, Settle
 from vanillareach.core.load_state import InFlightRequest
+from vanillareach.core.placement_types import GenerationRequest, Placement
 from vanillareach.core.routing import RouteTable
 
 
@@ -288,6 +289,10 @@
         Engines that the sender measured as slow, with the slowdown factor.
     configuration_stamp, endpoints_stamp : int
         Identities of the confirmations; see `Freshness`.
+    capacity : float
+        Relative processing capacity of the sender's machine.
+    is_placer : bool
+        Whether the sender places requests for its domain; see `PlacerElection`.
     """
 
     name: str
@@ -306,6 +311,8 @@
     paces: tuple[tuple[str, float], ...] = ()
     configuration_stamp: int = 0
     endpoints_stamp: int = 0
+    capacity: float = 0.0
+    is_placer: bool = False
 
 
 class RelayedDatagram(Wire, tag=23, frozen=True):
@@ -314,6 +321,17 @@
     datagram: bytes
 
 
+class EndpointFault(IntEnum):
+    """How an attempt showed that an endpoint is not to be used now."""
+
+    # The attempt failed, or the endpoint did not run it.
+    FAILED = 1
+    # The endpoint refuses all work.
+    REFUSED = 2
+    UNREACHABLE = 3
+    LEAVING = 4
+
+
 class FlightUpdate(Wire, tag=22, frozen=True):
     """Changes of the sender's in-flight requests since its last message.
 
@@ -328,6 +346,8 @@
         Requests sent to endpoints.
     decoding, ended : tuple of int
         Ids of the requests that began to decode, and that ended.
+    faults : tuple of (str, int, EndpointFault)
+        Id and incarnation of each endpoint at which an attempt failed.
     """
 
     name: str
@@ -336,6 +356,83 @@
     begun: tuple[InFlightRequest, ...]
     decoding: tuple[int, ...]
     ended: tuple[int, ...]
+    faults: tuple[tuple[str, int, EndpointFault], ...] = ()
+
+
+class PlacementQuery(Wire, tag=24, frozen=True):
+    """Asks a placer where to send the next attempt of a request.
+
+    Attributes
+    ----------
+    id : int
+        Unique among the queries of the sender.
+    sender, address : str
+        Name of the sending instance, and the address that gets the reply.
+    service : str
+    generation : GenerationRequest or None
+        None for a call of a plain service.
+    excluded : tuple of str
+        Ids of endpoints that are not to be used.
+    may_be_refused : bool
+        Whether the request is refused if it would cost more than it is worth.
+    flight : InFlightRequest
+        The request as the sender will report it; the endpoints are not known yet.
+    """
+
+    id: int
+    sender: str
+    address: str
+    service: str
+    generation: GenerationRequest | None
+    excluded: tuple[str, ...]
+    may_be_refused: bool
+    flight: InFlightRequest
+
+
+class PlacementReply(Wire, tag=25, frozen=True):
+    """Answer to a `PlacementQuery`.
+
+    Attributes
+    ----------
+    id : int
+        Of the query.
+    is_known : bool
+        Whether the placer knows the service and its endpoints.
+    placement : Placement or None
+        None if no endpoint has room, or the request is refused.
+    retry_after_ms : float
+        When a refused caller should try again.
+    """
+
+    id: int
+    is_known: bool
+    placement: Placement | None
+    retry_after_ms: float
+
+
+class LoadQuery(Wire, tag=26, frozen=True):
+    """Asks a placer for the load of engines."""
+
+    id: int
+    sender: str
+    address: str
+    engines: tuple[str, ...]
+
+
+class LoadSummary(Wire, frozen=True):
+    """Load of one engine; see `EngineLoad`."""
+
+    engine: str
+    decoding_count: int
+    context_tokens: int
+    pending_prefill_ms: float
+
+
+class LoadReply(Wire, tag=27, frozen=True):
+    """Answer to a `LoadQuery`; engines without load are left out."""
+
+    id: int
+    loads: tuple[LoadSummary, ...]
 
 
 class StateQuery(Wire, tag=20, frozen=True):
@@ -387,6 +484,10 @@
     | StateQuery
     | StateReply
     | FlightUpdate
+    | PlacementQuery
+    | PlacementReply
+    | LoadQuery
+    | LoadReply
 )
 
 
--- a/vanillareach/core/peer.py
+++ b/vanillareach/core/peer.py
@@ -15,12 +15,15 @@
         When its last message arrived; None before the first.
     last_message_order : tuple of int
         Incarnation and sequence number of that message.
+    is_placer : bool
+        Whether its last beacon said that it places requests for its domain.
     """
 
     __slots__ = (
         "added_ms",
         "address",
         "domain",
+        "is_placer",
         "last_heard_ms",
         "last_message_order",
         "name",
@@ -30,6 +33,7 @@
         self.name = name
         self.address = address
         self.domain = ""
+        self.is_placer = False
         self.last_heard_ms = None
         self.added_ms = added_ms
         self.last_message_order = (0, 0)
--- a/vanillareach/core/placement_types.py
+++ b/vanillareach/core/placement_types.py
@@ -3,11 +3,13 @@
 import math
 from dataclasses import dataclass
 
+import msgspec
+
+from vanillareach.core.endpoint_list import ListedEndpoint
 from vanillareach.core.load_state import EngineLoad
 
 
-@dataclass(slots=True, frozen=True)
-class GenerationRequest:
+class GenerationRequest(msgspec.Struct, array_like=True, frozen=True):
     """A generation to place: its size, time limits and worth.
 
     Attributes
@@ -64,8 +66,7 @@
     jitter: float = 0.0
 
 
-@dataclass(slots=True, frozen=True)
-class Placement:
+class Placement(msgspec.Struct, array_like=True, frozen=True):
     """Endpoint of an attempt, with the predictions it was chosen by.
 
     Attributes
@@ -85,15 +86,18 @@
     reserved_tokens : tuple of int
         KV cache tokens to reserve at each helper, 0 for none; empty if the engine has
         room for the whole prompt.
+    flight_id : int
+        Id under which a placer counts the request already; 0 for none.
     """
 
-    endpoint: object
-    helpers: tuple = ()
+    endpoint: ListedEndpoint
+    helpers: tuple[ListedEndpoint, ...] = ()
     part_prefill_ms: float = 0.0
     first_event_ms: float = 0.0
     cost: float = 0.0
     gain: float = 0.0
-    reserved_tokens: tuple = ()
+    reserved_tokens: tuple[int, ...] = ()
+    flight_id: int = 0
 
     @property
     def reserved_tokens_by_helper(self):
--- a/vanillareach/core/rendezvous.py
+++ b/vanillareach/core/rendezvous.py
@@ -8,6 +8,8 @@
 # Number of cached preferences, enough for a few keys for each of a thousand names.
 PREFERENCE_CACHE_SIZE = 4_096
 
+MAX_PREFERENCE = 2**64
+
 
 def rank_owners(key, names):
     """Return `names` ordered by preference for `key`.
@@ -24,7 +26,7 @@
     list of str
         Most preferred first. Removal of one name leaves the others' order unchanged.
     """
-    return sorted(names, key=lambda name: _preference(key, name), reverse=True)
+    return sorted(names, key=lambda name: preference(key, name), reverse=True)
 
 
 def rank_of(name, key, names):
@@ -36,22 +38,21 @@
     names : iterable of str
         Candidate owners; `name` need not be among them.
     """
-    own = _cached_preference(key, name)
-    return sum(_cached_preference(key, other) > own for other in names)
+    own = preference(key, name)
+    return sum(preference(key, other) > own for other in names)
 
 
-def _preference(key, name):
+@lru_cache(maxsize=PREFERENCE_CACHE_SIZE)
+def preference(key, name):
+    """Return the preference of `key` for `name`; the highest owns it."""
     return hash64(f"{key}/{name}")
 
 
-_cached_preference = lru_cache(maxsize=PREFERENCE_CACHE_SIZE)(_preference)
-
-
 def owner_of(key, names):
     """Return the preferred owner of `key`, or None when there are no names."""
     return max(
         names,
-        key=lambda name: _preference(key, name),
+        key=lambda name: preference(key, name),
         default=None,
     )
 
--- a/vanillareach/features/steps/fuzz.py
+++ b/vanillareach/features/steps/fuzz.py
@@ -23,6 +23,7 @@
     free_address,
 )
 from vanillareach.gateway.gossip import Gossip
+from vanillareach.gateway.ports import RegisteredInstance
 from vanillareach.gateway.settings import GatewaySettings
 from vanillareach.gateway.state import GatewayState
 from vanillareach.peers.link import DIGEST_BYTES
@@ -190,7 +191,7 @@
         (store.wait_for_configuration, 1, 0),
         (store.list_endpoints,),
         (store.list_instances,),
-        (store.register_instance, "g1", "127.0.0.1:1"),
+        (store.register_instance, RegisteredInstance("g1", "127.0.0.1:1")),
         (store.remove_instance, "g1"),
     ):
         try:
--- a/vanillareach/gateway/app.py
+++ b/vanillareach/gateway/app.py
@@ -2,7 +2,6 @@
 
 import random
 import signal
-import time
 
 import msgspec
 import trio
@@ -15,9 +14,11 @@
 from vanillareach.gateway.forwarder import Forwarder
 from vanillareach.gateway.gossip import Gossip
 from vanillareach.gateway.listener import CallerListener
+from vanillareach.gateway.placing import PlacementClient, PlacementServer
 from vanillareach.gateway.probing import ReachabilityProber
 from vanillareach.gateway.report import STATE_PATH, build_report
 from vanillareach.gateway.reservations import ReservationManager
+from vanillareach.gateway.stalls import StallDetector
 from vanillareach.gateway.state import GatewayState
 from vanillareach.log import configure_bounded_logs, get_logger
 from vanillareach.metrics import Metrics
@@ -37,10 +38,6 @@
 # A readiness check waits at most this long for the first responses of the store; the
 # load balancer's own time limit is longer.
 READINESS_WAIT_MS = 300.0
-# After the event loop stalled for longer, because the process or its machine was
-# suspended for example, the state counts as stale.
-STALL_THRESHOLD_MS = 400.0
-STALL_CHECK_INTERVAL_S = 0.1
 
 log = get_logger("gateway")
 
@@ -83,12 +80,16 @@
         """Create all components; nothing is sent or received yet."""
         settings, clock = self.settings, self.clock
         self.state = GatewayState(settings, clock)
+        self.stall_detector = StallDetector(self.state, clock)
         self.link = NngLink(settings.peer_listen, settings.peer_key, ControlTraffic())
         self.gossip = Gossip(settings, self.state, self.link, clock)
         self.follower = StoreFollower(self.store, self.state, self.gossip, clock)
         self.reservations = ReservationManager(self.reservation_protocol, clock)
         policy = POLICIES_BY_NAME[settings.placement]()
         dispatcher = Dispatcher(self.state, settings.domain, random.Random(), policy)
+        placement_client = PlacementClient(self.state, dispatcher, self.gossip, clock)
+        placement_server = PlacementServer(self.state, dispatcher, clock)
+        self.gossip.answer_query = placement_server.answer
         self.forwarder = Forwarder(
             self.state,
             self.protocol,
@@ -97,6 +98,8 @@
             clock,
             self.metrics,
             dispatcher,
+            placement_client,
+            self.stall_detector,
         )
         self.caller_listener = self._make_listener(
             settings.front_listen, self.state.caller_limits, self.forwarder.handle
@@ -153,7 +156,7 @@
     async def start(self, nursery):
         """Start all tasks; return once callers can connect."""
         nursery.start_soon(self._flush_logs)
-        nursery.start_soon(self._detect_stalls)
+        nursery.start_soon(self.stall_detector.run)
         nursery.start_soon(self.gossip.run)
         nursery.start_soon(self.follower.run)
         nursery.start_soon(self.reservations.run)
@@ -211,25 +214,13 @@
 
     async def _flush_logs(self):
         while True:
+            if not self.log_writer.has_lines:
+                self._log_event = trio.Event()
+                self.log_writer.on_buffered = self._log_event.set
+                await self._log_event.wait()
             await trio.sleep(LOG_FLUSH_INTERVAL_S)
             self.log_writer.drain()
 
-    async def _detect_stalls(self):
-        """Mark the state as stale after a long stall of the event loop."""
-        # Unlike the monotonic clock, this one advances while the machine is suspended.
-        previous_s = time.clock_gettime(time.CLOCK_BOOTTIME)
-        while True:
-            await trio.sleep(STALL_CHECK_INTERVAL_S)
-            now_s = time.clock_gettime(time.CLOCK_BOOTTIME)
-            stalled_ms = (now_s - previous_s - STALL_CHECK_INTERVAL_S) * 1000
-            previous_s = now_s
-            if stalled_ms > STALL_THRESHOLD_MS:
-                log.warning(
-                    "Event loop stalled; state marked as stale.",
-                    for_ms=round(stalled_ms),
-                )
-                self.state.mark_stale()
-
 
 def run_gateway(settings, store, protocol, reservation_protocol):
     """Run one gateway instance until it has stopped."""
--- a/vanillareach/gateway/attempts.py
+++ b/vanillareach/gateway/attempts.py
@@ -1,5 +1,6 @@
 """Attempts to run a request at an endpoint, and what is recorded about them."""
 
+from vanillareach.core.messages import EndpointFault
 from vanillareach.core.routing import RequestKind
 from vanillareach.core.suspicion import Loss
 from vanillareach.endpoints.base import EndpointBrokenError, EndpointUnreachableError
@@ -69,6 +70,7 @@
     ----------
     state : GatewayState
     dispatcher : Dispatcher
+    placement_client : PlacementClient
     idle_timeouts : IdleTimeoutMonitor
     protocol : RequestProtocol
     reservation_protocol : MemoryReservationProtocol
@@ -81,6 +83,7 @@
         self,
         state,
         dispatcher,
+        placement_client,
         idle_timeouts,
         protocol,
         reservation_protocol,
@@ -90,6 +93,7 @@
     ):
         self._state = state
         self._dispatcher = dispatcher
+        self._placement_client = placement_client
         self._idle_timeouts = idle_timeouts
         self._protocol = protocol
         self._reservation_protocol = reservation_protocol
@@ -215,11 +219,11 @@
             for helper in placement.helpers:
                 if helper.address == fields.failed_helper_address:
                     attempt.exchange.failed_helper = helper.id
-                    state.health.record_refusal(helper.key, now_ms)
+                    state.record_fault(helper, EndpointFault.REFUSED, now_ms)
         elif fields.is_misdirected:
-            state.endpoints.record_leaving(placement.endpoint, now_ms)
+            state.record_fault(placement.endpoint, EndpointFault.LEAVING, now_ms)
         elif fields.closes_connection:
-            state.health.record_refusal(placement.endpoint.key, now_ms)
+            state.record_fault(placement.endpoint, EndpointFault.REFUSED, now_ms)
 
     def _record_events(self, attempt):
         """Record that complete events arrived."""
@@ -246,26 +250,27 @@
 
     async def _record_result(self, attempt, result, detail):
         exchange, placement = attempt.exchange, attempt.placement
-        health, now_ms = self._state.health, self._clock.now_ms()
+        state, now_ms = self._state, self._clock.now_ms()
         result_name = result.name.lower()
         self._metrics.attempts[(exchange.service.name, result_name)] += 1
         if result is AttemptResult.ANSWERED:
-            health.record_outcome(placement.endpoint.key, False, now_ms)
+            state.health.record_outcome(placement.endpoint.key, False, now_ms)
         elif result is AttemptResult.UNREACHABLE:
             self._record_unreachable(placement.endpoint, detail)
         elif result in POSSIBLY_RUN_RESULTS:
             exchange.possible_runs += 1
-            health.record_outcome(placement.endpoint.key, True, now_ms)
+            state.record_fault(placement.endpoint, EndpointFault.FAILED, now_ms)
         elif not placement.helpers:
             # Not run; with helpers, one of them may be the cause instead.
-            health.record_outcome(placement.endpoint.key, True, now_ms)
+            state.record_fault(placement.endpoint, EndpointFault.FAILED, now_ms)
         self._log_end(attempt, result_name, detail)
         if result is AttemptResult.BROKEN:
             await self._check_endpoint_loss(exchange, placement.endpoint)
 
     def _record_unreachable(self, endpoint, cause):
         state = self._state
-        state.health.record_unreachable(endpoint, state.endpoints.by_id.values())
+        state.record_fault(endpoint, EndpointFault.UNREACHABLE, self._clock.now_ms())
+        self._placement_client.record_unreachable(endpoint)
         log.warning(
             "Endpoint unreachable.",
             endpoint=endpoint.id,
--- a/vanillareach/gateway/following.py
+++ b/vanillareach/gateway/following.py
@@ -14,12 +14,22 @@
     PlatformGoneError,
     PlatformUnavailableError,
 )
-from vanillareach.core.rendezvous import rank_of
+from vanillareach.core.rendezvous import MAX_PREFERENCE, preference, rank_of
+from vanillareach.core.state_change import ChangeKind
 from vanillareach.log import get_logger
 
 MIN_RECHECK_INTERVAL_MS = 50.0
 # Age and rank are checked at least this often, since the rank may change.
-MAX_RECHECK_INTERVAL_MS = 150.0
+MAX_RECHECK_INTERVAL_MS = 400.0
+# In a large fleet the placers call the store, in the order of their ranks. The others
+# call it only if they hear nothing from any placer: later by the first time, and spread
+# over the second one.
+FOLLOWED_DELAY_MS = 1_200.0
+FOLLOWED_SPREAD_MS = 1_500.0
+MAX_FOLLOWED_RECHECK_INTERVAL_MS = 1_000.0
+# The number of instances that share the rate of calls of one, while the store can't be
+# reached or when instances are listed again.
+INSTANCES_PER_CALL_RATE = 8
 # An endpoint must get no more requests two seconds after its entry changed to draining.
 # This age is one part of that time; gossip and one failed call to the store take the
 # rest.
@@ -67,6 +77,7 @@
         self._clock = clock
         self._is_store_reachable = True
         self._configuration_revision = None
+        self._is_registered = False
 
     async def run(self):
         """Follow configuration, endpoints and instances until cancelled."""
@@ -76,24 +87,46 @@
             nursery.start_soon(self._follow_instances)
 
     def _own_rank(self, key):
-        return rank_of(self._gossip.name, key, self._gossip.alive_peer_names())
+        """Return the own place among the instances that call the store; None for none.
+
+        An instance has no place if others are to call the store for it.
+        """
+        followers = self._gossip.store_followers()
+        if followers is None:
+            followers = self._gossip.alive_peer_names()
+        elif self._gossip.name not in followers:
+            return None
+        return rank_of(self._gossip.name, key, followers)
+
+    def _delay_ms(self, rank, key):
+        if rank is not None:
+            return rank_delay_ms(rank)
+        spread = preference(key, self._gossip.name) / MAX_PREFERENCE
+        return FOLLOWED_DELAY_MS + FOLLOWED_SPREAD_MS * spread
 
     async def _follow_configuration(self):
         while True:
             rank = self._own_rank("configuration")
             age_ms = self._state.configuration_age_ms()
-            refresh_age_ms = (
-                CONFIGURATION_REFRESH_AGE_MS + rank_delay_ms(rank) if rank else 0.0
+            refresh_age_ms = CONFIGURATION_REFRESH_AGE_MS + self._delay_ms(
+                rank, "configuration"
             )
+            if rank == 0:
+                refresh_age_ms = 0.0
             if 0 <= age_ms < refresh_age_ms:
-                await self._sleep_until_recheck(refresh_age_ms - age_ms)
+                await self._sleep_until_recheck(rank, refresh_age_ms - age_ms)
                 continue
             if await self._call_store(self._refresh_configuration):
-                self._state.publish()
+                self._state.publish(ChangeKind.CONFIRMATION)
 
-    async def _sleep_until_recheck(self, remaining_ms):
+    async def _sleep_until_recheck(self, rank, remaining_ms):
+        longest_ms = (
+            MAX_FOLLOWED_RECHECK_INTERVAL_MS
+            if rank is None
+            else MAX_RECHECK_INTERVAL_MS
+        )
         await self._clock.sleep_ms(
-            min(MAX_RECHECK_INTERVAL_MS, max(MIN_RECHECK_INTERVAL_MS, remaining_ms))
+            min(longest_ms, max(MIN_RECHECK_INTERVAL_MS, remaining_ms))
         )
 
     async def _refresh_configuration(self):
@@ -132,13 +165,15 @@
         while True:
             rank = self._own_rank("endpoints")
             age_ms = self._state.endpoints_age_ms()
-            refresh_age_ms = ENDPOINTS_REFRESH_AGE_MS + rank_delay_ms(rank)
+            refresh_age_ms = ENDPOINTS_REFRESH_AGE_MS + self._delay_ms(
+                rank, "endpoints"
+            )
             if 0 <= age_ms < refresh_age_ms:
-                await self._sleep_until_recheck(refresh_age_ms - age_ms)
+                await self._sleep_until_recheck(rank, refresh_age_ms - age_ms)
                 continue
             if await self._call_store(self._refresh_endpoints):
                 # Peers call the store themselves unless this beacon reaches them soon.
-                self._state.publish()
+                self._state.publish(ChangeKind.CONFIRMATION)
 
     async def _refresh_endpoints(self):
         request_ms = self._clock.now_ms()
@@ -150,18 +185,32 @@
         self._state.apply_endpoints(endpoints, revision, request_ms, "store")
 
     async def _follow_instances(self):
-        own_registration = (self._gossip.name, self._gossip.address)
         while True:
-            await self._call_store(self._refresh_instances, own_registration)
-            await self._clock.sleep_ms(REGISTRATION_INTERVAL_MS)
-
-    async def _refresh_instances(self, own_registration):
-        registered_instances = await self._store.list_instances()
-        if own_registration not in registered_instances:
-            await self._store.register_instance(*own_registration)
-        self._gossip.add_registered_peers(dict(registered_instances))
-        for name in self._gossip.expired_instance_names(dict(registered_instances)):
-            if self._own_rank("instances") == 0:
+            await self._call_store(self._refresh_instances)
+            await self._clock.sleep_ms(
+                REGISTRATION_INTERVAL_MS * self._call_rate_share()
+            )
+
+    def _call_rate_share(self):
+        """Return how many times longer than a single instance this one waits.
+
+        It keeps the rate of all instances' calls the same, whatever their number.
+        """
+        return max(1.0, self._state.instance_count / INSTANCES_PER_CALL_RATE)
+
+    async def _refresh_instances(self):
+        """Register this instance, then read which others are registered.
+
+        In this order, of two instances that start together at least one sees the other.
+        """
+        own = self._gossip.registration
+        if not self._is_registered:
+            await self._store.register_instance(own)
+        registered_instances = await self._store.list_instances(self._is_registered)
+        self._is_registered = own in registered_instances
+        self._gossip.add_registered_peers(registered_instances)
+        for name in self._gossip.expired_instance_names(registered_instances):
+            if self._own_rank("instances") == 0 or not self._gossip.audience.is_direct:
                 await self._store.remove_instance(name)
                 log.info("Registration of expired instance removed.", instance=name)
 
@@ -171,11 +220,18 @@
             await call(*arguments)
         except (PlatformUnavailableError, PlatformConflictError) as error:
             self._record_reachability(False, str(error))
-            await self._clock.sleep_ms(STORE_RETRY_DELAY_MS)
+            await self._clock.sleep_ms(self._retry_delay_ms())
             return False
         self._record_reachability(True, "")
         return True
 
+    def _retry_delay_ms(self):
+        """Return the time until the store is called again after a failed call."""
+        followers = self._gossip.store_followers()
+        if followers is None or self._gossip.name in followers:
+            return STORE_RETRY_DELAY_MS
+        return STORE_RETRY_DELAY_MS * self._call_rate_share()
+
     def _record_reachability(self, is_reachable, cause):
         if is_reachable is self._is_store_reachable:
             return
--- a/vanillareach/gateway/forwarder.py
+++ b/vanillareach/gateway/forwarder.py
@@ -54,6 +54,8 @@
     clock : Clock
     metrics : Metrics
     dispatcher : Dispatcher
+    placement_client : PlacementClient
+    stall_detector : StallDetector
     """
 
     def __init__(
@@ -65,6 +67,8 @@
         clock,
         metrics,
         dispatcher,
+        placement_client,
+        stall_detector,
     ):
         self._state = state
         self._protocol = protocol
@@ -74,11 +78,16 @@
         self._final_deadline_ms = math.inf
         self._scopes_by_exchange = {}
         self._dispatcher = dispatcher
-        self.idle_timeouts = IdleTimeoutMonitor(self._dispatcher, clock)
-        self.pace_estimator = EnginePaceEstimator(state, self._dispatcher, clock)
+        self._placement_client = placement_client
+        self._stall_detector = stall_detector
+        self.idle_timeouts = IdleTimeoutMonitor(placement_client, clock)
+        self.pace_estimator = EnginePaceEstimator(
+            state, dispatcher, placement_client, clock
+        )
         self._attempt_runner = AttemptRunner(
             state,
-            self._dispatcher,
+            dispatcher,
+            placement_client,
             self.idle_timeouts,
             protocol,
             reservation_protocol,
@@ -89,6 +98,7 @@
 
     async def handle(self, request, responder):
         """Handle one request."""
+        self._stall_detector.check_suspension()
         fields = self._protocol.read_request(request.headers)
         exchange = await self._admit(request, fields, responder)
         if exchange is None:
@@ -153,10 +163,13 @@
     async def _serve(self, exchange, responder):
         """Try endpoints until one succeeds or no further attempt is allowed."""
         while True:
-            placement = await self._choose_placement(exchange)
+            decision = await self._choose_placement(exchange)
+            placement = decision.placement
             if placement is None:
                 reason = "stopping" if self._state.is_stopping else "no_room"
-                return await self._send_final_failure(exchange, responder, reason)
+                return await self._send_final_failure(
+                    exchange, responder, reason, decision.retry_after_ms
+                )
             result = await self._attempt_runner.run(exchange, placement, responder)
             if result is AttemptResult.ANSWERED:
                 return self._count_outcome("done", "")
@@ -167,12 +180,13 @@
                 )
 
     async def _choose_placement(self, exchange):
-        """Return the next placement, waiting briefly for pending prefill to finish."""
+        """Return the next `PlacementDecision`; wait briefly for room."""
         while True:
-            now_ms = self._clock.now_ms()
-            placement = self._dispatcher.choose(exchange, now_ms)
-            if placement is not None or not self._dispatcher.may_wait(exchange, now_ms):
-                return placement
+            decision = await self._placement_client.choose(exchange)
+            if decision.placement is not None or not self._dispatcher.may_wait(
+                exchange, self._clock.now_ms()
+            ):
+                return decision
             await self._clock.sleep_ms(CAPACITY_CHECK_INTERVAL_MS)
 
     def _exclude(self, exchange, placement):
@@ -198,8 +212,13 @@
         retry_share = self._state.retry_share(exchange.service.name)
         return retry_share.try_acquire(self._state.instance_count, now_ms)
 
-    async def _send_final_failure(self, exchange, responder, reason):
-        """Send the error response after the last attempt."""
+    async def _send_final_failure(
+        self, exchange, responder, reason, retry_after_ms=None
+    ):
+        """Send the error response after the last attempt.
+
+        `retry_after_ms` is worked out here unless a placer has told it.
+        """
         if responder.is_started:
             raise ResponseAbortedError(reason)
         failure_response = exchange.failure_response
@@ -212,9 +231,10 @@
         elif exchange.possible_runs:
             await self._refuse(exchange.fields, responder, 502, reason)
         else:
-            retry_after_ms = self._dispatcher.retry_after_ms(
-                exchange, self._clock.now_ms()
-            )
+            if retry_after_ms is None:
+                retry_after_ms = self._dispatcher.retry_after_ms(
+                    exchange.service.name, self._clock.now_ms()
+                )
             await self._refuse(exchange.fields, responder, 503, reason, retry_after_ms)
 
     async def _send_deadline_exceeded(self, exchange, responder):
--- a/vanillareach/gateway/gossip.py
+++ b/vanillareach/gateway/gossip.py
@@ -1,38 +1,41 @@
 """Gossip between gateway instances, by UDP datagrams.
 
-Each instance sends its peers a beacon with its complete state at every change and at
-an interval, so that the next beacon makes up for a lost one. A change of in-flight
-requests alone is sent as a smaller flight update. Other failure domains receive both
-through relays, see `core.domain_tree`. The configuration and the list of endpoints
-don't fit into a datagram; they are fetched by a call over pynng from a peer whose
-beacon shows a newer version.
+Each instance sends beacons with its complete state, at changes and at an interval, so
+that the next beacon makes up for a lost one. A change of in-flight requests alone is
+sent as a smaller flight update. Who gets them depends on the size of the fleet; see
+`core.audience`. The configuration and the list of endpoints don't fit into a datagram;
+see `state_fetch`.
 """
 
-import math
+import random
 
 import trio
 
-from vanillareach.core.domain_tree import DomainTree
+from vanillareach.clock import MS_PER_SECOND
+from vanillareach.core.audience import Audience
 from vanillareach.core.messages import (
     Beacon,
     FlightUpdate,
+    LoadQuery,
+    LoadReply,
     MessageError,
+    PlacementQuery,
+    PlacementReply,
     RelayedDatagram,
     StateQuery,
-    unpack_configuration,
 )
 from vanillareach.core.peer import Peer
+from vanillareach.core.state_change import ChangeKind
 from vanillareach.core.suspicion import Loss
 from vanillareach.gateway.datagrams import MAX_DATAGRAM_BYTES, DatagramSocket
+from vanillareach.gateway.ports import RegisteredInstance
+from vanillareach.gateway.state_fetch import StateFetcher
 from vanillareach.log import get_logger
-from vanillareach.peers.link import MessageAuthenticator, PeerUnresponsiveError
-
-BEACON_INTERVAL_MS = 250.0
-# Beacons that no change causes become rarer with more peers: their interval is
-# `BEACON_INTERVAL_MS` times the number of peers divided by this, rounded up.
-PEERS_PER_INTERVAL_FACTOR = 12
-# Changes within this time are sent in one message. The time grows with the number of
-# peers, which bounds the datagrams that an instance sends and receives.
+from vanillareach.peers.link import MessageAuthenticator
+
+# Changes within this time are sent in one message. Where all instances tell each other
+# everything the time grows with the number of peers, which bounds the datagrams that an
+# instance sends and receives.
 CHANGE_COALESCING_MS = 2.0
 CHANGE_COALESCING_MS_PER_PEER = 0.05
 # Pause between two receptions, for each peer; datagrams that arrive meanwhile are
@@ -44,10 +47,11 @@
 # A peer that isn't heard is removed after this time. Until then, beacons are still sent
 # to it and it is still counted in shared budgets.
 PEER_EXPIRY_MS = 30_000.0
-# Timeout of a call that fetches configuration or endpoints from a peer.
-FETCH_TIMEOUT_MS = 600.0
 # A lost endpoint is reported in each beacon for this time.
 LOSS_BROADCAST_PERIOD_MS = 3_000.0
+# In a large fleet an instance that places no requests for others fetches a new list or
+# configuration within this time.
+MAX_FETCH_DELAY_MS = 400.0
 
 log = get_logger("gossip")
 
@@ -62,26 +66,40 @@
     link : PeerLink
         Carries the calls that fetch state.
     clock : Clock
+
+    Attributes
+    ----------
+    audience : Audience
+    registration : RegisteredInstance
+        Own entry in the store.
+    answer_query : callable
+        Returns the reply to a `PlacementQuery` or `LoadQuery`.
     """
 
     def __init__(self, settings, state, link, clock):
         self.name = settings.name
         self.address = settings.peer_listen
+        self.audience = Audience(settings.name, settings.domain, settings.capacity)
+        self.answer_query = None
+        self.registration = RegisteredInstance(
+            self.name, self.address, settings.domain, settings.capacity
+        )
         self._domain = settings.domain
         self._state = state
         self._link = link
         self._clock = clock
         self._authenticator = MessageAuthenticator(settings.peer_key)
-        self._tree = DomainTree(settings.domain)
+        self._fetcher = StateFetcher(state, link, clock)
+        self._random = random.Random()
         self._incarnation = clock.wall_ms()
         self._sequence = 0
         self._peers_by_name = {}
+        self._registered_names = frozenset()
         self._datagram_socket = None
         self._change_event = trio.Event()
-        self._is_fetching_configuration = False
-        self._is_fetching_endpoints = False
-        self._last_beacon_ms = -math.inf
-        self._only_flights_changed = True
+        self._change = ChangeKind.STATE
+        self._last_query_id = 0
+        self._queries_by_id = {}
         state.subscribe(self._on_state_change)
 
     async def run(self):
@@ -95,6 +113,54 @@
         finally:
             self._datagram_socket.close()
 
+    @property
+    def has_full_picture(self):
+        """Whether this instance is told of the in-flight requests of all others."""
+        audience = self.audience
+        return audience.is_direct or (
+            audience.is_placer and audience.election.is_warm(self._clock.now_ms())
+        )
+
+    def placers(self):
+        """Return the `Peer` of each placer of the own domain, the preferred first."""
+        names = self.audience.election.placers(self._domain, self._clock.now_ms())
+        return [self._peers_by_name[n] for n in names if n in self._peers_by_name]
+
+    def store_followers(self):
+        """Return the names of the instances that normally follow the store, or None.
+
+        None means all instances that are alive.
+        """
+        if self.audience.is_direct:
+            return None
+        election, now_ms = self.audience.election, self._clock.now_ms()
+        return [
+            *election.placers(self._domain, now_ms),
+            *election.other_domain_placers(now_ms),
+        ]
+
+    async def ask(self, peer, make_query, timeout_ms):
+        """Send a query to a peer and return its reply, or None without one in time.
+
+        Parameters
+        ----------
+        peer : Peer
+        make_query : callable
+            Returns the query with an id.
+        timeout_ms : float
+        """
+        self._last_query_id += 1
+        query_id = self._last_query_id
+        pending = PendingQuery()
+        self._queries_by_id[query_id] = pending
+        try:
+            self._send_to(self._authenticator.encode(make_query(query_id)), [peer])
+            with trio.move_on_after(timeout_ms / MS_PER_SECOND):
+                await pending.event.wait()
+        finally:
+            del self._queries_by_id[query_id]
+        return pending.reply
+
     def alive_peer_names(self):
         """Return the names of the peers that count as alive."""
         alive_timeout_ms = self._alive_timeout_ms()
@@ -118,85 +184,125 @@
         ]
 
     def last_heard_ms_by_domain(self):
-        """Return the times, by domain, when peers of other domains were last heard."""
+        """Return the times, by domain, when peers of other domains were last heard.
+
+        Only of peers that send beacons to this instance.
+        """
         last_heard_ms_by_domain = {}
         for peer in self._peers_by_name.values():
+            if not self.audience.is_direct and not peer.is_placer:
+                continue
             if peer.last_heard_ms is not None and peer.domain != self._domain:
                 last_heard_ms_by_domain.setdefault(peer.domain, []).append(
                     peer.last_heard_ms
                 )
         return last_heard_ms_by_domain
 
-    def add_registered_peers(self, address_by_name):
+    def add_registered_peers(self, instances):
         """Add the instances registered in the store as peers.
 
         A peer that was never heard gets its registered address.
+
+        Parameters
+        ----------
+        instances : list of RegisteredInstance
         """
         now_ms = self._clock.now_ms()
-        for name, address in address_by_name.items():
-            if name == self.name:
+        self._registered_names = frozenset(instance.name for instance in instances)
+        for instance in instances:
+            if instance.name == self.name:
                 continue
-            peer = self._peers_by_name.get(name)
+            peer = self._peers_by_name.get(instance.name)
             if peer is None:
-                self._peers_by_name[name] = Peer(name, address, now_ms)
-                self._state.instance_count = 1 + len(self._peers_by_name)
+                self._add_peer(Peer(instance.name, instance.address, now_ms))
             elif peer.last_heard_ms is None:
-                peer.address = address
+                peer.address = instance.address
+            if instance.domain:
+                self.audience.election.add(
+                    instance.name, instance.domain, instance.capacity
+                )
+        self._update_role()
+
+    def expired_instance_names(self, instances):
+        """Return the registered instances that this one would hear but has not.
 
-    def expired_instance_names(self, address_by_name):
-        """Return the registered instances not heard for `PEER_EXPIRY_MS`."""
+        They were silent for `PEER_EXPIRY_MS`.
+        """
         now_ms = self._clock.now_ms()
         return [
-            name
-            for name in address_by_name
-            if name in self._peers_by_name
-            and now_ms - self._last_contact_ms(self._peers_by_name[name])
-            > PEER_EXPIRY_MS
+            instance.name
+            for instance in instances
+            if instance.name in self._peers_by_name
+            and self._is_expired(self._peers_by_name[instance.name], now_ms)
         ]
 
+    def _add_peer(self, peer):
+        self._peers_by_name[peer.name] = peer
+        self._state.instance_count = 1 + len(self._peers_by_name)
+        self._change_event.set()
+
+    def _update_role(self):
+        """Update whether this instance is a placer, and tell its peers of a change."""
+        audience, state = self.audience, self._state
+        if not audience.update(len(self._peers_by_name), self._clock.now_ms()):
+            return
+        state.is_placer = audience.is_placer
+        log.info(
+            "Role.",
+            all_tell_all=audience.is_direct,
+            is_placer=audience.is_placer,
+            instances=state.instance_count,
+        )
+        state.publish()
+
     async def _answer_query(self, message):
         if isinstance(message, StateQuery):
             return self._state.build_state_reply(message)
         raise MessageError(f"unexpected {type(message).__name__}")
 
-    def _on_state_change(self, only_flights):
-        self._only_flights_changed = self._only_flights_changed and only_flights
+    def _on_state_change(self, kind):
+        self._change = max(self._change or kind, kind)
         self._change_event.set()
 
     async def _run_sender(self):
-        has_change, only_flights = True, False
         while True:
-            if has_change or self._start_beacon_interval_if_due():
-                message = (
-                    self._build_flight_update()
-                    if only_flights
-                    else self._build_beacon()
-                )
-                self._broadcast(self._authenticator.encode(message))
-            with trio.move_on_after(BEACON_INTERVAL_MS / 1000):
+            self._update_role()
+            now_ms, peer_count = self._clock.now_ms(), len(self._peers_by_name)
+            self._state.placing_instance_count = self._placing_instance_count()
+            change, self._change, self._change_event = self._change, None, trio.Event()
+            kind = self.audience.next_message(change, peer_count, now_ms)
+            if kind is not None:
+                self._broadcast(kind, now_ms)
+            due_ms = self.audience.next_due_ms(peer_count)
+            with trio.move_on_after(max(0.0, due_ms - now_ms) / MS_PER_SECOND):
                 await self._change_event.wait()
-                peer_count = len(self._peers_by_name)
-                await self._clock.sleep_ms(
-                    CHANGE_COALESCING_MS + CHANGE_COALESCING_MS_PER_PEER * peer_count
-                )
-            has_change = self._change_event.is_set()
-            only_flights = (
-                has_change
-                and self._only_flights_changed
-                and not self._start_beacon_interval_if_due()
-            )
-            self._change_event, self._only_flights_changed = trio.Event(), True
-
-    def _broadcast(self, data):
-        """Send an authenticated datagram to all peers, by relay to other domains."""
+                await self._clock.sleep_ms(self._coalescing_ms())
+
+    def _placing_instance_count(self):
+        if self.has_full_picture and not self.audience.is_direct:
+            return len(self.audience.election.domains())
+        return self._state.instance_count
+
+    def _coalescing_ms(self):
+        if not self.audience.is_direct:
+            return CHANGE_COALESCING_MS
+        peer_count = len(self._peers_by_name)
+        return CHANGE_COALESCING_MS + CHANGE_COALESCING_MS_PER_PEER * peer_count
+
+    def _broadcast(self, kind, now_ms):
+        """Send a message about a kind of change to those that need it."""
+        is_flights = kind is ChangeKind.FLIGHTS
+        message = self._build_flight_update() if is_flights else self._build_beacon()
+        self.audience.record_sent(kind, now_ms)
+        data = self._authenticator.encode(message)
         if len(data) > MAX_DATAGRAM_BYTES:
             log.warning(
                 "Datagram exceeds the size limit; peers can't decode it.",
                 bytes=len(data),
             )
         self._remove_expired_peers()
-        direct, relays = self._tree.recipients(
-            self._peers_by_name.values(), self._is_alive
+        direct, relays = self.audience.recipients(
+            kind, self._peers_by_name, self._is_alive, now_ms
         )
         self._send_to(data, direct)
         if relays:
@@ -212,23 +318,9 @@
     def _is_alive(self, peer):
         return peer.was_heard_within(self._alive_timeout_ms(), self._clock.now_ms())
 
-    def _start_beacon_interval_if_due(self):
-        """Return whether a beacon is due without a change; if so, start an interval.
-
-        Such a beacon makes up for lost messages.
-        """
-        now_ms = self._clock.now_ms()
-        if now_ms - self._last_beacon_ms < self.beacon_interval_ms():
-            return False
-        self._last_beacon_ms = now_ms
-        return True
-
-    def _beacon_interval_factor(self):
-        return max(1, -(-len(self._peers_by_name) // PEERS_PER_INTERVAL_FACTOR))
-
     def beacon_interval_ms(self):
         """Return the longest time between two beacons of an instance."""
-        return self._beacon_interval_factor() * BEACON_INTERVAL_MS
+        return self.audience.beacon_interval_ms(len(self._peers_by_name))
 
     def _alive_timeout_ms(self):
         return (
@@ -238,12 +330,27 @@
     def _remove_expired_peers(self):
         now_ms = self._clock.now_ms()
         for peer in list(self._peers_by_name.values()):
-            if now_ms - self._last_contact_ms(peer) > PEER_EXPIRY_MS:
+            is_registered = peer.name in self._registered_names
+            if self._is_expired(peer, now_ms) and (
+                self.audience.is_direct or not is_registered
+            ):
                 del self._peers_by_name[peer.name]
+                self.audience.election.remove(peer.name)
                 self._state.instance_count = 1 + len(self._peers_by_name)
 
-    def _last_contact_ms(self, peer):
-        return peer.added_ms if peer.last_heard_ms is None else peer.last_heard_ms
+    def _is_expired(self, peer, now_ms):
+        """Return whether a peer that should be heard here was silent for too long."""
+        last_contact_ms = (
+            peer.added_ms if peer.last_heard_ms is None else peer.last_heard_ms
+        )
+        if not self.audience.is_direct:
+            # Only a placer hears the other instances, and only those of its domain.
+            if not self.audience.is_placer or peer.domain != self._domain:
+                return False
+            last_contact_ms = max(
+                last_contact_ms, self.audience.election.placer_since_ms
+            )
+        return now_ms - last_contact_ms > PEER_EXPIRY_MS
 
     def _build_flight_update(self):
         self._sequence += 1
@@ -255,10 +362,10 @@
             begun=tuple(changes.started_by_id.values()),
             decoding=tuple(changes.decoding_ids),
             ended=tuple(changes.ended_ids),
+            faults=self._state.take_faults(),
         )
 
     def _build_beacon(self):
-        self._tree.rotate_relays()
         now_ms = self._clock.now_ms()
         state = self._state
         self._sequence += 1
@@ -282,24 +389,64 @@
             flights=state.load_state.own_flights(now_ms),
             losses=tuple((x.fingerprint, x.endpoint, x.domain) for x in losses),
             paces=tuple(state.paces.own_paces.items()),
+            capacity=self.registration.capacity,
+            is_placer=self.audience.is_placer,
         )
 
     async def _run_receiver(self, nursery):
         while True:
             for data in await self._datagram_socket.receive():
                 self._handle_datagram(data, nursery)
-            await self._clock.sleep_ms(
-                RECEIVE_BATCHING_MS_PER_PEER * len(self._peers_by_name)
-            )
+            if self.audience.is_direct:
+                await self._clock.sleep_ms(
+                    RECEIVE_BATCHING_MS_PER_PEER * len(self._peers_by_name)
+                )
 
     def _handle_datagram(self, data, nursery):
         message = self._decode_datagram(data)
         if isinstance(message, RelayedDatagram):
             message = self._relay_datagram(message.datagram)
         if isinstance(message, Beacon) and message.name != self.name:
+            if self._must_forward_beacon(message):
+                self._forward_to_other_domains(data, message.name)
             self._handle_beacon(message, nursery)
         elif isinstance(message, FlightUpdate):
+            self._forward_to_other_domains(data, message.name)
             self._apply_flight_update(message)
+        elif isinstance(message, PlacementQuery | LoadQuery):
+            self._answer(message)
+        elif isinstance(message, PlacementReply | LoadReply):
+            pending = self._queries_by_id.get(message.id)
+            if pending is not None:
+                pending.reply = message
+                pending.event.set()
+
+    def _answer(self, query):
+        reply = self.answer_query(query) if self.answer_query is not None else None
+        if reply is not None:
+            peer = Peer(query.sender, query.address, self._clock.now_ms())
+            self._send_to(self._authenticator.encode(reply), [peer])
+
+    def _must_forward_beacon(self, beacon):
+        """Return whether placers of other domains need a beacon of an own member.
+
+        Placers send them their own beacons themselves.
+        """
+        load_state = self._state.load_state
+        return not beacon.is_placer and bool(
+            beacon.flights
+            or beacon.losses
+            or beacon.paces
+            or load_state.peer_flight_count(beacon.name)
+        )
+
+    def _forward_to_other_domains(self, data, origin):
+        """Forward a datagram of an instance of the own domain, as its placer."""
+        peer = self._peers_by_name.get(origin)
+        if not self.audience.is_placer or peer is None or peer.domain != self._domain:
+            return
+        now_ms = self._clock.now_ms()
+        self._send_to(data, self.audience.counterparts(self._peers_by_name, now_ms))
 
     def _relay_datagram(self, data):
         """Forward a datagram within the own domain; return its message or None."""
@@ -308,7 +455,7 @@
             return None
         name = getattr(message, "name", "")
         peers = self._peers_by_name.values()
-        self._send_to(data, self._tree.forward_recipients(peers, name))
+        self._send_to(data, self.audience.relay_recipients(peers, name))
         return message
 
     def _decode_datagram(self, data):
@@ -322,115 +469,101 @@
     def _apply_flight_update(self, update):
         peer = self._peers_by_name.get(update.name)
         order = (update.incarnation, update.sequence)
-        if (
-            peer is None
-            or order <= peer.last_message_order
-            or update.incarnation != peer.last_message_order[0]
-        ):
+        if peer is None or order <= peer.last_message_order:
             return
+        now_ms, load_state = self._clock.now_ms(), self._state.load_state
+        if update.incarnation != peer.last_message_order[0]:
+            # Requests of an earlier incarnation have ended with it.
+            load_state.replace_peer(update.name, (), now_ms)
         peer.last_message_order = order
-        peer.last_heard_ms = now_ms = self._clock.now_ms()
-        self._state.load_state.apply_peer_changes(
+        peer.last_heard_ms = now_ms
+        self.audience.election.record_heard(update.name, now_ms)
+        if not self.audience.is_direct:
+            self._apply_outcomes(update, now_ms)
+        load_state.apply_peer_changes(
             update.name, update.begun, update.decoding, update.ended, now_ms
         )
 
+    def _apply_outcomes(self, update, now_ms):
+        """Record how a peer's attempts at endpoints have ended."""
+        state = self._state
+        failed_ids = set()
+        for endpoint_id, incarnation, fault in update.faults:
+            failed_ids.add(endpoint_id)
+            state.apply_reported_fault(endpoint_id, incarnation, fault, now_ms)
+        for flight_id in update.ended:
+            flight = state.load_state.peer_flight(update.name, flight_id)
+            endpoint = flight and state.endpoints.by_id.get(flight.engine)
+            if endpoint and endpoint.id not in failed_ids:
+                state.health.record_outcome(endpoint.key, False, now_ms)
+
     def _handle_beacon(self, beacon, nursery):
         now_ms = self._clock.now_ms()
         peer = self._peers_by_name.get(beacon.name)
         if peer is None:
             peer = Peer(beacon.name, beacon.address, now_ms)
-            self._peers_by_name[beacon.name] = peer
-            self._state.instance_count = 1 + len(self._peers_by_name)
-            self._change_event.set()
+            self._add_peer(peer)
         order = (beacon.incarnation, beacon.sequence)
         was_silent = not peer.was_heard_within(self._alive_timeout_ms(), now_ms)
         # The incarnation is the start time by the wall clock. An instance that restarts
         # with its clock behind has a lower order, which is accepted after a silence.
         if order <= peer.last_message_order and not was_silent:
             return
+        is_new_placer = beacon.is_placer and (
+            not peer.is_placer or beacon.incarnation != peer.last_message_order[0]
+        )
         if was_silent:
             log.info("Peer heard.", peer=peer.name, address=beacon.address)
         peer.last_message_order = order
         peer.address = beacon.address
         peer.domain = beacon.domain
+        peer.is_placer = beacon.is_placer
         peer.last_heard_ms = now_ms
+        election = self.audience.election
+        election.add(beacon.name, beacon.domain, beacon.capacity)
+        election.record_heard(beacon.name, now_ms)
+        election.record_leaving(beacon.name, beacon.is_leaving)
         self._state.load_state.replace_peer(beacon.name, beacon.flights, now_ms)
         self._state.paces.merge_peer_paces(beacon.paces, now_ms)
         self._record_losses(beacon, now_ms)
-        self._reconcile_with_peer(peer, beacon, now_ms, nursery)
+        self._fetcher.reconcile(
+            peer.address, beacon, self._max_fetch_delay_ms(), self._random, nursery
+        )
+        if is_new_placer and not self.audience.is_direct:
+            # It doesn't know the requests of this instance yet.
+            self._on_state_change(ChangeKind.CONFIRMATION)
+
+    def _max_fetch_delay_ms(self):
+        return 0.0 if self.has_full_picture else MAX_FETCH_DELAY_MS
 
     def _record_losses(self, beacon, now_ms):
         for fingerprint, endpoint, domain in beacon.losses:
             loss = Loss(fingerprint, endpoint, domain, now_ms)
-            if self._state.crashes.record_loss(loss):
-                log.info(
-                    "Endpoint loss reported by peer.",
-                    fingerprint=fingerprint,
-                    endpoint=endpoint,
-                    peer=beacon.name,
-                )
-
-    def _reconcile_with_peer(self, peer, beacon, now_ms, nursery):
-        """Apply a peer's confirmations; fetch its configuration or list if newer."""
-        state = self._state
-        wants_configuration = wants_endpoints = False
-        if beacon.configuration_age_ms >= 0:
-            own_version = state.configuration.version if state.configuration else -1
-            if beacon.configuration_version == own_version:
-                confirmed_ms = now_ms - beacon.configuration_age_ms
-                state.confirm_configuration(confirmed_ms, beacon.configuration_stamp)
-            wants_configuration = beacon.configuration_version > own_version
-        if beacon.endpoints_age_ms >= 0:
-            endpoints = state.endpoints
-            confirmed_ms = now_ms - beacon.endpoints_age_ms
-            stamp = beacon.endpoints_stamp
-            is_newer = state.endpoints_freshness.is_newer(stamp, confirmed_ms)
-            if is_newer and beacon.endpoints_revision >= endpoints.revision:
-                if beacon.endpoints_digest == endpoints.digest:
-                    state.confirm_endpoints(
-                        beacon.endpoints_revision, confirmed_ms, stamp
-                    )
-                else:
-                    wants_endpoints = True
-        # Several peers announce one change at once; it is fetched from one of them.
-        wants_configuration = (
-            wants_configuration and not self._is_fetching_configuration
-        )
-        wants_endpoints = wants_endpoints and not self._is_fetching_endpoints
-        if wants_configuration or wants_endpoints:
-            self._is_fetching_configuration = (
-                self._is_fetching_configuration or wants_configuration
-            )
-            self._is_fetching_endpoints = self._is_fetching_endpoints or wants_endpoints
-            query = StateQuery(wants_configuration, wants_endpoints)
-            nursery.start_soon(self._fetch_state, peer, query)
-
-    async def _fetch_state(self, peer, query):
-        try:
-            reply = await self._link.call(peer.address, query, FETCH_TIMEOUT_MS)
-            packed = reply.configuration
-            configuration = unpack_configuration(packed) if packed is not None else None
-        except (PeerUnresponsiveError, MessageError) as error:
+            if not self._state.crashes.record_loss(loss):
+                continue
             log.info(
-                "Fetching state from peer failed.", peer=peer.name, cause=str(error)
-            )
-            return
-        finally:
-            if query.wants_configuration:
-                self._is_fetching_configuration = False
-            if query.wants_endpoints:
-                self._is_fetching_endpoints = False
-        now_ms = self._clock.now_ms()
-        if configuration is not None:
-            confirmed_ms = now_ms - max(0.0, reply.configuration_age_ms)
-            self._state.apply_configuration(
-                configuration, confirmed_ms, peer.name, reply.configuration_stamp
-            )
-        if reply.endpoints is not None and reply.endpoints_age_ms >= 0:
-            self._state.apply_endpoints(
-                reply.endpoints,
-                reply.endpoints_revision,
-                now_ms - reply.endpoints_age_ms,
-                peer.name,
-                reply.endpoints_stamp,
+                "Endpoint loss reported by peer.",
+                fingerprint=fingerprint,
+                endpoint=endpoint,
+                peer=beacon.name,
             )
+            if self.audience.is_placer:
+                # The instances of this domain hear of it from here.
+                self._on_state_change(ChangeKind.STATE)
+
+
+class PendingQuery:
+    """A query to a peer that waits for its reply.
+
+    Attributes
+    ----------
+    event : trio.Event
+        Set when the reply has arrived.
+    reply : Wire or None
+    """
+
+    __slots__ = ("event", "reply")
+
+    def __init__(self):
+        self.event = trio.Event()
+        self.reply = None
--- a/vanillareach/gateway/idle_timeouts.py
+++ b/vanillareach/gateway/idle_timeouts.py
@@ -6,7 +6,10 @@
 
 from vanillareach.endpoints.base import EndpointBrokenError
 
-CHECK_INTERVAL_MS = 50.0
+# Bounds of the interval between two checks. A timeout is never shorter than the upper
+# one, so a check finds each in time.
+MIN_CHECK_INTERVAL_MS = 50.0
+MAX_CHECK_INTERVAL_MS = 400.0
 # An expired timeout is extended by this while prefill is pending at the engine.
 BUSY_EXTENSION_MS = 200.0
 
@@ -58,19 +61,22 @@
 
     Parameters
     ----------
-    dispatcher : Dispatcher
+    placement_client : PlacementClient
+        Knows which engines have prefill pending.
     clock : Clock
     """
 
-    def __init__(self, dispatcher, clock):
-        self._dispatcher = dispatcher
+    def __init__(self, placement_client, clock):
+        self._placement_client = placement_client
         self._clock = clock
         self._timeouts = set()
+        self._watch_event = trio.Event()
 
     def watch(self, flight, deadline_ms):
         """Return the `IdleTimeout` of an attempt, monitored until `unwatch`."""
         idle_timeout = IdleTimeout(flight, deadline_ms)
         self._timeouts.add(idle_timeout)
+        self._watch_event.set()
         return idle_timeout
 
     def unwatch(self, idle_timeout):
@@ -80,10 +86,25 @@
     async def run(self):
         """Check the timeouts until cancelled."""
         while True:
-            await self._clock.sleep_ms(CHECK_INTERVAL_MS)
+            if not self._timeouts:
+                self._watch_event = trio.Event()
+                await self._watch_event.wait()
+            await self._clock.sleep_ms(self._check_interval_ms())
             now_ms = self._clock.now_ms()
             for idle_timeout in [x for x in self._timeouts if x.deadline_ms <= now_ms]:
-                if self._dispatcher.is_prefill_pending(idle_timeout.flight, now_ms):
-                    idle_timeout.extend(now_ms + BUSY_EXTENSION_MS)
-                    continue
-                idle_timeout.expire()
+                await self._expire_or_extend(idle_timeout, now_ms)
+
+    async def _expire_or_extend(self, idle_timeout, now_ms):
+        is_busy = await self._placement_client.is_prefill_pending(idle_timeout.flight)
+        if idle_timeout not in self._timeouts or idle_timeout.deadline_ms > now_ms:
+            # The attempt has ended, or an event has arrived, meanwhile.
+            return
+        if is_busy:
+            idle_timeout.extend(self._clock.now_ms() + BUSY_EXTENSION_MS)
+        else:
+            idle_timeout.expire()
+
+    def _check_interval_ms(self):
+        next_ms = min(timeout.deadline_ms for timeout in self._timeouts)
+        remaining_ms = next_ms - self._clock.now_ms()
+        return max(MIN_CHECK_INTERVAL_MS, min(MAX_CHECK_INTERVAL_MS, remaining_ms))
--- a/vanillareach/gateway/ports.py
+++ b/vanillareach/gateway/ports.py
@@ -3,6 +3,8 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 
+import msgspec
+
 
 @dataclass(slots=True, frozen=True)
 class CallerFields:
@@ -141,6 +143,25 @@
         """
 
 
+class RegisteredInstance(msgspec.Struct, frozen=True):
+    """Entry of an instance in the store.
+
+    Attributes
+    ----------
+    name, address : str
+        Name and peer address.
+    domain : str
+        Failure domain; empty in the entry of an older version.
+    capacity : float
+        Relative processing capacity of its machine.
+    """
+
+    name: str
+    address: str
+    domain: str = ""
+    capacity: float = 0.0
+
+
 class DeploymentStore(ABC):
     """The deployment's store as the gateway uses it."""
 
@@ -169,12 +190,18 @@
         """Return (revision, list of `ListedEndpoint`, list of unreadable entries)."""
 
     @abstractmethod
-    async def list_instances(self):
-        """Return the registered instances as a list of (name, peer address)."""
+    async def list_instances(self, may_be_stale=False):
+        """Return the registered instances as a list of `RegisteredInstance`.
+
+        Parameters
+        ----------
+        may_be_stale : bool
+            Whether the list may be some seconds old, which costs the store less.
+        """
 
     @abstractmethod
-    async def register_instance(self, name, address):
-        """Write the entry of this instance: its name and peer address."""
+    async def register_instance(self, instance):
+        """Write the entry of an instance, a `RegisteredInstance`."""
 
     @abstractmethod
     async def remove_instance(self, name):
--- a/vanillareach/gateway/probing.py
+++ b/vanillareach/gateway/probing.py
@@ -10,6 +10,8 @@
 from vanillareach.log import get_logger
 
 PROBE_INTERVAL_MS = 300.0
+# Interval at which an instance that doesn't probe uses all endpoints again.
+DROP_INTERVAL_MS = 3_000.0
 PROBE_TIMEOUT_MS = 400.0
 
 log = get_logger("probing")
@@ -18,6 +20,9 @@
 class ReachabilityProber:
     """Probes endpoints ejected as unreachable, by a connection without a request.
 
+    In a large fleet only the placers probe, to which the others report what they can't
+    reach; otherwise connections would grow with the number of instances.
+
     Parameters
     ----------
     state : GatewayState
@@ -35,6 +40,11 @@
     async def run(self):
         """Probe at an interval until cancelled."""
         while True:
+            if not self._gossip.has_full_picture:
+                await self._clock.sleep_ms(DROP_INTERVAL_MS)
+                if not self._gossip.has_full_picture:
+                    self._state.health.unreachable_by_key.clear()
+                continue
             await self._clock.sleep_ms(PROBE_INTERVAL_MS)
             self._eject_silent_domains()
             self._stop_probing_unlisted_endpoints()
@@ -66,5 +76,5 @@
         except OSError:
             return
         stream.socket.close()
-        self._state.health.record_reachable(endpoint.key)
+        self._state.health.record_reachable(endpoint.key, self._clock.now_ms())
         log.info("Endpoint regained.", endpoint=endpoint.id)
--- a/vanillareach/gateway/reservations.py
+++ b/vanillareach/gateway/reservations.py
@@ -65,6 +65,7 @@
         self._clock = clock
         self._active_by_id = {}
         self._nursery = None
+        self._active_event = trio.Event()
 
     @property
     def active_count(self):
@@ -76,6 +77,9 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             while True:
+                if not self._active_by_id:
+                    self._active_event = trio.Event()
+                    await self._active_event.wait()
                 await self._clock.sleep_ms(RENEWAL_INTERVAL_MS)
                 for reservation in self._active_by_id.values():
                     nursery.start_soon(self._reserve_all, reservation)
@@ -98,6 +102,7 @@
             reservation.is_granted = await self._reserve_all(reservation)
             if reservation.is_granted:
                 self._active_by_id[id_prefix] = reservation
+                self._active_event.set()
             yield reservation
         finally:
             self._active_by_id.pop(id_prefix, None)
--- a/vanillareach/gateway/settings.py
+++ b/vanillareach/gateway/settings.py
@@ -10,6 +10,9 @@
     check_one_of,
 )
 
+# Bandwidth that an instance needs to make use of a core.
+LINK_MBPS_PER_CORE = 50.0
+
 
 def _listen_setting(name, default, meaning):
     return Setting(name, str, default, "host:port", meaning, check_address)
@@ -56,6 +59,30 @@
         "Window of the retry budget.",
         check_between(0.1, 3_600.0),
     ),
+    Setting(
+        "processor_cores",
+        float,
+        1.0,
+        "cores",
+        "Share of a core of the machine.",
+        check_between(0.0, 1e4),
+    ),
+    Setting(
+        "processor_speed",
+        float,
+        1.0,
+        "",
+        "Speed of its cores, relative to other machines.",
+        check_between(0.0, 1e4),
+    ),
+    Setting(
+        "link_mbps",
+        float,
+        1000.0,
+        "Mbit/s",
+        "Bandwidth of the machine's link.",
+        check_between(0.0, 1e7),
+    ),
     Setting(
         "placement",
         str,
@@ -73,3 +100,11 @@
 
     __slots__ = tuple(setting.name for setting in GATEWAY_SETTINGS)
     TABLE = GATEWAY_SETTINGS
+
+    @property
+    def capacity(self):
+        """Relative processing capacity of the machine, as far as its link allows."""
+        return min(
+            self.processor_cores * self.processor_speed,
+            self.link_mbps / LINK_MBPS_PER_CORE,
+        )
--- a/vanillareach/gateway/state.py
+++ b/vanillareach/gateway/state.py
@@ -10,15 +10,22 @@
 from vanillareach.core.engine_pace import EnginePaces
 from vanillareach.core.freshness import Freshness
 from vanillareach.core.load_state import LoadState
-from vanillareach.core.messages import StateReply, pack_configuration
+from vanillareach.core.messages import (
+    EndpointFault,
+    StateReply,
+    pack_configuration,
+)
 from vanillareach.core.retry_share import RetryBudgetShare
 from vanillareach.core.routing import CallerLimits
+from vanillareach.core.state_change import ChangeKind
 from vanillareach.core.suspicion import CrashTracker
 from vanillareach.log import get_logger
 
 DEFAULT_CALLER_LIMITS = CallerLimits()
 NEVER_CONFIRMED_AGE_MS = -1.0
 STAMP_BITS = 48
+# Faults kept for the next message to peers.
+MAX_UNREPORTED_FAULTS = 64
 
 log = get_logger("state")
 
@@ -52,6 +59,10 @@
     paces : EnginePaces
     instance_count : int
         Number of known instances, which share budgets; includes this one.
+    is_placer : bool
+        Whether this instance places the requests of others; see `PlacerElection`.
+    placing_instance_count : int
+        Number of instances that place requests independently of each other.
     is_stopping : bool
     stop_deadline_ms : float
         Monotonic time by which this instance exits; infinite unless it is stopping.
@@ -69,6 +80,9 @@
         self.crashes = CrashTracker()
         self.paces = EnginePaces()
         self.instance_count = 1
+        self.is_placer = False
+        self.placing_instance_count = 1
+        self._unreported_faults = []
         self.is_stopping = False
         self.stop_deadline_ms = math.inf
         self._initial_state_event = trio.Event()
@@ -80,14 +94,54 @@
     def subscribe(self, listener):
         """Call `listener` at every change that has to be sent to peers.
 
-        Its argument says whether only in-flight requests have changed.
+        Its argument is the `ChangeKind`.
         """
         self._listeners.append(listener)
 
-    def publish(self, only_flights=False):
+    def publish(self, kind=ChangeKind.STATE):
         """Notify all listeners of a change."""
         for listener in self._listeners:
-            listener(only_flights)
+            listener(kind)
+
+    def record_fault(self, endpoint, fault, now_ms):
+        """Record a fault of an endpoint that a request of this instance has met.
+
+        Parameters
+        ----------
+        endpoint : ListedEndpoint
+        fault : EndpointFault
+        now_ms : float
+        """
+        if fault is EndpointFault.UNREACHABLE:
+            self.health.record_unreachable(endpoint, self.endpoints.by_id.values())
+        elif fault is EndpointFault.LEAVING:
+            self.endpoints.record_leaving(endpoint, now_ms)
+        elif fault is EndpointFault.REFUSED:
+            self.health.record_refusal(endpoint.key, now_ms)
+        else:
+            self.health.record_outcome(endpoint.key, True, now_ms)
+        if len(self._unreported_faults) < MAX_UNREPORTED_FAULTS:
+            self._unreported_faults.append((*endpoint.key, fault))
+        self.publish(ChangeKind.FLIGHTS)
+
+    def take_faults(self):
+        """Return and forget the faults recorded since the last call."""
+        faults, self._unreported_faults = tuple(self._unreported_faults), []
+        return faults
+
+    def apply_reported_fault(self, endpoint_id, incarnation, fault, now_ms):
+        """Record a fault that a peer reports; it doesn't count as seen here."""
+        endpoint = self.endpoints.by_id.get(endpoint_id)
+        if endpoint is None or endpoint.incarnation != incarnation:
+            return
+        if fault == EndpointFault.UNREACHABLE:
+            self.health.record_reported_unreachable(endpoint, now_ms)
+        elif fault == EndpointFault.LEAVING:
+            self.endpoints.record_leaving(endpoint, now_ms)
+        elif fault == EndpointFault.REFUSED:
+            self.health.record_refusal(endpoint.key, now_ms)
+        else:
+            self.health.record_outcome(endpoint.key, True, now_ms)
 
     def mark_stopping(self, stop_deadline_ms):
         """Accept no new callers and notify peers; exit by `stop_deadline_ms`."""
--- a/vanillareach/log.py
+++ b/vanillareach/log.py
@@ -75,6 +75,12 @@
         Open file descriptor; made non-blocking.
     lines_per_second : int
         Rate above which lines are dropped.
+
+    Attributes
+    ----------
+    dropped_lines : int
+    on_buffered : callable
+        Called when a line is written to the empty buffer.
     """
 
     MAX_BUFFERED_BYTES = 262_144
@@ -88,6 +94,7 @@
         self._rate_window_s = 0
         self._lines_in_window = 0
         self.dropped_lines = 0
+        self.on_buffered = lambda: None
         os.set_blocking(descriptor, False)
 
     def write(self, text):
@@ -104,8 +111,16 @@
         ):
             self.dropped_lines += 1
             return
+        was_empty = not self._buffered_lines
         self._buffered_lines.append(data)
         self._buffered_bytes += len(data)
+        if was_empty:
+            self.on_buffered()
+
+    @property
+    def has_lines(self):
+        """Whether lines wait for the next `drain`."""
+        return bool(self._buffered_lines)
 
     def flush(self):
         """Do nothing; `drain` writes the buffered lines."""
--- a/vanillareach/platform/store.py
+++ b/vanillareach/platform/store.py
@@ -10,7 +10,7 @@
     PlatformGoneError,
     PlatformUnavailableError,
 )
-from vanillareach.gateway.ports import DeploymentStore
+from vanillareach.gateway.ports import DeploymentStore, RegisteredInstance
 from vanillareach.log import get_logger
 from vanillareach.platform import names
 from vanillareach.platform.documents import (
@@ -39,9 +39,11 @@
 
 
 class InstanceSpec(msgspec.Struct):
-    """Entry of a gateway instance."""
+    """Entry of a gateway instance; see `RegisteredInstance`."""
 
     address: str
+    domain: str = ""
+    capacity: float = 0.0
 
 
 class PlatformStore(DeploymentStore):
@@ -101,9 +103,9 @@
                 unreadable.append(str(error))
         return revision, listed, unreadable
 
-    async def list_instances(self):
+    async def list_instances(self, may_be_stale=False):
         """List the instances; see `DeploymentStore`."""
-        items, _ = await self._list(INSTANCE_KIND)
+        items, _ = await self._list(INSTANCE_KIND, may_be_stale)
         instances = []
         for item in items:
             try:
@@ -116,12 +118,18 @@
                     "Skipped an invalid instance entry.", name=name, cause=str(error)
                 )
                 continue
-            instances.append((item.metadata.name, spec.address))
+            instances.append(
+                RegisteredInstance(
+                    item.metadata.name, spec.address, spec.domain, spec.capacity
+                )
+            )
         return instances
 
-    async def register_instance(self, name, address):
+    async def register_instance(self, instance):
         """Write this instance's entry; see `DeploymentStore`."""
-        body = {"metadata": {"name": name}, "spec": {"address": address}}
+        name = instance.name
+        spec = InstanceSpec(instance.address, instance.domain, instance.capacity)
+        body = {"metadata": {"name": name}, "spec": msgspec.to_builtins(spec)}
         response = await self._call("POST", INSTANCE_KIND, body=body)
         if response.status == 409:
             response = await self._call("PUT", f"{INSTANCE_KIND}/{name}", body=body)
@@ -133,14 +141,17 @@
         if response.status != 404:
             _raise_for_status(response)
 
-    async def _list(self, kind):
-        items, path = [], kind
+    async def _list(self, kind, may_be_stale=False):
+        items, query = [], "allow_stale=1" if may_be_stale else ""
+        path = f"{kind}?{query}" if query else kind
         while True:
             page = _decode(await self._call("GET", path), PageDocument)
             items += page.items
             if not page.more or not page.items:
                 return items, page.at
             path = f"{kind}?after={page.items[-1].metadata.name}"
+            if query:
+                path += f"&{query}"
 
     async def _call(self, method, path, timeout_ms=CALL_TIMEOUT_MS, body=None):
         self.calls += 1
