Test placers on a fleet in memory; let a cut-off placer leave its role

Scenarios with 30 to 300 instances on a mock clock. They showed: a sender that waits for less than the clock's resolution loops, a placer that receives nothing stays one, and beacons of instances that are no placers kept a lost one alive.

--- a/vanillareach/core/audience.py
+++ b/vanillareach/core/audience.py
@@ -140,4 +140,4 @@
 
     def _is_due(self, kind, interval_ms, now_ms):
         last_ms = self._last_beacon_ms_by_kind.get(kind)
-        return last_ms is None or now_ms - last_ms >= interval_ms
+        return last_ms is None or now_ms >= last_ms + interval_ms
--- a/vanillareach/core/placers.py
+++ b/vanillareach/core/placers.py
@@ -36,7 +36,8 @@
     name, domain : str
     capacity : float
         Relative processing capacity of its machine.
-    is_leaving : bool
+    is_unavailable : bool
+        Whether it says that it is leaving, or is this instance and hears nobody.
     expected_since_ms, heard_ms : float or None
         Since when it is expected to send beacons as a placer, and when it was last
         heard.
@@ -47,7 +48,7 @@
         "domain",
         "expected_since_ms",
         "heard_ms",
-        "is_leaving",
+        "is_unavailable",
         "name",
     )
 
@@ -55,7 +56,7 @@
         self.name = name
         self.domain = domain
         self.capacity = capacity
-        self.is_leaving = False
+        self.is_unavailable = False
         self.expected_since_ms = None
         self.heard_ms = None
 
@@ -107,16 +108,16 @@
             self._forget_ranks()
 
     def record_heard(self, name, now_ms):
-        """Record that a message of an instance arrived."""
+        """Record that a beacon of an instance arrived, by which it is a placer."""
         candidate = self._candidates_by_name.get(name)
         if candidate is not None:
             candidate.heard_ms = now_ms
 
-    def record_leaving(self, name, is_leaving):
-        """Record whether an instance says that it is leaving."""
+    def record_unavailable(self, name, is_unavailable):
+        """Record whether an instance can't be a placer now."""
         candidate = self._candidates_by_name.get(name)
         if candidate is not None:
-            candidate.is_leaving = is_leaving
+            candidate.is_unavailable = is_unavailable
 
     def placers(self, domain, now_ms):
         """Return the names of a domain's placers, the preferred one first.
@@ -126,7 +127,7 @@
         ranked = self._ranked(domain)
         placers = []
         for candidate in ranked:
-            if candidate.is_leaving:
+            if candidate.is_unavailable:
                 continue
             if candidate.name != self.name:
                 if candidate.is_silent(now_ms):
--- /dev/null
+++ b/vanillareach/features/gateway_network.py
@@ -0,0 +1,290 @@
+"""Gateways that exchange messages in memory, on a mock clock.
+
+Only what takes part in placement is built: gossip, state, placement. There are no
+callers' connections, endpoints or store.
+"""
+
+import random
+from types import SimpleNamespace
+
+import msgspec
+import trio
+import trio.testing
+
+from vanillareach.clock import TrioClock
+from vanillareach.core.dispatching import Dispatcher
+from vanillareach.core.endpoint_list import ListedEndpoint
+from vanillareach.core.engine_policies import DEFAULT_POLICY, POLICIES_BY_NAME
+from vanillareach.features.users_platform.stage import HOST, configuration
+from vanillareach.gateway.exchange import GatewayExchange
+from vanillareach.gateway.gossip import Gossip
+from vanillareach.gateway.placing import PlacementClient, PlacementServer
+from vanillareach.gateway.ports import CallerFields
+from vanillareach.gateway.settings import GatewaySettings
+from vanillareach.gateway.state import GatewayState
+from vanillareach.peers.link import PeerLink, PeerUnresponsiveError
+from vanillareach.platform.documents import decode_configuration
+
+LATENCY_MS = 1.0
+FAST_CORES, SLOW_CORES = 4.0, 1.0
+FAST_INSTANCES_PER_DOMAIN = 3
+ENGINES_PER_DOMAIN = 4
+CALLER_TIMEOUT_MS = 10_000.0
+
+
+class MemoryNetwork:
+    """Datagrams and calls between the instances of a `MemoryFleet`.
+
+    Attributes
+    ----------
+    received_by_name : dict of str to int
+        Datagrams that arrived at each instance.
+    is_cut : callable
+        Whether what one instance sends to another is lost, by their names.
+    """
+
+    def __init__(self):
+        self.sockets_by_address = {}
+        self.handlers_by_address = {}
+        self.received_by_name = {}
+        self.is_cut = lambda sender, receiver: False
+
+    def open_socket(self, address):
+        """Return a `MemorySocket` at an address."""
+        self.sockets_by_address[address] = MemorySocket(self, address)
+        return self.sockets_by_address[address]
+
+
+class MemorySocket:
+    """Stands in for `DatagramSocket`; its address is the name of its instance."""
+
+    def __init__(self, network, address):
+        self.address = address
+        self._network = network
+        self._datagrams = []
+        self._arrival = trio.Event()
+        self._token = trio.lowlevel.current_trio_token()
+        self.is_frozen = False
+
+    def close(self):
+        """Take the socket out of the network."""
+        if self._network.sockets_by_address.get(self.address) is self:
+            del self._network.sockets_by_address[self.address]
+
+    def send_to_all(self, data, addresses):
+        """Send a datagram to each address."""
+        for address in addresses:
+            receiver = self._network.sockets_by_address.get(address)
+            if receiver is None or self._network.is_cut(self.address, address):
+                continue
+            self._network.received_by_name[address] = (
+                self._network.received_by_name.get(address, 0) + 1
+            )
+            receiver.deliver(data)
+        return {}
+
+    def deliver(self, data):
+        """Store a datagram until the next `receive`."""
+        self._datagrams.append((trio.current_time() + LATENCY_MS / 1000, data))
+        self._arrival.set()
+
+    async def receive(self):
+        """Wait until a datagram has arrived, and return those that have."""
+        while True:
+            if not self._datagrams or self.is_frozen:
+                self._arrival = trio.Event()
+                await self._arrival.wait()
+                continue
+            await trio.sleep_until(self._datagrams[0][0])
+            now_s = trio.current_time()
+            arrived = [data for at_s, data in self._datagrams if at_s <= now_s]
+            self._datagrams = [d for d in self._datagrams if d[0] > now_s]
+            return arrived
+
+    def thaw(self):
+        """Handle again what arrives, and what arrived meanwhile."""
+        self.is_frozen = False
+        self._arrival.set()
+
+
+class MemoryLink(PeerLink):
+    """Calls between instances that are answered at once."""
+
+    def __init__(self, network, name):
+        self._network = network
+        self._name = name
+        self._handlers_by_address = network.handlers_by_address
+
+    async def call(self, address, message, timeout_ms):
+        """Call a peer; see `PeerLink.call`."""
+        handler = self._handlers_by_address.get(address)
+        if handler is None or self._network.is_cut(self._name, address):
+            raise PeerUnresponsiveError(address)
+        return await handler(message)
+
+    async def serve(self, handler):
+        """Serve until cancelled; see `PeerLink.serve`."""
+        self._handlers_by_address[self._name] = handler
+        try:
+            await trio.sleep_forever()
+        finally:
+            del self._handlers_by_address[self._name]
+
+
+class MemoryGateway:
+    """One instance of a `MemoryFleet`."""
+
+    def __init__(self, name, domain, cores, network, seed):
+        self.clock = TrioClock(wall_offset_ms=1_000_000)
+        self.settings = GatewaySettings(
+            name=name, domain=domain, peer_listen="127.0.0.1:1", processor_cores=cores
+        )
+        # The network knows instances by name.
+        self.settings.peer_listen = name
+        self.state = GatewayState(self.settings, self.clock)
+        link = MemoryLink(network, name)
+        self.gossip = Gossip(
+            self.settings, self.state, link, self.clock, network.open_socket
+        )
+        self.gossip._random = random.Random(seed)
+        self.dispatcher = Dispatcher(
+            self.state, domain, random.Random(seed), POLICIES_BY_NAME[DEFAULT_POLICY]()
+        )
+        self.client = PlacementClient(
+            self.state, self.dispatcher, self.gossip, self.clock
+        )
+        server = PlacementServer(self.state, self.dispatcher, self.clock)
+        self.gossip.answer_query = server.answer
+        self.scope = trio.CancelScope()
+
+    async def run(self):
+        """Exchange messages until the instance is killed."""
+        with self.scope:
+            await self.gossip.run()
+
+    @property
+    def running_count(self):
+        """Number of requests at engines that the instance knows of."""
+        loads = self.state.load_state.loads_by_engine(self.clock.now_ms())
+        return sum(load.running for load in loads.values())
+
+    def exchange(self, prompt_tokens=1_000):
+        """Return the `GatewayExchange` of a new request for a generation."""
+        now_ms = self.clock.now_ms()
+        fields = CallerFields(
+            attempt_id=f"{self.settings.name}-{now_ms:.3f}",
+            timeout_ms=CALLER_TIMEOUT_MS,
+            key=None,
+            prompt_tokens=prompt_tokens,
+            answer_tokens=300,
+            last_event_id=None,
+        )
+        request = SimpleNamespace(received_ms=now_ms)
+        route = self.state.configuration.match(HOST, "/ask/a")
+        service = self.state.configuration.services_by_name["model"]
+        return GatewayExchange(request, fields, route, service, None)
+
+    async def run_request(self, duration_ms, prompt_tokens=1_000):
+        """Place a request and let it run; return its `Placement` or None."""
+        exchange = self.exchange(prompt_tokens)
+        decision = await self.client.choose(exchange)
+        if decision.placement is None:
+            return None
+        flight = self.dispatcher.record_dispatch(
+            exchange, decision.placement, self.clock.now_ms()
+        )
+        await self.clock.sleep_ms(duration_ms / 2)
+        self.dispatcher.record_first_event(flight)
+        await self.clock.sleep_ms(duration_ms / 2)
+        self.dispatcher.record_end(flight)
+        return decision.placement
+
+
+class MemoryFleet:
+    """Instances spread evenly over domains, that know configuration and endpoints.
+
+    Parameters
+    ----------
+    nursery : trio.Nursery
+    instance_count : int
+    domains : str
+        Name of each domain, one letter each.
+    """
+
+    def __init__(self, nursery, instance_count, domains):
+        self.network = MemoryNetwork()
+        self.gateways_by_name = {}
+        self._nursery = nursery
+        self._domains = domains
+        for number in range(instance_count):
+            domain = domains[number % len(domains)]
+            rank = number // len(domains)
+            cores = FAST_CORES if rank < FAST_INSTANCES_PER_DOMAIN else SLOW_CORES
+            self._build(f"{domain}{rank}", domain, cores, number)
+        for gateway in self.gateways_by_name.values():
+            self._start(gateway)
+
+    def _build(self, name, domain, cores, seed):
+        self.gateways_by_name[name] = MemoryGateway(
+            name, domain, cores, self.network, seed
+        )
+
+    def _start(self, gateway):
+        now_ms = gateway.clock.now_ms()
+        gateway.state.apply_configuration(
+            decode_configuration(msgspec.json.encode(configuration(1))), now_ms, "test"
+        )
+        gateway.state.apply_endpoints(self._endpoints(), 1, now_ms, "test")
+        gateway.gossip.add_registered_peers(
+            [other.gossip.registration for other in self.gateways_by_name.values()]
+        )
+        self._nursery.start_soon(gateway.run)
+
+    def _endpoints(self):
+        return [
+            ListedEndpoint(
+                f"m-{domain}{n}", 1, "model", f"10.0.0.{n}:80", domain, 8, False
+            )
+            for domain in self._domains
+            for n in range(ENGINES_PER_DOMAIN)
+        ]
+
+    def kill(self, name):
+        """End an instance at once."""
+        self.gateways_by_name.pop(name).scope.cancel()
+
+    def restart(self, name):
+        """Start a killed instance again, with nothing but what the store has."""
+        cores = FAST_CORES if int(name[1:]) < FAST_INSTANCES_PER_DOMAIN else SLOW_CORES
+        self._build(name, name[0], cores, seed=1)
+        self._start(self.gateways_by_name[name])
+
+    def placer_names(self, domain):
+        """Return the names of the instances that believe they place for a domain."""
+        return sorted(
+            name
+            for name, gateway in self.gateways_by_name.items()
+            if name[0] == domain and gateway.gossip.audience.is_placer
+        )
+
+    def members(self, domain=None):
+        """Return the instances that place no requests for others."""
+        return [
+            gateway
+            for name, gateway in self.gateways_by_name.items()
+            if not gateway.gossip.audience.is_placer and domain in (None, name[0])
+        ]
+
+
+def run_fleet(instance_count, domains, scenario, seed=1):
+    """Run a coroutine function of a `MemoryFleet` on a mock clock."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            result = await scenario(MemoryFleet(nursery, instance_count, domains))
+            nursery.cancel_scope.cancel()
+        return result
+
+    # Seeds trio's scheduler, which otherwise runs tasks in random order.
+    trio._core._run._r.seed(seed)
+    return trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
--- /dev/null
+++ b/vanillareach/features/steps/placers.py
@@ -0,0 +1,405 @@
+"""Steps about the placers of large fleets, on instances in memory."""
+
+from functools import partial
+
+import msgspec
+import trio
+from behave import given, then, when
+
+from vanillareach.core.messages import (
+    Beacon,
+    EndpointFault,
+    MessageError,
+    decode_message,
+    encode_message,
+)
+from vanillareach.features.gateway_network import run_fleet
+
+REQUEST_MS = 500.0
+
+
+class FleetScript:
+    """Actions on a fleet, collected by the steps of a scenario and run by its checks.
+
+    The whole scenario is run again for each check, with the same seeds, since a mock
+    clock lives as long as its event loop.
+    """
+
+    def __init__(self, instance_count, domains):
+        self.instance_count = instance_count
+        self.domains = domains
+        self.actions = []
+
+    def run(self, check):
+        """Run all actions, then `check`; it becomes an action of later checks."""
+        self.actions.append(check)
+
+        async def play(fleet):
+            fleet.memory = {}
+            for action in self.actions:
+                await action(fleet)
+
+        run_fleet(self.instance_count, self.domains, play)
+
+
+@given('a fleet of {count:d} instances in domains "{domains}"')
+def step_fleet(context, count, domains):
+    context.script = FleetScript(count, domains)
+
+
+def action(context):
+    """Return a decorator that adds a coroutine function to the scenario's actions."""
+    return context.script.actions.append
+
+
+def check(context):
+    """Return a decorator that runs the scenario up to a check."""
+    return context.script.run
+
+
+@when("the fleet runs for {duration_ms:d} ms")
+def step_pass(context, duration_ms):
+    @action(context)
+    async def sleep(fleet):
+        await trio.sleep(duration_ms / 1000)
+
+
+@then("each domain has 2 placers, of the instances with the most capacity")
+def step_two_placers(context):
+    @check(context)
+    async def verify(fleet):
+        for domain in context.script.domains:
+            names = fleet.placer_names(domain)
+            fast = {f"{domain}{rank}" for rank in range(3)}
+            assert len(names) == 2 and set(names) <= fast, names
+
+
+@then("no domain has placers")
+def step_no_placers(context):
+    @check(context)
+    async def verify(fleet):
+        assert not any(fleet.placer_names(d) for d in context.script.domains)
+
+
+@then("all instances know each other's requests")
+def step_all_know(context):
+    @check(context)
+    async def verify(fleet):
+        start_requests(fleet, 5_000)
+        await trio.sleep(0.1)
+        counts = {g.running_count for g in fleet.gateways_by_name.values()}
+        assert counts == {context.script.instance_count}, counts
+
+
+def start_requests(fleet, duration_ms):
+    """Start a request at each instance that is not frozen."""
+    for name, gateway in fleet.gateways_by_name.items():
+        if not fleet.network.sockets_by_address[name].is_frozen:
+            fleet._nursery.start_soon(gateway.run_request, duration_ms)
+
+
+@when("each instance starts a request of {duration_ms:d} ms")
+def step_start_requests(context, duration_ms):
+    @action(context)
+    async def start(fleet):
+        start_requests(fleet, duration_ms)
+
+
+@then("every placer knows {count:d} requests")
+def step_placers_know(context, count):
+    @check(context)
+    async def verify(fleet):
+        counts = {
+            name: fleet.gateways_by_name[name].running_count
+            for domain in context.script.domains
+            for name in fleet.placer_names(domain)
+        }
+        assert set(counts.values()) == {count}, counts
+
+
+@then("no placer knows more than {count:d} requests")
+def step_placers_know_at_most(context, count):
+    @check(context)
+    async def verify(fleet):
+        counts = {
+            name: fleet.gateways_by_name[name].running_count
+            for domain in context.script.domains
+            for name in fleet.placer_names(domain)
+        }
+        assert max(counts.values()) <= count, counts
+
+
+@when('a member of domain "{domain}" asks for a placement and sends nothing')
+def step_ask_only(context, domain):
+    @action(context)
+    async def ask(fleet):
+        member = fleet.members(domain)[0]
+        fleet.memory["asked"] = member.gossip.placers()[0].name
+        decision = await member.client.choose(member.exchange())
+        assert decision.placement is not None
+
+
+@then("the placer that answered knows 1 request")
+def step_answering_placer_knows(context):
+    @check(context)
+    async def verify(fleet):
+        assert fleet.gateways_by_name[fleet.memory["asked"]].running_count == 1
+
+
+def preferred_placer(fleet, domain):
+    """Return the name of the placer that the members of a domain ask first."""
+    return fleet.members(domain)[0].gossip.placers()[0].name
+
+
+@when('the preferred placer of domain "{domain}" {fails}')
+def step_placer_fails(context, domain, fails):
+    @action(context)
+    async def fail(fleet):
+        name = preferred_placer(fleet, domain)
+        network = fleet.network
+        if fails == "dies":
+            fleet.kill(name)
+        elif fails == "dies and starts again":
+            fleet.kill(name)
+            await trio.sleep(0.3)
+            fleet.restart(name)
+        elif fails == "freezes":
+            fleet.memory["frozen"] = name
+            network.sockets_by_address[name].is_frozen = True
+            network.is_cut = lambda sender, receiver: sender == name
+        elif fails == "receives nothing any more":
+            network.is_cut = lambda sender, receiver: receiver == name
+        elif fails == "sends nothing any more":
+            network.is_cut = lambda sender, receiver: sender == name
+        elif fails == "is cut off from half of its members":
+            cut_off = {m.settings.name for m in fleet.members(domain)[::2]}
+            network.is_cut = lambda sender, receiver: (
+                name in (sender, receiver) and bool(cut_off & {sender, receiver})
+            )
+        else:
+            raise AssertionError(fails)
+
+
+@when("the frozen placer goes on")
+def step_thaw(context):
+    @action(context)
+    async def thaw(fleet):
+        fleet.network.is_cut = lambda sender, receiver: False
+        fleet.network.sockets_by_address[fleet.memory["frozen"]].thaw()
+
+
+@when('both placers of domain "{domain}" die')
+def step_both_die(context, domain):
+    @action(context)
+    async def kill(fleet):
+        for name in fleet.placer_names(domain):
+            fleet.kill(name)
+
+
+@when('domain "{domain}" is cut off from the other domains')
+def step_cut_domain(context, domain):
+    @action(context)
+    async def cut(fleet):
+        fleet.network.is_cut = lambda sender, receiver: (
+            (sender[0] == domain) != (receiver[0] == domain)
+        )
+
+
+async def place_at_members(fleet, domain):
+    """Place a request at each member; return the slowest time, in ms, and sources."""
+    slowest_ms, sources = 0.0, []
+
+    async def place(member):
+        nonlocal slowest_ms
+        start_s = trio.current_time()
+        decision = await member.client.choose(member.exchange())
+        slowest_ms = max(slowest_ms, 1000 * (trio.current_time() - start_s))
+        assert decision.placement is not None
+        sources.append(decision.placement.flight_id != 0)
+
+    async with trio.open_nursery() as nursery:
+        for member in fleet.members(domain):
+            nursery.start_soon(place, member)
+    return slowest_ms, sources
+
+
+@then(
+    'every member of domain "{domain}" gets a placement from a placer within '
+    "{limit_ms:d} ms"
+)
+def step_placed_by_placer(context, domain, limit_ms):
+    @check(context)
+    async def verify(fleet):
+        slowest_ms, sources = await place_at_members(fleet, domain)
+        assert all(sources), sources
+        assert slowest_ms <= limit_ms, slowest_ms
+
+
+@then('every member of domain "{domain}" gets a placement within {limit_ms:d} ms')
+def step_placed(context, domain, limit_ms):
+    @check(context)
+    async def verify(fleet):
+        slowest_ms, _ = await place_at_members(fleet, domain)
+        assert slowest_ms <= limit_ms, slowest_ms
+
+
+@then('{count:d} placers of domain "{domain}" answer')
+def step_placers_answer(context, count, domain):
+    @check(context)
+    async def verify(fleet):
+        # The last in the order: the first ones are placers or were.
+        member = fleet.members(domain)[-1]
+        exchange = member.exchange()
+        flight = member.dispatcher.unplaced_flight(exchange)
+        make_query = partial(member.client._placement_query, exchange, (), flight)
+        answering = 0
+        for placer in member.gossip.placers():
+            reply = await member.gossip.ask(placer, make_query, 100.0)
+            answering += reply is not None
+        assert answering == count, answering
+
+
+@then('domain "{domain}" has at least {count:d} placers')
+def step_at_least_placers(context, domain, count):
+    @check(context)
+    async def verify(fleet):
+        assert len(fleet.placer_names(domain)) >= count, fleet.placer_names(domain)
+
+
+@when("{rate:d} requests a second are placed for {duration_ms:d} ms")
+def step_load(context, rate, duration_ms):
+    @action(context)
+    async def load(fleet):
+        fleet.network.received_by_name.clear()
+        gateways = list(fleet.gateways_by_name.values())
+        fleet.memory["own"] = {name: 0 for name in fleet.gateways_by_name}
+        fleet.memory["duration_s"] = duration_ms / 1000
+        for number in range(rate * duration_ms // 1000):
+            gateway = gateways[number * 7 % len(gateways)]
+            fleet.memory["own"][gateway.settings.name] += 1
+            fleet._nursery.start_soon(gateway.run_request, REQUEST_MS)
+            await trio.sleep(1 / rate)
+
+
+@then(
+    "no member got more than {limit:d} messages a second besides {own:d} a request of "
+    "its own"
+)
+def step_member_messages(context, limit, own):
+    @check(context)
+    async def verify(fleet):
+        seconds = fleet.memory["duration_s"]
+        for member in fleet.members():
+            name = member.settings.name
+            received = fleet.network.received_by_name.get(name, 0)
+            received -= own * fleet.memory["own"][name]
+            assert received <= limit * seconds, (name, received)
+
+
+@then("no placer got more than {limit:d} messages a second")
+def step_placer_messages(context, limit):
+    @check(context)
+    async def verify(fleet):
+        seconds = fleet.memory["duration_s"]
+        for domain in context.script.domains:
+            for name in fleet.placer_names(domain):
+                received = fleet.network.received_by_name.get(name, 0)
+                assert received <= limit * seconds, (name, received)
+
+
+def engine_of(gateway, engine):
+    """Return a listed engine."""
+    return gateway.state.endpoints.by_id[engine]
+
+
+@when('a member of domain "{domain}" can\'t reach engine "{engine}"')
+def step_unreachable(context, domain, engine):
+    @action(context)
+    async def record(fleet):
+        fleet.memory["member"] = member = fleet.members(domain)[0]
+        member.state.record_fault(
+            engine_of(member, engine),
+            EndpointFault.UNREACHABLE,
+            member.clock.now_ms(),
+        )
+
+
+@when('the member reports again that it can\'t reach engine "{engine}"')
+def step_unreachable_again(context, engine):
+    @action(context)
+    async def record(fleet):
+        member = fleet.memory["member"]
+        member.state.record_fault(
+            engine_of(member, engine),
+            EndpointFault.UNREACHABLE,
+            member.clock.now_ms(),
+        )
+
+
+@when('{count:d} members of domain "{domain}" see engine "{engine}" fail')
+def step_members_see_failure(context, count, domain, engine):
+    @action(context)
+    async def record(fleet):
+        for member in fleet.members(domain)[:count]:
+            member.state.record_fault(
+                engine_of(member, engine),
+                EndpointFault.FAILED,
+                member.clock.now_ms(),
+            )
+
+
+@when('a placer of domain "{domain}" reaches engine "{engine}"')
+def step_reached(context, domain, engine):
+    @action(context)
+    async def record(fleet):
+        placer = fleet.gateways_by_name[preferred_placer(fleet, domain)]
+        fleet.memory["placer"] = placer
+        placer.state.health.record_reachable(
+            engine_of(placer, engine).key, placer.clock.now_ms()
+        )
+
+
+@then('the placer that reached engine "{engine}" still uses it')
+def step_still_used(context, engine):
+    @check(context)
+    async def verify(fleet):
+        placer = fleet.memory["placer"]
+        assert placer.state.health.prefer_healthy(
+            [engine_of(placer, engine)], placer.clock.now_ms()
+        )
+        assert engine_of(placer, engine).key not in (
+            placer.state.health.unreachable_by_key
+        )
+
+
+@then('no placement of domain "{domain}" uses engine "{engine}"')
+def step_not_used(context, domain, engine):
+    @check(context)
+    async def verify(fleet):
+        for member in fleet.members(domain):
+            for _ in range(2):
+                decision = await member.client.choose(member.exchange())
+                assert decision.placement.endpoint.id != engine
+
+
+@then("a beacon without the newer fields is decoded with their defaults")
+def step_old_beacon(context):
+    @check(context)
+    async def verify(fleet):
+        gateway = next(iter(fleet.gateways_by_name.values()))
+        values = msgspec.msgpack.decode(encode_message(gateway.gossip._build_beacon()))
+        newer_fields = ("capacity", "is_placer")
+        beacon = decode_message(
+            msgspec.msgpack.encode(values[: len(values) - len(newer_fields)])
+        )
+        assert isinstance(beacon, Beacon)
+        assert (beacon.capacity, beacon.is_placer) == (0.0, False)
+
+
+@then("a message of an unknown kind is rejected")
+def step_unknown_message(context):
+    try:
+        decode_message(msgspec.msgpack.encode([99, "x"]))
+    except MessageError:
+        return
+    raise AssertionError("a message of an unknown kind was decoded")
--- a/vanillareach/gateway/gossip.py
+++ b/vanillareach/gateway/gossip.py
@@ -25,6 +25,7 @@
     StateQuery,
 )
 from vanillareach.core.peer import Peer
+from vanillareach.core.placers import PLACER_SILENCE_MS
 from vanillareach.core.state_change import ChangeKind
 from vanillareach.core.suspicion import Loss
 from vanillareach.gateway.datagrams import MAX_DATAGRAM_BYTES, DatagramSocket
@@ -38,6 +39,7 @@
 # instance sends and receives.
 CHANGE_COALESCING_MS = 2.0
 CHANGE_COALESCING_MS_PER_PEER = 0.05
+MIN_SENDER_WAIT_MS = 1.0
 # Pause between two receptions, for each peer; datagrams that arrive meanwhile are
 # handled as one batch.
 RECEIVE_BATCHING_MS_PER_PEER = 0.25
@@ -66,6 +68,8 @@
     link : PeerLink
         Carries the calls that fetch state.
     clock : Clock
+    open_socket : callable
+        Returns the socket for datagrams at an address.
 
     Attributes
     ----------
@@ -76,7 +80,7 @@
         Returns the reply to a `PlacementQuery` or `LoadQuery`.
     """
 
-    def __init__(self, settings, state, link, clock):
+    def __init__(self, settings, state, link, clock, open_socket=DatagramSocket):
         self.name = settings.name
         self.address = settings.peer_listen
         self.audience = Audience(settings.name, settings.domain, settings.capacity)
@@ -95,16 +99,19 @@
         self._sequence = 0
         self._peers_by_name = {}
         self._registered_names = frozenset()
+        self._open_socket = open_socket
         self._datagram_socket = None
         self._change_event = trio.Event()
         self._change = ChangeKind.STATE
+        self._last_heard_ms = clock.now_ms()
+        self._is_deaf = False
         self._last_query_id = 0
         self._queries_by_id = {}
         state.subscribe(self._on_state_change)
 
     async def run(self):
         """Send, receive and answer the queries of peers until cancelled."""
-        self._datagram_socket = DatagramSocket(self.address)
+        self._datagram_socket = self._open_socket(self.address)
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._run_receiver, nursery)
@@ -243,8 +250,15 @@
 
     def _update_role(self):
         """Update whether this instance is a placer, and tell its peers of a change."""
-        audience, state = self.audience, self._state
-        if not audience.update(len(self._peers_by_name), self._clock.now_ms()):
+        audience, state, now_ms = self.audience, self._state, self._clock.now_ms()
+        # A placer that hears nobody, because it is cut off, leaves its role to others.
+        if audience.is_placer and not self._is_deaf:
+            since_ms = max(self._last_heard_ms, audience.election.placer_since_ms)
+            self._is_deaf = now_ms - since_ms > PLACER_SILENCE_MS
+        audience.election.record_unavailable(
+            self.name, state.is_stopping or self._is_deaf
+        )
+        if not audience.update(len(self._peers_by_name), now_ms):
             return
         state.is_placer = audience.is_placer
         log.info(
@@ -274,7 +288,8 @@
             if kind is not None:
                 self._broadcast(kind, now_ms)
             due_ms = self.audience.next_due_ms(peer_count)
-            with trio.move_on_after(max(0.0, due_ms - now_ms) / MS_PER_SECOND):
+            wait_ms = max(MIN_SENDER_WAIT_MS, due_ms - now_ms)
+            with trio.move_on_after(wait_ms / MS_PER_SECOND):
                 await self._change_event.wait()
                 await self._clock.sleep_ms(self._coalescing_ms())
 
@@ -403,6 +418,7 @@
                 )
 
     def _handle_datagram(self, data, nursery):
+        self._last_heard_ms, self._is_deaf = self._clock.now_ms(), False
         message = self._decode_datagram(data)
         if isinstance(message, RelayedDatagram):
             message = self._relay_datagram(message.datagram)
@@ -477,7 +493,6 @@
             load_state.replace_peer(update.name, (), now_ms)
         peer.last_message_order = order
         peer.last_heard_ms = now_ms
-        self.audience.election.record_heard(update.name, now_ms)
         if not self.audience.is_direct:
             self._apply_outcomes(update, now_ms)
         load_state.apply_peer_changes(
@@ -521,8 +536,9 @@
         peer.last_heard_ms = now_ms
         election = self.audience.election
         election.add(beacon.name, beacon.domain, beacon.capacity)
-        election.record_heard(beacon.name, now_ms)
-        election.record_leaving(beacon.name, beacon.is_leaving)
+        if beacon.is_placer:
+            election.record_heard(beacon.name, now_ms)
+        election.record_unavailable(beacon.name, beacon.is_leaving)
         self._state.load_state.replace_peer(beacon.name, beacon.flights, now_ms)
         self._state.paces.merge_peer_paces(beacon.paces, now_ms)
         self._record_losses(beacon, now_ms)
