Follow the store through a restore from an older copy

Cause: after such a restore revisions go back and are given out again. A list with a lower revision was dropped, a watch went on from a revision that stands for another state, and the registrations of instances stayed lost.

Change: the adapter reads the store's era; positions are ordered by era and revision in reads, watches, beacons and fetches. Responses of an earlier era count as failed calls.

--- a/vanillareach/core/endpoint_list.py
+++ b/vanillareach/core/endpoint_list.py
@@ -9,6 +9,10 @@
 LAPSE_GRACE_MS = 2_300.0
 # No entry lapses during a shorter store outage, one of less than a few heartbeats.
 MIN_LAPSE_OUTAGE_MS = 2_500.0
+# After the store came back from an older copy, an entry of an endpoint that was gone
+# before is believed only if it is still listed after this time: the entry of one that
+# sends no heartbeats is removed earlier.
+RESTORED_ENTRY_TTL_MS = 5_000.0
 # How long a leaving incarnation that is no longer listed is remembered.
 LEAVING_RETENTION_MS = 120_000.0
 
@@ -53,8 +57,11 @@
     Attributes
     ----------
     by_id : dict of str to ListedEndpoint
+    era : int
+        Raised by the store each time it comes back from an older copy; revisions start
+        again from an earlier one then.
     revision, digest : int
-        Store revision of the list, and a hash of its entries.
+        Store revision of the list in that era, and a hash of its entries.
     confirmed_ms : float or None
         When the store last confirmed the list.
     is_loaded : bool
@@ -62,27 +69,47 @@
     """
 
     __slots__ = (
+        "_doubted_by_id",
+        "_gone_ms_by_key",
         "_grace_until_ms",
+        "_restored_until_ms",
         "_leaving_since_ms_by_key",
         "_missing_since_ms_by_id",
         "by_id",
         "confirmed_ms",
         "digest",
+        "era",
         "is_loaded",
         "revision",
     )
 
     def __init__(self):
         self.by_id = {}
+        self.era = 0
         self.revision = 0
         self.confirmed_ms = None
         self.digest = 0
         self.is_loaded = False
         self._leaving_since_ms_by_key = {}
         self._missing_since_ms_by_id = {}
+        self._gone_ms_by_key = {}
+        self._doubted_by_id = {}
         self._grace_until_ms = 0.0
+        self._restored_until_ms = 0.0
 
-    def apply_list(self, listed, revision, now_ms):
+    def start_era(self, era, now_ms):
+        """Record that the store has come back from an older copy.
+
+        What is known of endpoints stays: entries that the copy lacks are written again
+        soon, and those that it has too many are removed.
+        """
+        if era <= self.era:
+            return
+        self.era, self.revision = era, 0
+        self._grace_until_ms = now_ms + LAPSE_GRACE_MS
+        self._restored_until_ms = now_ms + RESTORED_ENTRY_TTL_MS
+
+    def apply_list(self, listed, revision, now_ms, era=0):
         """Apply a full list as read from the store at `now_ms`.
 
         Returns
@@ -90,9 +117,11 @@
         list of str
             Descriptions of the changes, for the log.
         """
-        if revision < self.revision:
+        if (era, revision) < (self.era, self.revision):
             return []
+        self.start_era(era, now_ms)
         self._record_confirmation(now_ms)
+        self._doubted_by_id.clear()
         changes = []
         listed_by_id = {endpoint.id: endpoint for endpoint in listed}
         for endpoint in listed:
@@ -111,6 +140,10 @@
         if now_ms >= self._grace_until_ms:
             for name in list(self._missing_since_ms_by_id):
                 self._remove_missing(name, now_ms)
+        if now_ms >= self._restored_until_ms:
+            for endpoint in self._doubted_by_id.values():
+                self._put(endpoint, now_ms)
+            self._doubted_by_id.clear()
 
     def record_leaving(self, endpoint, now_ms):
         """Record that the endpoint itself announced that it is leaving."""
@@ -141,6 +174,10 @@
         known = self.by_id.get(endpoint.id)
         if known is not None and known.incarnation > endpoint.incarnation:
             return []
+        if endpoint.key in self._gone_ms_by_key and now_ms < self._restored_until_ms:
+            self._doubted_by_id[endpoint.id] = endpoint
+            return []
+        self._gone_ms_by_key.pop(endpoint.key, None)
         self.by_id[endpoint.id] = endpoint
         if endpoint.is_leaving and endpoint.key not in self._leaving_since_ms_by_key:
             self._leaving_since_ms_by_key[endpoint.key] = now_ms
@@ -156,6 +193,7 @@
             self._missing_since_ms_by_id.setdefault(name, now_ms)
             return []
         del self.by_id[name]
+        self._gone_ms_by_key[endpoint.key] = now_ms
         self._missing_since_ms_by_id.pop(name, None)
         self._remove_old_leaving(now_ms)
         return [f"{name} gone"]
@@ -164,6 +202,9 @@
         for key, since_ms in list(self._leaving_since_ms_by_key.items()):
             if now_ms - since_ms > LEAVING_RETENTION_MS and key[0] not in self.by_id:
                 del self._leaving_since_ms_by_key[key]
+        for key, gone_ms in list(self._gone_ms_by_key.items()):
+            if now_ms - gone_ms > LEAVING_RETENTION_MS:
+                del self._gone_ms_by_key[key]
 
 
 def _digest(listed):
--- a/vanillareach/core/messages.py
+++ b/vanillareach/core/messages.py
@@ -293,6 +293,8 @@
         Relative processing capacity of the sender's machine.
     is_placer : bool
         Whether the sender places requests for its domain; see `PlacerElection`.
+    store_era, endpoints_era : int
+        Highest era of the store that the sender has heard of, and that of its list.
     """
 
     name: str
@@ -313,6 +315,8 @@
     endpoints_stamp: int = 0
     capacity: float = 0.0
     is_placer: bool = False
+    store_era: int = 0
+    endpoints_era: int = 0
 
 
 class RelayedDatagram(Wire, tag=23, frozen=True):
@@ -458,6 +462,7 @@
     endpoints_age_ms: float
     configuration_stamp: int = 0
     endpoints_stamp: int = 0
+    endpoints_era: int = 0
 
 
 Message = (
--- a/vanillareach/features/gateway_core.feature
+++ b/vanillareach/features/gateway_core.feature
@@ -145,3 +145,30 @@
     Given an engine state on each of two instances
     When "r-1" claims the engine and "r-2" ends its own claim
     Then the engine is isolated for "r-1" on the first instance
+
+  Scenario: An endpoint that the older copy lacks is kept until it is written again
+    Given a list with "e1" of incarnation 1 at revision 5
+    When the store comes back in era 2 and lists nothing at revision 3
+    Then "e1" is usable
+    When the store confirms the same list 2400 ms later
+    Then "e1" is not usable
+
+  Scenario: An endpoint seen leaving does not return with the older copy
+    Given a list with "e1" of incarnation 1 at revision 5
+    When the list says that "e1" of incarnation 1 leaves at revision 6
+    And the store comes back in era 2 and lists "e1" of incarnation 1 at revision 3
+    Then "e1" is not usable
+
+  Scenario: An endpoint that was gone is believed only if its entry lasts
+    Given a list with "e1" of incarnation 1 at revision 5
+    When the list is empty 600 ms later
+    And the store comes back in era 2 and lists "e1" of incarnation 1 at revision 3
+    Then "e1" is not usable
+    When the store confirms the same list 5100 ms later
+    Then "e1" is usable
+
+  Scenario: A list of an earlier era is dropped, whatever its revision
+    Given a list with "e1" of incarnation 1 at revision 5
+    When the store comes back in era 2 and lists "e2" of incarnation 1 at revision 3
+    And an older list of revision 9 arrives
+    Then "e2" is usable
--- a/vanillareach/features/gateway_network.py
+++ b/vanillareach/features/gateway_network.py
@@ -19,7 +19,7 @@
 from vanillareach.gateway.exchange import GatewayExchange
 from vanillareach.gateway.gossip import Gossip
 from vanillareach.gateway.placing import PlacementClient, PlacementServer
-from vanillareach.gateway.ports import CallerFields
+from vanillareach.gateway.ports import CallerFields, StorePosition
 from vanillareach.gateway.settings import GatewaySettings
 from vanillareach.gateway.state import GatewayState
 from vanillareach.peers.link import PeerLink, PeerUnresponsiveError
@@ -234,7 +234,9 @@
         gateway.state.apply_configuration(
             decode_configuration(msgspec.json.encode(configuration(1))), now_ms, "test"
         )
-        gateway.state.apply_endpoints(self._endpoints(), 1, now_ms, "test")
+        gateway.state.apply_endpoints(
+            self._endpoints(), StorePosition(0, 1), now_ms, "test"
+        )
         gateway.gossip.add_registered_peers(
             [other.gossip.registration for other in self.gateways_by_name.values()]
         )
--- a/vanillareach/features/steps/fuzz.py
+++ b/vanillareach/features/steps/fuzz.py
@@ -23,7 +23,7 @@
     free_address,
 )
 from vanillareach.gateway.gossip import Gossip
-from vanillareach.gateway.ports import RegisteredInstance
+from vanillareach.gateway.ports import RegisteredInstance, StorePosition
 from vanillareach.gateway.settings import GatewaySettings
 from vanillareach.gateway.state import GatewayState
 from vanillareach.peers.link import DIGEST_BYTES
@@ -175,8 +175,11 @@
 class FixedResponsePool:
     """Connection pool that returns the same response to every request."""
 
-    def __init__(self, status, content):
-        self._response = SimpleNamespace(status=status, content=content)
+    def __init__(self, status, content, era):
+        headers = [] if era is None else [(b"Store-Era", era)]
+        self._response = SimpleNamespace(
+            status=status, content=content, headers=headers
+        )
 
     async def request(self, *arguments, **values):
         """Return the fixed response."""
@@ -188,7 +191,7 @@
     errors = set()
     for call, *arguments in (
         (store.read_configuration,),
-        (store.wait_for_configuration, 1, 0),
+        (store.wait_for_configuration, StorePosition(0, 1), 0),
         (store.list_endpoints,),
         (store.list_instances,),
         (store.register_instance, RegisteredInstance("g1", "127.0.0.1:1")),
@@ -216,10 +219,14 @@
     )
 
     @CHECKED
-    @given_any(st.sampled_from((200, 404, 409, 410, 429, 500)), documents)
-    def check(status, data):
+    @given_any(
+        st.sampled_from((200, 404, 409, 410, 429, 500)),
+        documents,
+        st.sampled_from((None, b"3", b"", b"x", b"-1")),
+    )
+    def check(status, data, era):
         store = PlatformStore("127.0.0.1:1")
-        store._pool = FixedResponsePool(status, data)
+        store._pool = FixedResponsePool(status, data, era)
         errors.update(trio.run(call_every_method, store))
 
     check()
--- a/vanillareach/features/steps/placers.py
+++ b/vanillareach/features/steps/placers.py
@@ -388,7 +388,7 @@
     async def verify(fleet):
         gateway = next(iter(fleet.gateways_by_name.values()))
         values = msgspec.msgpack.decode(encode_message(gateway.gossip._build_beacon()))
-        newer_fields = ("capacity", "is_placer")
+        newer_fields = ("capacity", "is_placer", "store_era", "endpoints_era")
         beacon = decode_message(
             msgspec.msgpack.encode(values[: len(values) - len(newer_fields)])
         )
--- a/vanillareach/gateway/following.py
+++ b/vanillareach/gateway/following.py
@@ -46,6 +46,7 @@
 MAX_DELAYED_RANK = 35
 STORE_RETRY_DELAY_MS = 200.0
 REGISTRATION_INTERVAL_MS = 5_000.0
+REGISTRATION_SPREAD_MS = 1_500.0
 
 log = get_logger("store")
 
@@ -76,7 +77,7 @@
         self._gossip = gossip
         self._clock = clock
         self._is_store_reachable = True
-        self._configuration_revision = None
+        self._configuration_position = None
         self._is_registered = False
 
     async def run(self):
@@ -131,28 +132,29 @@
 
     async def _refresh_configuration(self):
         state = self._state
-        if self._configuration_revision is None:
+        if self._configuration_position is None:
             request_ms = self._clock.now_ms()
             result = await self._store.read_configuration()
             if result is None:
                 await self._clock.sleep_ms(STORE_RETRY_DELAY_MS)
                 return
-            self._configuration_revision, configuration = result
+            self._configuration_position, configuration = result
+            state.observe_era(self._configuration_position.era)
             state.apply_configuration(configuration, request_ms, "store")
             return
         try:
             (
-                self._configuration_revision,
+                self._configuration_position,
                 configuration,
             ) = await self._store.wait_for_configuration(
-                self._configuration_revision, WATCH_TIMEOUT_MS
+                self._configuration_position, WATCH_TIMEOUT_MS
             )
         except PlatformGoneError:
             log.info(
                 "Watch history lost; configuration will be read again.",
-                revision=self._configuration_revision,
+                position=self._configuration_position,
             )
-            self._configuration_revision = None
+            self._configuration_position = None
             return
         # A watch reports all changes up to its response, so that confirms the state.
         response_ms = self._clock.now_ms()
@@ -177,12 +179,12 @@
 
     async def _refresh_endpoints(self):
         request_ms = self._clock.now_ms()
-        revision, endpoints, unreadable_entries = await self._store.list_endpoints()
+        position, endpoints, unreadable_entries = await self._store.list_endpoints()
         if unreadable_entries:
             log.info(
                 "Unreadable endpoint entries skipped.", entries=unreadable_entries[:5]
             )
-        self._state.apply_endpoints(endpoints, revision, request_ms, "store")
+        self._state.apply_endpoints(endpoints, position, request_ms, "store")
 
     async def _follow_instances(self):
         while True:
--- a/vanillareach/gateway/gossip.py
+++ b/vanillareach/gateway/gossip.py
@@ -406,6 +406,8 @@
             paces=tuple(state.paces.own_paces.items()),
             capacity=self.registration.capacity,
             is_placer=self.audience.is_placer,
+            store_era=state.store_era,
+            endpoints_era=state.endpoints.era,
         )
 
     async def _run_receiver(self, nursery):
--- a/vanillareach/gateway/ports.py
+++ b/vanillareach/gateway/ports.py
@@ -2,6 +2,7 @@
 
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
+from typing import NamedTuple
 
 import msgspec
 
@@ -143,6 +144,21 @@
         """
 
 
+class StorePosition(NamedTuple):
+    """Position in the store's history; a later one is greater.
+
+    Attributes
+    ----------
+    era : int
+        Rises when the store comes back from an older copy.
+    revision : int
+        Rises with each change within an era.
+    """
+
+    era: int
+    revision: int
+
+
 class RegisteredInstance(msgspec.Struct, frozen=True):
     """Entry of an instance in the store.
 
@@ -167,27 +183,33 @@
 
     @abstractmethod
     async def read_configuration(self):
-        """Return (revision, `RouteTable`), or None if there is none yet."""
+        """Return (`StorePosition`, `RouteTable`), or None if there is none yet."""
 
     @abstractmethod
-    async def wait_for_configuration(self, revision, wait_ms):
-        """Wait for a change of the configuration after `revision`.
+    async def wait_for_configuration(self, position, wait_ms):
+        """Wait for a change of the configuration after `position`.
 
         Returns
         -------
-        tuple of (int, RouteTable or None)
-            Revision for the next call, and the newest configuration, or None if it did
+        tuple of (StorePosition, RouteTable or None)
+            Position for the next call, and the newest configuration, or None if it did
             not change within `wait_ms`.
 
         Raises
         ------
         PlatformGoneError
-            If the store no longer has the history since `revision`.
+            If the store no longer has the history since `position`.
         """
 
     @abstractmethod
     async def list_endpoints(self):
-        """Return (revision, list of `ListedEndpoint`, list of unreadable entries)."""
+        """Return the list of endpoints.
+
+        Returns
+        -------
+        tuple of (StorePosition, list of ListedEndpoint, list of str)
+            The last are descriptions of the entries that can't be read.
+        """
 
     @abstractmethod
     async def list_instances(self, may_be_stale=False):
--- a/vanillareach/gateway/state.py
+++ b/vanillareach/gateway/state.py
@@ -24,6 +24,8 @@
 DEFAULT_CALLER_LIMITS = CallerLimits()
 NEVER_CONFIRMED_AGE_MS = -1.0
 STAMP_BITS = 48
+# Before the first answer of the store or message of a peer.
+UNKNOWN_ERA = -1
 # Faults kept for the next message to peers.
 MAX_UNREPORTED_FAULTS = 64
 
@@ -59,6 +61,8 @@
     paces : EnginePaces
     instance_count : int
         Number of known instances, which share budgets; includes this one.
+    store_era : int
+        Highest era of the store that this instance has heard of; see `EndpointList`.
     is_placer : bool
         Whether this instance places the requests of others; see `PlacerElection`.
     placing_instance_count : int
@@ -85,6 +89,8 @@
         self._unreported_faults = []
         self.is_stopping = False
         self.stop_deadline_ms = math.inf
+        self.store_era = UNKNOWN_ERA
+        self._era_event = trio.Event()
         self._initial_state_event = trio.Event()
         self._retry_shares_by_service = {}
         self._listeners = []
@@ -205,6 +211,9 @@
         """
         current_version = self.configuration.version if self.configuration else None
         if current_version is not None and configuration.version < current_version:
+            if stamp is None:
+                # The store, back from an older copy, has nothing newer either.
+                self.confirm_configuration(confirmed_ms)
             return
         self.confirm_configuration(confirmed_ms, stamp)
         if configuration.version == current_version:
@@ -228,11 +237,22 @@
         self.endpoints_freshness.confirm(stamp, confirmed_ms)
         self.endpoints.confirm(revision, confirmed_ms)
 
-    def apply_endpoints(self, endpoints, revision, confirmed_ms, source, stamp=None):
-        """Apply a list of endpoints unless it is older; see `apply_configuration`."""
-        if revision >= self.endpoints.revision:
+    def apply_endpoints(self, endpoints, position, confirmed_ms, source, stamp=None):
+        """Apply a list of endpoints unless it is older; see `apply_configuration`.
+
+        Parameters
+        ----------
+        endpoints : iterable of ListedEndpoint
+        position : StorePosition
+            Of the store when it listed them.
+        confirmed_ms, source, stamp
+            See `apply_configuration`.
+        """
+        self.observe_era(position.era)
+        era, revision = position
+        if (era, revision) >= (self.endpoints.era, self.endpoints.revision):
             self.endpoints_freshness.confirm(stamp or new_stamp(), confirmed_ms)
-        changes = self.endpoints.apply_list(endpoints, revision, confirmed_ms)
+        changes = self.endpoints.apply_list(endpoints, revision, confirmed_ms, era)
         self._signal_initial_state()
         if changes:
             log.info(
@@ -240,6 +260,33 @@
             )
             self.publish()
 
+    def observe_era(self, era):
+        """Record the era of the store that an answer or a peer tells."""
+        if era <= self.store_era:
+            return
+        before, self.store_era = self.store_era, era
+        self.endpoints.start_era(era, self._clock.now_ms())
+        self._era_event.set()
+        self._era_event = trio.Event()
+        if before == UNKNOWN_ERA:
+            return
+        log.warning(
+            "Store restored from an older copy.",
+            era=era,
+            before=before,
+            version=self.configuration.version if self.configuration else None,
+            endpoints=len(self.endpoints.by_id),
+            instances=self.instance_count,
+        )
+        self.publish()
+
+    async def wait_for_era_change(self, timeout_ms):
+        """Return whether the store's era changes within `timeout_ms`."""
+        event = self._era_event
+        with self._clock.scope_until(self._clock.now_ms() + timeout_ms):
+            await event.wait()
+        return event.is_set()
+
     def mark_stale(self):
         """Discard confirmations and gap samples, after the event loop stalled."""
         self.configuration_freshness.reset()
@@ -281,6 +328,7 @@
             endpoints_revision=endpoints.revision,
             endpoints_age_ms=self.endpoints_age_ms(),
             endpoints_stamp=self.endpoints_freshness.stamp,
+            endpoints_era=endpoints.era,
         )
 
     def _pack_configuration(self):
--- a/vanillareach/gateway/state_fetch.py
+++ b/vanillareach/gateway/state_fetch.py
@@ -9,6 +9,7 @@
     StateReply,
     unpack_configuration,
 )
+from vanillareach.gateway.ports import StorePosition
 from vanillareach.log import get_logger
 from vanillareach.peers.link import PeerUnresponsiveError
 
@@ -51,6 +52,7 @@
             Runs the fetch.
         """
         now_ms = self._clock.now_ms()
+        self._state.observe_era(beacon.store_era)
         wants_configuration = self._confirm_configuration(beacon, now_ms)
         wants_endpoints = self._confirm_endpoints(beacon, now_ms)
         # Several peers announce one change at once; it is fetched from one of them.
@@ -84,7 +86,8 @@
         state, stamp = self._state, beacon.endpoints_stamp
         confirmed_ms = now_ms - beacon.endpoints_age_ms
         is_newer = state.endpoints_freshness.is_newer(stamp, confirmed_ms)
-        if not is_newer or beacon.endpoints_revision < state.endpoints.revision:
+        position = (beacon.endpoints_era, beacon.endpoints_revision)
+        if not is_newer or position < (state.endpoints.era, state.endpoints.revision):
             return False
         if beacon.endpoints_digest != state.endpoints.digest:
             return True
@@ -120,7 +123,7 @@
         if reply.endpoints is not None and reply.endpoints_age_ms >= 0:
             self._state.apply_endpoints(
                 reply.endpoints,
-                reply.endpoints_revision,
+                StorePosition(reply.endpoints_era, reply.endpoints_revision),
                 now_ms - reply.endpoints_age_ms,
                 address,
                 reply.endpoints_stamp,
--- a/vanillareach/platform/standin_store.py
+++ b/vanillareach/platform/standin_store.py
@@ -1,5 +1,6 @@
 """Stand-in for the platform's store, with objects by kind, revisions and watches."""
 
+from copy import deepcopy
 from urllib.parse import parse_qs
 
 import msgspec
@@ -16,6 +17,8 @@
 
     Attributes
     ----------
+    era : int
+        Rises with each `restore`.
     failure : str
         Empty, "busy" (responds with 503) or "lost" (closes the connection).
     calls : int
@@ -24,6 +27,7 @@
 
     def __init__(self):
         self.objects_by_kind = {}
+        self.era = 1
         self.revision = 10
         self.history = []
         self.history_start = 0
@@ -44,6 +48,17 @@
         stored = self.objects_by_kind[kind].pop(name)
         self._record_event(kind, {"object": stored, "deleted": True})
 
+    def copy(self):
+        """Return a copy of all objects, for `restore`."""
+        return deepcopy(self.objects_by_kind), self.revision
+
+    def restore(self, copy):
+        """Come back from an older copy: what was written since is lost."""
+        objects_by_kind, self.revision = copy
+        self.objects_by_kind = deepcopy(objects_by_kind)
+        self.era += 1
+        self.discard_history()
+
     def discard_history(self):
         """Discard the history of changes, as the platform may at any time."""
         self.history = []
@@ -54,7 +69,7 @@
         """Handle one request."""
         self.calls += 1
         if self.failure == "busy":
-            return await responder.answer(503, [], b"")
+            return await self._answer(responder, 503, {})
         if self.failure == "lost":
             raise ResponseAbortedError("the store is unavailable")
         rest = request.path.removeprefix(names.OBJECTS_PATH).strip("/")
@@ -70,36 +85,38 @@
         objects = self.objects_by_kind.get(kind, {})
         if not name:
             page = {"items": list(objects.values()), "more": False, "at": self.revision}
-            return await _answer(responder, 200, page)
+            return await self._answer(responder, 200, page)
         if name not in objects:
-            return await _answer(responder, 404, {})
-        return await _answer(responder, 200, objects[name])
+            return await self._answer(responder, 404, {})
+        return await self._answer(responder, 200, objects[name])
 
     async def _write(self, request, kind, name, responder):
         objects = self.objects_by_kind.setdefault(kind, {})
         if request.method == b"DELETE":
             if name in objects:
                 self.delete(kind, name)
-            return await _answer(responder, 200, {})
+            return await self._answer(responder, 200, {})
         document = msgspec.json.decode(request.body)
         name = name or document["metadata"]["name"]
         if request.method == b"POST" and name in objects:
-            return await _answer(responder, 409, objects[name])
+            return await self._answer(responder, 409, objects[name])
         self.put(kind, name, document["spec"])
-        return await _answer(responder, 200, objects[name])
+        return await self._answer(responder, 200, objects[name])
 
     async def _watch(self, kind, query, responder):
         since = int(query["watch"][0])
         wait_s = min(MAX_WATCH_WAIT_S, int(query["wait_ms"][0]) / 1000)
-        if since < self.history_start:
-            return await _answer(responder, 410, {})
+        if since < self.history_start or since > self.revision:
+            return await self._answer(responder, 410, {})
         with trio.move_on_after(wait_s):
             while not self._events(kind, since):
-                if since < self.history_start:
-                    return await _answer(responder, 410, {})
+                if since < self.history_start or since > self.revision:
+                    return await self._answer(responder, 410, {})
                 await self._changed.wait()
         events = [event for _, event in self._events(kind, since)]
-        return await _answer(responder, 200, {"events": events, "at": self.revision})
+        return await self._answer(
+            responder, 200, {"events": events, "at": self.revision}
+        )
 
     def _events(self, kind, since):
         return [
@@ -116,7 +133,9 @@
         self._changed.set()
         self._changed = trio.Event()
 
-
-async def _answer(responder, status, document):
-    headers = [(b"Content-Type", b"application/json")]
-    await responder.answer(status, headers, msgspec.json.encode(document))
+    async def _answer(self, responder, status, document):
+        headers = [
+            (b"Content-Type", b"application/json"),
+            (names.STORE_ERA_HEADER, str(self.era).encode()),
+        ]
+        await responder.answer(status, headers, msgspec.json.encode(document))
--- a/vanillareach/platform/store.py
+++ b/vanillareach/platform/store.py
@@ -10,7 +10,11 @@
     PlatformGoneError,
     PlatformUnavailableError,
 )
-from vanillareach.gateway.ports import DeploymentStore, RegisteredInstance
+from vanillareach.gateway.ports import (
+    DeploymentStore,
+    RegisteredInstance,
+    StorePosition,
+)
 from vanillareach.log import get_logger
 from vanillareach.platform import names
 from vanillareach.platform.documents import (
@@ -61,6 +65,7 @@
             max_connections=8, max_keepalive_connections=3, keepalive_expiry=20
         )
         self.calls = 0
+        self._era = 0
 
     async def close(self):
         """Close all connections."""
@@ -73,13 +78,16 @@
         if response.status == 404:
             return None
         stored = _decode(response, ObjectDocument)
-        return stored.metadata.rev, _decode_route_table(stored)
+        position = StorePosition(_read_era(response), stored.metadata.rev)
+        return position, _decode_route_table(stored)
 
-    async def wait_for_configuration(self, revision, wait_ms):
+    async def wait_for_configuration(self, position, wait_ms):
         """Watch the configuration; see `DeploymentStore`."""
-        path = f"{names.CONFIGURATION_KIND}?watch={revision}&wait_ms={int(wait_ms)}"
+        kind, revision = names.CONFIGURATION_KIND, position.revision
+        path = f"{kind}?watch={revision}&wait_ms={int(wait_ms)}"
         response = await self._call("GET", path, CALL_TIMEOUT_MS + wait_ms)
-        if response.status == 410:
+        # In another era the same revision stands for another state.
+        if response.status == 410 or _read_era(response) != position.era:
             raise PlatformGoneError(
                 "the store no longer has the history of the configuration"
             )
@@ -90,18 +98,18 @@
             if event.deleted or stored.metadata.name != names.CONFIGURATION_NAME:
                 continue
             configuration = _decode_route_table(stored)
-        return answer.at, configuration
+        return StorePosition(position.era, answer.at), configuration
 
     async def list_endpoints(self):
         """List the endpoints; see `DeploymentStore`."""
-        items, revision = await self._list(names.ENDPOINT_KIND)
+        items, position = await self._list(names.ENDPOINT_KIND)
         listed, unreadable = [], []
         for item in items:
             try:
                 listed.append(decode_endpoint(item))
             except DocumentError as error:
                 unreadable.append(str(error))
-        return revision, listed, unreadable
+        return position, listed, unreadable
 
     async def list_instances(self, may_be_stale=False):
         """List the instances; see `DeploymentStore`."""
@@ -144,11 +152,16 @@
     async def _list(self, kind, may_be_stale=False):
         items, query = [], "allow_stale=1" if may_be_stale else ""
         path = f"{kind}?{query}" if query else kind
+        era = None
         while True:
-            page = _decode(await self._call("GET", path), PageDocument)
+            response = await self._call("GET", path)
+            page, page_era = _decode(response, PageDocument), _read_era(response)
+            if era not in (None, page_era):
+                raise PlatformUnavailableError(f"{kind}: era changed between pages")
+            era = page_era
             items += page.items
             if not page.more or not page.items:
-                return items, page.at
+                return items, StorePosition(era, page.at)
             path = f"{kind}?after={page.items[-1].metadata.name}"
             if query:
                 path += f"&{query}"
@@ -157,7 +170,7 @@
         self.calls += 1
         try:
             with trio.fail_after(timeout_ms / MS_PER_SECOND):
-                return await self._pool.request(
+                response = await self._pool.request(
                     method,
                     f"{self._base_url}/{path}",
                     headers=JSON_HEADERS if body is not None else None,
@@ -165,6 +178,24 @@
                 )
         except CONNECTION_ERRORS as error:
             raise PlatformUnavailableError(f"{method} {path}: {error!r}") from error
+        era = _read_era(response)
+        if era < self._era:
+            raise PlatformUnavailableError(
+                f"{method} {path}: response of era {era}, the store is in {self._era}"
+            )
+        self._era = era
+        return response
+
+
+def _read_era(response):
+    """Return the store's era that a response tells; 0 without one."""
+    for name, value in response.headers:
+        if name.lower() == names.STORE_ERA_HEADER:
+            try:
+                return int(value)
+            except ValueError as error:
+                raise PlatformUnavailableError(f"invalid era {value!r}") from error
+    return 0
 
 
 def _raise_for_status(response):
