--- a/vanillareach/gateway/ports.py
+++ b/vanillareach/gateway/ports.py
@@ -2,6 +2,9 @@
 
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
+from typing import NamedTuple
+
+import msgspec
 
 
 @dataclass(slots=True, frozen=True)
@@ -141,40 +144,86 @@
         """
 
 
+class StorePosition(NamedTuple):
+    """Position in the store's history; a later one is greater.
+
+    Attributes
+    ----------
+    era : int
+        Rises when the store comes back from an older copy.
+    revision : int
+        Rises with each change within an era.
+    """
+
+    era: int
+    revision: int
+
+
+class RegisteredInstance(msgspec.Struct, frozen=True):
+    """Entry of an instance in the store.
+
+    Attributes
+    ----------
+    name, address : str
+        Name and peer address.
+    domain : str
+        Failure domain; empty in the entry of an older version.
+    capacity : float
+        Relative processing capacity of its machine.
+    """
+
+    name: str
+    address: str
+    domain: str = ""
+    capacity: float = 0.0
+
+
 class DeploymentStore(ABC):
     """The deployment's store as the gateway uses it."""
 
     @abstractmethod
     async def read_configuration(self):
-        """Return (revision, `RouteTable`), or None if there is none yet."""
+        """Return (`StorePosition`, `RouteTable`), or None if there is none yet."""
 
     @abstractmethod
-    async def wait_for_configuration(self, revision, wait_ms):
-        """Wait for a change of the configuration after `revision`.
+    async def wait_for_configuration(self, position, wait_ms):
+        """Wait for a change of the configuration after `position`.
 
         Returns
         -------
-        tuple of (int, RouteTable or None)
-            Revision for the next call, and the newest configuration, or None if it did
+        tuple of (StorePosition, RouteTable or None)
+            Position for the next call, and the newest configuration, or None if it did
             not change within `wait_ms`.
 
         Raises
         ------
         PlatformGoneError
-            If the store no longer has the history since `revision`.
+            If the store no longer has the history since `position`.
         """
 
     @abstractmethod
     async def list_endpoints(self):
-        """Return (revision, list of `ListedEndpoint`, list of unreadable entries)."""
+        """Return the list of endpoints.
+
+        Returns
+        -------
+        tuple of (StorePosition, list of ListedEndpoint, list of str)
+            The last are descriptions of the entries that can't be read.
+        """
 
     @abstractmethod
-    async def list_instances(self):
-        """Return the registered instances as a list of (name, peer address)."""
+    async def list_instances(self, may_be_stale=False):
+        """Return the registered instances as a list of `RegisteredInstance`.
+
+        Parameters
+        ----------
+        may_be_stale : bool
+            Whether the list may be some seconds old, which costs the store less.
+        """
 
     @abstractmethod
-    async def register_instance(self, name, address):
-        """Write the entry of this instance: its name and peer address."""
+    async def register_instance(self, instance):
+        """Write the entry of an instance, a `RegisteredInstance`."""
 
     @abstractmethod
     async def remove_instance(self, name):
