Give each test process loopback addresses of its own

Change: the host is made of the process id and the port counts up below the range of outgoing ports.

--- a/vanillareach/features/users_platform/stage.py
+++ b/vanillareach/features/users_platform/stage.py
@@ -1,5 +1,6 @@
 """Test stage: store, endpoints and gateways in one process, over loopback sockets."""
 
+import itertools
 import os
 import socket
 import threading
@@ -25,6 +26,8 @@
 CONDITION_TIMEOUT_S = 20
 # Connections that fill a listen queue of length 0, with some to spare.
 QUEUE_FILLER_COUNT = 4
+# Below the ports that the kernel gives to outgoing connections.
+FIRST_PORT = 10_000
 ENGINE_PARAMETERS = {
     "slots": 8,
     "kv_tokens": 100_000,
@@ -38,11 +41,22 @@
 }
 
 
+def process_host():
+    """Return a loopback host that no other process uses: it is made of the process id.
+
+    Outgoing connections have 127.0.0.1 as their source, so they take no port of it.
+    """
+    process_id = os.getpid()
+    high, middle, low = process_id >> 16, process_id >> 8 & 255, process_id & 255
+    return f"127.{64 + high}.{middle}.{low}"
+
+
+_ports = itertools.count(FIRST_PORT)
+
+
 def free_address():
-    """Return a loopback address at which nothing listens."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+    """Return a loopback address that nothing else uses, each time another one."""
+    return f"{process_host()}:{next(_ports)}"
 
 
 def unresponsive_address():
