Schedule calls to the store by role; count calls and wake-ups of a fleet in tests

Cause: instances that are no placers called the store together once their threshold had passed, each 200 ms while it was down, and listed all instances each 5 s.

Change: core/store_schedule decides. Placers have ranks; the rest call at the rate of a few instances, at once if they hear no placer, and lists become rarer with more instances. Idle instances send beacons and check for stalls less often. After a restore of the store each instance writes its registration again within 1.5 s.

Measured: a fleet of 30, 100 and 300 instances in memory makes at most 50 calls in 10 s of calm, no more than nine instances would while the store is down, and an idle member wakes at most 4 times a second.

--- a/vanillareach/core/audience.py
+++ b/vanillareach/core/audience.py
@@ -7,6 +7,7 @@
 
 from vanillareach.core.domain_tree import DomainTree
 from vanillareach.core.placers import (
+    IDLE_BEACON_INTERVAL_MS,
     MAX_DIRECT_INSTANCES,
     PLACER_BEACON_INTERVAL_MS,
     PLACER_EXCHANGE_INTERVAL_MS,
@@ -42,6 +43,7 @@
         self._domain = domain
         self._tree = DomainTree(domain)
         self._last_beacon_ms_by_kind = {}
+        self._had_flights = False
         self.election = PlacerElection(name, domain, capacity)
         self.is_placer = False
         self.is_direct = True
@@ -83,14 +85,30 @@
             return max(change or ChangeKind.CONFIRMATION, ChangeKind.CONFIRMATION)
         return change
 
-    def record_sent(self, kind, now_ms):
-        """Record that a message about a kind of change was sent."""
+    def record_sent(self, kind, has_flights, now_ms):
+        """Record that a message about a kind of change was sent.
+
+        Parameters
+        ----------
+        kind : ChangeKind
+        has_flights : bool
+            Whether the instance has requests in flight.
+        now_ms : float
+        """
+        if kind is ChangeKind.FLIGHTS:
+            self._had_flights = True
+        else:
+            self._had_flights = has_flights
         for covered in ChangeKind:
             if covered <= kind:
                 self._last_beacon_ms_by_kind[covered] = now_ms
         if kind is not ChangeKind.FLIGHTS:
             self._tree.rotate_relays()
 
+    def note_activity(self):
+        """Record that the instance has asked a placer, so its next beacon is due."""
+        self._had_flights = True
+
     def next_due_ms(self, peer_count):
         """Return when the next message is due without a change."""
         last = self._last_beacon_ms_by_kind
@@ -136,7 +154,9 @@
     def _state_interval_ms(self, peer_count):
         if self.is_direct:
             return self.beacon_interval_ms(peer_count)
-        return PLACER_BEACON_INTERVAL_MS
+        if self.is_placer or self._had_flights:
+            return PLACER_BEACON_INTERVAL_MS
+        return IDLE_BEACON_INTERVAL_MS
 
     def _is_due(self, kind, interval_ms, now_ms):
         last_ms = self._last_beacon_ms_by_kind.get(kind)
--- a/vanillareach/core/placers.py
+++ b/vanillareach/core/placers.py
@@ -21,6 +21,8 @@
 # placers of other domains more often.
 PLACER_BEACON_INTERVAL_MS = 1_000.0
 PLACER_EXCHANGE_INTERVAL_MS = 250.0
+# An instance without requests of its own sends its placers a beacon at this interval.
+IDLE_BEACON_INTERVAL_MS = 3_000.0
 # A placer that was not heard for this time is silent.
 PLACER_SILENCE_MS = 2_500.0
 # A new placer knows the requests in flight after this time: the others of its domain
--- a/vanillareach/features/gateway_network.py
+++ b/vanillareach/features/gateway_network.py
@@ -5,6 +5,8 @@
 """
 
 import random
+from collections import deque
+from contextvars import ContextVar
 from types import SimpleNamespace
 
 import msgspec
@@ -12,20 +14,24 @@
 import trio.testing
 
 from vanillareach.clock import TrioClock
+from vanillareach.control.object_api import PlatformGoneError, PlatformUnavailableError
 from vanillareach.core.dispatching import Dispatcher
 from vanillareach.core.endpoint_list import ListedEndpoint
 from vanillareach.core.engine_policies import DEFAULT_POLICY, POLICIES_BY_NAME
 from vanillareach.features.users_platform.stage import HOST, configuration
 from vanillareach.gateway.exchange import GatewayExchange
+from vanillareach.gateway.following import StoreFollower
 from vanillareach.gateway.gossip import Gossip
 from vanillareach.gateway.placing import PlacementClient, PlacementServer
-from vanillareach.gateway.ports import CallerFields, StorePosition
+from vanillareach.gateway.ports import CallerFields, DeploymentStore, StorePosition
 from vanillareach.gateway.settings import GatewaySettings
+from vanillareach.gateway.stalls import StallDetector
 from vanillareach.gateway.state import GatewayState
 from vanillareach.peers.link import PeerLink, PeerUnresponsiveError
 from vanillareach.platform.documents import decode_configuration
 
 LATENCY_MS = 1.0
+STORE_LATENCY_MS = 4.0
 FAST_CORES, SLOW_CORES = 4.0, 1.0
 FAST_INSTANCES_PER_DOMAIN = 3
 ENGINES_PER_DOMAIN = 4
@@ -48,6 +54,24 @@
         self.handlers_by_address = {}
         self.received_by_name = {}
         self.is_cut = lambda sender, receiver: False
+        self._in_transit = deque()
+        self._sent_event = trio.Event()
+
+    async def run(self):
+        """Deliver datagrams after the network's latency until cancelled."""
+        while True:
+            if not self._in_transit:
+                self._sent_event = trio.Event()
+                await self._sent_event.wait()
+            arrival_s, receiver, data = self._in_transit.popleft()
+            await trio.sleep_until(arrival_s)
+            receiver.deliver(data)
+
+    def send(self, receiver, data):
+        """Send a datagram to a socket."""
+        arrival_s = trio.current_time() + LATENCY_MS / 1000
+        self._in_transit.append((arrival_s, receiver, data))
+        self._sent_event.set()
 
     def open_socket(self, address):
         """Return a `MemorySocket` at an address."""
@@ -63,7 +87,6 @@
         self._network = network
         self._datagrams = []
         self._arrival = trio.Event()
-        self._token = trio.lowlevel.current_trio_token()
         self.is_frozen = False
 
     def close(self):
@@ -80,26 +103,23 @@
             self._network.received_by_name[address] = (
                 self._network.received_by_name.get(address, 0) + 1
             )
-            receiver.deliver(data)
+            self._network.send(receiver, data)
         return {}
 
     def deliver(self, data):
-        """Store a datagram until the next `receive`."""
-        self._datagrams.append((trio.current_time() + LATENCY_MS / 1000, data))
-        self._arrival.set()
+        """Store a datagram that has arrived until the next `receive`."""
+        self._datagrams.append(data)
+        if not self.is_frozen:
+            self._arrival.set()
 
     async def receive(self):
         """Wait until a datagram has arrived, and return those that have."""
-        while True:
-            if not self._datagrams or self.is_frozen:
-                self._arrival = trio.Event()
-                await self._arrival.wait()
-                continue
-            await trio.sleep_until(self._datagrams[0][0])
-            now_s = trio.current_time()
-            arrived = [data for at_s, data in self._datagrams if at_s <= now_s]
-            self._datagrams = [d for d in self._datagrams if d[0] > now_s]
-            return arrived
+        while not self._datagrams or self.is_frozen:
+            self._arrival = trio.Event()
+            await self._arrival.wait()
+        await trio.lowlevel.checkpoint()
+        datagrams, self._datagrams = self._datagrams, []
+        return datagrams
 
     def thaw(self):
         """Handle again what arrives, and what arrived meanwhile."""
@@ -131,10 +151,105 @@
             del self._handlers_by_address[self._name]
 
 
+class MemoryStore(DeploymentStore):
+    """The store as one instance reaches it.
+
+    Parameters
+    ----------
+    shared : SharedStore
+    """
+
+    def __init__(self, shared):
+        self._shared = shared
+
+    async def read_configuration(self):
+        """Read the configuration; see `DeploymentStore`."""
+        await self._shared.call()
+        return StorePosition(self._shared.era, 1), self._shared.configuration
+
+    async def wait_for_configuration(self, position, wait_ms):
+        """Wait for a change that doesn't come; see `DeploymentStore`."""
+        await self._shared.call()
+        await trio.sleep(wait_ms / 1000)
+        if position.era != self._shared.era:
+            raise PlatformGoneError("era")
+        return position, None
+
+    async def list_endpoints(self):
+        """List the endpoints; see `DeploymentStore`."""
+        await self._shared.call()
+        return StorePosition(self._shared.era, 1), self._shared.endpoints, []
+
+    async def list_instances(self, may_be_stale=False):
+        """List the instances; see `DeploymentStore`."""
+        await self._shared.call()
+        return list(self._shared.instances_by_name.values())
+
+    async def register_instance(self, instance):
+        """Register an instance; see `DeploymentStore`."""
+        await self._shared.call()
+        self._shared.instances_by_name[instance.name] = instance
+
+    async def remove_instance(self, name):
+        """Remove an instance; see `DeploymentStore`."""
+        await self._shared.call()
+        del self._shared.instances_by_name[name]
+
+
+class SharedStore:
+    """What all instances of a `MemoryFleet` see in the store.
+
+    Attributes
+    ----------
+    calls : int
+        Number of calls of all instances.
+    era : int
+    is_down : bool
+    """
+
+    def __init__(self, endpoints):
+        self.configuration = decode_configuration(msgspec.json.encode(configuration(1)))
+        self.endpoints = endpoints
+        self.instances_by_name = {}
+        self.calls = 0
+        self.era = 1
+        self.is_down = False
+
+    async def call(self):
+        """Count a call and take the time of one."""
+        self.calls += 1
+        await trio.sleep(STORE_LATENCY_MS / 1000)
+        if self.is_down:
+            raise PlatformUnavailableError("down")
+
+
+# The `MemoryGateway` whose task is running.
+current_gateway = ContextVar("current_gateway", default=None)
+
+
+class WakeCounter(trio.abc.Instrument):
+    """Records at how many moments each instance's tasks have run.
+
+    Attributes
+    ----------
+    moments_by_name : dict of str to set of float
+    """
+
+    def __init__(self):
+        self.moments_by_name = {}
+
+    def before_task_step(self, task):
+        """Record a step of a task."""
+        gateway = task.context.get(current_gateway)
+        if gateway is not None:
+            moments = self.moments_by_name.setdefault(gateway.settings.name, set())
+            moments.add(trio.current_time())
+
+
 class MemoryGateway:
     """One instance of a `MemoryFleet`."""
 
-    def __init__(self, name, domain, cores, network, seed):
+    def __init__(self, name, domain, cores, network, store, seed):
         self.clock = TrioClock(wall_offset_ms=1_000_000)
         self.settings = GatewaySettings(
             name=name, domain=domain, peer_listen="127.0.0.1:1", processor_cores=cores
@@ -155,12 +270,19 @@
         )
         server = PlacementServer(self.state, self.dispatcher, self.clock)
         self.gossip.answer_query = server.answer
+        self.follower = StoreFollower(
+            MemoryStore(store), self.state, self.gossip, self.clock
+        )
         self.scope = trio.CancelScope()
 
     async def run(self):
-        """Exchange messages until the instance is killed."""
+        """Follow the store and exchange messages until the instance is killed."""
+        current_gateway.set(self)
         with self.scope:
-            await self.gossip.run()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.gossip.run)
+                nursery.start_soon(self.follower.run)
+                nursery.start_soon(StallDetector(self.state, self.clock).run)
 
     @property
     def running_count(self):
@@ -200,8 +322,17 @@
         return decision.placement
 
 
+def endpoints_of(domains):
+    """Return the engines of a fleet, as listed endpoints."""
+    return [
+        ListedEndpoint(f"m-{domain}{n}", 1, "model", f"10.0.0.{n}:80", domain, 8, False)
+        for domain in domains
+        for n in range(ENGINES_PER_DOMAIN)
+    ]
+
+
 class MemoryFleet:
-    """Instances spread evenly over domains, that know configuration and endpoints.
+    """Instances spread evenly over domains, that start at once.
 
     Parameters
     ----------
@@ -213,9 +344,10 @@
 
     def __init__(self, nursery, instance_count, domains):
         self.network = MemoryNetwork()
+        self.store = SharedStore(endpoints_of(domains))
         self.gateways_by_name = {}
         self._nursery = nursery
-        self._domains = domains
+        nursery.start_soon(self.network.run)
         for number in range(instance_count):
             domain = domains[number % len(domains)]
             rank = number // len(domains)
@@ -226,31 +358,12 @@
 
     def _build(self, name, domain, cores, seed):
         self.gateways_by_name[name] = MemoryGateway(
-            name, domain, cores, self.network, seed
+            name, domain, cores, self.network, self.store, seed
         )
 
     def _start(self, gateway):
-        now_ms = gateway.clock.now_ms()
-        gateway.state.apply_configuration(
-            decode_configuration(msgspec.json.encode(configuration(1))), now_ms, "test"
-        )
-        gateway.state.apply_endpoints(
-            self._endpoints(), StorePosition(0, 1), now_ms, "test"
-        )
-        gateway.gossip.add_registered_peers(
-            [other.gossip.registration for other in self.gateways_by_name.values()]
-        )
         self._nursery.start_soon(gateway.run)
 
-    def _endpoints(self):
-        return [
-            ListedEndpoint(
-                f"m-{domain}{n}", 1, "model", f"10.0.0.{n}:80", domain, 8, False
-            )
-            for domain in self._domains
-            for n in range(ENGINES_PER_DOMAIN)
-        ]
-
     def kill(self, name):
         """End an instance at once."""
         self.gateways_by_name.pop(name).scope.cancel()
--- a/vanillareach/features/steps/gateway_news.py
+++ b/vanillareach/features/steps/gateway_news.py
@@ -12,9 +12,9 @@
 from vanillareach.core.domain_tree import DomainTree
 from vanillareach.core.freshness import Freshness
 from vanillareach.core.routing import CallerLimits
+from vanillareach.core.store_schedule import rank_delay_ms
 from vanillareach.early_sockets import listen_early, pop_early_socket
 from vanillareach.features.users_platform.stage import free_address
-from vanillareach.gateway.following import rank_delay_ms
 from vanillareach.gateway.listener import CallerListener
 from vanillareach.utils import split_address
 
--- a/vanillareach/features/steps/placers.py
+++ b/vanillareach/features/steps/placers.py
@@ -13,9 +13,10 @@
     decode_message,
     encode_message,
 )
-from vanillareach.features.gateway_network import run_fleet
+from vanillareach.features.gateway_network import WakeCounter, run_fleet
 
 REQUEST_MS = 500.0
+COUNTED_MS = 10_000.0
 
 
 class FleetScript:
@@ -403,3 +404,96 @@
     except MessageError:
         return
     raise AssertionError("a message of an unknown kind was decoded")
+
+
+@when("the fleet runs for {duration_ms:d} ms and its calls to the store are counted")
+def step_count_calls(context, duration_ms):
+    @action(context)
+    async def count(fleet):
+        before = fleet.store.calls
+        await trio.sleep(duration_ms / 1000)
+        fleet.memory["calls"] = fleet.store.calls - before
+
+
+@then("it made at most {limit:d} calls")
+def step_calls(context, limit):
+    @check(context)
+    async def verify(fleet):
+        assert fleet.memory["calls"] <= limit, fleet.memory["calls"]
+
+
+@then(
+    "it made at most as many calls as {count:d} instances that retry each "
+    "{interval_ms:d} ms"
+)
+def step_calls_like(context, count, interval_ms):
+    @check(context)
+    async def verify(fleet):
+
+        limit = 2 * count * COUNTED_MS / interval_ms
+        assert fleet.memory["calls"] <= limit, (fleet.memory["calls"], limit)
+
+
+@when("the store is {condition}")
+def step_store_condition(context, condition):
+    @action(context)
+    async def change(fleet):
+        fleet.store.is_down = {"down": True, "back": False}[condition]
+
+
+@then("no instance has a list older than {limit_ms:d} ms")
+def step_list_age(context, limit_ms):
+    @check(context)
+    async def verify(fleet):
+        ages_ms = [g.state.endpoints_age_ms() for g in fleet.gateways_by_name.values()]
+        assert min(ages_ms) >= 0 and max(ages_ms) <= limit_ms, max(ages_ms)
+
+
+@when("the fleet runs for {duration_ms:d} ms and its wake-ups are counted")
+def step_count_wakes(context, duration_ms):
+    @action(context)
+    async def count(fleet):
+        counter = WakeCounter()
+        trio.lowlevel.add_instrument(counter)
+        await trio.sleep(duration_ms / 1000)
+        trio.lowlevel.remove_instrument(counter)
+        fleet.memory["wakes_by_name"] = {
+            name: len(moments) / (duration_ms / 1000)
+            for name, moments in counter.moments_by_name.items()
+        }
+
+
+@then("no member woke more than {limit:d} times a second")
+def step_wakes(context, limit):
+    @check(context)
+    async def verify(fleet):
+        wakes = [
+            fleet.memory["wakes_by_name"][member.settings.name]
+            for member in fleet.members()
+        ]
+        assert max(wakes) <= limit, (max(wakes), sum(wakes) / len(wakes))
+
+
+@when("the store comes back without entries of instances, in era {era:d}")
+def step_lost_entries(context, era):
+    @action(context)
+    async def lose(fleet):
+        fleet.memory["calls"] = fleet.store.calls
+        fleet.store.instances_by_name.clear()
+        fleet.store.era = era
+
+
+@then("each instance is registered")
+def step_all_registered(context):
+    @check(context)
+    async def verify(fleet):
+        missing = set(fleet.gateways_by_name) - set(fleet.store.instances_by_name)
+        assert not missing, missing
+
+
+@then("at most {limit:d} calls were made for it")
+def step_calls_for_it(context, limit):
+    @check(context)
+    async def verify(fleet):
+        calls = fleet.store.calls - fleet.memory["calls"]
+        assert calls <= limit, calls
--- a/vanillareach/gateway/following.py
+++ b/vanillareach/gateway/following.py
@@ -14,22 +14,21 @@
     PlatformGoneError,
     PlatformUnavailableError,
 )
+from vanillareach.core.placers import PLACER_SILENCE_MS
 from vanillareach.core.rendezvous import MAX_PREFERENCE, preference, rank_of
 from vanillareach.core.state_change import ChangeKind
+from vanillareach.core.store_schedule import (
+    ranked_wait_ms,
+    retry_delay_ms,
+    unranked_wait_ms,
+)
 from vanillareach.log import get_logger
 
 MIN_RECHECK_INTERVAL_MS = 50.0
-# Age and rank are checked at least this often, since the rank may change.
+# Age and rank are checked at least this often, since the rank may change; less often by
+# instances without a rank.
 MAX_RECHECK_INTERVAL_MS = 400.0
-# In a large fleet the placers call the store, in the order of their ranks. The others
-# call it only if they hear nothing from any placer: later by the first time, and spread
-# over the second one.
-FOLLOWED_DELAY_MS = 1_200.0
-FOLLOWED_SPREAD_MS = 1_500.0
-MAX_FOLLOWED_RECHECK_INTERVAL_MS = 1_000.0
-# The number of instances that share the rate of calls of one, while the store can't be
-# reached or when instances are listed again.
-INSTANCES_PER_CALL_RATE = 8
+MAX_UNRANKED_RECHECK_INTERVAL_MS = 2_500.0
 # An endpoint must get no more requests two seconds after its entry changed to draining.
 # This age is one part of that time; gossip and one failed call to the store take the
 # rest.
@@ -38,28 +37,17 @@
 # for one watch that times out and the takeover by the instance of the next rank.
 WATCH_TIMEOUT_MS = 1_000.0
 CONFIGURATION_REFRESH_AGE_MS = 1_250.0
-RANK_DELAY_STEP_MS = 120.0
-MAX_FULL_STEP_RANK = 5
-# Ranks above `MAX_FULL_STEP_RANK` are delayed by smaller steps, so that they don't all
-# call at the same time.
-HIGH_RANK_DELAY_STEP_MS = 10.0
-MAX_DELAYED_RANK = 35
-STORE_RETRY_DELAY_MS = 200.0
+EMPTY_STORE_DELAY_MS = 200.0
 REGISTRATION_INTERVAL_MS = 5_000.0
+# Instances that list the others once in `REGISTRATION_INTERVAL_MS`; with more of them
+# the interval grows.
+INSTANCES_PER_REGISTRATION_INTERVAL = 8
+# After the store has lost their entries, instances write them again within this time.
 REGISTRATION_SPREAD_MS = 1_500.0
 
 log = get_logger("store")
 
 
-def rank_delay_ms(rank):
-    """Return how much later an instance calls the store than that of rank 0, in ms."""
-    high_rank_steps = max(0, min(rank, MAX_DELAYED_RANK) - MAX_FULL_STEP_RANK)
-    return (
-        RANK_DELAY_STEP_MS * min(rank, MAX_FULL_STEP_RANK)
-        + HIGH_RANK_DELAY_STEP_MS * high_rank_steps
-    )
-
-
 class StoreFollower:
     """Keeps the shared state up to date with the store.
 
@@ -90,7 +78,7 @@
     def _own_rank(self, key):
         """Return the own place among the instances that call the store; None for none.
 
-        An instance has no place if others are to call the store for it.
+        An instance has no place if placers are to call the store for it.
         """
         followers = self._gossip.store_followers()
         if followers is None:
@@ -99,44 +87,49 @@
             return None
         return rank_of(self._gossip.name, key, followers)
 
-    def _delay_ms(self, rank, key):
+    async def _wait_for_turn(self, key, rank, age_ms, refresh_age_ms):
+        """Return whether it is this instance's turn to call, after a wait if not."""
         if rank is not None:
-            return rank_delay_ms(rank)
-        spread = preference(key, self._gossip.name) / MAX_PREFERENCE
-        return FOLLOWED_DELAY_MS + FOLLOWED_SPREAD_MS * spread
+            wait_ms = ranked_wait_ms(rank, age_ms, refresh_age_ms)
+            longest_ms = MAX_RECHECK_INTERVAL_MS
+        elif age_ms < 0:
+            wait_ms = 0.0
+        else:
+            wait_ms = unranked_wait_ms(
+                preference(key, self._gossip.name) / MAX_PREFERENCE,
+                self._state.instance_count,
+                self._gossip.placer_heard_ms_ago(),
+                PLACER_SILENCE_MS,
+                age_ms - refresh_age_ms,
+            )
+            longest_ms = MAX_UNRANKED_RECHECK_INTERVAL_MS
+        if wait_ms <= 0:
+            return True
+        wait_ms = min(longest_ms, max(MIN_RECHECK_INTERVAL_MS, wait_ms))
+        await self._clock.sleep_ms(wait_ms)
+        return False
 
     async def _follow_configuration(self):
+        key = "configuration"
         while True:
-            rank = self._own_rank("configuration")
-            age_ms = self._state.configuration_age_ms()
-            refresh_age_ms = CONFIGURATION_REFRESH_AGE_MS + self._delay_ms(
-                rank, "configuration"
-            )
-            if rank == 0:
-                refresh_age_ms = 0.0
-            if 0 <= age_ms < refresh_age_ms:
-                await self._sleep_until_recheck(rank, refresh_age_ms - age_ms)
+            rank = self._own_rank(key)
+            if rank != 0 and not await self._wait_for_turn(
+                key,
+                rank,
+                self._state.configuration_age_ms(),
+                CONFIGURATION_REFRESH_AGE_MS,
+            ):
                 continue
             if await self._call_store(self._refresh_configuration):
                 self._state.publish(ChangeKind.CONFIRMATION)
 
-    async def _sleep_until_recheck(self, rank, remaining_ms):
-        longest_ms = (
-            MAX_FOLLOWED_RECHECK_INTERVAL_MS
-            if rank is None
-            else MAX_RECHECK_INTERVAL_MS
-        )
-        await self._clock.sleep_ms(
-            min(longest_ms, max(MIN_RECHECK_INTERVAL_MS, remaining_ms))
-        )
-
     async def _refresh_configuration(self):
         state = self._state
         if self._configuration_position is None:
             request_ms = self._clock.now_ms()
             result = await self._store.read_configuration()
             if result is None:
-                await self._clock.sleep_ms(STORE_RETRY_DELAY_MS)
+                await self._clock.sleep_ms(EMPTY_STORE_DELAY_MS)
                 return
             self._configuration_position, configuration = result
             state.observe_era(self._configuration_position.era)
@@ -164,14 +157,14 @@
             state.confirm_configuration(response_ms)
 
     async def _follow_endpoints(self):
+        key = "endpoints"
         while True:
-            rank = self._own_rank("endpoints")
-            age_ms = self._state.endpoints_age_ms()
-            refresh_age_ms = ENDPOINTS_REFRESH_AGE_MS + self._delay_ms(
-                rank, "endpoints"
-            )
-            if 0 <= age_ms < refresh_age_ms:
-                await self._sleep_until_recheck(rank, refresh_age_ms - age_ms)
+            if not await self._wait_for_turn(
+                key,
+                self._own_rank(key),
+                self._state.endpoints_age_ms(),
+                ENDPOINTS_REFRESH_AGE_MS,
+            ):
                 continue
             if await self._call_store(self._refresh_endpoints):
                 # Peers call the store themselves unless this beacon reaches them soon.
@@ -189,16 +182,21 @@
     async def _follow_instances(self):
         while True:
             await self._call_store(self._refresh_instances)
-            await self._clock.sleep_ms(
-                REGISTRATION_INTERVAL_MS * self._call_rate_share()
-            )
+            interval_ms = self._registration_interval_ms()
+            if await self._state.wait_for_era_change(interval_ms):
+                # The store has lost entries; not all instances write theirs at once.
+                self._is_registered = False
+                spread = preference("registration", self._gossip.name) / MAX_PREFERENCE
+                await self._clock.sleep_ms(REGISTRATION_SPREAD_MS * spread)
 
-    def _call_rate_share(self):
-        """Return how many times longer than a single instance this one waits.
+    def _registration_interval_ms(self):
+        """Return the time between two lists of the instances.
 
         It keeps the rate of all instances' calls the same, whatever their number.
         """
-        return max(1.0, self._state.instance_count / INSTANCES_PER_CALL_RATE)
+        count = self._state.instance_count
+        intervals = max(1.0, count / INSTANCES_PER_REGISTRATION_INTERVAL)
+        return REGISTRATION_INTERVAL_MS * intervals
 
     async def _refresh_instances(self):
         """Register this instance, then read which others are registered.
@@ -229,10 +227,12 @@
 
     def _retry_delay_ms(self):
         """Return the time until the store is called again after a failed call."""
-        followers = self._gossip.store_followers()
-        if followers is None or self._gossip.name in followers:
-            return STORE_RETRY_DELAY_MS
-        return STORE_RETRY_DELAY_MS * self._call_rate_share()
+        return retry_delay_ms(
+            self._own_rank("retry"),
+            len(self._gossip.store_followers() or ()),
+            self._state.instance_count,
+            self._gossip.placer_heard_ms_ago() < PLACER_SILENCE_MS,
+        )
 
     def _record_reachability(self, is_reachable, cause):
         if is_reachable is self._is_store_reachable:
--- a/vanillareach/gateway/gossip.py
+++ b/vanillareach/gateway/gossip.py
@@ -7,6 +7,7 @@
 see `state_fetch`.
 """
 
+import math
 import random
 
 import trio
@@ -105,6 +106,7 @@
         self._change = ChangeKind.STATE
         self._last_heard_ms = clock.now_ms()
         self._is_deaf = False
+        self._placer_heard_ms = -math.inf
         self._last_query_id = 0
         self._queries_by_id = {}
         state.subscribe(self._on_state_change)
@@ -133,6 +135,10 @@
         names = self.audience.election.placers(self._domain, self._clock.now_ms())
         return [self._peers_by_name[n] for n in names if n in self._peers_by_name]
 
+    def placer_heard_ms_ago(self):
+        """Return the time since a placer of the own domain was heard, or infinity."""
+        return self._clock.now_ms() - self._placer_heard_ms
+
     def store_followers(self):
         """Return the names of the instances that normally follow the store, or None.
 
@@ -158,6 +164,9 @@
         """
         self._last_query_id += 1
         query_id = self._last_query_id
+        # The next beacon tells the placer whether the request was sent.
+        self.audience.note_activity()
+        self._change_event.set()
         pending = PendingQuery()
         self._queries_by_id[query_id] = pending
         try:
@@ -308,7 +317,8 @@
         """Send a message about a kind of change to those that need it."""
         is_flights = kind is ChangeKind.FLIGHTS
         message = self._build_flight_update() if is_flights else self._build_beacon()
-        self.audience.record_sent(kind, now_ms)
+        has_flights = self._state.load_state.own_flight_count > 0
+        self.audience.record_sent(kind, has_flights, now_ms)
         data = self._authenticator.encode(message)
         if len(data) > MAX_DATAGRAM_BYTES:
             log.warning(
@@ -539,6 +549,8 @@
         election = self.audience.election
         election.add(beacon.name, beacon.domain, beacon.capacity)
         if beacon.is_placer:
+            if beacon.domain == self._domain:
+                self._placer_heard_ms = now_ms
             election.record_heard(beacon.name, now_ms)
         election.record_unavailable(beacon.name, beacon.is_leaving)
         self._state.load_state.replace_peer(beacon.name, beacon.flights, now_ms)
--- a/vanillareach/gateway/stalls.py
+++ b/vanillareach/gateway/stalls.py
@@ -11,7 +11,7 @@
 
 # A longer stall makes the state stale.
 STALL_THRESHOLD_MS = 400.0
-CHECK_INTERVAL_MS = 500.0
+CHECK_INTERVAL_MS = 3_000.0
 
 log = get_logger("gateway")
 
