--- a/vanillareach/features/steps/gateway_fleet.py
+++ b/vanillareach/features/steps/gateway_fleet.py
@@ -312,6 +312,10 @@
     reports = dict(zip(("x:1", "x:2"), context.reports, strict=True))
     rows = instances_table({**reports, "x:3": None}).splitlines()
     assert len(rows) == 4
-    assert rows[1].startswith("g1 ") and rows[2].startswith("g2 "), rows
-    assert rows[3].split() == ["x:3", "no", "answer"], rows
+    # The instance that doesn't answer is the odd one.
+    assert rows[1].split() == ["x:3", "no", "answer"], rows
+    assert rows[2].startswith("g1 ") and rows[3].startswith("g2 "), rows
+    behind = msgspec.structs.replace(context.reports[1], configuration_version=0)
+    rows = instances_table({**reports, "x:2": behind}, row_count=1).splitlines()
+    assert rows[1].startswith("g2 ") and rows[2] == "1 more, 0 of them odd", rows
     assert len(endpoints_table(context.reports[0]).splitlines()) == 5
--- a/vanillareach/gateway/app.py
+++ b/vanillareach/gateway/app.py
@@ -126,6 +126,8 @@
         )
         add("store_calls", "Calls to the store.", lambda: self.store.calls)
         add("instances", "Instances known.", lambda: state.instance_count)
+        add("is_placer", "Whether it places for others.", lambda: state.is_placer)
+        add("store_era", "Era of the store.", lambda: state.store_era)
         add("slow_engines", "Engines seen slow.", lambda: len(state.paces.own_paces))
         add(
             "flights",
--- a/vanillareach/gateway/report.py
+++ b/vanillareach/gateway/report.py
@@ -61,6 +61,10 @@
         Own requests in flight at endpoints, and active memory reservations.
     retries_left_by_service : dict of str to int
         Retries that this instance may send now.
+    is_placer : bool
+        Whether it places the requests of its failure domain.
+    store_era : int
+        Highest era of the store that it has heard of; -1 for none.
     """
 
     name: str
@@ -75,6 +79,8 @@
     retries_left_by_service: dict[str, int]
     endpoints: list[EndpointReport]
     peers: list[PeerReport]
+    is_placer: bool = False
+    store_era: int = 0
 
 
 def build_report(settings, state, gossip, reservations, now_ms):
@@ -114,6 +120,8 @@
             PeerReport(name, domain, round(heard_ms_ago))
             for name, domain, heard_ms_ago in gossip.time_since_peers_heard()
         ],
+        is_placer=state.is_placer,
+        store_era=state.store_era,
     )
 
 
--- a/vanillareach/gateways_cli.py
+++ b/vanillareach/gateways_cli.py
@@ -6,6 +6,10 @@
 
 REQUEST_TIMEOUT_S = 3.0
 EMPTY_CELL = "-"
+# Instances that fit on a screen.
+DEFAULT_ROWS = 40
+# A list that the store confirmed longer ago makes an instance odd.
+ODD_LIST_AGE_MS = 5_000.0
 
 
 def register_gateways_command(app):
@@ -20,12 +24,15 @@
     endpoints: Annotated[
         bool, typer.Option(help="Show each endpoint, as the first gateway sees it.")
     ] = False,
+    rows: Annotated[
+        int, typer.Option(min=1, help="Instances shown; the odd ones come first.")
+    ] = DEFAULT_ROWS,
 ):
     """Show versions in force, peers heard, unusable endpoints and retry budgets."""
     reports_by_address = {
         address: _fetch_report(address) for address in at.split(",") if address.strip()
     }
-    typer.echo(instances_table(reports_by_address))
+    typer.echo(instances_table(reports_by_address, rows))
     received_reports = [report for report in reports_by_address.values() if report]
     if received_reports and endpoints:
         typer.echo(endpoints_table(received_reports[0]))
@@ -33,32 +40,62 @@
         raise typer.Exit(1)
 
 
-def instances_table(reports_by_address):
-    """Return a row for each instance as text.
+def instances_table(reports_by_address, row_count=DEFAULT_ROWS):
+    """Return a row for each instance as text, the odd ones first.
 
-    A report that is None stands for an instance that did not answer.
+    Parameters
+    ----------
+    reports_by_address : dict of str to InstanceReport or None
+        None stands for an instance that did not answer.
+    row_count : int
+        Rows shown; a line says how many more there are.
     """
     lines = [
-        f"{'instance':16} {'domain':10} {'version':>7} {'age ms':>7} {'list ms':>8} "
-        f"{'flights':>7} {'held':>5} {'peers':>6} {'not usable':>11}  retries left"
+        f"{'instance':16} {'domain':10} {'role':6} {'version':>7} {'age ms':>7} "
+        f"{'list ms':>8} {'flights':>7} {'held':>5} {'peers':>6} {'not usable':>11}  "
+        "retries left"
     ]
-    for address, report in reports_by_address.items():
-        if report is None:
-            lines.append(f"{address:16} no answer")
-            continue
-        heard_peer_count = sum(peer.heard_ms_ago >= 0 for peer in report.peers)
-        unusable_count = sum(e.standing != "usable" for e in report.endpoints)
-        retries_left = report.retries_left_by_service
-        retries = " ".join(f"{name}={count}" for name, count in retries_left.items())
-        lines.append(
-            f"{report.name:16} {report.domain:10} {report.configuration_version:7} "
-            f"{report.configuration_age_ms:7.0f} {report.list_age_ms:8.0f} "
-            f"{report.flights:7} {report.reservations:5} {heard_peer_count:6} "
-            f"{unusable_count:11}  {retries or EMPTY_CELL}"
-        )
+    newest_version = max(
+        (r.configuration_version for r in reports_by_address.values() if r), default=-1
+    )
+    ordered = sorted(
+        reports_by_address.items(),
+        key=lambda item: not _is_odd(item[1], newest_version),
+    )
+    lines += [_instance_row(address, report) for address, report in ordered[:row_count]]
+    if len(ordered) > row_count:
+        hidden = [report for _, report in ordered[row_count:]]
+        odd_count = sum(_is_odd(report, newest_version) for report in hidden)
+        lines.append(f"{len(hidden)} more, {odd_count} of them odd")
     return "\n".join(lines)
 
 
+def _is_odd(report, newest_version):
+    """Return whether an instance differs from what all should be like."""
+    return (
+        report is None
+        or not report.is_ready
+        or report.configuration_version < newest_version
+        or not 0 <= report.list_age_ms <= ODD_LIST_AGE_MS
+    )
+
+
+def _instance_row(address, report):
+    if report is None:
+        return f"{address:16} no answer"
+    heard_peer_count = sum(peer.heard_ms_ago >= 0 for peer in report.peers)
+    unusable_count = sum(e.standing != "usable" for e in report.endpoints)
+    retries_left = report.retries_left_by_service
+    retries = " ".join(f"{name}={count}" for name, count in retries_left.items())
+    role = "placer" if report.is_placer else EMPTY_CELL
+    return (
+        f"{report.name:16} {report.domain:10} {role:6} "
+        f"{report.configuration_version:7} {report.configuration_age_ms:7.0f} "
+        f"{report.list_age_ms:8.0f} {report.flights:7} {report.reservations:5} "
+        f"{heard_peer_count:6} {unusable_count:11}  {retries or EMPTY_CELL}"
+    )
+
+
 def endpoints_table(report):
     """Return a row for each endpoint, as one instance sees it, as text."""
     lines = [
