--- a/vanillareach/features/placers.feature
+++ b/vanillareach/features/placers.feature
@@ -159,3 +159,4 @@
     When the fleet runs for 7000 ms
     And the fleet runs for 10000 ms and its wake-ups are counted
     Then no member woke more than 4 times a second
+    And every placer counts all instances of its domain as alive
--- a/vanillareach/features/steps/placers.py
+++ b/vanillareach/features/steps/placers.py
@@ -497,3 +497,14 @@
     async def verify(fleet):
         calls = fleet.store.calls - fleet.memory["calls"]
         assert calls <= limit, calls
+
+
+@then("every placer counts all instances of its domain as alive")
+def step_members_alive(context):
+    @check(context)
+    async def verify(fleet):
+        for domain in context.script.domains:
+            names = {name for name in fleet.gateways_by_name if name[0] == domain}
+            for placer in fleet.placer_names(domain):
+                alive = fleet.gateways_by_name[placer].gossip.alive_peer_names()
+                assert names - {placer} <= set(alive), (placer, names - set(alive))
--- a/vanillareach/gateway/following.py
+++ b/vanillareach/gateway/following.py
@@ -66,7 +66,7 @@
         self._clock = clock
         self._is_store_reachable = True
         self._configuration_position = None
-        self._is_registered = False
+        self._has_new_era = False
 
     async def run(self):
         """Follow configuration, endpoints and instances until cancelled."""
@@ -185,7 +185,7 @@
             interval_ms = self._registration_interval_ms()
             if await self._state.wait_for_era_change(interval_ms):
                 # The store has lost entries; not all instances write theirs at once.
-                self._is_registered = False
+                self._has_new_era = True
                 spread = preference("registration", self._gossip.name) / MAX_PREFERENCE
                 await self._clock.sleep_ms(REGISTRATION_SPREAD_MS * spread)
 
@@ -199,15 +199,18 @@
         return REGISTRATION_INTERVAL_MS * intervals
 
     async def _refresh_instances(self):
-        """Register this instance, then read which others are registered.
+        """Read which instances are registered; register this one if it isn't.
 
-        In this order, of two instances that start together at least one sees the other.
+        It is registered before a list that counts, so that of two instances that start
+        together at least one sees the other.
         """
         own = self._gossip.registration
-        if not self._is_registered:
+        # A list from before a restore may show an entry that is lost.
+        registered_instances = await self._store.list_instances(not self._has_new_era)
+        if own not in registered_instances:
             await self._store.register_instance(own)
-        registered_instances = await self._store.list_instances(self._is_registered)
-        self._is_registered = own in registered_instances
+            registered_instances = await self._store.list_instances()
+        self._has_new_era = False
         self._gossip.add_registered_peers(registered_instances)
         for name in self._gossip.expired_instance_names(registered_instances):
             if self._own_rank("instances") == 0 or not self._gossip.audience.is_direct:
--- a/vanillareach/gateway/gossip.py
+++ b/vanillareach/gateway/gossip.py
@@ -47,6 +47,8 @@
 # A peer counts as alive if it was heard within this many beacon intervals and a margin.
 ALIVE_BEACON_INTERVALS = 4
 ALIVE_TIMEOUT_MARGIN_MS = 300.0
+# In a large fleet, where an idle instance sends a beacon each three seconds.
+LARGE_FLEET_ALIVE_TIMEOUT_MS = 4_500.0
 # A peer that isn't heard is removed after this time. Until then, beacons are still sent
 # to it and it is still counted in shared budgets.
 PEER_EXPIRY_MS = 30_000.0
@@ -348,6 +350,8 @@
         return self.audience.beacon_interval_ms(len(self._peers_by_name))
 
     def _alive_timeout_ms(self):
+        if not self.audience.is_direct:
+            return LARGE_FLEET_ALIVE_TIMEOUT_MS
         return (
             ALIVE_BEACON_INTERVALS * self.beacon_interval_ms() + ALIVE_TIMEOUT_MARGIN_MS
         )
