--- a/vanillareach/features/placers.feature
+++ b/vanillareach/features/placers.feature
@@ -160,3 +160,9 @@
     And the fleet runs for 10000 ms and its wake-ups are counted
     Then no member woke more than 4 times a second
     And every placer counts all instances of its domain as alive
+
+  Scenario: A burst that reaches all instances at once fills no engine beyond its slots
+    Given a fleet of 30 instances in domains "abc"
+    When the fleet runs for 1500 ms
+    And 72 prompts of 1000 tokens arrive within 20 ms, spread over all instances
+    Then no engine has more than 8 requests that decode or wait
--- a/vanillareach/features/steps/placers.py
+++ b/vanillareach/features/steps/placers.py
@@ -6,6 +6,7 @@
 import trio
 from behave import given, then, when
 
+from vanillareach.core.load_state import LoadState
 from vanillareach.core.messages import (
     Beacon,
     EndpointFault,
@@ -17,6 +18,8 @@
 
 REQUEST_MS = 500.0
 COUNTED_MS = 10_000.0
+# Time after which all instances know of the last request.
+SETTLING_MS = 30.0
 
 
 class FleetScript:
@@ -508,3 +511,37 @@
             for placer in fleet.placer_names(domain):
                 alive = fleet.gateways_by_name[placer].gossip.alive_peer_names()
                 assert names - {placer} <= set(alive), (placer, names - set(alive))
+
+
+@when(
+    "{count:d} prompts of {tokens:d} tokens arrive within {duration_ms:d} ms, spread "
+    "over all instances"
+)
+def step_burst(context, count, tokens, duration_ms):
+    @action(context)
+    async def burst(fleet):
+        gateways = list(fleet.gateways_by_name.values())
+        for number in range(count):
+            gateway = gateways[number % len(gateways)]
+            fleet._nursery.start_soon(gateway.run_request, 5_000.0, tokens)
+            await trio.sleep(duration_ms / count / 1000)
+        await trio.sleep(SETTLING_MS / 1000)
+
+
+def known_loads(fleet):
+    """Return the `EngineLoad` by engine, from the requests of all instances."""
+    load_state = LoadState()
+    for name, gateway in fleet.gateways_by_name.items():
+        now_ms = gateway.clock.now_ms()
+        load_state.replace_peer(
+            name, gateway.state.load_state.own_flights(now_ms), now_ms
+        )
+    return load_state.loads_by_engine(now_ms)
+
+
+@then("no engine has more than {limit:d} requests that decode or wait")
+def step_most_requests(context, limit):
+    @check(context)
+    async def verify(fleet):
+        counts = {e: load.running for e, load in known_loads(fleet).items()}
+        assert max(counts.values()) <= limit, sorted(counts.values())
