--- a/vanillareach/features/properties.feature
+++ b/vanillareach/features/properties.feature
@@ -11,3 +11,6 @@
 
   Scenario: Versions never decrease in any order of merges
     Then no order of merges lowers a version or changes the digest
+
+  Scenario: Lists of endpoints stay right over restores of the store
+    Then no sequence of starts, drains, ends, copies, restores and reads breaks a list
