--- a/vanillareach/features/steps/store_drills.py
+++ b/vanillareach/features/steps/store_drills.py
@@ -8,8 +8,8 @@
 from vanillareach.features.steps.gateway_core import make_endpoint
 from vanillareach.features.steps.properties import CHECKED
 
-ENGINES = ("e0", "e1", "e2")
-READERS = 3
+ENGINES = ("e0", "e1")
+READERS = 2
 # After a restore, living engines have written their entries by the first time, and
 # entries of those that are gone are removed by the second one.
 WRITTEN_AGAIN_MS = 2_000.0
@@ -24,7 +24,8 @@
         st.integers(0, READERS - 1),
         st.integers(0, READERS - 1),
     ),
-    max_size=50,
+    min_size=12,
+    max_size=40,
 )
 
 
