Split gossip and placement by role

Moves: the table of peers, the building of messages, the cost of blocking and the shortlist of engines have modules of their own. A datagram counts as heard only if it is authentic.

--- a/vanillareach/core/span_placement.py
+++ b/vanillareach/core/span_placement.py
@@ -13,8 +13,8 @@
 `dispatching`.
 """
 
-from heapq import nsmallest
-
+from vanillareach.core.blocking_cost import LATE_LOSS_SHARE, BlockingCost
+from vanillareach.core.engine_shortlist import shortlist
 from vanillareach.core.engine_time import decode_ms, pass_ms, prefill_ms
 from vanillareach.core.placement_types import Placement
 
@@ -22,8 +22,6 @@
 MAX_HELPERS = 16
 # Numbers of engines per span that are tried, the host included.
 SPAN_WIDTHS = (1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17)
-# Share of the worth that a late response loses: it still earns about a quarter.
-LATE_LOSS_SHARE = 0.75
 # A prediction above the first share of a limit risks exceeding the limit; from the
 # second share on, that is taken as certain. The risk grows linearly between them.
 RISK_START_SHARE = 0.7
@@ -50,15 +48,6 @@
 MS_PER_SECOND = 1000.0
 # Pending prefill of a helper, in ms, that costs one unit of worth, so it counts little.
 HELPER_WAIT_MS_PER_WORTH = 10_000.0
-# Enough engines are kept clear of long prefills to run as many short prompts as decode
-# now, each filled to this share of its slots.
-CLEAR_SLOT_SHARE = 0.6
-# Maximum pending prefill of an engine that counts as clear.
-CLEAR_PREFILL_MS = 60.0
-# Approximate time to decode the answer to a short prompt.
-SHORT_DECODE_S = 2.0
-# Factor by which more short prompts may arrive than decode now.
-BURST_FACTOR = 2.0
 # Cost of an engine in another failure domain, in worth. Traffic between domains is
 # cheap compared with a late response.
 OTHER_DOMAIN_COST = 0.008
@@ -68,12 +57,6 @@
 MIN_RESERVED_TOKENS = 8_192
 # Factor by which a response may take longer than predicted.
 ANSWER_TIME_FACTOR = 1.25
-# Engines among which the costs of a placement are compared.
-MAX_CANDIDATES = 32
-# Prefill, in ms, that a decoding request and a failure share of 1 count as when engines
-# are preselected.
-DECODING_WORK_MS = 15.0
-FAILURE_WORK_MS = 2_000.0
 # Shorter prompts gain too little from a span.
 MIN_SPAN_PROMPT_TOKENS = 12_000
 
@@ -120,42 +103,6 @@
     return best
 
 
-def shortlist(figures, views):
-    """Return the engines among which costs are compared.
-
-    A comparison of all engines takes time in proportion to their number. Of many
-    engines, those with the least prefill and work are kept, and those with free slots
-    that decode most, at which short prompts are batched.
-    """
-    if len(views) <= MAX_CANDIDATES:
-        return views
-
-    def work(view):
-        load = view.load
-        return (
-            load.pending_prefill_ms + DECODING_WORK_MS * len(load.decoding_requests)
-        ) * view.pace + FAILURE_WORK_MS * view.failure_share
-
-    def batching(view):
-        load = view.load
-        return (
-            load.pending_prefill_ms > CLEAR_PREFILL_MS
-            or load.running >= figures.slots
-            or view.pace > 1.0,
-            view.failure_share,
-            -len(load.decoding_requests),
-        )
-
-    batching_views = nsmallest(MAX_CANDIDATES // 4, views, key=batching)
-    chosen = set(map(id, batching_views))
-    idle_views = nsmallest(
-        MAX_CANDIDATES - len(batching_views),
-        (view for view in views if id(view) not in chosen),
-        key=work,
-    )
-    return batching_views + idle_views
-
-
 def views_with_room(request, figures, views):
     """Return the engines with memory for the whole prompt and answer, and a slot."""
     return [view for view in views if _has_room(request, figures, view)]
@@ -274,64 +221,6 @@
     return figures.memory_tokens - view.load.memory_tokens
 
 
-class BlockingCost:
-    """Worth that short prompts lose while too few engines are clear.
-
-    Short prompts that arrive during the prefill of a span are placed on the engines
-    with the least pending prefill. The cost counts the time by which the span delays
-    the moment when enough of these engines are clear.
-
-    Parameters
-    ----------
-    figures : EngineFigures
-    views : list of EngineView
-        All engines.
-    """
-
-    __slots__ = ("_position", "_prefills", "_worth_per_second")
-
-    def __init__(self, figures, views):
-        decoding_count, worth = 0, 0.0
-        for view in views:
-            decoding_count += len(view.load.decoding_requests)
-            worth += sum(flight.worth for flight in view.load.decoding_requests)
-        self._prefills = sorted(
-            (view.load.pending_prefill_ms, view.endpoint.id)
-            for view in views
-            if view.load.running < figures.slots
-        )
-        clear_engines_wanted = 1 + int(
-            decoding_count / (CLEAR_SLOT_SHARE * figures.slots)
-        )
-        self._position = min(clear_engines_wanted, len(self._prefills)) - 1
-        self._worth_per_second = worth / SHORT_DECODE_S
-
-    def cost(self, span, part_prefill_ms):
-        """Return the cost of a span, in worth.
-
-        Parameters
-        ----------
-        span : tuple of EngineView
-        part_prefill_ms : float
-            Prefill that the span adds to each of its engines.
-        """
-        if not self._prefills:
-            return 0.0
-        span_ids = {view.endpoint.id for view in span}
-        # The span moves its engines back; no others come before the position.
-        first = self._prefills[: self._position + 1 + len(span)]
-        prefills_after_ms = sorted(
-            prefill_ms + part_prefill_ms * (engine in span_ids)
-            for prefill_ms, engine in first
-        )
-        before_ms = self._prefills[self._position][0]
-        blocked_ms = prefills_after_ms[self._position] - max(
-            before_ms, CLEAR_PREFILL_MS
-        )
-        blocked_s = max(0.0, blocked_ms) / MS_PER_SECOND
-        return BURST_FACTOR * LATE_LOSS_SHARE * self._worth_per_second * blocked_s
-
-
 def _standalone_host_cost(request, figures, view, part_prefill_ms):
     """Return the cost by which hosts are compared before helpers are chosen."""
     time_to_first_event_ms = first_event_ms(figures, view, part_prefill_ms)
--- a/vanillareach/features/steps/fuzz.py
+++ b/vanillareach/features/steps/fuzz.py
@@ -248,7 +248,7 @@
                 )
             ]
             authenticator = gossips[0]._authenticator
-            beacon = authenticator.encode(gossips[0]._build_beacon())
+            beacon = authenticator.encode(gossips[0].announcements.beacon())
             payload = beacon[DIGEST_BYTES:]
             for number in range(2_000):
                 if number % 2:
--- a/vanillareach/features/steps/gateway.py
+++ b/vanillareach/features/steps/gateway.py
@@ -35,7 +35,9 @@
         others = len(context.platform.gateways) - 1
         for gateway in context.platform.gateways:
             await context.platform.until(
-                lambda gateway=gateway: len(gateway.gossip.alive_peer_names()) == others
+                lambda gateway=gateway: (
+                    len(gateway.gossip.peers.alive_names()) == others
+                )
             )
 
     context.run(start)
--- a/vanillareach/features/steps/gateway_fleet.py
+++ b/vanillareach/features/steps/gateway_fleet.py
@@ -147,7 +147,7 @@
 
     async def deliver():
         beacon = msgspec.structs.replace(
-            gossip._build_beacon(),
+            gossip.announcements.beacon(),
             name=name,
             address=free_address(),
             incarnation=incarnation,
@@ -157,7 +157,7 @@
             gossip._handle_beacon(beacon, nursery)
 
     context.run(deliver)
-    return gossip._peers_by_name[name]
+    return gossip.peers.by_name[name]
 
 
 @given('a beacon of instance "{name}" with incarnation {incarnation:d}')
--- a/vanillareach/features/steps/placers.py
+++ b/vanillareach/features/steps/placers.py
@@ -391,7 +391,9 @@
     @check(context)
     async def verify(fleet):
         gateway = next(iter(fleet.gateways_by_name.values()))
-        values = msgspec.msgpack.decode(encode_message(gateway.gossip._build_beacon()))
+        values = msgspec.msgpack.decode(
+            encode_message(gateway.gossip.announcements.beacon())
+        )
         newer_fields = ("capacity", "is_placer", "store_era", "endpoints_era")
         beacon = decode_message(
             msgspec.msgpack.encode(values[: len(values) - len(newer_fields)])
@@ -509,7 +511,7 @@
         for domain in context.script.domains:
             names = {name for name in fleet.gateways_by_name if name[0] == domain}
             for placer in fleet.placer_names(domain):
-                alive = fleet.gateways_by_name[placer].gossip.alive_peer_names()
+                alive = fleet.gateways_by_name[placer].gossip.peers.alive_names()
                 assert names - {placer} <= set(alive), (placer, names - set(alive))
 
 
--- /dev/null
+++ b/vanillareach/gateway/announcements.py
@@ -0,0 +1,70 @@
+"""Builds the messages in which an instance tells its peers of its state."""
+
+from vanillareach.core.messages import Beacon, FlightUpdate
+
+# A lost endpoint is reported in each beacon for this time.
+LOSS_BROADCAST_PERIOD_MS = 3_000.0
+
+
+class AnnouncementBuilder:
+    """Beacons and flight updates of one instance, in order.
+
+    Parameters
+    ----------
+    registration : RegisteredInstance
+        Name, address, domain and capacity of the instance.
+    state : GatewayState
+    clock : Clock
+    """
+
+    def __init__(self, registration, state, clock):
+        self._registration = registration
+        self._state = state
+        self._clock = clock
+        self._incarnation = clock.wall_ms()
+        self._sequence = 0
+
+    def flight_update(self):
+        """Return a `FlightUpdate` with the changes since the last one."""
+        self._sequence += 1
+        changes = self._state.load_state.drain_changes(self._clock.now_ms())
+        return FlightUpdate(
+            name=self._registration.name,
+            incarnation=self._incarnation,
+            sequence=self._sequence,
+            begun=tuple(changes.started_by_id.values()),
+            decoding=tuple(changes.decoding_ids),
+            ended=tuple(changes.ended_ids),
+            faults=self._state.take_faults(),
+        )
+
+    def beacon(self):
+        """Return a `Beacon` with the state of the instance."""
+        now_ms, state = self._clock.now_ms(), self._state
+        self._sequence += 1
+        losses = state.crashes.recent_losses(now_ms - LOSS_BROADCAST_PERIOD_MS)
+        registration = self._registration
+        return Beacon(
+            name=registration.name,
+            domain=registration.domain,
+            address=registration.address,
+            incarnation=self._incarnation,
+            sequence=self._sequence,
+            is_leaving=state.is_stopping,
+            configuration_version=state.configuration.version
+            if state.configuration
+            else -1,
+            configuration_age_ms=state.configuration_age_ms(),
+            configuration_stamp=state.configuration_freshness.stamp,
+            endpoints_stamp=state.endpoints_freshness.stamp,
+            endpoints_revision=state.endpoints.revision,
+            endpoints_digest=state.endpoints.digest,
+            endpoints_age_ms=state.endpoints_age_ms(),
+            flights=state.load_state.own_flights(now_ms),
+            losses=tuple((x.fingerprint, x.endpoint, x.domain) for x in losses),
+            paces=tuple(state.paces.own_paces.items()),
+            capacity=registration.capacity,
+            is_placer=state.is_placer,
+            store_era=state.store_era,
+            endpoints_era=state.endpoints.era,
+        )
--- a/vanillareach/gateway/following.py
+++ b/vanillareach/gateway/following.py
@@ -82,7 +82,7 @@
         """
         followers = self._gossip.store_followers()
         if followers is None:
-            followers = self._gossip.alive_peer_names()
+            followers = self._gossip.peers.alive_names()
         elif self._gossip.name not in followers:
             return None
         return rank_of(self._gossip.name, key, followers)
@@ -212,7 +212,7 @@
             registered_instances = await self._store.list_instances()
         self._has_new_era = False
         self._gossip.add_registered_peers(registered_instances)
-        for name in self._gossip.expired_instance_names(registered_instances):
+        for name in self._gossip.peers.expired_names(registered_instances):
             if self._own_rank("instances") == 0 or not self._gossip.audience.is_direct:
                 await self._store.remove_instance(name)
                 log.info("Registration of expired instance removed.", instance=name)
--- a/vanillareach/gateway/gossip.py
+++ b/vanillareach/gateway/gossip.py
@@ -29,7 +29,9 @@
 from vanillareach.core.placers import PLACER_SILENCE_MS
 from vanillareach.core.state_change import ChangeKind
 from vanillareach.core.suspicion import Loss
+from vanillareach.gateway.announcements import AnnouncementBuilder
 from vanillareach.gateway.datagrams import MAX_DATAGRAM_BYTES, DatagramSocket
+from vanillareach.gateway.peer_table import PeerTable
 from vanillareach.gateway.ports import RegisteredInstance
 from vanillareach.gateway.state_fetch import StateFetcher
 from vanillareach.log import get_logger
@@ -44,16 +46,6 @@
 # Pause between two receptions, for each peer; datagrams that arrive meanwhile are
 # handled as one batch.
 RECEIVE_BATCHING_MS_PER_PEER = 0.25
-# A peer counts as alive if it was heard within this many beacon intervals and a margin.
-ALIVE_BEACON_INTERVALS = 4
-ALIVE_TIMEOUT_MARGIN_MS = 300.0
-# In a large fleet, where an idle instance sends a beacon each three seconds.
-LARGE_FLEET_ALIVE_TIMEOUT_MS = 4_500.0
-# A peer that isn't heard is removed after this time. Until then, beacons are still sent
-# to it and it is still counted in shared budgets.
-PEER_EXPIRY_MS = 30_000.0
-# A lost endpoint is reported in each beacon for this time.
-LOSS_BROADCAST_PERIOD_MS = 3_000.0
 # In a large fleet an instance that places no requests for others fetches a new list or
 # configuration within this time.
 MAX_FETCH_DELAY_MS = 400.0
@@ -79,6 +71,8 @@
     audience : Audience
     registration : RegisteredInstance
         Own entry in the store.
+    peers : PeerTable
+    announcements : AnnouncementBuilder
     answer_query : callable
         Returns the reply to a `PlacementQuery` or `LoadQuery`.
     """
@@ -91,6 +85,8 @@
         self.registration = RegisteredInstance(
             self.name, self.address, settings.domain, settings.capacity
         )
+        self.peers = PeerTable(state, self.audience, settings.domain, clock)
+        self.announcements = AnnouncementBuilder(self.registration, state, clock)
         self._domain = settings.domain
         self._state = state
         self._link = link
@@ -98,10 +94,6 @@
         self._authenticator = MessageAuthenticator(settings.peer_key)
         self._fetcher = StateFetcher(state, link, clock)
         self._random = random.Random()
-        self._incarnation = clock.wall_ms()
-        self._sequence = 0
-        self._peers_by_name = {}
-        self._registered_names = frozenset()
         self._open_socket = open_socket
         self._datagram_socket = None
         self._change_event = trio.Event()
@@ -135,7 +127,7 @@
     def placers(self):
         """Return the `Peer` of each placer of the own domain, the preferred first."""
         names = self.audience.election.placers(self._domain, self._clock.now_ms())
-        return [self._peers_by_name[n] for n in names if n in self._peers_by_name]
+        return self.peers.select(names)
 
     def placer_heard_ms_ago(self):
         """Return the time since a placer of the own domain was heard, or infinity."""
@@ -179,86 +171,18 @@
             del self._queries_by_id[query_id]
         return pending.reply
 
-    def alive_peer_names(self):
-        """Return the names of the peers that count as alive."""
-        alive_timeout_ms = self._alive_timeout_ms()
-        now_ms = self._clock.now_ms()
-        return [
-            peer.name
-            for peer in self._peers_by_name.values()
-            if peer.was_heard_within(alive_timeout_ms, now_ms)
-        ]
-
-    def time_since_peers_heard(self):
-        """Return (name, domain, ms since last heard) of each peer; -1 for never."""
-        now_ms = self._clock.now_ms()
-        return [
-            (
-                peer.name,
-                peer.domain,
-                -1.0 if peer.last_heard_ms is None else now_ms - peer.last_heard_ms,
-            )
-            for peer in self._peers_by_name.values()
-        ]
-
-    def last_heard_ms_by_domain(self):
-        """Return the times, by domain, when peers of other domains were last heard.
-
-        Only of peers that send beacons to this instance.
-        """
-        last_heard_ms_by_domain = {}
-        for peer in self._peers_by_name.values():
-            if not self.audience.is_direct and not peer.is_placer:
-                continue
-            if peer.last_heard_ms is not None and peer.domain != self._domain:
-                last_heard_ms_by_domain.setdefault(peer.domain, []).append(
-                    peer.last_heard_ms
-                )
-        return last_heard_ms_by_domain
-
     def add_registered_peers(self, instances):
         """Add the instances registered in the store as peers.
 
-        A peer that was never heard gets its registered address.
-
         Parameters
         ----------
         instances : list of RegisteredInstance
         """
-        now_ms = self._clock.now_ms()
-        self._registered_names = frozenset(instance.name for instance in instances)
-        for instance in instances:
-            if instance.name == self.name:
-                continue
-            peer = self._peers_by_name.get(instance.name)
-            if peer is None:
-                self._add_peer(Peer(instance.name, instance.address, now_ms))
-            elif peer.last_heard_ms is None:
-                peer.address = instance.address
-            if instance.domain:
-                self.audience.election.add(
-                    instance.name, instance.domain, instance.capacity
-                )
+        others = [instance for instance in instances if instance.name != self.name]
+        if self.peers.add_registered(others):
+            self._change_event.set()
         self._update_role()
 
-    def expired_instance_names(self, instances):
-        """Return the registered instances that this one would hear but has not.
-
-        They were silent for `PEER_EXPIRY_MS`.
-        """
-        now_ms = self._clock.now_ms()
-        return [
-            instance.name
-            for instance in instances
-            if instance.name in self._peers_by_name
-            and self._is_expired(self._peers_by_name[instance.name], now_ms)
-        ]
-
-    def _add_peer(self, peer):
-        self._peers_by_name[peer.name] = peer
-        self._state.instance_count = 1 + len(self._peers_by_name)
-        self._change_event.set()
-
     def _update_role(self):
         """Update whether this instance is a placer, and tell its peers of a change."""
         audience, state, now_ms = self.audience, self._state, self._clock.now_ms()
@@ -269,7 +193,7 @@
         audience.election.record_unavailable(
             self.name, state.is_stopping or self._is_deaf
         )
-        if not audience.update(len(self._peers_by_name), now_ms):
+        if not audience.update(len(self.peers.by_name), now_ms):
             return
         state.is_placer = audience.is_placer
         log.info(
@@ -292,7 +216,7 @@
     async def _run_sender(self):
         while True:
             self._update_role()
-            now_ms, peer_count = self._clock.now_ms(), len(self._peers_by_name)
+            now_ms, peer_count = self._clock.now_ms(), len(self.peers.by_name)
             self._state.placing_instance_count = self._placing_instance_count()
             change, self._change, self._change_event = self._change, None, trio.Event()
             kind = self.audience.next_message(change, peer_count, now_ms)
@@ -312,13 +236,13 @@
     def _coalescing_ms(self):
         if not self.audience.is_direct:
             return CHANGE_COALESCING_MS
-        peer_count = len(self._peers_by_name)
+        peer_count = len(self.peers.by_name)
         return CHANGE_COALESCING_MS + CHANGE_COALESCING_MS_PER_PEER * peer_count
 
     def _broadcast(self, kind, now_ms):
         """Send a message about a kind of change to those that need it."""
-        is_flights = kind is ChangeKind.FLIGHTS
-        message = self._build_flight_update() if is_flights else self._build_beacon()
+        is_flights, messages = kind is ChangeKind.FLIGHTS, self.announcements
+        message = messages.flight_update() if is_flights else messages.beacon()
         has_flights = self._state.load_state.own_flight_count > 0
         self.audience.record_sent(kind, has_flights, now_ms)
         data = self._authenticator.encode(message)
@@ -327,9 +251,9 @@
                 "Datagram exceeds the size limit; peers can't decode it.",
                 bytes=len(data),
             )
-        self._remove_expired_peers()
+        self.peers.remove_expired()
         direct, relays = self.audience.recipients(
-            kind, self._peers_by_name, self._is_alive, now_ms
+            kind, self.peers.by_name, self.peers.is_alive, now_ms
         )
         self._send_to(data, direct)
         if relays:
@@ -342,100 +266,19 @@
         ).items():
             log.debug("Datagram not sent.", address=address, cause=str(error))
 
-    def _is_alive(self, peer):
-        return peer.was_heard_within(self._alive_timeout_ms(), self._clock.now_ms())
-
-    def beacon_interval_ms(self):
-        """Return the longest time between two beacons of an instance."""
-        return self.audience.beacon_interval_ms(len(self._peers_by_name))
-
-    def _alive_timeout_ms(self):
-        if not self.audience.is_direct:
-            return LARGE_FLEET_ALIVE_TIMEOUT_MS
-        return (
-            ALIVE_BEACON_INTERVALS * self.beacon_interval_ms() + ALIVE_TIMEOUT_MARGIN_MS
-        )
-
-    def _remove_expired_peers(self):
-        now_ms = self._clock.now_ms()
-        for peer in list(self._peers_by_name.values()):
-            is_registered = peer.name in self._registered_names
-            if self._is_expired(peer, now_ms) and (
-                self.audience.is_direct or not is_registered
-            ):
-                del self._peers_by_name[peer.name]
-                self.audience.election.remove(peer.name)
-                self._state.instance_count = 1 + len(self._peers_by_name)
-
-    def _is_expired(self, peer, now_ms):
-        """Return whether a peer that should be heard here was silent for too long."""
-        last_contact_ms = (
-            peer.added_ms if peer.last_heard_ms is None else peer.last_heard_ms
-        )
-        if not self.audience.is_direct:
-            # Only a placer hears the other instances, and only those of its domain.
-            if not self.audience.is_placer or peer.domain != self._domain:
-                return False
-            last_contact_ms = max(
-                last_contact_ms, self.audience.election.placer_since_ms
-            )
-        return now_ms - last_contact_ms > PEER_EXPIRY_MS
-
-    def _build_flight_update(self):
-        self._sequence += 1
-        changes = self._state.load_state.drain_changes(self._clock.now_ms())
-        return FlightUpdate(
-            name=self.name,
-            incarnation=self._incarnation,
-            sequence=self._sequence,
-            begun=tuple(changes.started_by_id.values()),
-            decoding=tuple(changes.decoding_ids),
-            ended=tuple(changes.ended_ids),
-            faults=self._state.take_faults(),
-        )
-
-    def _build_beacon(self):
-        now_ms = self._clock.now_ms()
-        state = self._state
-        self._sequence += 1
-        losses = state.crashes.recent_losses(now_ms - LOSS_BROADCAST_PERIOD_MS)
-        return Beacon(
-            name=self.name,
-            domain=self._domain,
-            address=self.address,
-            incarnation=self._incarnation,
-            sequence=self._sequence,
-            is_leaving=state.is_stopping,
-            configuration_version=state.configuration.version
-            if state.configuration
-            else -1,
-            configuration_age_ms=state.configuration_age_ms(),
-            configuration_stamp=state.configuration_freshness.stamp,
-            endpoints_stamp=state.endpoints_freshness.stamp,
-            endpoints_revision=state.endpoints.revision,
-            endpoints_digest=state.endpoints.digest,
-            endpoints_age_ms=state.endpoints_age_ms(),
-            flights=state.load_state.own_flights(now_ms),
-            losses=tuple((x.fingerprint, x.endpoint, x.domain) for x in losses),
-            paces=tuple(state.paces.own_paces.items()),
-            capacity=self.registration.capacity,
-            is_placer=self.audience.is_placer,
-            store_era=state.store_era,
-            endpoints_era=state.endpoints.era,
-        )
-
     async def _run_receiver(self, nursery):
         while True:
             for data in await self._datagram_socket.receive():
                 self._handle_datagram(data, nursery)
             if self.audience.is_direct:
                 await self._clock.sleep_ms(
-                    RECEIVE_BATCHING_MS_PER_PEER * len(self._peers_by_name)
+                    RECEIVE_BATCHING_MS_PER_PEER * len(self.peers.by_name)
                 )
 
     def _handle_datagram(self, data, nursery):
-        self._last_heard_ms, self._is_deaf = self._clock.now_ms(), False
         message = self._decode_datagram(data)
+        if message is not None:
+            self._last_heard_ms, self._is_deaf = self._clock.now_ms(), False
         if isinstance(message, RelayedDatagram):
             message = self._relay_datagram(message.datagram)
         if isinstance(message, Beacon) and message.name != self.name:
@@ -474,11 +317,11 @@
 
     def _forward_to_other_domains(self, data, origin):
         """Forward a datagram of an instance of the own domain, as its placer."""
-        peer = self._peers_by_name.get(origin)
+        peer = self.peers.by_name.get(origin)
         if not self.audience.is_placer or peer is None or peer.domain != self._domain:
             return
         now_ms = self._clock.now_ms()
-        self._send_to(data, self.audience.counterparts(self._peers_by_name, now_ms))
+        self._send_to(data, self.audience.counterparts(self.peers.by_name, now_ms))
 
     def _relay_datagram(self, data):
         """Forward a datagram within the own domain; return its message or None."""
@@ -486,7 +329,7 @@
         if message is None:
             return None
         name = getattr(message, "name", "")
-        peers = self._peers_by_name.values()
+        peers = self.peers.by_name.values()
         self._send_to(data, self.audience.relay_recipients(peers, name))
         return message
 
@@ -499,7 +342,7 @@
             return None
 
     def _apply_flight_update(self, update):
-        peer = self._peers_by_name.get(update.name)
+        peer = self.peers.by_name.get(update.name)
         order = (update.incarnation, update.sequence)
         if peer is None or order <= peer.last_message_order:
             return
@@ -530,12 +373,12 @@
 
     def _handle_beacon(self, beacon, nursery):
         now_ms = self._clock.now_ms()
-        peer = self._peers_by_name.get(beacon.name)
+        peer = self.peers.by_name.get(beacon.name)
         if peer is None:
-            peer = Peer(beacon.name, beacon.address, now_ms)
-            self._add_peer(peer)
+            peer = self.peers.add(beacon.name, beacon.address)
+            self._change_event.set()
         order = (beacon.incarnation, beacon.sequence)
-        was_silent = not peer.was_heard_within(self._alive_timeout_ms(), now_ms)
+        was_silent = not self.peers.is_alive(peer)
         # The incarnation is the start time by the wall clock. An instance that restarts
         # with its clock behind has a lower order, which is accepted after a silence.
         if order <= peer.last_message_order and not was_silent:
--- a/vanillareach/gateway/probing.py
+++ b/vanillareach/gateway/probing.py
@@ -55,8 +55,8 @@
     def _eject_silent_domains(self):
         state = self._state
         silent_domains = self._silent_domain_detector.newly_silent(
-            self._gossip.last_heard_ms_by_domain(),
-            self._gossip.beacon_interval_ms(),
+            self._gossip.peers.last_heard_ms_by_domain(),
+            self._gossip.peers.beacon_interval_ms(),
             self._clock.now_ms(),
         )
         for domain in silent_domains:
--- a/vanillareach/gateway/report.py
+++ b/vanillareach/gateway/report.py
@@ -118,7 +118,7 @@
         ],
         peers=[
             PeerReport(name, domain, round(heard_ms_ago))
-            for name, domain, heard_ms_ago in gossip.time_since_peers_heard()
+            for name, domain, heard_ms_ago in gossip.peers.time_since_heard()
         ],
         is_placer=state.is_placer,
         store_era=state.store_era,
