--- a/vanillareach/features/placers.feature
+++ b/vanillareach/features/placers.feature
@@ -115,6 +115,12 @@
     And the fleet runs for 20 ms
     Then the placer that reached engine "m-a1" still uses it
 
+  Scenario: An instance that could reach no engine tries again
+    Given a fleet of 30 instances in domains "abc"
+    When the fleet runs for 1500 ms
+    And a member of domain "a" can't reach any engine
+    Then that member still gets a placement from a placer
+
   Scenario: An engine that fails requests of several instances is avoided
     Given a fleet of 30 instances in domains "abc"
     When the fleet runs for 1500 ms
--- a/vanillareach/features/steps/placers.py
+++ b/vanillareach/features/steps/placers.py
@@ -547,3 +547,21 @@
     async def verify(fleet):
         counts = {e: load.running for e, load in known_loads(fleet).items()}
         assert max(counts.values()) <= limit, sorted(counts.values())
+
+
+@when('a member of domain "{domain}" can\'t reach any engine')
+def step_none_reached(context, domain):
+    @action(context)
+    async def record(fleet):
+        fleet.memory["member"] = member = fleet.members(domain)[0]
+        for endpoint in member.state.endpoints.by_id.values():
+            member.client.record_unreachable(endpoint)
+
+
+@then("that member still gets a placement from a placer")
+def step_still_placed(context):
+    @check(context)
+    async def verify(fleet):
+        member = fleet.memory["member"]
+        decision = await member.client.choose(member.exchange())
+        assert decision.placement is not None and decision.placement.flight_id
--- a/vanillareach/gateway/placing.py
+++ b/vanillareach/gateway/placing.py
@@ -111,8 +111,19 @@
         return None if reply is None else reply.loads
 
     async def _choose_at_placer(self, exchange):
-        """Return a placer's `PlacementDecision`, or None if no placer has answered."""
-        excluded = {*exchange.excluded_endpoints, *self._unreachable_ids()}
+        """Return a placer's `PlacementDecision`, or None if no placer has answered.
+
+        Endpoints that this instance could not reach are used if no other is left.
+        """
+        unreachable = self._unreachable_ids()
+        decision = await self._ask_for_placement(exchange, unreachable)
+        is_refused = decision is not None and decision.placement is None
+        if is_refused and unreachable:
+            decision = await self._ask_for_placement(exchange, ())
+        return decision
+
+    async def _ask_for_placement(self, exchange, unreachable):
+        excluded = {*exchange.excluded_endpoints, *unreachable}
         flight = self._dispatcher.unplaced_flight(exchange)
         for _ in range(2):
             reply = await self._ask_placers(
