--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -1,6 +1,7 @@
 """Faults of a soak, drawn from a seed; several may overlap."""
 
 import os
+import random
 import signal
 from pathlib import Path
 
@@ -37,6 +38,9 @@
     def __init__(self, environment):
         self._environment = environment
         self._random = environment.random
+        # Drills have a generator of their own, so that the other faults of a seed are
+        # the same with and without them.
+        self._drill_random = random.Random(environment.version)
         self.injected_faults = []
 
     async def run(self, duration_s):
@@ -44,12 +48,31 @@
         end_s = trio.current_time() + duration_s
         kinds = [name[4:] for name in dir(self) if name.startswith("_do_")]
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._run_drills, end_s)
             while trio.current_time() < end_s:
                 kind = self._random.choice(kinds)
                 nursery.start_soon(self._inject, kind)
                 if self._random.random() > OVERLAP_PROBABILITY:
                     await trio.sleep(0.2 + self._random.random())
 
+    async def _run_drills(self, end_s):
+        """Let the store come back from an older copy, now and then."""
+        pause = self._drill_random.random
+        while trio.current_time() < end_s:
+            await trio.sleep(1 + 3 * pause())
+            copy = self._environment.stage.store.copy()
+            await trio.sleep(0.2 + 2 * pause())
+            started_s = trio.current_time()
+            interval = [started_s, float("inf")]
+            self._environment.fault_intervals.append(interval)
+            self._environment.restore_store(copy)
+            await trio.sleep(0.2 + pause())
+            self._environment.write_again()
+            interval[1] = trio.current_time()
+            self.injected_faults.append(
+                (round(started_s, 2), round(interval[1], 2), "drill", None)
+            )
+
     async def _inject(self, kind):
         started_s = trio.current_time()
         interval = [started_s, float("inf")]
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -24,9 +24,10 @@
 CALL_TIMEOUT_S = 8.0
 CALLER_COUNT = 12
 MAX_REQUEST_PAUSE_S = 0.05
-# Each is more than the number of versions or revisions that one seed writes.
+# Each is more than the number of versions, revisions or eras of one seed.
 VERSION_STRIDE_PER_SEED = 10_000
 REVISION_STRIDE_PER_SEED = 100_000
+ERA_STRIDE_PER_SEED = 1_000
 
 
 @dataclass(slots=True)
@@ -65,7 +66,9 @@
     fault_intervals : list of [float, float]
         Start and end in seconds.
     version : int
-        Version of the newest configuration in the store.
+        Version of the newest configuration that the operator has written.
+    lost_entries, restored_entries : dict
+        Entries of endpoints before and after the last restore, by name.
     """
 
     stage: PlatformStage
@@ -77,6 +80,8 @@
     leaving_endpoints: list = field(default_factory=list)
     fault_intervals: list = field(default_factory=list)
     version: int = 1
+    lost_entries: dict = field(default_factory=dict)
+    restored_entries: dict = field(default_factory=dict)
 
     @property
     def endpoints_by_name(self):
@@ -92,6 +97,28 @@
         self.version += self.random.randint(1, 4)
         self.stage.store.put("config", "main", configuration(self.version))
 
+    def restore_store(self, copy):
+        """Let the store come back from an older copy."""
+        store = self.stage.store
+        self.lost_entries = dict(store.objects_by_kind["servers"])
+        store.restore(copy)
+        self.restored_entries = dict(store.objects_by_kind["servers"])
+
+    def write_again(self):
+        """Write what the operator and the endpoints had written before the restore.
+
+        Entries that have changed since then are newer.
+        """
+        store, entries = self.stage.store, self.stage.store.objects_by_kind["servers"]
+        for name in {*self.lost_entries, *self.restored_entries}:
+            if entries.get(name) != self.restored_entries.get(name):
+                continue
+            if name in self.lost_entries:
+                store.put("servers", name, self.lost_entries[name]["spec"])
+            else:
+                store.delete("servers", name)
+        store.put("config", "main", configuration(self.version))
+
 
 async def open_environment(nursery, layout, seed, seed_index):
     """Start all stand-ins and proxies and return the `SoakEnvironment`.
@@ -100,6 +127,7 @@
     """
     stage = PlatformStage(nursery)
     stage.store.revision += seed_index * REVISION_STRIDE_PER_SEED
+    stage.store.era += seed_index * ERA_STRIDE_PER_SEED
     gateways = GATEWAYS_BY_LAYOUT[layout]
     environment = SoakEnvironment(stage, gateways, random.Random(seed))
     environment.version += seed_index * VERSION_STRIDE_PER_SEED
