--- a/vanillareach/core/audience.py
+++ b/vanillareach/core/audience.py
@@ -42,8 +42,8 @@
     def __init__(self, name, domain, capacity):
         self._domain = domain
         self._tree = DomainTree(domain)
-        self._last_beacon_ms_by_kind = {}
-        self._had_flights = False
+        self._last_sent_ms_by_kind = {}
+        self._is_active = False
         self.election = PlacerElection(name, domain, capacity)
         self.is_placer = False
         self.is_direct = True
@@ -68,6 +68,9 @@
     def next_message(self, change, peer_count, now_ms):
         """Return the `ChangeKind` that the next message is about, or None for none.
 
+        Only a placer of a large fleet sends confirmations by themselves; elsewhere they
+        are part of a message about the whole state.
+
         Parameters
         ----------
         change : ChangeKind or None
@@ -95,23 +98,20 @@
             Whether the instance has requests in flight.
         now_ms : float
         """
-        if kind is ChangeKind.FLIGHTS:
-            self._had_flights = True
-        else:
-            self._had_flights = has_flights
+        self._is_active = has_flights or kind is ChangeKind.FLIGHTS
         for covered in ChangeKind:
             if covered <= kind:
-                self._last_beacon_ms_by_kind[covered] = now_ms
+                self._last_sent_ms_by_kind[covered] = now_ms
         if kind is not ChangeKind.FLIGHTS:
             self._tree.rotate_relays()
 
     def note_activity(self):
         """Record that the instance has asked a placer, so its next beacon is due."""
-        self._had_flights = True
+        self._is_active = True
 
     def next_due_ms(self, peer_count):
         """Return when the next message is due without a change."""
-        last = self._last_beacon_ms_by_kind
+        last = self._last_sent_ms_by_kind
         due_ms = last.get(ChangeKind.STATE, 0.0) + self._state_interval_ms(peer_count)
         if self.is_placer:
             exchange_ms = last.get(ChangeKind.CONFIRMATION, 0.0)
@@ -140,7 +140,7 @@
                 names.update(election.other_domain_placers(now_ms))
             if kind is ChangeKind.STATE:
                 names.update(election.members(self._domain))
-        return [peers_by_name[name] for name in names if name in peers_by_name], []
+        return _known(names, peers_by_name), []
 
     def relay_recipients(self, peers, origin):
         """Return to whom a relayed message of another domain is forwarded."""
@@ -149,15 +149,19 @@
     def counterparts(self, peers_by_name, now_ms):
         """Return the placers of other domains that get the news of own members."""
         names = self.election.counterparts(now_ms)
-        return [peers_by_name[name] for name in names if name in peers_by_name]
+        return _known(names, peers_by_name)
 
     def _state_interval_ms(self, peer_count):
         if self.is_direct:
             return self.beacon_interval_ms(peer_count)
-        if self.is_placer or self._had_flights:
+        if self.is_placer or self._is_active:
             return PLACER_BEACON_INTERVAL_MS
         return IDLE_BEACON_INTERVAL_MS
 
     def _is_due(self, kind, interval_ms, now_ms):
-        last_ms = self._last_beacon_ms_by_kind.get(kind)
+        last_ms = self._last_sent_ms_by_kind.get(kind)
         return last_ms is None or now_ms >= last_ms + interval_ms
+
+
+def _known(names, peers_by_name):
+    return [peers_by_name[name] for name in names if name in peers_by_name]
--- a/vanillareach/features/steps/placers.py
+++ b/vanillareach/features/steps/placers.py
@@ -109,15 +109,20 @@
         start_requests(fleet, duration_ms)
 
 
+def requests_known_to_placers(fleet, domains):
+    """Return how many requests each placer knows, by its name."""
+    return {
+        name: fleet.gateways_by_name[name].running_count
+        for domain in domains
+        for name in fleet.placer_names(domain)
+    }
+
+
 @then("every placer knows {count:d} requests")
 def step_placers_know(context, count):
     @check(context)
     async def verify(fleet):
-        counts = {
-            name: fleet.gateways_by_name[name].running_count
-            for domain in context.script.domains
-            for name in fleet.placer_names(domain)
-        }
+        counts = requests_known_to_placers(fleet, context.script.domains)
         assert set(counts.values()) == {count}, counts
 
 
@@ -125,11 +130,7 @@
 def step_placers_know_at_most(context, count):
     @check(context)
     async def verify(fleet):
-        counts = {
-            name: fleet.gateways_by_name[name].running_count
-            for domain in context.script.domains
-            for name in fleet.placer_names(domain)
-        }
+        counts = requests_known_to_placers(fleet, context.script.domains)
         assert max(counts.values()) <= count, counts
 
 
