--- a/vanillareach/gateway/pacing.py
+++ b/vanillareach/gateway/pacing.py
@@ -30,7 +30,7 @@
         self._change_event = trio.Event()
         state.subscribe(self._on_state_change)
 
-    def _on_state_change(self, only_flights):
+    def _on_state_change(self, kind):
         self._change_event.set()
 
     async def run(self):
