Apply faults, select peers and filter gaps in one place; keep the set of domains

The order of checks on a fault stood twice, for own and reported ones; Audience selected peers by name as PeerTable does; a reply built a Peer for its address alone; the filter of recent gaps stood twice. A placer worked out the set of domains over all instances for each datagram that it forwards; it is kept until an instance is added, moved or removed.

--- a/vanillareach/core/audience.py
+++ b/vanillareach/core/audience.py
@@ -118,19 +118,17 @@
             due_ms = min(due_ms, exchange_ms + PLACER_EXCHANGE_INTERVAL_MS)
         return due_ms
 
-    def recipients(self, kind, peers_by_name, is_alive, now_ms):
+    def recipients(self, kind, peers, now_ms):
         """Return the recipients of a message: those told directly, and relays.
 
         Parameters
         ----------
         kind : ChangeKind
-        peers_by_name : dict of str to Peer
-        is_alive : callable
-            Returns whether a peer was heard recently.
+        peers : PeerTable
         now_ms : float
         """
         if self.is_direct:
-            return self._tree.recipients(peers_by_name.values(), is_alive)
+            return self._tree.recipients(peers.by_name.values(), peers.is_alive)
         election = self.election
         names = set(election.placers(self._domain, now_ms))
         if self.is_placer:
@@ -140,17 +138,12 @@
                 names.update(election.other_domain_placers(now_ms))
             if kind is ChangeKind.STATE:
                 names.update(election.members(self._domain))
-        return _known(names, peers_by_name), []
+        return peers.select(names), []
 
     def relay_recipients(self, peers, origin):
         """Return to whom a relayed message of another domain is forwarded."""
         return self._tree.forward_recipients(peers, origin)
 
-    def counterparts(self, peers_by_name, now_ms):
-        """Return the placers of other domains that get the news of own members."""
-        names = self.election.counterparts(now_ms)
-        return _known(names, peers_by_name)
-
     def _state_interval_ms(self, peer_count):
         if self.is_direct:
             return self.beacon_interval_ms(peer_count)
@@ -161,7 +154,3 @@
     def _is_due(self, kind, interval_ms, now_ms):
         last_ms = self._last_sent_ms_by_kind.get(kind)
         return last_ms is None or now_ms >= last_ms + interval_ms
-
-
-def _known(names, peers_by_name):
-    return [peers_by_name[name] for name in names if name in peers_by_name]
--- a/vanillareach/core/engine_pace.py
+++ b/vanillareach/core/engine_pace.py
@@ -74,11 +74,7 @@
             if expected_ms is None:
                 del self._gaps_by_engine[engine]
                 continue
-            recent_gaps = [
-                (observed_ms, gap)
-                for observed_ms, gap in gaps
-                if now_ms - observed_ms < GAP_TTL_MS
-            ]
+            recent_gaps = _recent(gaps, now_ms)
             self._gaps_by_engine[engine] = recent_gaps
             if not recent_gaps:
                 del self._gaps_by_engine[engine]
@@ -99,10 +95,10 @@
         slow = set()
         for engine, gaps in self._gaps_by_engine.items():
             expected_ms = expected_gap_ms(engine)
-            recent = [gap for seen_ms, gap in gaps if now_ms - seen_ms < GAP_TTL_MS]
-            if len(recent) < MIN_GAPS_PER_ESTIMATE or expected_ms is None:
+            recent_gaps = _recent(gaps, now_ms)
+            if len(recent_gaps) < MIN_GAPS_PER_ESTIMATE or expected_ms is None:
                 continue
-            if median(recent) >= MIN_SLOW_PACE * expected_ms:
+            if median(gap for _, gap in recent_gaps) >= MIN_SLOW_PACE * expected_ms:
                 slow.add(engine)
         return slow
 
@@ -142,3 +138,12 @@
         for engine in expired:
             del self.own_paces[engine]
         return [(engine, 1.0) for engine in expired]
+
+
+def _recent(gaps, now_ms):
+    """Return the pairs of observation time and gap that have not expired."""
+    return [
+        (observed_ms, gap)
+        for observed_ms, gap in gaps
+        if now_ms - observed_ms < GAP_TTL_MS
+    ]
--- a/vanillareach/core/placers.py
+++ b/vanillareach/core/placers.py
@@ -92,6 +92,7 @@
         self._candidates_by_name = {name: PlacerCandidate(name, domain, capacity)}
         self._ranked_by_domain = {}
         self._placers_by_domain = {}
+        self._domains = None
 
     def add(self, name, domain, capacity):
         """Add an instance, or update its domain and capacity."""
@@ -165,7 +166,10 @@
 
     def domains(self):
         """Return the known domains."""
-        return {candidate.domain for candidate in self._candidates_by_name.values()}
+        if self._domains is None:
+            candidates = self._candidates_by_name.values()
+            self._domains = frozenset(candidate.domain for candidate in candidates)
+        return self._domains
 
     def other_domain_placers(self, now_ms):
         """Return the names of the placers of all other domains."""
@@ -198,6 +202,7 @@
     def _forget_ranks(self):
         self._ranked_by_domain.clear()
         self._placers_by_domain.clear()
+        self._domains = None
 
     def _ranked(self, domain):
         ranked = self._ranked_by_domain.get(domain)
--- a/vanillareach/gateway/gossip.py
+++ b/vanillareach/gateway/gossip.py
@@ -25,7 +25,6 @@
     RelayedDatagram,
     StateQuery,
 )
-from vanillareach.core.peer import Peer
 from vanillareach.core.placers import PLACER_SILENCE_MS
 from vanillareach.core.state_change import ChangeKind
 from vanillareach.core.suspicion import Loss
@@ -252,15 +251,15 @@
                 bytes=len(data),
             )
         self.peers.remove_expired()
-        direct, relays = self.audience.recipients(
-            kind, self.peers.by_name, self.peers.is_alive, now_ms
-        )
+        direct, relays = self.audience.recipients(kind, self.peers, now_ms)
         self._send_to(data, direct)
         if relays:
             self._send_to(self._authenticator.encode(RelayedDatagram(data)), relays)
 
     def _send_to(self, data, peers):
-        addresses = [peer.address for peer in peers]
+        self._send_to_addresses(data, [peer.address for peer in peers])
+
+    def _send_to_addresses(self, data, addresses):
         for address, error in self._datagram_socket.send_to_all(
             data, addresses
         ).items():
@@ -299,8 +298,8 @@
     def _answer(self, query):
         reply = self.answer_query(query) if self.answer_query is not None else None
         if reply is not None:
-            peer = Peer(query.sender, query.address, self._clock.now_ms())
-            self._send_to(self._authenticator.encode(reply), [peer])
+            data = self._authenticator.encode(reply)
+            self._send_to_addresses(data, [query.address])
 
     def _must_forward_beacon(self, beacon):
         """Return whether placers of other domains need a beacon of an own member.
@@ -320,8 +319,8 @@
         peer = self.peers.by_name.get(origin)
         if not self.audience.is_placer or peer is None or peer.domain != self._domain:
             return
-        now_ms = self._clock.now_ms()
-        self._send_to(data, self.audience.counterparts(self.peers.by_name, now_ms))
+        names = self.audience.election.counterparts(self._clock.now_ms())
+        self._send_to(data, self.peers.select(names))
 
     def _relay_datagram(self, data):
         """Forward a datagram within the own domain; return its message or None."""
--- a/vanillareach/gateway/state.py
+++ b/vanillareach/gateway/state.py
@@ -120,12 +120,8 @@
         """
         if fault is EndpointFault.UNREACHABLE:
             self.health.record_unreachable(endpoint, self.endpoints.by_id.values())
-        elif fault is EndpointFault.LEAVING:
-            self.endpoints.record_leaving(endpoint, now_ms)
-        elif fault is EndpointFault.REFUSED:
-            self.health.record_refusal(endpoint.key, now_ms)
         else:
-            self.health.record_outcome(endpoint.key, True, now_ms)
+            self._apply_fault(endpoint, fault, now_ms)
         if len(self._unreported_faults) < MAX_UNREPORTED_FAULTS:
             self._unreported_faults.append((*endpoint.key, fault))
         self.publish(ChangeKind.FLIGHTS)
@@ -140,11 +136,16 @@
         endpoint = self.endpoints.by_id.get(endpoint_id)
         if endpoint is None or endpoint.incarnation != incarnation:
             return
-        if fault == EndpointFault.UNREACHABLE:
+        if fault is EndpointFault.UNREACHABLE:
             self.health.record_reported_unreachable(endpoint, now_ms)
-        elif fault == EndpointFault.LEAVING:
+        else:
+            self._apply_fault(endpoint, fault, now_ms)
+
+    def _apply_fault(self, endpoint, fault, now_ms):
+        """Record a fault that counts the same whoever has seen it."""
+        if fault is EndpointFault.LEAVING:
             self.endpoints.record_leaving(endpoint, now_ms)
-        elif fault == EndpointFault.REFUSED:
+        elif fault is EndpointFault.REFUSED:
             self.health.record_refusal(endpoint.key, now_ms)
         else:
             self.health.record_outcome(endpoint.key, True, now_ms)
