Log requests that end without a complete response

Cause: a cut stream left a line for its attempt but none for the request, and wasn't counted; data that a closing connection dropped left no line; signals left none. Change: a line and a count for each request that ends without a complete response, with its silence, time left, versions and whether the instance stops; a line for dropped data and for each signal. No decision changed.

--- a/vanillareach/gateway/app.py
+++ b/vanillareach/gateway/app.py
@@ -190,6 +190,7 @@
 
     async def _wait_for_stop_signal(self, signals):
         async for number in signals:
+            log.info("Signal received.", number=int(number))
             if number == signal.SIGTERM:
                 return
             log.info("Reload ignored; changed settings apply after a restart.")
--- a/vanillareach/gateway/connections.py
+++ b/vanillareach/gateway/connections.py
@@ -327,6 +327,7 @@
             h11.DONE,
             h11.MUST_CLOSE,
         )
+        dropped_bytes = 0
         with (
             trio.CancelScope(shield=True),
             trio.move_on_after(LINGER_TIMEOUT_MS / 1000),
@@ -334,8 +335,16 @@
             if is_between_requests or self._connection.our_state is h11.CLOSED:
                 try:
                     await self._stream.send_eof()
-                    while await self._stream.receive_some(RECEIVE_BUFFER_BYTES):
-                        pass
+                    while data := await self._stream.receive_some(RECEIVE_BUFFER_BYTES):
+                        dropped_bytes += len(data)
                 except (trio.BrokenResourceError, trio.ClosedResourceError):
                     pass
         self._stream.socket.close()
+        dropped_bytes += self._pipelined_bytes if is_between_requests else 0
+        if dropped_bytes:
+            log.info(
+                "Data dropped while closing.",
+                bytes=dropped_bytes,
+                is_stopping=self._listener.is_stopping(),
+                is_closing_idle=self._listener.is_closing_idle,
+            )
--- a/vanillareach/gateway/exchange.py
+++ b/vanillareach/gateway/exchange.py
@@ -55,6 +55,8 @@
     route : Route
     service : RoutedService
     team : RoutedTeam or None
+    version : int
+        Version of the configuration under which the request was admitted.
 
     Attributes
     ----------
@@ -89,15 +91,17 @@
         "route",
         "service",
         "team",
+        "version",
         "weights_version",
     )
 
-    def __init__(self, request, fields, route, service, team):
+    def __init__(self, request, fields, route, service, team, version):
         self.request = request
         self.fields = fields
         self.route = route
         self.service = service
         self.team = team
+        self.version = version
         caller_timeout_ms = math.inf if fields.timeout_ms is None else fields.timeout_ms
         timeout_ms = min(route.timeout_ms, caller_timeout_ms - HANDSHAKE_MARGIN_MS)
         self.deadline_ms = request.received_ms + timeout_ms - ANSWER_MARGIN_MS
--- a/vanillareach/gateway/forwarder.py
+++ b/vanillareach/gateway/forwarder.py
@@ -112,10 +112,13 @@
         try:
             with scope:
                 await self._serve(exchange, responder)
+            if scope.cancelled_caught:
+                await self._send_deadline_exceeded(exchange, responder)
+        except BaseException as error:
+            self._record_incomplete(exchange, responder, error)
+            raise
         finally:
             del self._scopes_by_exchange[exchange]
-        if scope.cancelled_caught:
-            await self._send_deadline_exceeded(exchange, responder)
 
     def set_final_deadline(self, deadline_ms):
         """Cap the deadlines of current and future requests at `deadline_ms`."""
@@ -150,7 +153,9 @@
         if service is None:
             await self._refuse(fields, responder, 503, "no_service", 1_000.0)
             return None
-        exchange = GatewayExchange(request, fields, route, service, team)
+        exchange = GatewayExchange(
+            request, fields, route, service, team, configuration.version
+        )
         exchange.fingerprint = fingerprint_of(request, fields)
         losses = state.crashes.counted_losses(exchange.fingerprint, request.received_ms)
         if losses >= QUARANTINE_LOSS_COUNT:
@@ -266,6 +271,29 @@
         body = msgspec.json.encode(RefusalBody(outcome, reason))
         await responder.answer(status, headers, body)
 
+    def _record_incomplete(self, exchange, responder, error):
+        """Record that a request ends without a complete response.
+
+        `error` says why: a `trio.Cancelled` if the caller disconnected, or if its
+        connection was closed by this instance.
+        """
+        state, now_ms = self._state, self._clock.now_ms()
+        reason = str(error) if isinstance(error, ResponseAbortedError) else ""
+        last_data_ms = exchange.last_event_ms or exchange.request.received_ms
+        log.info(
+            "Ended without a complete response.",
+            id=exchange.id,
+            error=type(error).__name__,
+            reason=reason,
+            has_begun=responder.is_started,
+            silent_ms=round(now_ms - last_data_ms),
+            remaining_ms=round(exchange.deadline_ms - now_ms),
+            version=exchange.version,
+            version_in_force=state.configuration.version,
+            is_stopping=state.is_stopping,
+        )
+        self._count_outcome("aborted", reason or type(error).__name__)
+
     def _count_outcome(self, outcome, reason):
         self._metrics.requests[("forward", outcome, reason)] += 1
 
