--- a/vanillareach/features/users_platform/endpoint.py
+++ b/vanillareach/features/users_platform/endpoint.py
@@ -8,6 +8,8 @@
 
 SIGNATURE_HEADER = (b"Vanillareach-Response-Signature", b"signed")
 EVENTS = 6
+# Longer than the idle timeout of an attempt, shorter than a caller's patience.
+SILENCE_S = 1.9
 # Exceeds the capacity of the buffers between an endpoint and a caller.
 FLOOD_EVENT_BYTES = 2_000_000
 
@@ -171,6 +173,37 @@
         await responder.send(b"id: 1\ndata: piece 1\n\n")
         await trio.sleep_forever()
 
+    async def _pause(self, received, responder, is_torn=False):
+        """Fall silent after the next two events, then go on; or abort if `is_torn`."""
+        first = int(received.values_by_name.get(names.LAST_EVENT_ID, "0")) + 1
+        headers = self._response_headers(received)
+        await responder.start(200, [*headers, (b"Transfer-Encoding", b"chunked")])
+        for number in range(first, EVENTS + 1):
+            if number == first + 2:
+                await trio.sleep(SILENCE_S)
+                if is_torn:
+                    raise ResponseAbortedError("torn")
+            await responder.send(f"id: {number}\ndata: piece {number}\n\n".encode())
+        await responder.finish()
+
+    async def _pause_and_tear(self, received, responder):
+        await self._pause(received, responder, is_torn=True)
+
+    async def _late(self, received, responder):
+        """Answer after a silence."""
+        await trio.sleep(SILENCE_S)
+        await self._answer(received, responder)
+
+    async def _late_failure(self, received, responder):
+        """Answer with an error after a silence."""
+        await trio.sleep(SILENCE_S)
+        await self._fail(received, responder)
+
+    async def _late_stream(self, received, responder):
+        """Stream after a silence."""
+        await trio.sleep(SILENCE_S)
+        await self._stream(received, responder)
+
     async def _handle_reservation(self, request, responder):
         reservation = msgspec.json.decode(request.body)
         if reservation["operation"] == "reserve":
