Keep a silent attempt until another one delivers

What callers saw: streams cut in the middle and calls answered 502 while their endpoint was only silent for a second or two, at any time, most when the second endpoint fell silent as well. Cause: silence was taken for failure. The attempt was cancelled before another one had shown that it could do better; with the second one silent, the retry budget or max_attempts used up, or no room elsewhere, nothing was left of the request. Ruled out: the stop and the configuration; the scenarios have neither. Change: attempts of one request are a group. A silent one goes on beside the next, and the first that has an event or a whole response to deliver ends the others. Only a broken connection, an error response or the deadline ends an attempt now. A stream that has begun may use its whole time limit, since no other response can follow. The scenario on an event that arrives as its attempt times out now has the attempt superseded instead, since a timeout ends no attempt any more; it asks for the same and that the attempt notices.

--- a/vanillareach/core/event_stream.py
+++ b/vanillareach/core/event_stream.py
@@ -11,8 +11,11 @@
 class EventSplitter:
     """Splits a stream into complete events and checks that their ids have no gap.
 
-    The bytes may come from several attempts. Events that an earlier attempt has
-    delivered already are dropped.
+    Parameters
+    ----------
+    last_id : int or None
+        Id of the last event that was returned before, by an earlier attempt. Events up
+        to it are dropped.
 
     Attributes
     ----------
@@ -53,10 +56,6 @@
         self._partial_event = buffered[start:]
         return b"".join(complete)
 
-    def discard_partial_event(self):
-        """Drop the incomplete event of a stream that broke off."""
-        self._partial_event = b""
-
     @property
     def is_at_event_boundary(self):
         """Whether no event is incomplete."""
--- a/vanillareach/features/gateway_core.feature
+++ b/vanillareach/features/gateway_core.feature
@@ -89,8 +89,8 @@
     When the peer sends nothing for 6000 ms
     Then "e1" has no load
 
-  Scenario: An event that arrives as its attempt times out does not count as sent
-    Given an attempt that times out while event 1 arrives
+  Scenario: An event that arrives after another attempt took over is not sent
+    Given an attempt that is superseded while event 1 arrives
     Then nothing is sent, and the next attempt starts from the beginning
 
   Scenario: All pending datagrams are received by one call
--- a/vanillareach/features/silence.feature
+++ b/vanillareach/features/silence.feature
@@ -4,21 +4,18 @@
   Background:
     Given a gateway in front of engines "m1,m2" and services "d1,d2"
 
-  @known_red
   Scenario: A stream is complete although both engines fall silent
     Given all endpoints will "pause"
     When a caller sends "/ask/a" with a prompt of 1000 tokens
     Then the response is 200, complete and signed
     And its events are 1 to 6, each once
 
-  @known_red
   Scenario: A stream is complete although no engine sends its first event in time
     Given all endpoints will "late_stream"
     When a caller sends "/ask/a" with a prompt of 1000 tokens
     Then the response is 200, complete and signed
     And its events are 1 to 6, each once
 
-  @known_red
   Scenario: A stream stays with a silent engine if no other engine is left
     Given all endpoints will "pause"
     And the engine "m2" has left
@@ -27,7 +24,6 @@
     And its events are 1 to 6, each once
     And 1 requests reached endpoints
 
-  @known_red
   Scenario: A stream stays with a silent engine if the retry budget is spent
     Given all endpoints will "pause"
     And the retry budget of "model" is spent
@@ -36,7 +32,6 @@
     And its events are 1 to 6, each once
     And 1 requests reached endpoints
 
-  @known_red
   Scenario Outline: A silent engine completes the stream if the second attempt fails
     Given the first endpoint called will "pause"
     And later ones will "<fault>"
@@ -58,7 +53,6 @@
     And its events are 1 to 6, each once
     And the second request resumes after event 1
 
-  @known_red
   Scenario: A call is answered although both services fall silent
     Given all endpoints will "late"
     When a caller sends "/read/a"
@@ -71,20 +65,17 @@
     Then the response is 200, complete and signed
     And 2 requests reached endpoints
 
-  @known_red
   Scenario: A silent service answers after the second one has failed
     Given the first endpoint called will "late"
     And later ones will "fail"
     When a caller sends "/read/a"
     Then the response is 200, complete and signed
 
-  @known_red
   Scenario: An endpoint's error response is returned once no attempt is left
     Given all endpoints will "late_failure"
     When a caller sends "/read/a"
     Then the response is 500
 
-  @known_red
   Scenario: Endpoints that never answer hold a call until its deadline only
     Given all endpoints will "mute"
     When a caller calls "/read/a" with "Vanillareach-Deadline-Ms" set to "2500"
--- a/vanillareach/features/steps/gateway_core.py
+++ b/vanillareach/features/steps/gateway_core.py
@@ -12,9 +12,8 @@
 from vanillareach.core.load_state import InFlightRequest, LoadState
 from vanillareach.core.retry_share import RetryBudgetShare
 from vanillareach.core.routing import CallerLimits, RequestKind, Route, RouteTable
-from vanillareach.endpoints.base import EndpointBrokenError
-from vanillareach.gateway.idle_timeouts import IdleTimeout
-from vanillareach.gateway.relay import relay_events
+from vanillareach.gateway.attempt_group import Attempt, AttemptSupersededError
+from vanillareach.gateway.relay import RelayObserver, relay_events
 
 NOW_MS = 100_000.0
 
@@ -332,34 +331,49 @@
         self.sent_count += 1
 
 
-@given("an attempt that times out while event 1 arrives")
-def step_expire_attempt_during_event(context):
-    context.exchange = SimpleNamespace(events=EventSplitter())
+class TakingOverObserver(RelayObserver):
+    """Observer that lets an attempt take over the response before each delivery."""
+
+    def __init__(self, attempt):
+        self.on_events = self.on_end = attempt.take_over
+
+    def on_data(self):
+        """Do nothing."""
+
+    def on_delivered(self):
+        """Do nothing."""
+
+    on_events = on_end = on_data
+
+
+@given("an attempt that is superseded while event 1 arrives")
+def step_supersede_attempt_during_event(context):
+    context.exchange = SimpleNamespace(last_event_id=None)
     context.responder = CountingResponder()
-    idle_timeout = IdleTimeout(None, 0.0)
+    attempt = Attempt(context.exchange, None, None)
 
     async def relay():
-        with idle_timeout.scope:
-            idle_timeout.expire()
+        with attempt.scope:
+            attempt.supersede()
             await relay_events(
                 context.exchange,
                 ArrivedResponse(),
                 context.responder,
-                idle_timeout.pause,
-                lambda: None,
-                lambda: None,
+                TakingOverObserver(attempt),
             )
 
+    context.was_superseded = False
     try:
         trio.run(relay)
-    except EndpointBrokenError:
-        context.was_broken = True
+    except AttemptSupersededError:
+        context.was_superseded = True
 
 
 @then("nothing is sent, and the next attempt starts from the beginning")
 def step_check_nothing_forwarded(context):
     assert context.responder.sent_count == 0
-    assert context.exchange.events.last_id is None
+    assert context.exchange.last_event_id is None
+    assert context.was_superseded
 
 
 @given(
--- /dev/null
+++ b/vanillareach/gateway/attempt_group.py
@@ -0,0 +1,205 @@
+"""The attempts of one request that run at the same time.
+
+Silence of an endpoint doesn't show that it has failed. A silent attempt goes on beside
+the next one, and the first that has something to deliver ends the others. So a request
+never loses an attempt before another one has proved to be better.
+"""
+
+import math
+
+import trio
+
+from vanillareach.gateway.exchange import NOT_SENT_RESULTS, AttemptResult
+
+
+class AttemptSupersededError(Exception):
+    """Another attempt has taken over the response."""
+
+
+class Attempt:
+    """One attempt at an endpoint.
+
+    Parameters
+    ----------
+    exchange : GatewayExchange
+    placement : Placement
+    group : AttemptGroup
+
+    Attributes
+    ----------
+    flight : InFlightRequest or None
+        None until the attempt runs.
+    idle_timeout : IdleTimeout or None
+        None until the attempt runs.
+    scope : trio.CancelScope
+        Cancelled to end the attempt early.
+    may_have_been_sent : bool
+        Whether bytes of the request may have been sent.
+    is_silent : bool
+        Whether the idle timeout has expired and nothing was delivered since.
+    is_superseded : bool
+        Whether another attempt has taken over the response.
+    was_delivery_slow : bool
+        Whether delivering the last event took long, or none was delivered yet.
+    result : AttemptResult or None
+        None while the attempt runs.
+    """
+
+    __slots__ = (
+        "_group",
+        "exchange",
+        "flight",
+        "idle_timeout",
+        "is_silent",
+        "is_superseded",
+        "may_have_been_sent",
+        "placement",
+        "result",
+        "scope",
+        "was_delivery_slow",
+    )
+
+    def __init__(self, exchange, placement, group):
+        self._group = group
+        self.exchange = exchange
+        self.placement = placement
+        self.flight = None
+        self.idle_timeout = None
+        self.scope = trio.CancelScope()
+        self.may_have_been_sent = False
+        self.is_silent = False
+        self.is_superseded = False
+        self.was_delivery_slow = True
+        self.result = None
+
+    @property
+    def may_have_run(self):
+        """Whether the endpoint may have begun to run the request."""
+        return self.may_have_been_sent and self.result not in NOT_SENT_RESULTS
+
+    def mark_sent(self):
+        """Record that bytes of the request may be sent from now on."""
+        self.may_have_been_sent = True
+
+    def mark_silent(self):
+        """Record that the endpoint is silent, so that another one may be tried."""
+        self.is_silent = True
+        self._group.report_silence(self)
+
+    def supersede(self):
+        """End the attempt, since another one has taken over."""
+        self.is_superseded = True
+        self.scope.cancel()
+
+    def take_over(self):
+        """End all other attempts, since this one has something to deliver.
+
+        Raises
+        ------
+        AttemptSupersededError
+            If another one has done so before.
+        """
+        if self.is_superseded:
+            raise AttemptSupersededError
+        self.is_silent = False
+        self._group.end_others(self)
+
+
+class AttemptReport:
+    """What has happened to an attempt.
+
+    Attributes
+    ----------
+    attempt : Attempt
+    result : AttemptResult or None
+        `SILENT` if the attempt still runs.
+    error : Exception or None
+        Error that isn't the endpoint's and ends the request.
+    """
+
+    __slots__ = ("attempt", "error", "result")
+
+    def __init__(self, attempt, result, error=None):
+        self.attempt = attempt
+        self.result = result
+        self.error = error
+
+    @property
+    def is_outdated(self):
+        """Whether the attempt has changed meanwhile, or no longer matters."""
+        if self.result is AttemptResult.SILENT:
+            return not self.attempt.is_silent or self.attempt.result is not None
+        return self.attempt.is_superseded
+
+
+class AttemptGroup:
+    """Starts the attempts of one request and reports what happens to them.
+
+    Parameters
+    ----------
+    exchange : GatewayExchange
+    responder : Responder
+    runner : AttemptRunner
+    nursery : trio.Nursery
+    """
+
+    def __init__(self, exchange, responder, runner, nursery):
+        self._exchange = exchange
+        self._responder = responder
+        self._runner = runner
+        self._nursery = nursery
+        self._running = []
+        self._send_channel, self._receive_channel = trio.open_memory_channel(math.inf)
+
+    @property
+    def is_running(self):
+        """Whether any attempt runs."""
+        return bool(self._running)
+
+    @property
+    def is_silent(self):
+        """Whether all running attempts are silent, so that another one may be made."""
+        return all(attempt.is_silent for attempt in self._running)
+
+    def start(self, placement):
+        """Start an attempt."""
+        attempt = Attempt(self._exchange, placement, self)
+        self._exchange.attempts.append(attempt)
+        self._running.append(attempt)
+        self._nursery.start_soon(self._run, attempt)
+
+    async def next_report(self, timeout_ms):
+        """Return the next `AttemptReport`, or None if there is none in `timeout_ms`.
+
+        Raises
+        ------
+        Exception
+            Any error of an attempt that ends the request.
+        """
+        with trio.move_on_after(timeout_ms / 1000):
+            async for report in self._receive_channel:
+                if report.error is not None:
+                    raise report.error
+                if not report.is_outdated:
+                    return report
+        return None
+
+    def report_silence(self, attempt):
+        """Report that an attempt is silent."""
+        self._send_channel.send_nowait(AttemptReport(attempt, AttemptResult.SILENT))
+
+    def end_others(self, attempt):
+        """End all attempts but one."""
+        for other in self._running:
+            if other is not attempt:
+                other.supersede()
+
+    async def _run(self, attempt):
+        error = None
+        try:
+            await self._runner.run(attempt, self._responder)
+        except Exception as raised:
+            # Raised by `next_report`, outside the nursery.
+            error = raised
+        self._running.remove(attempt)
+        self._send_channel.send_nowait(AttemptReport(attempt, attempt.result, error))
--- a/vanillareach/gateway/attempts.py
+++ b/vanillareach/gateway/attempts.py
@@ -4,13 +4,14 @@
 from vanillareach.core.routing import RequestKind
 from vanillareach.core.suspicion import Loss
 from vanillareach.endpoints.base import EndpointBrokenError, EndpointUnreachableError
+from vanillareach.gateway.attempt_group import AttemptSupersededError
 from vanillareach.gateway.exchange import (
     POSSIBLY_RUN_RESULTS,
     AttemptResult,
     FailureResponse,
 )
 from vanillareach.gateway.ports import EndpointRequestFields
-from vanillareach.gateway.relay import relay_events, send_buffered
+from vanillareach.gateway.relay import RelayObserver, relay_events, send_buffered
 from vanillareach.gateway.sockets import connect
 from vanillareach.gateway.upstream import UpstreamRequest, open_upstream
 from vanillareach.log import get_logger
@@ -26,41 +27,37 @@
 log = get_logger("request")
 
 
-class Attempt:
-    """One attempt at an endpoint.
+class AttemptObserver(RelayObserver):
+    """Records the progress of the stream of one attempt.
 
-    Attributes
+    Parameters
     ----------
-    exchange : GatewayExchange
-    placement : Placement
-    flight : InFlightRequest
-    idle_timeout : IdleTimeout
-    may_have_been_sent : bool
-        Whether bytes of the request may have been sent.
-    was_delivery_slow : bool
-        Whether delivering the last event took long, or none was delivered yet.
+    runner : AttemptRunner
+    attempt : Attempt
     """
 
-    __slots__ = (
-        "exchange",
-        "flight",
-        "idle_timeout",
-        "may_have_been_sent",
-        "placement",
-        "was_delivery_slow",
-    )
+    __slots__ = ("_attempt", "_runner")
+
+    def __init__(self, runner, attempt):
+        self._runner = runner
+        self._attempt = attempt
+
+    def on_data(self):
+        """Suspend the idle timeout; see `RelayObserver`."""
+        self._attempt.idle_timeout.pause()
 
-    def __init__(self, exchange, placement, flight, idle_timeout):
-        self.exchange = exchange
-        self.placement = placement
-        self.flight = flight
-        self.idle_timeout = idle_timeout
-        self.may_have_been_sent = False
-        self.was_delivery_slow = True
+    def on_events(self):
+        """Take over the response and record the events; see `RelayObserver`."""
+        self._attempt.take_over()
+        self._runner.record_events(self._attempt)
 
-    def mark_sent(self):
-        """Record that bytes of the request may be sent from now on."""
-        self.may_have_been_sent = True
+    def on_delivered(self):
+        """Restart the idle timeout; see `RelayObserver`."""
+        self._runner.record_delivery(self._attempt)
+
+    def on_end(self):
+        """Take over the response; see `RelayObserver`."""
+        self._attempt.take_over()
 
 
 class AttemptRunner:
@@ -101,43 +98,62 @@
         self._clock = clock
         self._metrics = metrics
 
-    async def run(self, exchange, placement, responder):
-        """Run one attempt, record its result and return the `AttemptResult`."""
-        now_ms = self._clock.now_ms()
-        self._log_dispatch(exchange, placement, now_ms)
-        exchange.attempt_count += 1
-        flight = self._dispatcher.record_dispatch(exchange, placement, now_ms)
-        idle_timeout_ms = self._dispatcher.first_byte_timeout_ms(
-            exchange, placement, now_ms
-        )
-        idle_timeout = self._idle_timeouts.watch(flight, now_ms + idle_timeout_ms)
-        attempt = Attempt(exchange, placement, flight, idle_timeout)
-        result, detail = None, ""
+    async def run(self, attempt, responder):
+        """Run one attempt; set and record its result."""
+        self._begin(attempt)
+        detail = ""
         try:
-            with idle_timeout.scope:
-                result = await self._reserve_and_forward(attempt, responder)
+            with attempt.scope:
+                attempt.result = await self._reserve_and_forward(attempt, responder)
         except EndpointUnreachableError as error:
-            result, detail = AttemptResult.UNREACHABLE, str(error)
+            attempt.result, detail = AttemptResult.UNREACHABLE, str(error)
         except EndpointBrokenError as error:
-            result, detail = AttemptResult.BROKEN, str(error)
+            attempt.result, detail = AttemptResult.BROKEN, str(error)
+        except AttemptSupersededError:
+            attempt.result = AttemptResult.SUPERSEDED
         finally:
-            self._dispatcher.record_end(flight)
-            self._idle_timeouts.unwatch(idle_timeout)
-            if result is None and not idle_timeout.has_expired:
-                exchange.possible_runs += attempt.may_have_been_sent
+            self._dispatcher.record_end(attempt.flight)
+            self._idle_timeouts.unwatch(attempt.idle_timeout)
+            if attempt.result is None and not attempt.scope.cancelled_caught:
                 self._log_end(
                     attempt, "abandoned", "caller disconnected or deadline passed"
                 )
-        if result is None:
-            result = self._timeout_result(attempt)
-        await self._record_result(attempt, result, detail)
-        return result
+        if attempt.result is None:
+            attempt.result = (
+                AttemptResult.SUPERSEDED
+                if attempt.is_superseded
+                else AttemptResult.UNREACHABLE
+            )
+        await self._record_result(attempt, detail)
 
-    def _timeout_result(self, attempt):
-        """Return the result of an attempt whose idle timeout expired."""
-        if attempt.may_have_been_sent:
-            return AttemptResult.SILENT
-        return AttemptResult.UNREACHABLE
+    def _begin(self, attempt):
+        """Count the attempt as in flight and watch its idle timeout."""
+        exchange, placement = attempt.exchange, attempt.placement
+        now_ms = self._clock.now_ms()
+        self._log_dispatch(exchange, placement, now_ms)
+        attempt.flight = self._dispatcher.record_dispatch(exchange, placement, now_ms)
+        timeout_ms = self._dispatcher.first_byte_timeout_ms(exchange, placement, now_ms)
+        attempt.idle_timeout = self._idle_timeouts.watch(
+            attempt.flight, now_ms + timeout_ms, lambda: self._record_silence(attempt)
+        )
+
+    def _record_silence(self, attempt):
+        """Let another endpoint be tried; an attempt that wasn't sent yet ends."""
+        if not attempt.may_have_been_sent:
+            attempt.scope.cancel()
+            return
+        exchange, endpoint = attempt.exchange, attempt.placement.endpoint
+        now_ms = self._clock.now_ms()
+        self._metrics.attempts[(exchange.service.name, "silent")] += 1
+        self._state.record_fault(endpoint, EndpointFault.FAILED, now_ms)
+        log.info(
+            "Attempt silent.",
+            id=exchange.id,
+            endpoint=endpoint.id,
+            last_event=exchange.last_event_id,
+            after_ms=round(now_ms - exchange.request.received_ms),
+        )
+        attempt.mark_silent()
 
     async def _reserve_and_forward(self, attempt, responder):
         tokens = attempt.placement.reserved_tokens_by_helper
@@ -166,17 +182,12 @@
         if exchange.route.kind is RequestKind.STREAM:
             if exchange.weights_version is None:
                 exchange.weights_version = fields.weights_version
-            await relay_events(
-                exchange,
-                response,
-                responder,
-                attempt.idle_timeout.pause,
-                lambda: self._record_events(attempt),
-                lambda: self._record_delivery(attempt),
-            )
+            observer = AttemptObserver(self, attempt)
+            await relay_events(exchange, response, responder, observer)
         else:
             body = await response.read(MAX_BUFFERED_RESPONSE_BYTES)
             attempt.idle_timeout.pause()
+            attempt.take_over()
             await send_buffered(response, body, responder)
         return AttemptResult.ANSWERED
 
@@ -196,7 +207,7 @@
             team=exchange.team.name if exchange.team else None,
             priority=self._dispatcher.endpoint_priority(exchange),
             helpers=helpers,
-            last_event_id=exchange.events.last_id if is_stream else None,
+            last_event_id=exchange.last_event_id if is_stream else None,
             weights_version=exchange.weights_version,
         )
         strips_key = exchange.configuration.teams_by_key is not None
@@ -225,20 +236,22 @@
         elif fields.closes_connection:
             state.record_fault(placement.endpoint, EndpointFault.REFUSED, now_ms)
 
-    def _record_events(self, attempt):
+    def record_events(self, attempt):
         """Record that complete events arrived."""
         exchange, flight = attempt.exchange, attempt.flight
         now_ms = self._clock.now_ms()
         pause_ms = exchange.record_event(now_ms)
         if pause_ms is not None and not attempt.was_delivery_slow:
             self._state.paces.record_gap(flight.engine, pause_ms, now_ms)
+        if pause_ms is None:
+            exchange.drop_answer_margin()
         if flight.is_prefilling:
             self._dispatcher.record_first_event(flight)
             self._metrics.record_first_token(
                 exchange.route.name, exchange.first_event_ms
             )
 
-    def _record_delivery(self, attempt):
+    def record_delivery(self, attempt):
         """Restart the idle timeout after events were delivered to the caller."""
         exchange, now_ms = attempt.exchange, self._clock.now_ms()
         arrived_ms = exchange.last_event_ms
@@ -248,8 +261,12 @@
         idle_timeout_ms = self._dispatcher.event_gap_timeout_ms(exchange)
         attempt.idle_timeout.extend(now_ms + idle_timeout_ms)
 
-    async def _record_result(self, attempt, result, detail):
-        exchange, placement = attempt.exchange, attempt.placement
+    async def _record_result(self, attempt, detail):
+        exchange, placement, result = (
+            attempt.exchange,
+            attempt.placement,
+            attempt.result,
+        )
         state, now_ms = self._state, self._clock.now_ms()
         result_name = result.name.lower()
         self._metrics.attempts[(exchange.service.name, result_name)] += 1
@@ -257,11 +274,10 @@
             state.health.record_outcome(placement.endpoint.key, False, now_ms)
         elif result is AttemptResult.UNREACHABLE:
             self._record_unreachable(placement.endpoint, detail)
-        elif result in POSSIBLY_RUN_RESULTS:
-            exchange.possible_runs += 1
-            state.record_fault(placement.endpoint, EndpointFault.FAILED, now_ms)
-        elif not placement.helpers:
+        elif result in POSSIBLY_RUN_RESULTS or (
             # Not run; with helpers, one of them may be the cause instead.
+            result is AttemptResult.NOT_RUN and not placement.helpers
+        ):
             state.record_fault(placement.endpoint, EndpointFault.FAILED, now_ms)
         self._log_end(attempt, result_name, detail)
         if result is AttemptResult.BROKEN:
@@ -316,7 +332,7 @@
             load_age_ms=round(state.load_state.oldest_peer_age_ms(now_ms)),
             list_age_ms=round(state.endpoints_age_ms()),
             version=exchange.configuration.version,
-            attempt=exchange.attempt_count + 1,
+            attempt=len(exchange.attempts),
         )
 
     def _log_end(self, attempt, result, detail):
@@ -327,7 +343,7 @@
             endpoint=attempt.placement.endpoint.id,
             result=result,
             detail=detail,
-            last_event=exchange.events.last_id,
+            last_event=exchange.last_event_id,
             first_event_ms=exchange.first_event_ms,
             longest_pause_ms=round(exchange.longest_pause_ms),
             after_ms=round(self._clock.now_ms() - exchange.request.received_ms),
--- a/vanillareach/gateway/exchange.py
+++ b/vanillareach/gateway/exchange.py
@@ -3,7 +3,7 @@
 import math
 from enum import Enum, auto
 
-from vanillareach.core.event_stream import EventSplitter
+from vanillareach.clock import MS_PER_SECOND
 
 # Reserved before a deadline so that the response reaches the caller in time.
 ANSWER_MARGIN_MS = 20.0
@@ -24,13 +24,16 @@
     FAILED = auto()
     # The response was aborted, or is not the endpoint's response to this attempt.
     BROKEN = auto()
-    # No response, or no further event, within the idle timeout.
+    # No response, or no further event, within the idle timeout; the attempt goes on.
     SILENT = auto()
+    # Another attempt had something to deliver first.
+    SUPERSEDED = auto()
 
 
 POSSIBLY_RUN_RESULTS = frozenset(
     (AttemptResult.FAILED, AttemptResult.BROKEN, AttemptResult.SILENT)
 )
+NOT_SENT_RESULTS = frozenset((AttemptResult.UNREACHABLE, AttemptResult.NOT_RUN))
 
 
 class FailureResponse:
@@ -62,8 +65,11 @@
     ----------
     deadline_ms : float
         Monotonic time by which the response must have been sent.
-    attempt_count, possible_runs : int
-        Number of attempts made, and of those that may have run the request.
+    scope : trio.CancelScope or None
+        Cancelled at the deadline.
+    attempts : list of Attempt
+    last_event_id : int or None
+        Id of the last event of a stream that was sent to the caller.
     excluded_endpoints : set of str
         Ids of endpoints that further attempts leave out.
     failed_helper : str or None
@@ -75,21 +81,23 @@
     """
 
     __slots__ = (
-        "attempt_count",
+        "_latest_ms",
+        "_time_limit_ms",
+        "attempts",
         "configuration",
         "deadline_ms",
-        "events",
         "excluded_endpoints",
         "failed_helper",
         "failure_response",
         "fields",
         "fingerprint",
         "first_event_ms",
+        "last_event_id",
         "last_event_ms",
         "longest_pause_ms",
-        "possible_runs",
         "request",
         "route",
+        "scope",
         "service",
         "team",
         "weights_version",
@@ -105,8 +113,12 @@
         caller_timeout_ms = math.inf if fields.timeout_ms is None else fields.timeout_ms
         timeout_ms = min(route.timeout_ms, caller_timeout_ms - HANDSHAKE_MARGIN_MS)
         self.deadline_ms = request.received_ms + timeout_ms - ANSWER_MARGIN_MS
-        self.attempt_count = 0
-        self.possible_runs = 0
+        self._time_limit_ms = request.received_ms + min(
+            route.timeout_ms, caller_timeout_ms
+        )
+        self._latest_ms = math.inf
+        self.scope = None
+        self.attempts = []
         self.excluded_endpoints = set()
         self.failure_response = None
         self.weights_version = None
@@ -115,16 +127,34 @@
         self.first_event_ms = None
         self.last_event_ms = None
         self.longest_pause_ms = 0.0
-        self.events = EventSplitter(fields.last_event_id)
+        self.last_event_id = fields.last_event_id
 
     @property
     def id(self):
         """Id that the caller gave this attempt."""
         return self.fields.attempt_id
 
+    @property
+    def possible_runs(self):
+        """Number of attempts that may have run the request."""
+        return sum(attempt.may_have_run for attempt in self.attempts)
+
     def cap_deadline(self, latest_ms):
         """Bring the deadline forward to `latest_ms`, if it is later."""
-        self.deadline_ms = min(self.deadline_ms, latest_ms)
+        self._latest_ms = min(self._latest_ms, latest_ms)
+        self._set_deadline(min(self.deadline_ms, self._latest_ms))
+
+    def drop_answer_margin(self):
+        """Let the deadline be the whole time limit: a stream has begun.
+
+        No other response can be sent any more, so no time is reserved for one.
+        """
+        self._set_deadline(min(self._time_limit_ms, self._latest_ms))
+
+    def _set_deadline(self, deadline_ms):
+        self.deadline_ms = deadline_ms
+        if self.scope is not None:
+            self.scope.deadline = deadline_ms / MS_PER_SECOND
 
     def record_event(self, now_ms):
         """Record an event; return the pause before it, None for the first one."""
--- a/vanillareach/gateway/forwarder.py
+++ b/vanillareach/gateway/forwarder.py
@@ -5,8 +5,8 @@
 
 import msgspec
 
-from vanillareach.clock import MS_PER_SECOND
 from vanillareach.core.hashing import hash128_hex
+from vanillareach.gateway.attempt_group import AttemptGroup
 from vanillareach.gateway.attempts import AttemptRunner
 from vanillareach.gateway.connections import ResponseAbortedError
 from vanillareach.gateway.exchange import (
@@ -18,6 +18,7 @@
 from vanillareach.gateway.pacing import EnginePaceEstimator
 from vanillareach.gateway.relay import send_buffered
 from vanillareach.log import get_logger
+from vanillareach.utils import open_background_nursery
 
 # Attempts that one request may make, including those that endpoints refuse to run.
 MAX_ATTEMPTS = 4
@@ -31,6 +32,8 @@
 STARTUP_WAIT_MS = 300.0
 # Interval at which a waiting request checks for capacity.
 CAPACITY_CHECK_INTERVAL_MS = 60.0
+# The same, for a request whose attempts are silent.
+ROOM_CHECK_INTERVAL_MS = 250.0
 
 log = get_logger("request")
 
@@ -76,7 +79,7 @@
         self._metrics = metrics
         self._random = random.Random()
         self._final_deadline_ms = math.inf
-        self._scopes_by_exchange = {}
+        self._exchanges = set()
         self._dispatcher = dispatcher
         self._placement_client = placement_client
         self._stall_detector = stall_detector
@@ -107,25 +110,24 @@
             request.received_ms
         )
         exchange.cap_deadline(self._final_deadline_ms)
-        scope = self._clock.scope_until(exchange.deadline_ms)
-        self._scopes_by_exchange[exchange] = scope
+        exchange.scope = self._clock.scope_until(exchange.deadline_ms)
+        self._exchanges.add(exchange)
         try:
-            with scope:
+            with exchange.scope:
                 await self._serve(exchange, responder)
-            if scope.cancelled_caught:
+            if exchange.scope.cancelled_caught:
                 await self._send_deadline_exceeded(exchange, responder)
         except BaseException as error:
             self._record_incomplete(exchange, responder, error)
             raise
         finally:
-            del self._scopes_by_exchange[exchange]
+            self._exchanges.discard(exchange)
 
     def set_final_deadline(self, deadline_ms):
         """Cap the deadlines of current and future requests at `deadline_ms`."""
         self._final_deadline_ms = deadline_ms
-        for exchange, scope in self._scopes_by_exchange.items():
+        for exchange in self._exchanges:
             exchange.cap_deadline(deadline_ms)
-            scope.deadline = exchange.deadline_ms / MS_PER_SECOND
 
     async def _admit(self, request, fields, responder):
         """Return the `GatewayExchange` of a request, or refuse it and return None."""
@@ -164,22 +166,38 @@
         return exchange
 
     async def _serve(self, exchange, responder):
-        """Try endpoints until one succeeds or no further attempt is allowed."""
+        async with open_background_nursery() as nursery:
+            group = AttemptGroup(exchange, responder, self._attempt_runner, nursery)
+            await self._try_endpoints(exchange, responder, group)
+
+    async def _try_endpoints(self, exchange, responder, group):
+        """Try endpoints until one answers, or none runs and no other may be tried."""
+        may_try = True
         while True:
-            decision = await self._choose_placement(exchange)
-            placement = decision.placement
-            if placement is None:
-                reason = "stopping" if self._state.is_stopping else "no_room"
-                return await self._send_final_failure(
-                    exchange, responder, reason, decision.retry_after_ms
-                )
-            result = await self._attempt_runner.run(exchange, placement, responder)
-            if result is AttemptResult.ANSWERED:
+            wait_ms = math.inf
+            if may_try:
+                decision = await self._choose_placement(exchange)
+                placement = decision.placement
+                if placement is None and not group.is_running:
+                    reason = "stopping" if self._state.is_stopping else "no_room"
+                    return await self._send_final_failure(
+                        exchange, responder, reason, decision.retry_after_ms
+                    )
+                if placement is None:
+                    wait_ms = ROOM_CHECK_INTERVAL_MS
+                elif group.is_silent:
+                    group.start(placement)
+            report = await group.next_report(wait_ms)
+            if report is None:
+                may_try = group.is_silent
+                continue
+            if report.result is AttemptResult.ANSWERED:
                 return self._count_outcome("done", "")
-            self._exclude(exchange, placement)
-            if not self._may_try_again(exchange, result):
+            self._exclude(exchange, report.attempt.placement)
+            may_try = group.is_silent and self._may_try_again(exchange, report.result)
+            if not may_try and not group.is_running:
                 return await self._send_final_failure(
-                    exchange, responder, result.name.lower()
+                    exchange, responder, report.result.name.lower()
                 )
 
     async def _choose_placement(self, exchange):
@@ -203,7 +221,7 @@
     def _may_try_again(self, exchange, result):
         now_ms = self._clock.now_ms()
         remaining_ms = exchange.deadline_ms - now_ms
-        if remaining_ms < MIN_ATTEMPT_TIME_MS or exchange.attempt_count >= MAX_ATTEMPTS:
+        if remaining_ms < MIN_ATTEMPT_TIME_MS or len(exchange.attempts) >= MAX_ATTEMPTS:
             return False
         if result is AttemptResult.UNREACHABLE:
             return True
--- a/vanillareach/gateway/idle_timeouts.py
+++ b/vanillareach/gateway/idle_timeouts.py
@@ -1,11 +1,9 @@
-"""Ends attempts whose endpoint sends no data and has no prefill pending."""
+"""Detects attempts whose endpoint sends no data and has no prefill pending."""
 
 import math
 
 import trio
 
-from vanillareach.endpoints.base import EndpointBrokenError
-
 # Bounds of the interval between two checks. A timeout is never shorter than the upper
 # one, so a check finds each in time.
 MIN_CHECK_INTERVAL_MS = 50.0
@@ -17,42 +15,33 @@
 class IdleTimeout:
     """Idle timeout of one attempt.
 
-    Attributes
+    Parameters
     ----------
-    scope : trio.CancelScope
-        Cancelled when the timeout expires.
-    has_expired : bool
-        Whether the timeout has expired.
+    flight : InFlightRequest
+    deadline_ms : float
+        When it expires; infinite while it is paused.
+    on_expired : callable
+        Called each time it expires.
     """
 
-    __slots__ = ("deadline_ms", "flight", "has_expired", "scope")
+    __slots__ = ("_on_expired", "deadline_ms", "flight")
 
-    def __init__(self, flight, deadline_ms):
-        self.flight = flight
+    def __init__(self, flight, deadline_ms, on_expired):
         self.deadline_ms = deadline_ms
-        self.scope = trio.CancelScope()
-        self.has_expired = False
+        self.flight = flight
+        self._on_expired = on_expired
 
     def extend(self, deadline_ms):
         """Let the timeout expire at `deadline_ms`."""
         self.deadline_ms = deadline_ms
 
     def expire(self):
-        """Cancel the attempt."""
-        self.has_expired = True
-        self.scope.cancel()
+        """Report the silence; the timeout is paused until `extend`."""
+        self.pause()
+        self._on_expired()
 
     def pause(self):
-        """Suspend the timeout while received data is forwarded.
-
-        Raises
-        ------
-        EndpointBrokenError
-            If the timeout has expired: a write would be cancelled, so the received data
-            must not count as forwarded.
-        """
-        if self.has_expired:
-            raise EndpointBrokenError("idle timeout expired")
+        """Suspend the timeout, for instance while received data is forwarded."""
         self.deadline_ms = math.inf
 
 
@@ -72,9 +61,9 @@
         self._timeouts = set()
         self._watch_event = trio.Event()
 
-    def watch(self, flight, deadline_ms):
+    def watch(self, flight, deadline_ms, on_expired):
         """Return the `IdleTimeout` of an attempt, monitored until `unwatch`."""
-        idle_timeout = IdleTimeout(flight, deadline_ms)
+        idle_timeout = IdleTimeout(flight, deadline_ms, on_expired)
         self._timeouts.add(idle_timeout)
         self._watch_event.set()
         return idle_timeout
--- a/vanillareach/gateway/relay.py
+++ b/vanillareach/gateway/relay.py
@@ -1,10 +1,37 @@
 """Relays an endpoint's response to the caller."""
 
+from abc import ABC, abstractmethod
+
 from vanillareach.connection_headers import CONNECTION_HEADERS
-from vanillareach.core.event_stream import EventGapError
+from vanillareach.core.event_stream import EventGapError, EventSplitter
 from vanillareach.endpoints.base import EndpointBrokenError
 
 
+class RelayObserver(ABC):
+    """Observer of the progress of one relayed stream."""
+
+    __slots__ = ()
+
+    @abstractmethod
+    def on_data(self):
+        """Note that data has arrived."""
+
+    @abstractmethod
+    def on_events(self):
+        """Note that complete events have arrived and are about to be sent.
+
+        An exception raised here ends the relay before anything is sent.
+        """
+
+    @abstractmethod
+    def on_delivered(self):
+        """Note that all complete events that have arrived were sent."""
+
+    @abstractmethod
+    def on_end(self):
+        """Note that the end of the stream is about to be sent; see `on_events`."""
+
+
 def end_to_end_headers(headers):
     """Return the headers of a response without its connection headers."""
     return [(n, v) for n, v in headers if n.lower() not in CONNECTION_HEADERS]
@@ -16,18 +43,16 @@
     await responder.answer(response.status, headers, body, response.reason)
 
 
-async def relay_events(exchange, response, responder, on_data, on_events, on_delivered):
+async def relay_events(exchange, response, responder, observer):
     """Forward the complete events of a stream as they arrive.
 
     Parameters
     ----------
     exchange : GatewayExchange
-        Its `events` track what earlier attempts have forwarded.
+        Its `last_event_id` says where earlier attempts have stopped.
     response : UpstreamResponse
     responder : Responder
-    on_data, on_events, on_delivered : callable
-        Called after each read of the response: `on_data` at once, `on_events` if the
-        bytes complete an event, `on_delivered` after all complete events were sent.
+    observer : RelayObserver
 
     Raises
     ------
@@ -35,24 +60,25 @@
         If the stream is aborted, lacks an event or ends within one; the complete events
         before that have been forwarded.
     """
-    events = exchange.events
-    events.discard_partial_event()
+    events = EventSplitter(exchange.last_event_id)
     while True:
         data = await response.next_data()
         if data is None:
             break
-        on_data()
+        observer.on_data()
         try:
             complete_events = events.feed(data)
         except EventGapError as error:
             raise EndpointBrokenError(str(error)) from error
         if complete_events:
-            on_events()
+            observer.on_events()
+            exchange.last_event_id = events.last_id
             await _ensure_started(response, responder)
             await responder.send(complete_events)
-        on_delivered()
+        observer.on_delivered()
     if not events.is_at_event_boundary:
         raise EndpointBrokenError("the stream ended within an event")
+    observer.on_end()
     await _ensure_started(response, responder)
     await responder.finish()
 
--- a/vanillareach/gateway/upstream.py
+++ b/vanillareach/gateway/upstream.py
@@ -13,6 +13,7 @@
 
 from vanillareach.endpoints.base import EndpointBrokenError, EndpointUnreachableError
 from vanillareach.gateway.sockets import connect
+from vanillareach.utils import open_background_nursery
 
 RECEIVE_BUFFER_BYTES = 65_536
 # Bodies up to this size fit into the socket buffer and are sent without a task of their
@@ -153,18 +154,10 @@
             await _send(stream, head + _encode_body(connection, body))
             yield await _read_head(connection, stream)
             return
-        failure = None
-        async with trio.open_nursery() as nursery:
+        # At the end of the block the rest of the request body is no longer needed.
+        async with open_background_nursery() as nursery:
             nursery.start_soon(_send, stream, head + _encode_body(connection, body))
-            try:
-                yield await _read_head(connection, stream)
-            except Exception as error:
-                # Raised outside the nursery, which would wrap it in an exception group.
-                failure = error
-            # The rest of the request body is no longer needed.
-            nursery.cancel_scope.cancel()
-        if failure is not None:
-            raise failure
+            yield await _read_head(connection, stream)
     finally:
         # Closes at once: an aborted exchange must not wait for the endpoint.
         stream.socket.close()
--- a/vanillareach/utils.py
+++ b/vanillareach/utils.py
@@ -3,6 +3,9 @@
 import gc
 import hashlib
 import secrets
+from contextlib import asynccontextmanager
+
+import trio
 
 
 def new_id(prefix):
@@ -35,6 +38,24 @@
     return host, int(port)
 
 
+@asynccontextmanager
+async def open_background_nursery():
+    """Open a nursery whose tasks are cancelled at the end of the block.
+
+    An exception of the block is raised as it is; a plain nursery would wrap it in an
+    exception group.
+    """
+    failure = None
+    async with trio.open_nursery() as nursery:
+        try:
+            yield nursery
+        except Exception as error:
+            failure = error
+        nursery.cancel_scope.cancel()
+    if failure is not None:
+        raise failure
+
+
 def freeze_startup_objects():
     """Exclude the objects created at start-up from later garbage collections.
 
