Keep handling signals until the process has ended

What callers saw: a second SIGTERM during a stop ended the gateway at once and cut all its requests.

Cause: trio.open_signal_receiver was left before the stop began, which restored the default action and delivered pending signals again. The entry's StopSignals cancelled everything at any second signal.

Change: ProcessSignals receives signals in the loop, never restores earlier handlers, and ignores the signals once the loop has ended, so that none ends the interpreter's exit either. Further SIGTERM and SIGHUP are logged only. A second SIGINT still ends the entry and the stand-ins at once.

--- a/vanillareach/application.py
+++ b/vanillareach/application.py
@@ -2,7 +2,6 @@
 
 import functools
 import random
-import signal
 
 import trio
 
@@ -43,17 +42,14 @@
         """Serve until a stop signal, then finish the requests in progress."""
         async with trio.open_nursery() as nursery:
             self.build(nursery)
-            await nursery.start(
-                self.stop_signals.watch,
-                nursery.cancel_scope,
-                (signal.SIGTERM, signal.SIGINT),
-            )
+            await nursery.start(self.stop_signals.watch, nursery.cancel_scope)
             await self.start(nursery)
             log.info("Serving.", name=self.settings.name, listen=self.settings.listen)
             await self.stop_signals.stopping.wait()
             log.info("Stopping.")
             await self.stop()
             nursery.cancel_scope.cancel()
+        self.stop_signals.ignore()
         log.info("Stopped.")
 
     def build(self, nursery):
--- /dev/null
+++ b/vanillareach/features/steps/stopping.py
@@ -0,0 +1,114 @@
+"""Steps about signals and the stop of a process."""
+
+import itertools
+import os
+import signal
+import subprocess
+import sys
+
+import trio
+from behave import given, then, when
+
+from vanillareach.features.support import received
+from vanillareach.features.users_platform.stage import Caller, free_address
+from vanillareach.servers import StopSignals
+from vanillareach.utils import split_address
+
+SIGNAL_INTERVAL_S = 0.05
+SIGNAL_DELIVERY_S = 0.1
+PROCESS_TIMEOUT_S = 20
+
+
+@given("a gateway that runs as a process of its own")
+def step_start_process(context):
+    platform = context.platform
+    context.address, ready_address = free_address(), free_address()
+    values_by_name = {
+        "NAME": "g-process",
+        "DOMAIN": "zone-a",
+        "FRONT_LISTEN": context.address,
+        "READY_LISTEN": ready_address,
+        "METRICS_LISTEN": free_address(),
+        "PEER_LISTEN": free_address(),
+        "STORE": platform.store_address,
+        "LOG_LEVEL": "error",
+    }
+    variables = {f"VANILLAREACH_{name}": v for name, v in values_by_name.items()}
+    context.process = subprocess.Popen(
+        [sys.executable, "-m", "vanillareach.gateway"], env={**os.environ, **variables}
+    )
+    context.add_cleanup(context.process.kill)
+
+    async def wait_until_ready():
+        with trio.fail_after(PROCESS_TIMEOUT_S):
+            while True:
+                try:
+                    stream = await trio.open_tcp_stream(*split_address(ready_address))
+                except OSError:
+                    await trio.sleep(SIGNAL_INTERVAL_S)
+                    continue
+                async with Caller(platform, stream) as caller:
+                    if (await caller.call("/", "GET", b"")).status == 200:
+                        return
+
+    context.run(wait_until_ready)
+
+
+@when("the process gets SIGTERM and SIGHUP in turn from the middle of a stream on")
+def step_send_signals(context):
+    async def send_signals():
+        numbers = itertools.cycle((signal.SIGTERM, signal.SIGHUP, signal.SIGTERM))
+        while context.process.poll() is None:
+            context.process.send_signal(next(numbers))
+            await trio.sleep(SIGNAL_INTERVAL_S)
+
+    async def call():
+        stream = await trio.open_tcp_stream(*split_address(context.address))
+        with trio.fail_after(PROCESS_TIMEOUT_S):
+            async with (
+                trio.open_nursery() as nursery,
+                Caller(context.platform, stream) as caller,
+            ):
+                await caller.send("/ask/a", Vanillareach_Token_Usage="1000,100")
+                await context.platform.until(lambda: received(context))
+                nursery.start_soon(send_signals)
+                context.response = await caller.receive()
+
+    context.run(call)
+
+
+@then("the process exits with code 0")
+def step_check_exit_code(context):
+    assert context.process.wait(PROCESS_TIMEOUT_S) == 0, context.process.returncode
+
+
+@when('a stopping instance gets "{names}"')
+def step_signal_instance(context, names):
+    numbers = [signal.Signals[name] for name in names.split(",")]
+
+    async def run():
+        with trio.CancelScope() as scope:
+            async with trio.open_nursery() as nursery:
+                await nursery.start(StopSignals().watch, scope)
+                for number in numbers:
+                    os.kill(os.getpid(), number)
+                    await trio.sleep(SIGNAL_DELIVERY_S)
+                nursery.cancel_scope.cancel()
+        context.has_ended = scope.cancelled_caught
+
+    handlers_by_number = {n: signal.getsignal(n) for n in numbers}
+    try:
+        trio.run(run)
+    finally:
+        for number, handler in handlers_by_number.items():
+            signal.signal(number, handler)
+
+
+@then("it goes on")
+def step_check_goes_on(context):
+    assert not context.has_ended
+
+
+@then("it ends at once")
+def step_check_has_ended(context):
+    assert context.has_ended
--- /dev/null
+++ b/vanillareach/features/stopping.feature
@@ -0,0 +1,20 @@
+Feature: A process that stops finishes what it has begun
+
+  @platform
+  Scenario: Further signals don't end a stopping gateway before its requests
+    Given a gateway in front of engines "m1,m2" and services "d1,d2"
+    And a gateway that runs as a process of its own
+    And the first endpoint called will "pause"
+    And later ones will "stream"
+    When the process gets SIGTERM and SIGHUP in turn from the middle of a stream on
+    Then the response is 200, complete and signed
+    And its events are 1 to 6, each once
+    And the process exits with code 0
+
+  Scenario: Only a person's second interrupt ends a stopping instance at once
+    When a stopping instance gets "SIGTERM,SIGTERM"
+    Then it goes on
+    When a stopping instance gets "SIGINT,SIGTERM"
+    Then it goes on
+    When a stopping instance gets "SIGTERM,SIGINT"
+    Then it ends at once
--- a/vanillareach/gateway/app.py
+++ b/vanillareach/gateway/app.py
@@ -23,6 +23,7 @@
 from vanillareach.log import configure_bounded_logs, get_logger
 from vanillareach.metrics import Metrics
 from vanillareach.peers.link import NngLink
+from vanillareach.process_signals import ProcessSignals
 from vanillareach.traffic import ControlTraffic
 from vanillareach.utils import freeze_startup_objects
 
@@ -66,14 +67,18 @@
 
     async def run(self):
         """Serve until SIGTERM arrives, then finish the requests in progress."""
+        signals = ProcessSignals(signal.SIGTERM, signal.SIGHUP)
+        signals.install()
         async with trio.open_nursery() as nursery:
             self.build()
-            with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
-                await self.start(nursery)
-                log.info("Started.", name=self.settings.name)
-                await self._wait_for_stop_signal(signals)
+            await self.start(nursery)
+            log.info("Started.", name=self.settings.name)
+            stopping = trio.Event()
+            nursery.start_soon(self._watch_signals, signals, stopping)
+            await stopping.wait()
             await self.stop()
             nursery.cancel_scope.cancel()
+        signals.ignore()
         self.log_writer.drain()
 
     def build(self):
@@ -188,12 +193,16 @@
         log.info("Stopped.", cut=self.caller_listener.open_connections)
         self.link.close()
 
-    async def _wait_for_stop_signal(self, signals):
+    async def _watch_signals(self, signals, stopping):
+        """Set `stopping` at the first SIGTERM; other signals change nothing."""
         async for number in signals:
             log.info("Signal received.", number=int(number))
-            if number == signal.SIGTERM:
-                return
-            log.info("Reload ignored; changed settings apply after a restart.")
+            if number == signal.SIGHUP:
+                log.info("Reload ignored; changed settings apply after a restart.")
+            elif stopping.is_set():
+                log.info("Already stopping.")
+            else:
+                stopping.set()
 
     async def _answer_readiness_check(self, request, responder):
         await self.state.wait_for_initial_state(READINESS_WAIT_MS)
--- a/vanillareach/servers.py
+++ b/vanillareach/servers.py
@@ -1,12 +1,19 @@
 """Starts hypercorn in a nursery of the caller, and handles stop signals."""
 
+import signal
+
 import trio
 from hypercorn.config import Config
 from hypercorn.trio import serve
 
+from vanillareach.log import get_logger
+from vanillareach.process_signals import ProcessSignals
+
 MAX_HEADER_BYTES = 32 * 1024
 KEEP_ALIVE_S = 75.0
 
+log = get_logger("main")
+
 
 def hypercorn_config(address, graceful_timeout_s):
     """Return the hypercorn configuration for one listening address.
@@ -58,19 +65,30 @@
 
 
 class StopSignals:
-    """Sets an event at the first SIGTERM or SIGINT; a second one cancels."""
+    """Sets an event at the first SIGTERM or SIGINT; a later SIGINT cancels."""
 
-    __slots__ = ("stopping",)
+    __slots__ = ("_signals", "stopping")
 
     def __init__(self):
+        self._signals = ProcessSignals(signal.SIGTERM, signal.SIGINT)
         self.stopping = trio.Event()
 
-    async def watch(self, cancel_scope, signals, task_status=trio.TASK_STATUS_IGNORED):
-        """Set `stopping` at the first signal and cancel the scope at the second."""
-        with trio.open_signal_receiver(*signals) as received:
-            task_status.started()
-            async for _ in received:
-                if self.stopping.is_set():
-                    cancel_scope.cancel()
-                    return
+    async def watch(self, cancel_scope, task_status=trio.TASK_STATUS_IGNORED):
+        """Set `stopping` at the first signal; cancel the scope at a second interrupt.
+
+        A platform may repeat SIGTERM, which must not cut the requests in progress.
+        """
+        self._signals.install()
+        task_status.started()
+        async for number in self._signals:
+            if not self.stopping.is_set():
                 self.stopping.set()
+            elif number == signal.SIGINT:
+                cancel_scope.cancel()
+                return
+            else:
+                log.info("Already stopping.", number=int(number))
+
+    def ignore(self):
+        """Ignore further signals until the process ends."""
+        self._signals.ignore()
--- a/vanillareach/standins/cli.py
+++ b/vanillareach/standins/cli.py
@@ -1,7 +1,6 @@
 """Commands that run each stand-in as a process of its own."""
 
 import functools
-import signal
 from typing import Annotated
 
 import trio
@@ -18,9 +17,7 @@
 async def _serve(app, listen, background_task=None):
     signals = StopSignals()
     async with trio.open_nursery() as nursery:
-        await nursery.start(
-            signals.watch, nursery.cancel_scope, (signal.SIGTERM, signal.SIGINT)
-        )
+        await nursery.start(signals.watch, nursery.cancel_scope)
         if background_task is not None:
             nursery.start_soon(background_task)
         await start_server(
