Answer requests that arrive as idle connections are closed

What callers saw: a request sent on a kept connection just before a stopping instance closed it got no answer, though it had arrived before the close.

Cause: close_idle cancelled the whole task of a connection that counted as idle. A request in the socket's buffer was never read, and one whose task had been woken but had not run yet was read and then thrown away by the cancellation.

Change: RequestReader, split off from CallerConnection, cancels only the wait for the first byte; afterwards, as after the idle timeout, the socket is checked without blocking, and a request that is there is served with Connection: close.

--- /dev/null
+++ b/vanillareach/features/steps/connections.py
@@ -0,0 +1,100 @@
+"""Steps about callers' connections: their end, their limits and their errors."""
+
+import os
+import socket
+
+import trio
+from behave import then, when
+
+STOP_DURATION_MS = 5_000
+SETTLE_S = 0.05
+
+
+async def connect_callers(context, count):
+    """Return callers whose connections wait for their next request."""
+    callers = [await context.platform.connect() for _ in range(count)]
+    for caller in callers:
+        assert (await caller.call("/read/a")).status == 200
+    await trio.sleep(SETTLE_S)
+    return callers
+
+
+def close_idle_connections(context):
+    """Close idle connections as a gateway does that stops."""
+    gateway = context.platform.gateways[0]
+    gateway.state.mark_stopping(gateway.clock.now_ms() + STOP_DURATION_MS)
+    gateway.caller_listener.close_idle()
+
+
+async def receive_all(context, callers):
+    """Store the responses of all callers and close their connections."""
+    context.responses = []
+    for caller in callers:
+        async with caller:
+            context.responses.append(await caller.receive())
+
+
+@when("{count:d} callers send a request just before idle connections are closed")
+def step_send_before_close(context, count):
+    async def call():
+        callers = await connect_callers(context, count)
+        for caller in callers:
+            caller.send_nowait(caller.encode("/read/a"))
+        close_idle_connections(context)
+        await receive_all(context, callers)
+
+    context.run(call)
+
+
+@when("{count:d} callers send a request and idle connections are closed as it is read")
+def step_close_while_read(context, count):
+    async def close_in_same_turn(waiting):
+        await trio.lowlevel.wait_readable(waiting)
+        close_idle_connections(context)
+
+    async def call():
+        callers = await connect_callers(context, count)
+        waiting, waker = socket.socketpair()
+        with waiting, waker:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(close_in_same_turn, waiting)
+                await trio.sleep(SETTLE_S)
+                # All wait until the loop polls: it runs their tasks in any order.
+                for caller in callers:
+                    caller.send_nowait(caller.encode("/read/a"))
+                os.write(waker.fileno(), b"x")
+        await receive_all(context, callers)
+
+    context.run(call)
+
+
+@then("each of them gets a complete response that closes its connection")
+def step_check_closing_responses(context):
+    ends = [
+        (r.status, r.is_complete, r.values_by_name.get(b"connection"))
+        for r in context.responses
+    ]
+    assert ends == [(200, True, b"close")] * len(ends), ends
+
+
+@when('a caller sends "{path}" twice on a connection that is closed in between')
+def step_ignore_close(context, path):
+    async def call():
+        gateway = context.platform.gateways[0]
+        gateway.state.mark_stopping(gateway.clock.now_ms() + STOP_DURATION_MS)
+        async with await context.platform.connect() as caller:
+            request = caller.encode(path)
+            await caller.send_raw(request)
+            assert (await caller.receive()).is_complete
+            begin_s = trio.current_time()
+            await caller.send_raw(request)
+            context.data = await caller.receive_raw()
+            context.duration_ms = 1000 * (trio.current_time() - begin_s)
+
+    context.run(call)
+
+
+@then("the connection ends within {limit_ms:d} ms")
+def step_check_duration(context, limit_ms):
+    assert not context.data
+    assert context.duration_ms < limit_ms, context.duration_ms
--- a/vanillareach/features/steps/gateway.py
+++ b/vanillareach/features/steps/gateway.py
@@ -8,8 +8,8 @@
 from vanillareach.core.suspicion import Loss
 from vanillareach.features.support import endpoints, received
 from vanillareach.features.users_platform.stage import KEY
-from vanillareach.gateway.connections import CallerRequest
 from vanillareach.gateway.forwarder import QUARANTINE_LOSS_COUNT, fingerprint_of
+from vanillareach.gateway.request_reader import CallerRequest
 from vanillareach.platform.calls import PlatformProtocol
 
 SCRIPT_LENGTH = 20
--- a/vanillareach/features/users_platform/stage.py
+++ b/vanillareach/features/users_platform/stage.py
@@ -264,7 +264,13 @@
         await self._stream.aclose()
 
     async def send(self, path, method="POST", body=b"body", **values):
-        """Send a request; underscores in the names of `values` become hyphens."""
+        """Send a request; see `encode`."""
+        await self._stream.send_all(self.encode(path, method, body, **values))
+
+    def encode(self, path, method="POST", body=b"body", **values):
+        """Return the next request; underscores in names of `values` become hyphens."""
+        if self._connection.our_state is h11.DONE:
+            self._connection.start_next_cycle()
         headers = {
             "Host": HOST,
             "Vanillareach-Attempt-Id": self._stage.next_id(),
@@ -282,7 +288,22 @@
         )
         if body:
             data += connection.send(h11.Data(data=body))
-        await self._stream.send_all(data + connection.send(h11.EndOfMessage()))
+        return data + connection.send(h11.EndOfMessage())
+
+    async def send_raw(self, data):
+        """Send a part of an encoded request."""
+        await self._stream.send_all(data)
+
+    async def receive_raw(self):
+        """Return what is received next; empty if the connection has ended."""
+        try:
+            return await self._stream.receive_some(65_536)
+        except trio.BrokenResourceError:
+            return b""
+
+    def send_nowait(self, data):
+        """Send an encoded request without giving other tasks a turn."""
+        os.write(self._stream.socket.fileno(), data)
 
     async def call(self, path, method="POST", body=b"body", **values):
         """Send a request and receive its response."""
--- a/vanillareach/gateway/connections.py
+++ b/vanillareach/gateway/connections.py
@@ -4,9 +4,14 @@
 import trio
 
 from vanillareach.clock import MS_PER_SECOND
+from vanillareach.gateway.request_reader import (
+    RECEIVE_BUFFER_BYTES,
+    BadRequestError,
+    CallerDisconnectedError,
+    RequestReader,
+)
 from vanillareach.log import get_logger
 
-RECEIVE_BUFFER_BYTES = 65_536
 # Bytes of pipelined requests that are read while a response is in progress.
 MAX_PIPELINED_BYTES = 65_536
 # Time for a caller to close its side of the connection after the last response.
@@ -15,61 +20,10 @@
 log = get_logger("connections")
 
 
-class CallerDisconnectedError(Exception):
-    """The caller closed its connection before its response was complete."""
-
-
 class ResponseAbortedError(Exception):
     """The response can't be completed; the connection has to be aborted."""
 
 
-class BadRequestError(Exception):
-    """The caller's request is invalid, late or larger than the limits allow.
-
-    Parameters
-    ----------
-    status : int
-    detail : str
-    """
-
-    def __init__(self, status, detail):
-        super().__init__(detail)
-        self.status = status
-
-
-class CallerRequest:
-    """A completely received request.
-
-    Attributes
-    ----------
-    method, target : bytes
-    headers : list of (bytes, bytes)
-        Names in the caller's spelling.
-    host : bytes
-    body : bytes or None
-        None if the request has no body.
-    received_ms : float
-        Monotonic time at which its header was complete, or earlier if the caller waited
-        in the listen queue.
-    """
-
-    __slots__ = ("body", "headers", "host", "method", "received_ms", "target")
-
-    def __init__(self, head, body, received_ms):
-        self.method = bytes(head.method)
-        self.target = bytes(head.target)
-        self.headers = [(bytes(n), bytes(v)) for n, v in head.headers.raw_items()]
-        hosts = [v for n, v in self.headers if n.lower() == b"host"]
-        self.host = hosts[0] if hosts else b""
-        self.body = body
-        self.received_ms = received_ms
-
-    @property
-    def path(self):
-        """Path without its query."""
-        return self.target.partition(b"?")[0].decode("latin-1")
-
-
 class Responder:
     """Writes one response to a caller.
 
@@ -156,44 +110,44 @@
     def __init__(self, stream, listener, queued_since_ms):
         self._stream = stream
         self._listener = listener
-        self._queued_since_ms = queued_since_ms
         self._connection = h11.Connection(
             h11.SERVER,
             max_incomplete_event_size=listener.limits().header_bytes,
         )
+        self._reader = RequestReader(
+            self._connection, stream, listener.clock, listener.limits, queued_since_ms
+        )
         self._pipelined_bytes = 0
-        self.is_idle = False
-        self.scope = trio.CancelScope()
+
+    def close_idle(self):
+        """Close the connection once it waits for a request."""
+        self._reader.close_idle()
 
     async def run(self):
         """Serve requests until the connection ends."""
-        with self.scope:
-            try:
-                while await self._serve_request():
-                    self._connection.start_next_cycle()
-            except (
-                CallerDisconnectedError,
-                ResponseAbortedError,
-                h11.LocalProtocolError,
-            ):
-                pass
-            except BadRequestError as error:
-                await self._refuse(error)
-            except trio.BrokenResourceError:
-                pass
-            except Exception:
-                log.exception("Unhandled error while serving a request.")
+        try:
+            while await self._serve_request():
+                self._connection.start_next_cycle()
+        except (
+            CallerDisconnectedError,
+            ResponseAbortedError,
+            h11.LocalProtocolError,
+        ):
+            pass
+        except BadRequestError as error:
+            await self._refuse(error)
+        except trio.BrokenResourceError:
+            pass
+        except Exception:
+            log.exception("Unhandled error while serving a request.")
         await self._close()
 
     async def _serve_request(self):
         """Serve one request and return whether another may follow."""
-        head = await self._read_head()
-        if head is None:
+        request = await self._reader.read()
+        if request is None:
             return False
-        received_ms = self._listener.clock.now_ms()
-        if self._queued_since_ms is not None:
-            received_ms, self._queued_since_ms = self._queued_since_ms, None
-        request = CallerRequest(head, await self._read_body(), received_ms)
+        self._pipelined_bytes = 0
         responder = Responder(
             self._connection, self._stream, self._listener.is_stopping
         )
@@ -233,83 +187,6 @@
             self._pipelined_bytes += len(data)
             self._connection.receive_data(data)
 
-    async def _read_head(self):
-        limits = self._listener.limits()
-        self.is_idle = True
-        self._pipelined_bytes = 0
-        timeout_ms = limits.idle_ms
-        while True:
-            event = self._next_event()
-            if event is not h11.NEED_DATA:
-                self.is_idle = False
-                return self._validate_head(event, limits)
-            if self._connection.trailing_data[0]:
-                self.is_idle = False
-                timeout_ms = limits.header_ms
-            if self._listener.is_closing_idle and self.is_idle:
-                return None
-            with trio.move_on_after(timeout_ms / MS_PER_SECOND) as scope:
-                if not await self._receive():
-                    return None
-            if scope.cancelled_caught:
-                if self.is_idle:
-                    return None
-                raise BadRequestError(408, "timed out reading the request header")
-
-    def _validate_head(self, event, limits):
-        if not isinstance(event, h11.Request):
-            return None
-        size = sum(len(name) + len(value) for name, value in event.headers)
-        # h11 does not apply its own limit to a header that arrives in one piece.
-        if size + len(event.target) > limits.header_bytes:
-            raise BadRequestError(431, "request header exceeds the size limit")
-        return event
-
-    async def _read_body(self):
-        """Return the body, or None if the request has none."""
-        limits = self._listener.limits()
-        parts, size, has_body = [], 0, False
-        if self._connection.they_are_waiting_for_100_continue:
-            await self._stream.send_all(
-                self._connection.send(
-                    h11.InformationalResponse(status_code=100, headers=[])
-                )
-            )
-        while True:
-            event = self._next_event()
-            if event is h11.NEED_DATA:
-                has_body = True
-                with trio.move_on_after(limits.idle_ms / MS_PER_SECOND) as scope:
-                    if not await self._receive():
-                        raise CallerDisconnectedError("closed within the request body")
-                if scope.cancelled_caught:
-                    raise BadRequestError(408, "timed out reading the request body")
-            elif isinstance(event, h11.Data):
-                parts.append(bytes(event.data))
-                size += len(event.data)
-                if size > limits.body_bytes:
-                    raise BadRequestError(413, "request body exceeds the size limit")
-            elif isinstance(event, h11.EndOfMessage):
-                return b"".join(parts) if parts or has_body else None
-            else:
-                raise CallerDisconnectedError("closed within the request body")
-
-    def _next_event(self):
-        try:
-            return self._connection.next_event()
-        except h11.RemoteProtocolError as error:
-            raise BadRequestError(error.error_status_hint, str(error)) from error
-
-    async def _receive(self):
-        try:
-            data = await self._stream.receive_some(RECEIVE_BUFFER_BYTES)
-        except trio.BrokenResourceError:
-            return False
-        if not data:
-            return False
-        self._connection.receive_data(data)
-        return True
-
     async def _refuse(self, error):
         log.info("Request refused.", status=error.status, cause=str(error))
         if self._connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
@@ -330,7 +207,7 @@
         dropped_bytes = 0
         with (
             trio.CancelScope(shield=True),
-            trio.move_on_after(LINGER_TIMEOUT_MS / 1000),
+            trio.move_on_after(LINGER_TIMEOUT_MS / MS_PER_SECOND),
         ):
             if is_between_requests or self._connection.our_state is h11.CLOSED:
                 try:
--- a/vanillareach/gateway/listener.py
+++ b/vanillareach/gateway/listener.py
@@ -72,9 +72,8 @@
         """Stop accepting and close the connections that wait for a request."""
         self.is_closing_idle = True
         self._accept_scope.cancel()
-        for connection in list(self._connections):
-            if connection.is_idle:
-                connection.scope.cancel()
+        for connection in self._connections:
+            connection.close_idle()
 
     def _queued_since_ms(self):
         """Return since when a connection accepted now may have been queued, or None."""
@@ -89,6 +88,8 @@
         enable_liveness_detection(stream.socket, CALLER_UNACKED_TIMEOUT_MS)
         connection = CallerConnection(stream, self, self._queued_since_ms())
         self._connections.add(connection)
+        if self.is_closing_idle:
+            connection.close_idle()
         try:
             await connection.run()
         finally:
--- /dev/null
+++ b/vanillareach/gateway/request_reader.py
@@ -0,0 +1,202 @@
+"""Reads the requests of one connection of a caller."""
+
+import h11
+import trio
+
+RECEIVE_BUFFER_BYTES = 65_536
+
+
+class CallerDisconnectedError(Exception):
+    """The caller closed its connection before its response was complete."""
+
+
+class BadRequestError(Exception):
+    """The caller's request is invalid, late or larger than the limits allow.
+
+    Parameters
+    ----------
+    status : int
+    detail : str
+    """
+
+    def __init__(self, status, detail):
+        super().__init__(detail)
+        self.status = status
+
+
+class CallerRequest:
+    """A completely received request.
+
+    Attributes
+    ----------
+    method, target : bytes
+    headers : list of (bytes, bytes)
+        Names in the caller's spelling.
+    host : bytes
+    body : bytes or None
+        None if the request has no body.
+    received_ms : float
+        Monotonic time at which its header was complete, or earlier if the caller waited
+        in the listen queue.
+    """
+
+    __slots__ = ("body", "headers", "host", "method", "received_ms", "target")
+
+    def __init__(self, head, body, received_ms):
+        self.method = bytes(head.method)
+        self.target = bytes(head.target)
+        self.headers = [(bytes(n), bytes(v)) for n, v in head.headers.raw_items()]
+        hosts = [v for n, v in self.headers if n.lower() == b"host"]
+        self.host = hosts[0] if hosts else b""
+        self.body = body
+        self.received_ms = received_ms
+
+    @property
+    def path(self):
+        """Path without its query."""
+        return self.target.partition(b"?")[0].decode("latin-1")
+
+
+class RequestReader:
+    """Reads one request after another.
+
+    Parameters
+    ----------
+    connection : h11.Connection
+    stream : trio.SocketStream
+    clock : Clock
+    limits : callable
+        Returns the `CallerLimits` in force.
+    queued_since_ms : float or None
+        Earliest time at which the caller may have connected, if it waited in the listen
+        queue while this instance started.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_connection",
+        "_idle_scope",
+        "_is_closing_idle",
+        "_limits",
+        "_queued_since_ms",
+        "_stream",
+    )
+
+    def __init__(self, connection, stream, clock, limits, queued_since_ms):
+        self._connection = connection
+        self._stream = stream
+        self._clock = clock
+        self._limits = limits
+        self._queued_since_ms = queued_since_ms
+        self._idle_scope = trio.CancelScope()
+        self._is_closing_idle = False
+
+    def close_idle(self):
+        """Return no request from now on of which no byte has arrived."""
+        self._is_closing_idle = True
+        self._idle_scope.cancel()
+
+    async def read(self):
+        """Return the next `CallerRequest`, or None at the end of the connection.
+
+        Raises
+        ------
+        BadRequestError
+        CallerDisconnectedError
+            If the connection ends within the body.
+        """
+        if not await self._wait_for_request():
+            return None
+        limits = self._limits()
+        head = await self._read_head(limits)
+        if head is None:
+            return None
+        received_ms = self._clock.now_ms()
+        if self._queued_since_ms is not None:
+            received_ms, self._queued_since_ms = self._queued_since_ms, None
+        return CallerRequest(head, await self._read_body(limits), received_ms)
+
+    async def _wait_for_request(self):
+        """Return whether a part of a request can be read.
+
+        Only this wait is cancelled when idle connections are closed.
+        """
+        if self._connection.trailing_data[0]:
+            return True
+        has_data = False
+        with trio.CancelScope() as self._idle_scope:
+            if self._is_closing_idle:
+                self._idle_scope.cancel()
+            has_data = await self._wait_for_data(self._limits().idle_ms)
+        return has_data or self._stream.socket.is_readable()
+
+    async def _wait_for_data(self, timeout_ms):
+        """Return whether data, or the end of the connection, can be read in time."""
+        with self._clock.scope_until(self._clock.now_ms() + timeout_ms):
+            await trio.lowlevel.wait_readable(self._stream.socket)
+            return True
+        # The timeout may pass together with the arrival of data.
+        return self._stream.socket.is_readable()
+
+    async def _read_head(self, limits):
+        """Return the `h11.Request`, or None at the end of the connection."""
+        while True:
+            event = self._next_event()
+            if event is not h11.NEED_DATA:
+                return self._validate_head(event, limits)
+            if not await self._wait_for_data(limits.header_ms):
+                raise BadRequestError(408, "timed out reading the request header")
+            if not await self._receive():
+                return None
+
+    def _validate_head(self, event, limits):
+        if not isinstance(event, h11.Request):
+            return None
+        size = sum(len(name) + len(value) for name, value in event.headers)
+        # h11 does not apply its own limit to a header that arrives in one piece.
+        if size + len(event.target) > limits.header_bytes:
+            raise BadRequestError(431, "request header exceeds the size limit")
+        return event
+
+    async def _read_body(self, limits):
+        """Return the body, or None if the request has none."""
+        parts, size, has_body = [], 0, False
+        if self._connection.they_are_waiting_for_100_continue:
+            await self._stream.send_all(
+                self._connection.send(
+                    h11.InformationalResponse(status_code=100, headers=[])
+                )
+            )
+        while True:
+            event = self._next_event()
+            if event is h11.NEED_DATA:
+                has_body = True
+                if not await self._wait_for_data(limits.idle_ms):
+                    raise BadRequestError(408, "timed out reading the request body")
+                if not await self._receive():
+                    raise CallerDisconnectedError("closed within the request body")
+            elif isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+                size += len(event.data)
+                if size > limits.body_bytes:
+                    raise BadRequestError(413, "request body exceeds the size limit")
+            elif isinstance(event, h11.EndOfMessage):
+                return b"".join(parts) if parts or has_body else None
+            else:
+                raise CallerDisconnectedError("closed within the request body")
+
+    def _next_event(self):
+        try:
+            return self._connection.next_event()
+        except h11.RemoteProtocolError as error:
+            raise BadRequestError(error.error_status_hint, str(error)) from error
+
+    async def _receive(self):
+        try:
+            data = await self._stream.receive_some(RECEIVE_BUFFER_BYTES)
+        except trio.BrokenResourceError:
+            return False
+        if not data:
+            return False
+        self._connection.receive_data(data)
+        return True
