Apply limits that a new configuration raises to requests under way

What callers saw: 408, 413, 431 or a closed idle connection for what the limits in force allowed, as a new version raised a limit while the connection was open.

Cause: the limits were read once as the connection became idle, again as the body began, and h11 kept the header limit of the time the connection opened.

Change: RequestReader checks each limit against those in force at the begin of the request, or of the idle time, and those in force now; the more permissive one counts. It applies the header limit itself.

--- a/vanillareach/core/routing.py
+++ b/vanillareach/core/routing.py
@@ -159,6 +159,17 @@
     header_ms: float = 3_000.0
     idle_ms: float = 15_000.0
 
+    def union(self, other):
+        """Return limits that allow what either of the two allows."""
+        if other == self:
+            return self
+        return CallerLimits(
+            max(self.header_bytes, other.header_bytes),
+            max(self.body_bytes, other.body_bytes),
+            max(self.header_ms, other.header_ms),
+            max(self.idle_ms, other.idle_ms),
+        )
+
 
 @dataclass(slots=True, frozen=True)
 class RoutedTeam:
--- a/vanillareach/features/connections.feature
+++ b/vanillareach/features/connections.feature
@@ -15,3 +15,20 @@
   Scenario: A caller that ignores the close of its connection isn't kept waiting
     When a caller sends "/read/a" twice on a connection that is closed in between
     Then the connection ends within 200 ms
+
+  Scenario Outline: A request is served if older or newer limits allow it
+    When a caller has sent <part> of a request as "<limit>" changes from <old> to <new>
+    Then the response is 200, complete and signed
+
+    Examples:
+      | part            | limit             | old   | new   |
+      | nothing         | idle_timeout_ms   | 400   | 5000  |
+      | nothing         | idle_timeout_ms   | 5000  | 400   |
+      | nothing         | max_header_bytes  | 500   | 16000 |
+      | half the header | max_header_bytes  | 500   | 16000 |
+      | half the header | max_header_bytes  | 16000 | 500   |
+      | half the header | header_timeout_ms | 400   | 5000  |
+      | half the header | header_timeout_ms | 5000  | 400   |
+      | half the body   | max_body_bytes    | 1500  | 10000 |
+      | half the body   | max_body_bytes    | 10000 | 500   |
+      | half the body   | idle_timeout_ms   | 400   | 5000  |
--- a/vanillareach/features/steps/connections.py
+++ b/vanillareach/features/steps/connections.py
@@ -6,8 +6,14 @@
 import trio
 from behave import then, when
 
+from vanillareach.features.users_platform.stage import configuration
+
 STOP_DURATION_MS = 5_000
+# Longer than the shorter timeouts of the scenarios, shorter than the longer ones.
+PAUSE_S = 0.8
 SETTLE_S = 0.05
+HEADER_BYTES = 1_000
+BODY_BYTES = 2_000
 
 
 async def connect_callers(context, count):
@@ -98,3 +104,39 @@
 def step_check_duration(context, limit_ms):
     assert not context.data
     assert context.duration_ms < limit_ms, context.duration_ms
+
+
+@when(
+    'a caller has sent {part} of a request as "{limit}" changes from {old:d} to {new:d}'
+)
+def step_change_limit(context, part, limit, old, new):
+    stage = context.platform
+
+    async def apply_limit(version, value):
+        document = configuration(version)
+        limits = {**document["limits"], limit: value}
+        stage.store.put("config", "main", {**document, "limits": limits})
+        state = stage.gateways[0].state
+        await stage.until(lambda: state.configuration.version == version)
+
+    async def call():
+        await apply_limit(2, old)
+        async with await stage.connect() as caller:
+            await trio.sleep(SETTLE_S)
+            request = caller.encode(
+                "/read/a", body=b"x" * BODY_BYTES, X_Large="x" * HEADER_BYTES
+            )
+            sizes_by_part = {
+                "nothing": 0,
+                "half the header": HEADER_BYTES // 2,
+                "half the body": len(request) - BODY_BYTES // 2,
+            }
+            size = sizes_by_part[part]
+            await caller.send_raw(request[:size])
+            await trio.sleep(SETTLE_S)
+            await apply_limit(3, new)
+            await trio.sleep(PAUSE_S)
+            await caller.send_raw(request[size:])
+            context.response = await caller.receive()
+
+    context.run(call)
--- a/vanillareach/gateway/connections.py
+++ b/vanillareach/gateway/connections.py
@@ -5,6 +5,7 @@
 
 from vanillareach.clock import MS_PER_SECOND
 from vanillareach.gateway.request_reader import (
+    NO_LIMIT_BYTES,
     RECEIVE_BUFFER_BYTES,
     BadRequestError,
     CallerDisconnectedError,
@@ -112,7 +113,7 @@
         self._listener = listener
         self._connection = h11.Connection(
             h11.SERVER,
-            max_incomplete_event_size=listener.limits().header_bytes,
+            max_incomplete_event_size=NO_LIMIT_BYTES,
         )
         self._reader = RequestReader(
             self._connection, stream, listener.clock, listener.limits, queued_since_ms
--- a/vanillareach/gateway/request_reader.py
+++ b/vanillareach/gateway/request_reader.py
@@ -1,9 +1,13 @@
 """Reads the requests of one connection of a caller."""
 
+import sys
+
 import h11
 import trio
 
 RECEIVE_BUFFER_BYTES = 65_536
+# `RequestReader` applies the limit, which h11 could not change later.
+NO_LIMIT_BYTES = sys.maxsize
 
 
 class CallerDisconnectedError(Exception):
@@ -60,9 +64,13 @@
 class RequestReader:
     """Reads one request after another.
 
+    A request is allowed what the limits allow that were in force at its begin, or those
+    in force when they are checked.
+
     Parameters
     ----------
     connection : h11.Connection
+        Without a limit of its own, `NO_LIMIT_BYTES`.
     stream : trio.SocketStream
     clock : Clock
     limits : callable
@@ -77,7 +85,8 @@
         "_connection",
         "_idle_scope",
         "_is_closing_idle",
-        "_limits",
+        "_limits_at_begin",
+        "_limits_in_force",
         "_queued_since_ms",
         "_stream",
     )
@@ -86,7 +95,8 @@
         self._connection = connection
         self._stream = stream
         self._clock = clock
-        self._limits = limits
+        self._limits_in_force = limits
+        self._limits_at_begin = limits()
         self._queued_since_ms = queued_since_ms
         self._idle_scope = trio.CancelScope()
         self._is_closing_idle = False
@@ -105,16 +115,20 @@
         CallerDisconnectedError
             If the connection ends within the body.
         """
+        self._limits_at_begin = self._limits_in_force()
         if not await self._wait_for_request():
             return None
-        limits = self._limits()
-        head = await self._read_head(limits)
+        self._limits_at_begin = self._limits_in_force()
+        head = await self._read_head()
         if head is None:
             return None
         received_ms = self._clock.now_ms()
         if self._queued_since_ms is not None:
             received_ms, self._queued_since_ms = self._queued_since_ms, None
-        return CallerRequest(head, await self._read_body(limits), received_ms)
+        return CallerRequest(head, await self._read_body(), received_ms)
+
+    def _limits(self):
+        return self._limits_at_begin.union(self._limits_in_force())
 
     async def _wait_for_request(self):
         """Return whether a part of a request can be read.
@@ -127,38 +141,47 @@
         with trio.CancelScope() as self._idle_scope:
             if self._is_closing_idle:
                 self._idle_scope.cancel()
-            has_data = await self._wait_for_data(self._limits().idle_ms)
+            has_data = await self._wait_for_data(lambda limits: limits.idle_ms)
         return has_data or self._stream.socket.is_readable()
 
-    async def _wait_for_data(self, timeout_ms):
-        """Return whether data, or the end of the connection, can be read in time."""
-        with self._clock.scope_until(self._clock.now_ms() + timeout_ms):
-            await trio.lowlevel.wait_readable(self._stream.socket)
-            return True
-        # The timeout may pass together with the arrival of data.
-        return self._stream.socket.is_readable()
+    async def _wait_for_data(self, timeout_of):
+        """Return whether data, or the end of the connection, can be read in time.
 
-    async def _read_head(self, limits):
+        Parameters
+        ----------
+        timeout_of : callable
+            Returns the timeout in ms of `CallerLimits`.
+        """
+        begin_ms = self._clock.now_ms()
+        while True:
+            timeout_ms = timeout_of(self._limits())
+            with self._clock.scope_until(begin_ms + timeout_ms):
+                await trio.lowlevel.wait_readable(self._stream.socket)
+                return True
+            if timeout_of(self._limits()) <= timeout_ms:
+                # The timeout may pass together with the arrival of data.
+                return self._stream.socket.is_readable()
+
+    async def _read_head(self):
         """Return the `h11.Request`, or None at the end of the connection."""
         while True:
             event = self._next_event()
             if event is not h11.NEED_DATA:
-                return self._validate_head(event, limits)
-            if not await self._wait_for_data(limits.header_ms):
+                return self._validate_head(event)
+            if not await self._wait_for_data(lambda limits: limits.header_ms):
                 raise BadRequestError(408, "timed out reading the request header")
             if not await self._receive():
                 return None
 
-    def _validate_head(self, event, limits):
+    def _validate_head(self, event):
         if not isinstance(event, h11.Request):
             return None
         size = sum(len(name) + len(value) for name, value in event.headers)
-        # h11 does not apply its own limit to a header that arrives in one piece.
-        if size + len(event.target) > limits.header_bytes:
+        if size + len(event.target) > self._limits().header_bytes:
             raise BadRequestError(431, "request header exceeds the size limit")
         return event
 
-    async def _read_body(self, limits):
+    async def _read_body(self):
         """Return the body, or None if the request has none."""
         parts, size, has_body = [], 0, False
         if self._connection.they_are_waiting_for_100_continue:
@@ -171,14 +194,14 @@
             event = self._next_event()
             if event is h11.NEED_DATA:
                 has_body = True
-                if not await self._wait_for_data(limits.idle_ms):
+                if not await self._wait_for_data(lambda limits: limits.idle_ms):
                     raise BadRequestError(408, "timed out reading the request body")
                 if not await self._receive():
                     raise CallerDisconnectedError("closed within the request body")
             elif isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
                 size += len(event.data)
-                if size > limits.body_bytes:
+                if size > self._limits().body_bytes:
                     raise BadRequestError(413, "request body exceeds the size limit")
             elif isinstance(event, h11.EndOfMessage):
                 return b"".join(parts) if parts or has_body else None
@@ -187,9 +210,14 @@
 
     def _next_event(self):
         try:
-            return self._connection.next_event()
+            event = self._connection.next_event()
         except h11.RemoteProtocolError as error:
             raise BadRequestError(error.error_status_hint, str(error)) from error
+        if event is h11.NEED_DATA:
+            incomplete = self._connection.trailing_data[0]
+            if len(incomplete) > self._limits().header_bytes:
+                raise BadRequestError(431, "request header exceeds the size limit")
+        return event
 
     async def _receive(self):
         try:
