Answer 500 when the handler fails before its response begins

What callers saw: a connection closed without an answer after an unhandled error of the gateway, and after every refusal of a request by HEAD. The log named no request; a response that could not be built left no line at all.

Cause: CallerConnection logged the exception and closed. h11 refuses a body in a response to HEAD, and its LocalProtocolError was swallowed.

Change: a handler that fails, or returns without a response, before a byte of it was sent is answered for with 500, a body of the gateway's own and Connection: close; the line names method and path. Responses to HEAD leave out the body.

--- a/vanillareach/features/connections.feature
+++ b/vanillareach/features/connections.feature
@@ -32,3 +32,21 @@
       | half the body   | max_body_bytes    | 1500  | 10000 |
       | half the body   | max_body_bytes    | 10000 | 500   |
       | half the body   | idle_timeout_ms   | 400   | 5000  |
+
+  Scenario Outline: A fault of the gateway is answered and names the request
+    Given the gateway will meet "<fault>" in its own code
+    When a caller sends "/read/a?key=secret"
+    Then the response is 500
+    And it has a body of its own and closes the connection
+    And a log line names "/read/a" and not "secret"
+
+    Examples:
+      | fault           |
+      | an exception    |
+      | no response     |
+      | a bad header    |
+      | a bad body      |
+
+  Scenario: A request by HEAD that is refused gets its response
+    When a caller sends "/none/a" by HEAD
+    Then the response is 404
--- a/vanillareach/features/steps/connections.py
+++ b/vanillareach/features/steps/connections.py
@@ -3,8 +3,10 @@
 import os
 import socket
 
+import msgspec
+import structlog
 import trio
-from behave import then, when
+from behave import given, then, when
 
 from vanillareach.features.users_platform.stage import configuration
 
@@ -140,3 +142,58 @@
             context.response = await caller.receive()
 
     context.run(call)
+
+
+async def raise_exception(request, responder):
+    raise KeyError("figures")
+
+
+async def answer_nothing(request, responder):
+    return
+
+
+async def send_bad_header(request, responder):
+    await responder.answer(200, [(b"Bad", b"a\x00b")], b"")
+
+
+async def send_bad_body(request, responder):
+    await responder.answer(204, [], b"body")
+
+
+HANDLERS_BY_FAULT = {
+    "an exception": raise_exception,
+    "no response": answer_nothing,
+    "a bad header": send_bad_header,
+    "a bad body": send_bad_body,
+}
+
+
+@given('the gateway will meet "{fault}" in its own code')
+def step_break_handler(context, fault):
+    context.platform.gateways[0].caller_listener.handle = HANDLERS_BY_FAULT[fault]
+    capture = structlog.testing.capture_logs()
+    context.lines = capture.__enter__()
+    context.add_cleanup(capture.__exit__, None, None, None)
+
+
+@then("it has a body of its own and closes the connection")
+def step_check_error_body(context):
+    response = context.response
+    assert msgspec.json.decode(response.body)["outcome"] == "unknown"
+    assert response.values_by_name[b"connection"] == b"close"
+    assert b"vanillareach-response-signature" not in response.values_by_name
+
+
+@then('a log line names "{path}" and not "{secret}"')
+def step_check_log_line(context, path, secret):
+    lines = [str(line) for line in context.lines if path in str(line)]
+    assert lines, context.lines
+    assert secret not in str(lines)
+
+
+@when('a caller sends "{path}" by HEAD')
+def step_send_head(context, path):
+    async def call():
+        context.response = await context.platform.call(path, method="HEAD", body=b"")
+
+    context.run(call)
--- a/vanillareach/gateway/connections.py
+++ b/vanillareach/gateway/connections.py
@@ -17,6 +17,8 @@
 MAX_PIPELINED_BYTES = 65_536
 # Time for a caller to close its side of the connection after the last response.
 LINGER_TIMEOUT_MS = 500.0
+# The request may have run, as after any 500.
+ERROR_BODY = b'{"outcome":"unknown","reason":"internal_error"}'
 
 log = get_logger("connections")
 
@@ -34,21 +36,32 @@
     stream : trio.SocketStream
     is_stopping : callable
         Whether the connection is to be closed after this response.
+    is_head : bool
+        Whether the request's method is HEAD, so that the response has no body.
     """
 
-    __slots__ = ("_connection", "_is_stopping", "_stream", "is_complete", "is_started")
+    __slots__ = (
+        "_connection",
+        "_is_head",
+        "_is_stopping",
+        "_stream",
+        "is_complete",
+        "is_started",
+    )
 
-    def __init__(self, connection, stream, is_stopping):
+    def __init__(self, connection, stream, is_stopping, is_head=False):
         self._connection = connection
         self._stream = stream
         self._is_stopping = is_stopping
+        self._is_head = is_head
         self.is_started = False
         self.is_complete = False
 
     async def start(self, status, headers, reason=b""):
         """Send the status and headers, which include the framing."""
+        data = self._head(status, headers, reason)
         self.is_started = True
-        await self._write(self._head(status, headers, reason))
+        await self._write(data)
 
     async def send(self, data):
         """Send a part of the body."""
@@ -72,11 +85,11 @@
     async def answer(self, status, headers, body, reason=b""):
         """Send a complete response."""
         headers = [*headers, (b"Content-Length", str(len(body)).encode())]
-        self.is_started = True
         data = self._head(status, headers, reason)
-        if body:
+        if body and not self._is_head:
             data += self._connection.send(h11.Data(data=body))
         data += self._connection.send(h11.EndOfMessage())
+        self.is_started = True
         await self._write(data)
         self.is_complete = True
 
@@ -129,11 +142,7 @@
         try:
             while await self._serve_request():
                 self._connection.start_next_cycle()
-        except (
-            CallerDisconnectedError,
-            ResponseAbortedError,
-            h11.LocalProtocolError,
-        ):
+        except (CallerDisconnectedError, ResponseAbortedError):
             pass
         except BadRequestError as error:
             await self._refuse(error)
@@ -149,27 +158,71 @@
         if request is None:
             return False
         self._pipelined_bytes = 0
-        responder = Responder(
-            self._connection, self._stream, self._listener.is_stopping
-        )
-        await self._handle(request, responder)
-        if not responder.is_complete:
-            raise ResponseAbortedError("the handler sent no complete response")
+        await self._handle(request)
         return self._connection.our_state is h11.DONE
 
-    async def _handle(self, request, responder):
-        """Run the handler and cancel it as soon as the caller disconnects."""
-        failure = None
+    async def _handle(self, request):
+        """Respond to a request, cancelled as soon as the caller disconnects."""
+        failure, is_answered = None, False
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._cancel_on_disconnect, nursery.cancel_scope)
             try:
-                await self._listener.handle(request, responder)
+                await self._respond(request)
+                is_answered = True
             except Exception as error:
                 # Raised outside the nursery, which would wrap it in an exception group.
                 failure = error
             nursery.cancel_scope.cancel()
         if failure is not None:
             raise failure
+        if not is_answered:
+            raise CallerDisconnectedError("closed before the response")
+
+    async def _respond(self, request):
+        """Run the handler; if it fails before the response begins, send an error.
+
+        Raises
+        ------
+        ResponseAbortedError
+            If the response has begun and isn't complete.
+        """
+        responder = Responder(
+            self._connection,
+            self._stream,
+            self._listener.is_stopping,
+            is_head=request.method == b"HEAD",
+        )
+        try:
+            await self._listener.handle(request, responder)
+        except (CallerDisconnectedError, ResponseAbortedError):
+            raise
+        except Exception:
+            log.exception(
+                "Unhandled error while serving a request.",
+                method=request.method.decode("latin-1"),
+                path=request.path,
+            )
+        else:
+            if not responder.is_started:
+                log.error("No response by the handler.", path=request.path)
+        if responder.is_complete:
+            return
+        if responder.is_started:
+            raise ResponseAbortedError("the handler sent no complete response")
+        await self._send_error(request)
+
+    async def _send_error(self, request):
+        """Send an error response in place of one that the handler could not send."""
+        # The state of the current one may allow no response after a failed one.
+        self._connection = h11.Connection(h11.SERVER)
+        responder = Responder(
+            self._connection,
+            self._stream,
+            lambda: True,
+            is_head=request.method == b"HEAD",
+        )
+        headers = [(b"Content-Type", b"application/json")]
+        await responder.answer(500, headers, ERROR_BODY)
 
     async def _cancel_on_disconnect(self, scope):
         """Cancel `scope` when the caller disconnects, which only reading detects.
