Send a complete response to its end although its deadline passes

What callers saw: an answer that the gateway had in full was cut if the deadline passed while it was being written, for example to a caller that reads slowly. A response cancelled before its first byte counted as begun, so that no error response followed and the connection was closed.

Cause: writes ran in the scope of the request's deadline, and is_started was set before the write.

Change: Responder keeps what a cancelled write has left. CallerConnection sends the rest of a complete response outside the scope of the deadline; the caller's disconnect and the end of a stop still end it. start() checks for cancellation before it counts the response as begun.

--- a/vanillareach/features/connections.feature
+++ b/vanillareach/features/connections.feature
@@ -50,3 +50,13 @@
   Scenario: A request by HEAD that is refused gets its response
     When a caller sends "/none/a" by HEAD
     Then the response is 404
+
+  Scenario: A complete response is delivered although its deadline passes meanwhile
+    Given all endpoints will "answer_large"
+    When a caller sends "/read/a" with a deadline of 800 ms and reads after 1200 ms
+    Then the response is 200, complete and signed
+
+  Scenario: A response that is cancelled before its first byte has not begun
+    Given the gateway will meet "a deadline before the first byte" in its own code
+    When a caller sends "/read/a"
+    Then the response is 503
--- a/vanillareach/features/steps/connections.py
+++ b/vanillareach/features/steps/connections.py
@@ -160,7 +160,16 @@
     await responder.answer(204, [], b"body")
 
 
+async def start_after_deadline(request, responder):
+    with trio.CancelScope() as scope:
+        scope.cancel()
+        await responder.start(200, [(b"Transfer-Encoding", b"chunked")])
+    if not responder.is_started:
+        await responder.answer(503, [], b"")
+
+
 HANDLERS_BY_FAULT = {
+    "a deadline before the first byte": start_after_deadline,
     "an exception": raise_exception,
     "no response": answer_nothing,
     "a bad header": send_bad_header,
@@ -197,3 +206,17 @@
         context.response = await context.platform.call(path, method="HEAD", body=b"")
 
     context.run(call)
+
+
+@when(
+    'a caller sends "{path}" with a deadline of {deadline_ms:d} ms and reads after '
+    "{delay_ms:d} ms"
+)
+def step_read_after_deadline(context, path, deadline_ms, delay_ms):
+    async def call():
+        async with await context.platform.connect(buffer_bytes=4096) as caller:
+            await caller.send(path, Vanillareach_Deadline_Ms=str(deadline_ms))
+            await trio.sleep(delay_ms / 1000)
+            context.response = await caller.receive()
+
+    context.run(call)
--- a/vanillareach/features/users_platform/endpoint.py
+++ b/vanillareach/features/users_platform/endpoint.py
@@ -12,6 +12,7 @@
 SILENCE_S = 1.9
 # Exceeds the capacity of the buffers between an endpoint and a caller.
 FLOOD_EVENT_BYTES = 2_000_000
+LARGE_BODY_BYTES = 4_000_000
 
 
 def response_body(attempt_id):
@@ -90,6 +91,11 @@
         body = response_body(received.values_by_name.get(names.ATTEMPT_ID, "")).encode()
         await responder.answer(200, self._response_headers(received), body)
 
+    async def _answer_large(self, received, responder):
+        """Respond with a body that exceeds the buffers of a caller's connection."""
+        body = b"x" * LARGE_BODY_BYTES
+        await responder.answer(200, self._response_headers(received), body)
+
     async def _fail(self, received, responder):
         await responder.answer(500, self._response_headers(received), b"failed")
 
--- a/vanillareach/features/users_platform/stage.py
+++ b/vanillareach/features/users_platform/stage.py
@@ -238,10 +238,17 @@
         async with await self.connect(gateway) as caller:
             return await caller.call(path, method, body, **values)
 
-    async def connect(self, gateway=0):
-        """Return a `Caller` with an open connection."""
-        address = self.gateways[gateway].settings.front_listen
-        return Caller(self, await trio.open_tcp_stream(*split_address(address)))
+    async def connect(self, gateway=0, buffer_bytes=None):
+        """Return a `Caller` with an open connection.
+
+        `buffer_bytes` is the size of its receive buffer if it isn't the default.
+        """
+        address = split_address(self.gateways[gateway].settings.front_listen)
+        sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        if buffer_bytes is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
+        await sock.connect(address)
+        return Caller(self, trio.SocketStream(sock))
 
     def next_id(self):
         """Return a new attempt id."""
--- a/vanillareach/gateway/connections.py
+++ b/vanillareach/gateway/connections.py
@@ -38,6 +38,13 @@
         Whether the connection is to be closed after this response.
     is_head : bool
         Whether the request's method is HEAD, so that the response has no body.
+
+    Attributes
+    ----------
+    is_started : bool
+        Whether a response has begun, so that no other one may be sent.
+    is_complete : bool
+        Whether the response is complete; `flush` sends what is left of it.
     """
 
     __slots__ = (
@@ -45,6 +52,7 @@
         "_is_head",
         "_is_stopping",
         "_stream",
+        "_unsent",
         "is_complete",
         "is_started",
     )
@@ -54,11 +62,14 @@
         self._stream = stream
         self._is_stopping = is_stopping
         self._is_head = is_head
+        self._unsent = memoryview(b"")
         self.is_started = False
         self.is_complete = False
 
     async def start(self, status, headers, reason=b""):
         """Send the status and headers, which include the framing."""
+        # A write that is cancelled at once sends nothing: the response hasn't begun.
+        await trio.lowlevel.checkpoint_if_cancelled()
         data = self._head(status, headers, reason)
         self.is_started = True
         await self._write(data)
@@ -79,8 +90,8 @@
             data = self._connection.send(h11.EndOfMessage())
         except h11.LocalProtocolError as error:
             raise ResponseAbortedError(str(error)) from error
-        await self._write(data)
         self.is_complete = True
+        await self._write(data)
 
     async def answer(self, status, headers, body, reason=b""):
         """Send a complete response."""
@@ -90,8 +101,21 @@
             data += self._connection.send(h11.Data(data=body))
         data += self._connection.send(h11.EndOfMessage())
         self.is_started = True
-        await self._write(data)
         self.is_complete = True
+        await self._write(data)
+
+    async def flush(self):
+        """Send what a cancelled call has left unsent.
+
+        A deadline that passes as a complete response is sent doesn't cut it if this is
+        called outside the scope of the deadline.
+        """
+        while self._unsent:
+            try:
+                sent_bytes = await self._stream.socket.send(self._unsent)
+            except OSError as error:
+                raise CallerDisconnectedError(str(error)) from error
+            self._unsent = self._unsent[sent_bytes:]
 
     def _head(self, status, headers, reason):
         if self._is_stopping():
@@ -101,12 +125,8 @@
         )
 
     async def _write(self, data):
-        if not data:
-            return
-        try:
-            await self._stream.send_all(data)
-        except trio.BrokenResourceError as error:
-            raise CallerDisconnectedError(str(error)) from error
+        self._unsent = memoryview(bytes(self._unsent) + data)
+        await self.flush()
 
 
 class CallerConnection:
@@ -194,8 +214,11 @@
         )
         try:
             await self._listener.handle(request, responder)
-        except (CallerDisconnectedError, ResponseAbortedError):
+        except CallerDisconnectedError:
             raise
+        except ResponseAbortedError:
+            if not responder.is_complete:
+                raise
         except Exception:
             log.exception(
                 "Unhandled error while serving a request.",
@@ -206,10 +229,11 @@
             if not responder.is_started:
                 log.error("No response by the handler.", path=request.path)
         if responder.is_complete:
-            return
-        if responder.is_started:
+            await responder.flush()
+        elif responder.is_started:
             raise ResponseAbortedError("the handler sent no complete response")
-        await self._send_error(request)
+        else:
+            await self._send_error(request)
 
     async def _send_error(self, request):
         """Send an error response in place of one that the handler could not send."""
