Reset the connection of an HTTP/1.0 caller whose stream is cut

What callers saw: a stream that the gateway aborted, or cut at the end of a stop, looked complete to an HTTP/1.0 caller: it has no chunks and ends with its connection.

Change: until a response to HTTP/1.0 is complete, the socket is set to reset on close, however it comes to be closed.

--- a/vanillareach/features/connections.feature
+++ b/vanillareach/features/connections.feature
@@ -60,3 +60,8 @@
     Given the gateway will meet "a deadline before the first byte" in its own code
     When a caller sends "/read/a"
     Then the response is 503
+
+  Scenario: A stream that is aborted looks incomplete to an HTTP/1.0 caller too
+    Given the first endpoint called will "torn"
+    When an HTTP/1.0 caller sends "/once/a"
+    Then its connection is reset after the first events
--- a/vanillareach/features/steps/connections.py
+++ b/vanillareach/features/steps/connections.py
@@ -220,3 +220,25 @@
             context.response = await caller.receive()
 
     context.run(call)
+
+
+@when('an HTTP/1.0 caller sends "{path}"')
+def step_send_http_1_0(context, path):
+    async def call():
+        async with await context.platform.connect() as caller:
+            request = caller.encode(path, Vanillareach_Token_Usage="1000,100")
+            await caller.send_raw(request.replace(b"HTTP/1.1", b"HTTP/1.0", 1))
+            context.data = b""
+            context.is_reset = False
+            try:
+                while data := await caller._stream.receive_some():
+                    context.data += data
+            except trio.BrokenResourceError:
+                context.is_reset = True
+
+    context.run(call)
+
+
+@then("its connection is reset after the first events")
+def step_check_reset(context):
+    assert context.is_reset, context.data
--- a/vanillareach/gateway/connections.py
+++ b/vanillareach/gateway/connections.py
@@ -11,6 +11,7 @@
     CallerDisconnectedError,
     RequestReader,
 )
+from vanillareach.gateway.sockets import set_reset_on_close
 from vanillareach.log import get_logger
 
 # Bytes of pipelined requests that are read while a response is in progress.
@@ -178,7 +179,13 @@
         if request is None:
             return False
         self._pipelined_bytes = 0
+        # Without chunks, a stream that is cut would look complete.
+        is_ended_by_close = self._connection.their_http_version < b"1.1"
+        if is_ended_by_close:
+            set_reset_on_close(self._stream.socket, True)
         await self._handle(request)
+        if is_ended_by_close:
+            set_reset_on_close(self._stream.socket, False)
         return self._connection.our_state is h11.DONE
 
     async def _handle(self, request):
--- a/vanillareach/gateway/sockets.py
+++ b/vanillareach/gateway/sockets.py
@@ -1,6 +1,7 @@
 """TCP sockets that detect the loss of an unresponsive peer within seconds."""
 
 import socket
+import struct
 
 import trio
 
@@ -36,6 +37,18 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
 
 
+def set_reset_on_close(sock, is_enabled):
+    """Choose whether closing a socket resets the connection, at any exit too.
+
+    Parameters
+    ----------
+    sock : trio.socket.SocketType
+    is_enabled : bool
+    """
+    linger = struct.pack("ii", is_enabled, 0)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 async def connect(address, timeout_ms):
     """Return a stream to ``host:port``.
 
