--- /dev/null
+++ b/vanillareach/features/connections.feature
@@ -0,0 +1,67 @@
+@platform
+Feature: A request on an open connection is answered whatever happens meanwhile
+
+  Background:
+    Given a gateway in front of engines "m1,m2" and services "d1,d2"
+
+  Scenario: A request that has arrived as idle connections are closed is answered
+    When 20 callers send a request just before idle connections are closed
+    Then each of them gets a complete response that closes its connection
+
+  Scenario: A request that is being read as idle connections are closed is answered
+    When 20 callers send a request and idle connections are closed as it is read
+    Then each of them gets a complete response that closes its connection
+
+  Scenario: A caller that ignores the close of its connection isn't kept waiting
+    When a caller sends "/read/a" twice on a connection that is closed in between
+    Then the connection ends within 200 ms
+
+  Scenario Outline: A request is served if older or newer limits allow it
+    When a caller has sent <part> of a request as "<limit>" changes from <old> to <new>
+    Then the response is 200, complete and signed
+
+    Examples:
+      | part            | limit             | old   | new   |
+      | nothing         | idle_timeout_ms   | 400   | 5000  |
+      | nothing         | idle_timeout_ms   | 5000  | 400   |
+      | nothing         | max_header_bytes  | 500   | 16000 |
+      | half the header | max_header_bytes  | 500   | 16000 |
+      | half the header | max_header_bytes  | 16000 | 500   |
+      | half the header | header_timeout_ms | 400   | 5000  |
+      | half the header | header_timeout_ms | 5000  | 400   |
+      | half the body   | max_body_bytes    | 1500  | 10000 |
+      | half the body   | max_body_bytes    | 10000 | 500   |
+      | half the body   | idle_timeout_ms   | 400   | 5000  |
+
+  Scenario Outline: A fault of the gateway is answered and names the request
+    Given the gateway will meet "<fault>" in its own code
+    When a caller sends "/read/a?key=secret"
+    Then the response is 500
+    And it has a body of its own and closes the connection
+    And a log line names "/read/a" and not "secret"
+
+    Examples:
+      | fault           |
+      | an exception    |
+      | no response     |
+      | a bad header    |
+      | a bad body      |
+
+  Scenario: A request by HEAD that is refused gets its response
+    When a caller sends "/none/a" by HEAD
+    Then the response is 404
+
+  Scenario: A complete response is delivered although its deadline passes meanwhile
+    Given all endpoints will "answer_large"
+    When a caller sends "/read/a" with a deadline of 800 ms and reads after 1200 ms
+    Then the response is 200, complete and signed
+
+  Scenario: A response that is cancelled before its first byte has not begun
+    Given the gateway will meet "a deadline before the first byte" in its own code
+    When a caller sends "/read/a"
+    Then the response is 503
+
+  Scenario: A stream that is aborted looks incomplete to an HTTP/1.0 caller too
+    Given the first endpoint called will "torn"
+    When an HTTP/1.0 caller sends "/once/a"
+    Then its connection is reset after the first events
--- /dev/null
+++ b/vanillareach/features/steps/connections.py
@@ -0,0 +1,244 @@
+"""Steps about callers' connections: their end, their limits and their errors."""
+
+import os
+import socket
+
+import msgspec
+import structlog
+import trio
+from behave import given, then, when
+
+from vanillareach.features.users_platform.stage import configuration
+
+STOP_DURATION_MS = 5_000
+# Longer than the shorter timeouts of the scenarios, shorter than the longer ones.
+PAUSE_S = 0.8
+SETTLE_S = 0.05
+HEADER_BYTES = 1_000
+BODY_BYTES = 2_000
+
+
+async def connect_callers(context, count):
+    """Return callers whose connections wait for their next request."""
+    callers = [await context.platform.connect() for _ in range(count)]
+    for caller in callers:
+        assert (await caller.call("/read/a")).status == 200
+    await trio.sleep(SETTLE_S)
+    return callers
+
+
+def close_idle_connections(context):
+    """Close idle connections as a gateway does that stops."""
+    gateway = context.platform.gateways[0]
+    gateway.state.mark_stopping(gateway.clock.now_ms() + STOP_DURATION_MS)
+    gateway.caller_listener.close_idle()
+
+
+async def receive_all(context, callers):
+    """Store the responses of all callers and close their connections."""
+    context.responses = []
+    for caller in callers:
+        async with caller:
+            context.responses.append(await caller.receive())
+
+
+@when("{count:d} callers send a request just before idle connections are closed")
+def step_send_before_close(context, count):
+    async def call():
+        callers = await connect_callers(context, count)
+        for caller in callers:
+            caller.send_nowait(caller.encode("/read/a"))
+        close_idle_connections(context)
+        await receive_all(context, callers)
+
+    context.run(call)
+
+
+@when("{count:d} callers send a request and idle connections are closed as it is read")
+def step_close_while_read(context, count):
+    async def close_in_same_turn(waiting):
+        await trio.lowlevel.wait_readable(waiting)
+        close_idle_connections(context)
+
+    async def call():
+        callers = await connect_callers(context, count)
+        waiting, waker = socket.socketpair()
+        with waiting, waker:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(close_in_same_turn, waiting)
+                await trio.sleep(SETTLE_S)
+                # All wait until the loop polls: it runs their tasks in any order.
+                for caller in callers:
+                    caller.send_nowait(caller.encode("/read/a"))
+                os.write(waker.fileno(), b"x")
+        await receive_all(context, callers)
+
+    context.run(call)
+
+
+@then("each of them gets a complete response that closes its connection")
+def step_check_closing_responses(context):
+    ends = [
+        (r.status, r.is_complete, r.values_by_name.get(b"connection"))
+        for r in context.responses
+    ]
+    assert ends == [(200, True, b"close")] * len(ends), ends
+
+
+@when('a caller sends "{path}" twice on a connection that is closed in between')
+def step_ignore_close(context, path):
+    async def call():
+        gateway = context.platform.gateways[0]
+        gateway.state.mark_stopping(gateway.clock.now_ms() + STOP_DURATION_MS)
+        async with await context.platform.connect() as caller:
+            request = caller.encode(path)
+            await caller.send_raw(request)
+            assert (await caller.receive()).is_complete
+            begin_s = trio.current_time()
+            await caller.send_raw(request)
+            context.data = await caller.receive_raw()
+            context.duration_ms = 1000 * (trio.current_time() - begin_s)
+
+    context.run(call)
+
+
+@then("the connection ends within {limit_ms:d} ms")
+def step_check_duration(context, limit_ms):
+    assert not context.data
+    assert context.duration_ms < limit_ms, context.duration_ms
+
+
+@when(
+    'a caller has sent {part} of a request as "{limit}" changes from {old:d} to {new:d}'
+)
+def step_change_limit(context, part, limit, old, new):
+    stage = context.platform
+
+    async def apply_limit(version, value):
+        document = configuration(version)
+        limits = {**document["limits"], limit: value}
+        stage.store.put("config", "main", {**document, "limits": limits})
+        state = stage.gateways[0].state
+        await stage.until(lambda: state.configuration.version == version)
+
+    async def call():
+        await apply_limit(2, old)
+        async with await stage.connect() as caller:
+            await trio.sleep(SETTLE_S)
+            request = caller.encode(
+                "/read/a", body=b"x" * BODY_BYTES, X_Large="x" * HEADER_BYTES
+            )
+            sizes_by_part = {
+                "nothing": 0,
+                "half the header": HEADER_BYTES // 2,
+                "half the body": len(request) - BODY_BYTES // 2,
+            }
+            size = sizes_by_part[part]
+            await caller.send_raw(request[:size])
+            await trio.sleep(SETTLE_S)
+            await apply_limit(3, new)
+            await trio.sleep(PAUSE_S)
+            await caller.send_raw(request[size:])
+            context.response = await caller.receive()
+
+    context.run(call)
+
+
+async def raise_exception(request, responder):
+    raise KeyError("figures")
+
+
+async def answer_nothing(request, responder):
+    return
+
+
+async def send_bad_header(request, responder):
+    await responder.answer(200, [(b"Bad", b"a\x00b")], b"")
+
+
+async def send_bad_body(request, responder):
+    await responder.answer(204, [], b"body")
+
+
+async def start_after_deadline(request, responder):
+    with trio.CancelScope() as scope:
+        scope.cancel()
+        await responder.start(200, [(b"Transfer-Encoding", b"chunked")])
+    if not responder.is_started:
+        await responder.answer(503, [], b"")
+
+
+HANDLERS_BY_FAULT = {
+    "a deadline before the first byte": start_after_deadline,
+    "an exception": raise_exception,
+    "no response": answer_nothing,
+    "a bad header": send_bad_header,
+    "a bad body": send_bad_body,
+}
+
+
+@given('the gateway will meet "{fault}" in its own code')
+def step_break_handler(context, fault):
+    context.platform.gateways[0].caller_listener.handle = HANDLERS_BY_FAULT[fault]
+    capture = structlog.testing.capture_logs()
+    context.lines = capture.__enter__()
+    context.add_cleanup(capture.__exit__, None, None, None)
+
+
+@then("it has a body of its own and closes the connection")
+def step_check_error_body(context):
+    response = context.response
+    assert msgspec.json.decode(response.body)["outcome"] == "unknown"
+    assert response.values_by_name[b"connection"] == b"close"
+    assert b"vanillareach-response-signature" not in response.values_by_name
+
+
+@then('a log line names "{path}" and not "{secret}"')
+def step_check_log_line(context, path, secret):
+    lines = [str(line) for line in context.lines if path in str(line)]
+    assert lines, context.lines
+    assert secret not in str(lines)
+
+
+@when('a caller sends "{path}" by HEAD')
+def step_send_head(context, path):
+    async def call():
+        context.response = await context.platform.call(path, method="HEAD", body=b"")
+
+    context.run(call)
+
+
+@when(
+    'a caller sends "{path}" with a deadline of {deadline_ms:d} ms and reads after '
+    "{delay_ms:d} ms"
+)
+def step_read_after_deadline(context, path, deadline_ms, delay_ms):
+    async def call():
+        async with await context.platform.connect(buffer_bytes=4096) as caller:
+            await caller.send(path, Vanillareach_Deadline_Ms=str(deadline_ms))
+            await trio.sleep(delay_ms / 1000)
+            context.response = await caller.receive()
+
+    context.run(call)
+
+
+@when('an HTTP/1.0 caller sends "{path}"')
+def step_send_http_1_0(context, path):
+    async def call():
+        async with await context.platform.connect() as caller:
+            request = caller.encode(path, Vanillareach_Token_Usage="1000,100")
+            await caller.send_raw(request.replace(b"HTTP/1.1", b"HTTP/1.0", 1))
+            context.data = b""
+            context.is_reset = False
+            try:
+                while data := await caller._stream.receive_some():
+                    context.data += data
+            except trio.BrokenResourceError:
+                context.is_reset = True
+
+    context.run(call)
+
+
+@then("its connection is reset after the first events")
+def step_check_reset(context):
+    assert context.is_reset, context.data
--- a/vanillareach/gateway/connections.py
+++ b/vanillareach/gateway/connections.py
@@ -4,72 +4,30 @@
 import trio
 
 from vanillareach.clock import MS_PER_SECOND
+from vanillareach.gateway.request_reader import (
+    NO_LIMIT_BYTES,
+    RECEIVE_BUFFER_BYTES,
+    BadRequestError,
+    CallerDisconnectedError,
+    RequestReader,
+)
+from vanillareach.gateway.sockets import set_reset_on_close
 from vanillareach.log import get_logger
 
-RECEIVE_BUFFER_BYTES = 65_536
 # Bytes of pipelined requests that are read while a response is in progress.
 MAX_PIPELINED_BYTES = 65_536
 # Time for a caller to close its side of the connection after the last response.
 LINGER_TIMEOUT_MS = 500.0
+# The request may have run, as after any 500.
+ERROR_BODY = b'{"outcome":"unknown","reason":"internal_error"}'
 
 log = get_logger("connections")
 
 
-class CallerDisconnectedError(Exception):
-    """The caller closed its connection before its response was complete."""
-
-
 class ResponseAbortedError(Exception):
     """The response can't be completed; the connection has to be aborted."""
 
 
-class BadRequestError(Exception):
-    """The caller's request is invalid, late or larger than the limits allow.
-
-    Parameters
-    ----------
-    status : int
-    detail : str
-    """
-
-    def __init__(self, status, detail):
-        super().__init__(detail)
-        self.status = status
-
-
-class CallerRequest:
-    """A completely received request.
-
-    Attributes
-    ----------
-    method, target : bytes
-    headers : list of (bytes, bytes)
-        Names in the caller's spelling.
-    host : bytes
-    body : bytes or None
-        None if the request has no body.
-    received_ms : float
-        Monotonic time at which its header was complete, or earlier if the caller waited
-        in the listen queue.
-    """
-
-    __slots__ = ("body", "headers", "host", "method", "received_ms", "target")
-
-    def __init__(self, head, body, received_ms):
-        self.method = bytes(head.method)
-        self.target = bytes(head.target)
-        self.headers = [(bytes(n), bytes(v)) for n, v in head.headers.raw_items()]
-        hosts = [v for n, v in self.headers if n.lower() == b"host"]
-        self.host = hosts[0] if hosts else b""
-        self.body = body
-        self.received_ms = received_ms
-
-    @property
-    def path(self):
-        """Path without its query."""
-        return self.target.partition(b"?")[0].decode("latin-1")
-
-
 class Responder:
     """Writes one response to a caller.
 
@@ -79,21 +37,43 @@
     stream : trio.SocketStream
     is_stopping : callable
         Whether the connection is to be closed after this response.
-    """
+    is_head : bool
+        Whether the request's method is HEAD, so that the response has no body.
 
-    __slots__ = ("_connection", "_is_stopping", "_stream", "is_complete", "is_started")
+    Attributes
+    ----------
+    is_started : bool
+        Whether a response has begun, so that no other one may be sent.
+    is_complete : bool
+        Whether the response is complete; `flush` sends what is left of it.
+    """
 
-    def __init__(self, connection, stream, is_stopping):
+    __slots__ = (
+        "_connection",
+        "_is_head",
+        "_is_stopping",
+        "_stream",
+        "_unsent",
+        "is_complete",
+        "is_started",
+    )
+
+    def __init__(self, connection, stream, is_stopping, is_head=False):
         self._connection = connection
         self._stream = stream
         self._is_stopping = is_stopping
+        self._is_head = is_head
+        self._unsent = memoryview(b"")
         self.is_started = False
         self.is_complete = False
 
     async def start(self, status, headers, reason=b""):
         """Send the status and headers, which include the framing."""
+        # A write that is cancelled at once sends nothing: the response hasn't begun.
+        await trio.lowlevel.checkpoint_if_cancelled()
+        data = self._head(status, headers, reason)
         self.is_started = True
-        await self._write(self._head(status, headers, reason))
+        await self._write(data)
 
     async def send(self, data):
         """Send a part of the body."""
@@ -111,19 +91,32 @@
             data = self._connection.send(h11.EndOfMessage())
         except h11.LocalProtocolError as error:
             raise ResponseAbortedError(str(error)) from error
-        await self._write(data)
         self.is_complete = True
+        await self._write(data)
 
     async def answer(self, status, headers, body, reason=b""):
         """Send a complete response."""
         headers = [*headers, (b"Content-Length", str(len(body)).encode())]
-        self.is_started = True
         data = self._head(status, headers, reason)
-        if body:
+        if body and not self._is_head:
             data += self._connection.send(h11.Data(data=body))
         data += self._connection.send(h11.EndOfMessage())
-        await self._write(data)
+        self.is_started = True
         self.is_complete = True
+        await self._write(data)
+
+    async def flush(self):
+        """Send what a cancelled call has left unsent.
+
+        A deadline that passes as a complete response is sent doesn't cut it if this is
+        called outside the scope of the deadline.
+        """
+        while self._unsent:
+            try:
+                sent_bytes = await self._stream.socket.send(self._unsent)
+            except OSError as error:
+                raise CallerDisconnectedError(str(error)) from error
+            self._unsent = self._unsent[sent_bytes:]
 
     def _head(self, status, headers, reason):
         if self._is_stopping():
@@ -133,12 +126,8 @@
         )
 
     async def _write(self, data):
-        if not data:
-            return
-        try:
-            await self._stream.send_all(data)
-        except trio.BrokenResourceError as error:
-            raise CallerDisconnectedError(str(error)) from error
+        self._unsent = memoryview(bytes(self._unsent) + data)
+        await self.flush()
 
 
 class CallerConnection:
@@ -156,65 +145,115 @@
     def __init__(self, stream, listener, queued_since_ms):
         self._stream = stream
         self._listener = listener
-        self._queued_since_ms = queued_since_ms
         self._connection = h11.Connection(
             h11.SERVER,
-            max_incomplete_event_size=listener.limits().header_bytes,
+            max_incomplete_event_size=NO_LIMIT_BYTES,
+        )
+        self._reader = RequestReader(
+            self._connection, stream, listener.clock, listener.limits, queued_since_ms
         )
         self._pipelined_bytes = 0
-        self.is_idle = False
-        self.scope = trio.CancelScope()
+
+    def close_idle(self):
+        """Close the connection once it waits for a request."""
+        self._reader.close_idle()
 
     async def run(self):
         """Serve requests until the connection ends."""
-        with self.scope:
-            try:
-                while await self._serve_request():
-                    self._connection.start_next_cycle()
-            except (
-                CallerDisconnectedError,
-                ResponseAbortedError,
-                h11.LocalProtocolError,
-            ):
-                pass
-            except BadRequestError as error:
-                await self._refuse(error)
-            except trio.BrokenResourceError:
-                pass
-            except Exception:
-                log.exception("Unhandled error while serving a request.")
+        try:
+            while await self._serve_request():
+                self._connection.start_next_cycle()
+        except (CallerDisconnectedError, ResponseAbortedError):
+            pass
+        except BadRequestError as error:
+            await self._refuse(error)
+        except trio.BrokenResourceError:
+            pass
+        except Exception:
+            log.exception("Unhandled error while serving a request.")
         await self._close()
 
     async def _serve_request(self):
         """Serve one request and return whether another may follow."""
-        head = await self._read_head()
-        if head is None:
+        request = await self._reader.read()
+        if request is None:
             return False
-        received_ms = self._listener.clock.now_ms()
-        if self._queued_since_ms is not None:
-            received_ms, self._queued_since_ms = self._queued_since_ms, None
-        request = CallerRequest(head, await self._read_body(), received_ms)
-        responder = Responder(
-            self._connection, self._stream, self._listener.is_stopping
-        )
-        await self._handle(request, responder)
-        if not responder.is_complete:
-            raise ResponseAbortedError("the handler sent no complete response")
+        self._pipelined_bytes = 0
+        # Without chunks, a stream that is cut would look complete.
+        is_ended_by_close = self._connection.their_http_version < b"1.1"
+        if is_ended_by_close:
+            set_reset_on_close(self._stream.socket, True)
+        await self._handle(request)
+        if is_ended_by_close:
+            set_reset_on_close(self._stream.socket, False)
         return self._connection.our_state is h11.DONE
 
-    async def _handle(self, request, responder):
-        """Run the handler and cancel it as soon as the caller disconnects."""
-        failure = None
+    async def _handle(self, request):
+        """Respond to a request, cancelled as soon as the caller disconnects."""
+        failure, is_answered = None, False
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._cancel_on_disconnect, nursery.cancel_scope)
             try:
-                await self._listener.handle(request, responder)
+                await self._respond(request)
+                is_answered = True
             except Exception as error:
                 # Raised outside the nursery, which would wrap it in an exception group.
                 failure = error
             nursery.cancel_scope.cancel()
         if failure is not None:
             raise failure
+        if not is_answered:
+            raise CallerDisconnectedError("closed before the response")
+
+    async def _respond(self, request):
+        """Run the handler; if it fails before the response begins, send an error.
+
+        Raises
+        ------
+        ResponseAbortedError
+            If the response has begun and isn't complete.
+        """
+        responder = Responder(
+            self._connection,
+            self._stream,
+            self._listener.is_stopping,
+            is_head=request.method == b"HEAD",
+        )
+        try:
+            await self._listener.handle(request, responder)
+        except CallerDisconnectedError:
+            raise
+        except ResponseAbortedError:
+            if not responder.is_complete:
+                raise
+        except Exception:
+            log.exception(
+                "Unhandled error while serving a request.",
+                method=request.method.decode("latin-1"),
+                path=request.path,
+            )
+        else:
+            if not responder.is_started:
+                log.error("No response by the handler.", path=request.path)
+        if responder.is_complete:
+            await responder.flush()
+        elif responder.is_started:
+            raise ResponseAbortedError("the handler sent no complete response")
+        else:
+            await self._send_error(request)
+
+    async def _send_error(self, request):
+        """Send an error response in place of one that the handler could not send."""
+        # The state of the current one may allow no response after a failed one.
+        self._connection = h11.Connection(h11.SERVER)
+        responder = Responder(
+            self._connection,
+            self._stream,
+            lambda: True,
+            is_head=request.method == b"HEAD",
+        )
+        headers = [(b"Content-Type", b"application/json")]
+        await responder.answer(500, headers, ERROR_BODY)
 
     async def _cancel_on_disconnect(self, scope):
         """Cancel `scope` when the caller disconnects, which only reading detects.
@@ -233,83 +272,6 @@
             self._pipelined_bytes += len(data)
             self._connection.receive_data(data)
 
-    async def _read_head(self):
-        limits = self._listener.limits()
-        self.is_idle = True
-        self._pipelined_bytes = 0
-        timeout_ms = limits.idle_ms
-        while True:
-            event = self._next_event()
-            if event is not h11.NEED_DATA:
-                self.is_idle = False
-                return self._validate_head(event, limits)
-            if self._connection.trailing_data[0]:
-                self.is_idle = False
-                timeout_ms = limits.header_ms
-            if self._listener.is_closing_idle and self.is_idle:
-                return None
-            with trio.move_on_after(timeout_ms / MS_PER_SECOND) as scope:
-                if not await self._receive():
-                    return None
-            if scope.cancelled_caught:
-                if self.is_idle:
-                    return None
-                raise BadRequestError(408, "timed out reading the request header")
-
-    def _validate_head(self, event, limits):
-        if not isinstance(event, h11.Request):
-            return None
-        size = sum(len(name) + len(value) for name, value in event.headers)
-        # h11 does not apply its own limit to a header that arrives in one piece.
-        if size + len(event.target) > limits.header_bytes:
-            raise BadRequestError(431, "request header exceeds the size limit")
-        return event
-
-    async def _read_body(self):
-        """Return the body, or None if the request has none."""
-        limits = self._listener.limits()
-        parts, size, has_body = [], 0, False
-        if self._connection.they_are_waiting_for_100_continue:
-            await self._stream.send_all(
-                self._connection.send(
-                    h11.InformationalResponse(status_code=100, headers=[])
-                )
-            )
-        while True:
-            event = self._next_event()
-            if event is h11.NEED_DATA:
-                has_body = True
-                with trio.move_on_after(limits.idle_ms / MS_PER_SECOND) as scope:
-                    if not await self._receive():
-                        raise CallerDisconnectedError("closed within the request body")
-                if scope.cancelled_caught:
-                    raise BadRequestError(408, "timed out reading the request body")
-            elif isinstance(event, h11.Data):
-                parts.append(bytes(event.data))
-                size += len(event.data)
-                if size > limits.body_bytes:
-                    raise BadRequestError(413, "request body exceeds the size limit")
-            elif isinstance(event, h11.EndOfMessage):
-                return b"".join(parts) if parts or has_body else None
-            else:
-                raise CallerDisconnectedError("closed within the request body")
-
-    def _next_event(self):
-        try:
-            return self._connection.next_event()
-        except h11.RemoteProtocolError as error:
-            raise BadRequestError(error.error_status_hint, str(error)) from error
-
-    async def _receive(self):
-        try:
-            data = await self._stream.receive_some(RECEIVE_BUFFER_BYTES)
-        except trio.BrokenResourceError:
-            return False
-        if not data:
-            return False
-        self._connection.receive_data(data)
-        return True
-
     async def _refuse(self, error):
         log.info("Request refused.", status=error.status, cause=str(error))
         if self._connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
@@ -330,7 +292,7 @@
         dropped_bytes = 0
         with (
             trio.CancelScope(shield=True),
-            trio.move_on_after(LINGER_TIMEOUT_MS / 1000),
+            trio.move_on_after(LINGER_TIMEOUT_MS / MS_PER_SECOND),
         ):
             if is_between_requests or self._connection.our_state is h11.CLOSED:
                 try:
