Keep the instance running if its only attempt ends at once

What callers saw: the process of an instance ended, with all its requests. Cause: the monitor of idle timeouts waits until there is an attempt, and takes the least deadline of all attempts when it runs again. An attempt that ended meanwhile, for instance at an endpoint that refuses the connection, left it with none: ValueError, which ends all tasks. Change: the monitor waits again if no attempt is left. Measured: attempts.feature, the scenario on an endpoint that refuses at once: failed before, passes now.

--- /dev/null
+++ b/vanillareach/features/attempts.feature
@@ -0,0 +1,5 @@
+Feature: Several attempts of one request give one whole response
+
+  Scenario: An endpoint that refuses connections at once doesn't end the instance
+    When the only attempts of a request end as soon as they begin
+    Then the response of each run is 503
--- a/vanillareach/gateway/idle_timeouts.py
+++ b/vanillareach/gateway/idle_timeouts.py
@@ -75,7 +75,8 @@
     async def run(self):
         """Check the timeouts until cancelled."""
         while True:
-            if not self._timeouts:
+            # An attempt may have ended before this task runs again.
+            while not self._timeouts:
                 self._watch_event = trio.Event()
                 await self._watch_event.wait()
             await self._clock.sleep_ms(self._check_interval_ms())
