Name a cancelled request as cancelled in its log line

What operators saw: the line `Ended without a complete response.` of a caller that left said `BaseExceptionGroup` instead of `Cancelled`, in the log and in the metric. Cause: a nursery raises the cancellations of its tasks as a group. Change: any error that isn't an ordinary exception is named `Cancelled`.

--- a/vanillareach/gateway/forwarder.py
+++ b/vanillareach/gateway/forwarder.py
@@ -294,12 +294,14 @@
         connection was closed by this instance.
         """
         state, now_ms = self._state, self._clock.now_ms()
+        # Nested nurseries raise a cancellation as a group.
+        name = type(error).__name__ if isinstance(error, Exception) else "Cancelled"
         reason = str(error) if isinstance(error, ResponseAbortedError) else ""
         last_data_ms = exchange.last_event_ms or exchange.request.received_ms
         log.info(
             "Ended without a complete response.",
             id=exchange.id,
-            error=type(error).__name__,
+            error=name,
             reason=reason,
             has_begun=responder.is_started,
             silent_ms=round(now_ms - last_data_ms),
@@ -308,7 +310,7 @@
             version_in_force=state.configuration.version,
             is_stopping=state.is_stopping,
         )
-        self._count_outcome("aborted", reason or type(error).__name__)
+        self._count_outcome("aborted", reason or name)
 
     def _count_outcome(self, outcome, reason):
         self._metrics.requests[("forward", outcome, reason)] += 1
