Free a request's memory as it ends

Cause: a request and its attempts referred to each other, and an attempt to itself by its idle timeout, so that they and the request's body, of up to some MB, stayed in memory until a garbage collection. Change: both references end with the attempt and the request.

--- a/vanillareach/features/steps/attempts.py
+++ b/vanillareach/features/steps/attempts.py
@@ -1,5 +1,6 @@
 """Steps about several attempts of one request: generated sequences on a mock clock."""
 
+import gc
 import math
 from collections import Counter
 from contextlib import asynccontextmanager
@@ -22,7 +23,9 @@
 from vanillareach.features.users_platform.endpoint import SIGNATURE_HEADER
 from vanillareach.features.users_platform.stage import HOST, configuration, route
 from vanillareach.gateway import attempts
+from vanillareach.gateway.attempt_group import Attempt
 from vanillareach.gateway.connections import ResponseAbortedError
+from vanillareach.gateway.exchange import GatewayExchange
 from vanillareach.gateway.forwarder import Forwarder
 from vanillareach.gateway.placing import PlacementDecision
 from vanillareach.gateway.ports import StorePosition
@@ -34,6 +37,7 @@
 from vanillareach.platform.documents import decode_configuration
 
 EVENTS = 4
+REQUEST_TYPES = (GatewayExchange, Attempt)
 ATTEMPT_ID = b"attempt-1"
 # Time between the end of the last event and the caller's receipt of the response.
 END_MARGIN_MS = 200.0
@@ -464,6 +468,23 @@
         assert run.responder.is_complete and run.error is None
 
 
+@when("requests have been served with garbage collection off")
+def step_serve_without_collection(context):
+    gc.collect()
+    gc.disable()
+    try:
+        for script in (Script(), Script(head_ms=1_900, end="hang")):
+            play(Case("ask", (script, Script(head_ms=100)))).check()
+        context.remaining = [x for x in gc.get_objects() if type(x) in REQUEST_TYPES]
+    finally:
+        gc.enable()
+
+
+@then("no request is kept in memory")
+def step_check_no_request_kept(context):
+    assert not context.remaining, context.remaining
+
+
 @when("the only attempts of a request end as soon as they begin")
 def step_end_attempts_at_once(context):
     refused = tuple(Script("unreachable") for _ in range(4))
--- a/vanillareach/gateway/attempt_group.py
+++ b/vanillareach/gateway/attempt_group.py
@@ -30,7 +30,7 @@
     flight : InFlightRequest or None
         None until the attempt runs.
     idle_timeout : IdleTimeout or None
-        None until the attempt runs.
+        None unless the attempt runs.
     scope : trio.CancelScope
         Cancelled to end the attempt early.
     may_have_been_sent : bool
--- a/vanillareach/gateway/attempts.py
+++ b/vanillareach/gateway/attempts.py
@@ -114,6 +114,7 @@
         finally:
             self._dispatcher.record_end(attempt.flight)
             self._idle_timeouts.unwatch(attempt.idle_timeout)
+            attempt.idle_timeout = None
             if attempt.result is None and not attempt.scope.cancelled_caught:
                 self._log_end(
                     attempt, "abandoned", "caller disconnected or deadline passed"
--- a/vanillareach/gateway/forwarder.py
+++ b/vanillareach/gateway/forwarder.py
@@ -122,6 +122,9 @@
             raise
         finally:
             self._exchanges.discard(exchange)
+            # Ends the reference cycle that would keep the request's body in memory
+            # until a garbage collection.
+            exchange.attempts.clear()
 
     def set_final_deadline(self, deadline_ms):
         """Cap the deadlines of current and future requests at `deadline_ms`."""
