--- a/vanillareach/gateway/forwarder.py
+++ b/vanillareach/gateway/forwarder.py
@@ -122,6 +122,9 @@
             raise
         finally:
             self._exchanges.discard(exchange)
+            # Ends the reference cycle that would keep the request's body in memory
+            # until a garbage collection.
+            exchange.attempts.clear()
 
     def set_final_deadline(self, deadline_ms):
         """Cap the deadlines of current and future requests at `deadline_ms`."""
@@ -176,7 +179,7 @@
         while True:
             wait_ms = math.inf
             if may_try:
-                decision = await self._choose_placement(exchange)
+                decision = await self._choose_placement(exchange, group)
                 placement = decision.placement
                 if placement is None and not group.is_running:
                     reason = "stopping" if self._state.is_stopping else "no_room"
@@ -200,13 +203,17 @@
                     exchange, responder, report.result.name.lower()
                 )
 
-    async def _choose_placement(self, exchange):
-        """Return the next `PlacementDecision`; wait briefly for room."""
+    async def _choose_placement(self, exchange, group):
+        """Return the next `PlacementDecision`; wait briefly for room.
+
+        Beside a running attempt there is no wait here, since its reports have to be
+        received meanwhile.
+        """
         while True:
             decision = await self._placement_client.choose(exchange)
-            if decision.placement is not None or not self._dispatcher.may_wait(
-                exchange, self._clock.now_ms()
-            ):
+            if decision.placement is not None or group.is_running:
+                return decision
+            if not self._dispatcher.may_wait(exchange, self._clock.now_ms()):
                 return decision
             await self._clock.sleep_ms(CAPACITY_CHECK_INTERVAL_MS)
 
@@ -260,6 +267,9 @@
 
     async def _send_deadline_exceeded(self, exchange, responder):
         """Send the error response of a request whose deadline has passed."""
+        if responder.is_complete:
+            self._count_outcome("done", "")
+            return
         if responder.is_started:
             raise ResponseAbortedError("deadline")
         if exchange.possible_runs:
@@ -294,12 +304,14 @@
         connection was closed by this instance.
         """
         state, now_ms = self._state, self._clock.now_ms()
+        # Nested nurseries raise a cancellation as a group.
+        name = type(error).__name__ if isinstance(error, Exception) else "Cancelled"
         reason = str(error) if isinstance(error, ResponseAbortedError) else ""
         last_data_ms = exchange.last_event_ms or exchange.request.received_ms
         log.info(
             "Ended without a complete response.",
             id=exchange.id,
-            error=type(error).__name__,
+            error=name,
             reason=reason,
             has_begun=responder.is_started,
             silent_ms=round(now_ms - last_data_ms),
@@ -308,7 +320,7 @@
             version_in_force=state.configuration.version,
             is_stopping=state.is_stopping,
         )
-        self._count_outcome("aborted", reason or type(error).__name__)
+        self._count_outcome("aborted", reason or name)
 
     def _count_outcome(self, outcome, reason):
         self._metrics.requests[("forward", outcome, reason)] += 1
