Resume a continued stream at the offset of its own attempt

Cause: after a broken connection the rest is fetched from the engine with the number of all relayed tokens as offset. An engine counts the tokens of its own attempt, which for a continuation starts after those relayed before.

Change: the tokens relayed before the attempt are subtracted.

streams.feature, "The connection to the second engine of a stream breaks too": failed before (17 tokens), passes now. streams, calls, crashes, outage, ledger, limits, properties and fuzz: 70 passed, 0 failed.

--- a/vanillareach/entry/generation.py
+++ b/vanillareach/entry/generation.py
@@ -439,10 +439,12 @@
             )
             await self._exchange.end_stream()
             return
+        # The engine counts the tokens of its own attempt only.
+        offset = position.tokens - (self._position.tokens if self._position else 0)
         endpoint_call = EndpointCall(
             "GET",
             state.spec.address,
-            f"/v1/streams/{attempt_id}?offset={position.tokens}",
+            f"/v1/streams/{attempt_id}?offset={offset}",
             [],
             b"",
             self._service.gap_limit_ms,
--- a/vanillareach/features/streams.feature
+++ b/vanillareach/features/streams.feature
@@ -22,6 +22,11 @@
     Then the caller received each token once, in order
     And no prompt was prefilled twice
 
+  Scenario: The connection to the second engine of a stream breaks too
+    Given all engines break streams once at token 5
+    When the serving engine dies after token 12 of a stream of 20 tokens
+    Then the caller received each token once, in order
+
   Scenario: An engine dies during a chat stream
     When the serving engine dies after token 4 of a chat of 12 tokens
     Then the stream is complete with 12 tokens
