Wait for a silent plain service until the deadline of the call

Callers got 503 no_endpoint, or 502 with outcome unknown, although the service would have answered within their time limit.

Cause: a call without data for the service's idle timeout was cancelled. One that may be repeated was sent to the next endpoint and refused when none was left; one that may run only once ended as unknown at once.

Change: attempts overlap (entry/attempts.py). After the idle timeout a call that may be repeated goes to a further endpoint while the silent attempt goes on, and the first response wins. A call that may run only once waits for its endpoint until the deadline; it is sent once, as before. not_run is reported only if no attempt may have run, also when an attempt that turns out unreachable overlaps another.

--- a/vanillareach/core/objects.py
+++ b/vanillareach/core/objects.py
@@ -58,7 +58,8 @@
     time_limit_ms : int
         Time limit of a call.
     gap_limit_ms : int
-        Idle timeout of a response.
+        Idle timeout of a response, after which a further attempt is made if the request
+        may be repeated. The silent one goes on.
     operations : tuple of Operation
         Rules for the calls to a plain service.
     engines_check_fencing : bool
--- a/vanillareach/entry/services.py
+++ b/vanillareach/entry/services.py
@@ -1,5 +1,7 @@
 """Calls to plain services, under ``/services/NAME/PATH``."""
 
+import math
+
 from vanillareach.core.ledger import RecordedAnswer
 from vanillareach.core.objects import ServiceKind
 from vanillareach.core.outcomes import Outcome, Reason, Refusal
@@ -10,6 +12,7 @@
     EndpointUnreachableError,
 )
 from vanillareach.endpoints.http import HOP_BY_HOP_HEADERS
+from vanillareach.entry.attempts import Attempt, OverlappingAttempts
 from vanillareach.entry.callers import run_while_connected
 from vanillareach.entry.keyed import MAX_KEY_LENGTH, KeyedCall, send_recorded_answer
 
@@ -63,7 +66,7 @@
             components.admission.release(permit)
 
 
-class ServiceCall:
+class ServiceCall(OverlappingAttempts):
     """One call to a plain service.
 
     Parameters
@@ -77,12 +80,12 @@
     """
 
     def __init__(self, components, exchange, service, path, body):
-        self._components = components
-        self._exchange = exchange
+        self._repeatable = is_repeatable(service, exchange.request.method, path)
+        outcome_if_run = Outcome.FAILED if self._repeatable else Outcome.UNKNOWN
+        super().__init__(components, exchange, outcome_if_run)
         self._service = service
         self._path = path
         self._body = body
-        self._repeatable = is_repeatable(service, exchange.request.method, path)
         self._keyed_call = None
         self._excluded_endpoints = set()
 
@@ -93,7 +96,7 @@
             detail = f"Idempotency-Key must have 1 to {MAX_KEY_LENGTH} characters"
             return await self._exchange.refuse(Refusal(Reason.BAD_REQUEST, detail))
         if key is None:
-            return await run_while_connected(self._exchange, self._run_attempts)
+            return await run_while_connected(self._exchange, self.run_attempts)
         self._keyed_call = KeyedCall(
             self._components, self._exchange, self._service.name, key, self._body
         )
@@ -103,24 +106,27 @@
         if isinstance(claim_result, RecordedAnswer):
             return await send_recorded_answer(self._exchange, claim_result.record)
         try:
-            return await self._run_attempts()
+            return await self.run_attempts()
         finally:
             await self._keyed_call.settle()
 
-    async def _run_attempts(self):
-        while not self._exchange.answered:
-            state = self._choose_endpoint()
-            if state is None:
-                return await self._exchange.refuse(
-                    Refusal(
-                        Reason.NO_ENDPOINT,
-                        f"no endpoint of {self._service.name} can be reached",
-                        self._exchange.outcome_if_unanswered,
-                        NO_ENDPOINT_RETRY_AFTER_MS,
-                    )
-                )
-            await self._run_attempt(state)
-        return None
+    async def _next_attempt(self):
+        state = self._choose_endpoint()
+        if state is None:
+            return Refusal(
+                Reason.NO_ENDPOINT,
+                f"no endpoint of {self._service.name} can be reached",
+                self._exchange.outcome_if_unanswered,
+                NO_ENDPOINT_RETRY_AFTER_MS,
+            )
+        self._excluded_endpoints.add(state.spec.name)
+        # A call that may run only once waits for its endpoint until the deadline.
+        idle_timeout_ms = self._service.gap_limit_ms if self._repeatable else math.inf
+        now_ms = self._components.clock.now_ms()
+        return Attempt(state, self._exchange.request_id, idle_timeout_ms, now_ms)
+
+    async def _refuse(self, refusal):
+        await self._exchange.refuse(refusal)
 
     def _choose_endpoint(self):
         now_ms = self._components.clock.now_ms()
@@ -135,24 +141,21 @@
         candidates = local or states
         return self._components.random.choice(candidates) if candidates else None
 
-    async def _run_attempt(self, state):
+    async def _run_attempt(self, attempt):
         components = self._components
-        self._excluded_endpoints.add(state.spec.name)
+        state = attempt.state
         span = components.traces.start_child_span(
             "endpoint.attempt", self._exchange.span
         )
         span.set_attribute("endpoint", state.spec.name)
         state.breaker.record_dispatch(components.clock.now_ms())
         result = "abandoned"
-        outcome_before_attempt = self._exchange.outcome_if_unanswered
         # From here on a byte may be sent, so a cancelled attempt may have run.
-        self._exchange.outcome_if_unanswered = (
-            Outcome.FAILED if self._repeatable else Outcome.UNKNOWN
-        )
+        self._record_start()
         try:
-            result = await self._dispatch(state, span)
+            result = await self._dispatch(attempt, span)
         except EndpointUnreachableError:
-            self._exchange.outcome_if_unanswered = outcome_before_attempt
+            self._record_unreachable()
             result = "unreachable"
         except EndpointBrokenError as error:
             result = "broken"
@@ -161,27 +164,32 @@
                     Reason.ENDPOINT_LOST, str(error)
                 )
         finally:
+            if result == "abandoned" and attempt.is_silent:
+                result = "silent"
             self._record_result(state, result)
             span.set_attribute("result", result)
             span.end()
 
-    async def _dispatch(self, state, span):
+    async def _dispatch(self, attempt, span):
         call = EndpointCall(
             self._exchange.request.method,
-            state.spec.address,
+            attempt.state.spec.address,
             self._path_with_query(),
             self._request_headers(span),
             self._body,
-            self._service.gap_limit_ms,
+            self._remaining_ms(),
             self._repeatable,
         )
         async with self._components.endpoints.open(call) as response:
-            body = await response.read()
+            body = await self._read(attempt, response)
         if response.status == REFUSAL_STATUS and self._repeatable:
             return "refused"
+        if not self._take_over(attempt):
+            return "abandoned"
         content_type = _content_type(response.headers)
         if self._keyed_call is not None:
             self._keyed_call.record_answer(response.status, body, content_type)
+        attempt.record_delivery()
         await self._exchange.answer(response.status, body, content_type)
         return "answered"
 
@@ -208,7 +216,7 @@
         self._components.metrics.attempts[(self._service.name, result)] += 1
         if result == "answered":
             state.breaker.record_success()
-        elif result == "abandoned":
+        elif result in ("abandoned", "silent"):
             state.breaker.record_abandoned()
         else:
             state.breaker.record_failure(self._components.clock.now_ms())
--- a/vanillareach/standins/engine.py
+++ b/vanillareach/standins/engine.py
@@ -73,12 +73,17 @@
         Number of streams to abort; None for all.
     hang_at_token : int or None
         Streams stall once this number of tokens has been sent; None for never.
+    pause_at_token : int or None
+        Streams stall for `pause_ms`, once, when this number of tokens has been sent;
+        None for never.
     refuse : bool
         Requests are refused with 503.
     leaving : bool
         Requests are refused, and the load report says that the engine is leaving.
     crash_on : str
         A prompt with this text crashes the engine; empty for none.
+    pause_ms : float
+        Duration of the pause; unstreamed responses take longer by it too.
     load_lag_ms, event_lag_ms : float
         Age of the load report, and delay of the cache events.
     event_gap : bool
@@ -88,6 +93,8 @@
     break_at_token: int | None = None
     breaks: int | None = None
     hang_at_token: int | None = None
+    pause_at_token: int | None = None
+    pause_ms: float = 0.0
     refuse: bool = False
     leaving: bool = False
     crash_on: str = ""
@@ -117,6 +124,7 @@
         self.requests_by_id = {}
         self.cancel_count = 0
         self.answered_ids = set()
+        self._paused_until_s = None
         self.load_history = [(float("-inf"), self._current_load())]
         self._step_finished = trio.Event()
         self._request_submitted = trio.Event()
@@ -201,6 +209,7 @@
             return
         while not engine_request.is_finished:
             await self._step_finished.wait()
+        await self._pause_at_token(len(engine_request.words))
         is_chat = path.startswith("/v1/chat")
         self.answered_ids.add(request_id)
         await send_json(send, 200, _completion(engine_request, body, is_chat))
@@ -218,6 +227,7 @@
                 offset = len(engine_request.words)
                 await send_chunk(send, events)
             self._break_stream_at_token(offset)
+            await self._pause_at_token(offset)
             if self.behaviour.hang_at_token is not None and (
                 offset >= self.behaviour.hang_at_token
             ):
@@ -240,6 +250,15 @@
                 behaviour.break_at_token = None
         raise ConnectionError("stream broken by an injected fault")
 
+    async def _pause_at_token(self, offset):
+        behaviour = self.behaviour
+        if behaviour.pause_at_token is None or offset < behaviour.pause_at_token:
+            return
+        now_s = trio.current_time()
+        if self._paused_until_s is None:
+            self._paused_until_s = now_s + behaviour.pause_ms / 1000
+        await trio.sleep(self._paused_until_s - now_s)
+
     async def _resume(self, request, send):
         request_id = request.path.rsplit("/", 1)[-1]
         if request_id not in self.requests_by_id:
