Keep a silent engine's stream until another engine has delivered

Callers got a cut stream, or 502, although the engine would have gone on before their deadline.

Cause: an attempt without data for its idle timeout was cancelled at the engine before any other could show that it does better. The request ended when no engine was left, the second one was silent or refused too, or the retry budget was spent.

Change: the attempts of a completions request overlap like those of a plain call. The silent one goes on; the first attempt with a complete event cancels the others. Each response has its own buffer for incomplete events, so that attempts don't mix. A response starts with its first event, so a refusal before that has its own status. A silence counts against the engine's breaker when it is noticed; the attempt is then counted as "silent" unless it answers. The stand-in sends the words that were generated during its pause.

--- a/vanillareach/core/streams.py
+++ b/vanillareach/core/streams.py
@@ -33,6 +33,34 @@
     usage: dict | None = None
 
 
+class EventBuffer:
+    """Complete events of one response; an incomplete one is held back."""
+
+    __slots__ = ("_partial_event",)
+
+    def __init__(self):
+        self._partial_event = b""
+
+    def feed(self, chunk):
+        """Add bytes as they arrived and return the events that are complete.
+
+        Returns
+        -------
+        bytes
+            Complete events; empty while the next one is incomplete.
+        """
+        data = self._partial_event + chunk if self._partial_event else chunk
+        if data.endswith(EVENT_END):
+            self._partial_event = b""
+            return data
+        end = data.rfind(EVENT_END) + len(EVENT_END)
+        if end < len(EVENT_END):
+            self._partial_event = data
+            return b""
+        self._partial_event = data[end:]
+        return data[:end]
+
+
 class StreamProgress:
     """The events of a streamed response that were relayed to the caller.
 
@@ -42,11 +70,11 @@
         Whether the final event was relayed.
     """
 
-    __slots__ = ("_relayed_chunks", "_partial_event", "done")
+    __slots__ = ("_events", "_relayed_chunks", "done")
 
     def __init__(self):
+        self._events = EventBuffer()
         self._relayed_chunks = []
-        self._partial_event = b""
         self.done = False
 
     @property
@@ -55,36 +83,16 @@
         return bool(self._relayed_chunks)
 
     def feed(self, chunk):
-        """Add bytes of the current attempt and return the events to relay.
-
-        Parameters
-        ----------
-        chunk : bytes
-            Bytes as they arrived.
-
-        Returns
-        -------
-        bytes
-            Complete events; empty while the next one is incomplete.
-        """
-        data = self._partial_event + chunk if self._partial_event else chunk
-        if data.endswith(EVENT_END):
-            self._partial_event = b""
-        else:
-            end = data.rfind(EVENT_END) + len(EVENT_END)
-            if end < len(EVENT_END):
-                self._partial_event = data
-                return b""
-            self._partial_event = data[end:]
-            data = data[:end]
-        self._relayed_chunks.append(data)
-        if data.endswith(DONE_EVENT):
+        """Record the events that `chunk` completes, of a response in one piece."""
+        events = self._events.feed(chunk)
+        if events:
+            self.record(events)
+
+    def record(self, events):
+        """Record complete events, as `EventBuffer` returns them, as relayed."""
+        self._relayed_chunks.append(events)
+        if events.endswith(DONE_EVENT):
             self.done = True
-        return data
-
-    def discard_partial_event(self):
-        """Drop the incomplete event of an attempt that ended early."""
-        self._partial_event = b""
 
     def position(self):
         """Return the `StreamPosition` after all relayed events."""
--- a/vanillareach/entry/attempts.py
+++ b/vanillareach/entry/attempts.py
@@ -59,6 +59,11 @@
         """Record that data is being sent to the caller, who may be slow to read it."""
         self._last_data_ms = math.inf
 
+    @property
+    def is_delivering(self):
+        """Whether data is being sent to the caller."""
+        return self._last_data_ms == math.inf
+
     def silent_from_ms(self):
         """Return the time at which the attempt counts as silent without further data.
 
@@ -96,6 +101,8 @@
         async with trio.open_nursery() as nursery:
             while not self._exchange.answered:
                 attempt = await self._next_attempt()
+                if self._exchange.answered:
+                    return
                 earliest_ms = 0.0
                 if attempt:
                     self._running.append(attempt)
@@ -137,11 +144,13 @@
 
     def _take_over(self, attempt):
         """Supersede the other attempts; return whether this one may deliver."""
-        if attempt.scope.cancel_called:
+        if attempt.scope.cancel_called or self._exchange.answered:
+            return False
+        others = [other for other in self._running if other is not attempt]
+        if any(other.is_delivering for other in others):
             return False
-        for other in self._running:
-            if other is not attempt:
-                other.scope.cancel()
+        for other in others:
+            other.scope.cancel()
         return True
 
     async def _read(self, attempt, response):
--- a/vanillareach/entry/generation.py
+++ b/vanillareach/entry/generation.py
@@ -1,5 +1,7 @@
 """Runs completions requests, retrying within the deadline and the retry budget."""
 
+import math
+
 import msgspec
 import trio
 
@@ -8,7 +10,12 @@
 from vanillareach.core.hashing import hash128_hex
 from vanillareach.core.outcomes import Outcome, Reason, Refusal
 from vanillareach.core.placement import BLOCK_TOKENS, predicted_first_token_ms
-from vanillareach.core.streams import DONE_EVENT, StreamProgress, corrected_usage
+from vanillareach.core.streams import (
+    DONE_EVENT,
+    EventBuffer,
+    StreamProgress,
+    corrected_usage,
+)
 from vanillareach.core.suspicion import Loss, may_isolate_another
 from vanillareach.core.work import LengthClass
 from vanillareach.endpoints.base import (
@@ -18,6 +25,7 @@
     EndpointUnreachableError,
 )
 from vanillareach.endpoints.engine import ChatMessage, EngineClient, replace_json_fields
+from vanillareach.entry.attempts import Attempt, OverlappingAttempts
 from vanillareach.log import get_logger
 
 NO_ENDPOINT_RETRY_AFTER_MS = 2000
@@ -37,7 +45,29 @@
 log = get_logger("entry")
 
 
-class Generation:
+class GenerationAttempt(Attempt):
+    """One attempt of a completions request at one engine.
+
+    Attributes
+    ----------
+    number : int
+        Counts the attempts of the request from 1.
+    dispatch : Dispatch or None
+        Set once the attempt is sent.
+    position : StreamPosition or None
+        Position in the stream from which the attempt continues it.
+    """
+
+    __slots__ = ("dispatch", "number", "position")
+
+    def __init__(self, state, request_id, number, idle_timeout_ms, now_ms):
+        super().__init__(state, f"{request_id}-{number}", idle_timeout_ms, now_ms)
+        self.number = number
+        self.dispatch = None
+        self.position = None
+
+
+class Generation(OverlappingAttempts):
     """Runs one completions request.
 
     Parameters
@@ -55,15 +85,12 @@
     def __init__(
         self, components, exchange, service, generate_request, body, placement_request
     ):
-        self._components = components
-        self._exchange = exchange
+        super().__init__(components, exchange, Outcome.FAILED)
         self._service = service
         self._generate_request = generate_request
         self._body = body
         self._placement_request = placement_request
         self._progress = StreamProgress()
-        # Position in the stream from which the current attempt continues it.
-        self._position = None
         self._attempt_count = 0
         self._next_needs_retry_budget = False
         self._excluded_endpoints = set()
@@ -75,27 +102,34 @@
 
     async def run(self):
         """Make attempts until the exchange is answered."""
-        budget = self._retry_budget()
-        budget.record_request()
-        while not self._exchange.answered:
-            refusal = self._quarantine_refusal()
-            if refusal is not None:
-                return await self._refuse(refusal)
-            state = self._choose_endpoint()
+        self._retry_budget().record_request()
+        await self.run_attempts()
+
+    async def _next_attempt(self):
+        refusal = self._quarantine_refusal()
+        if refusal is not None:
+            return refusal
+        state = self._choose_endpoint()
+        if isinstance(state, Refusal):
+            return state
+        if self._next_needs_retry_budget and not self._retry_budget().try_acquire():
+            return _retry_budget_refusal(self._last_error)
+        if self._is_suspect():
+            state = await self._isolate()
             if isinstance(state, Refusal):
-                return await self._refuse(state)
-            if self._next_needs_retry_budget and not budget.try_acquire():
-                return await self._refuse(_retry_budget_refusal(self._last_error))
-            if self._is_suspect():
-                state = await self._isolate()
-                if isinstance(state, Refusal):
-                    return await self._refuse(state)
-            self._attempt_count += 1
-            # Reset if the engine was unreachable: that attempt put no load on any
-            # engine, so the next one needs no retry budget.
-            self._next_needs_retry_budget = True
-            await self._run_attempt(state)
-        return None
+                return state
+        self._attempt_count += 1
+        # Reset if the engine was unreachable: that attempt put no load on any engine,
+        # so the next one needs no retry budget.
+        self._next_needs_retry_budget = True
+        self._excluded_endpoints.add(state.spec.name)
+        return GenerationAttempt(
+            state,
+            self._exchange.request_id,
+            self._attempt_count,
+            self._idle_timeout_of_attempt_ms(),
+            self._components.clock.now_ms(),
+        )
 
     def _retry_budget(self):
         budgets = self._components.retry_budgets_by_service
@@ -184,6 +218,16 @@
             ),
         )
 
+    async def _record_silence(self, attempt):
+        await super()._record_silence(attempt)
+        self._last_error = f"{attempt.state.spec.name} sent no data in time"
+        log.warning(
+            "Engine silent, a further attempt may be made.",
+            endpoint=attempt.state.spec.name,
+            request=self._exchange.request_id,
+        )
+        await self._record_loss_if_unreachable(attempt.state)
+
     async def _record_loss_if_unreachable(self, state):
         """Record that the request may have crashed the engine, if it is unreachable."""
         components = self._components
@@ -215,39 +259,40 @@
             )
         await self._exchange.refuse(refusal)
 
-    async def _run_attempt(self, state):
+    async def _run_attempt(self, attempt):
         components = self._components
-        attempt_id = f"{self._exchange.request_id}-{self._attempt_count}"
+        state = attempt.state
         span = components.traces.start_child_span(
             "endpoint.attempt", self._exchange.span
         )
         span.set_attribute("endpoint", state.spec.name)
-        dispatch = self._record_dispatch(state, attempt_id)
+        attempt.dispatch = self._record_dispatch(state, attempt.attempt_id)
         result = "abandoned"
-        outcome_before_attempt = self._exchange.outcome_if_unanswered
         # From here on a byte may be sent, so a cancelled attempt may have run.
-        self._exchange.outcome_if_unanswered = Outcome.FAILED
+        self._record_start()
         try:
-            result = await self._dispatch(state, attempt_id, dispatch, span)
+            result = await self._dispatch(attempt, span)
         except EndpointUnreachableError as error:
-            self._exchange.outcome_if_unanswered = outcome_before_attempt
+            self._record_unreachable()
             result = "unreachable"
             self._next_needs_retry_budget = False
             self._record_failed_attempt(state, error)
         except EndpointBrokenError as error:
             result = "broken"
             self._record_failed_attempt(state, error)
-            await self._resume_on_same_engine(state, attempt_id)
+            await self._resume_on_same_engine(attempt)
             if not self._exchange.answered:
                 await self._record_loss_if_unreachable(state)
         finally:
-            state.dispatches_by_id.pop(attempt_id, None)
-            self._end_isolation(state, attempt_id, result)
+            if result == "abandoned" and attempt.is_silent:
+                result = "silent"
+            state.dispatches_by_id.pop(attempt.attempt_id, None)
+            self._end_isolation(state, attempt.attempt_id, result)
             self._record_result(state, result)
             span.set_attribute("result", result)
             span.end()
-            if result in ("abandoned", "broken"):
-                await self._cancel(state, attempt_id)
+            if result in ("abandoned", "broken", "silent"):
+                await self._cancel(state, attempt.attempt_id)
 
     def _record_dispatch(self, state, attempt_id):
         components = self._components
@@ -267,8 +312,6 @@
 
     def _record_failed_attempt(self, state, error):
         self._last_error = str(error)
-        self._excluded_endpoints.add(state.spec.name)
-        self._progress.discard_partial_event()
         log.warning(
             "Attempt failed, endpoint excluded for this request.",
             endpoint=state.spec.name,
@@ -286,43 +329,41 @@
         self._components.metrics.attempts[(self._service.name, result)] += 1
         if result in ("answered", "rejected"):
             state.breaker.record_success()
-        elif result == "abandoned":
+        elif result in ("abandoned", "silent"):
             state.breaker.record_abandoned()
         else:
             now_ms = self._components.clock.now_ms()
             state.breaker.record_failure(now_ms, result == "unreachable")
 
-    async def _dispatch(self, state, attempt_id, dispatch, span):
+    async def _dispatch(self, attempt, span):
+        endpoint_name = attempt.state.spec.name
         endpoint_call = EndpointCall(
             "POST",
-            state.spec.address,
+            attempt.state.spec.address,
             self._exchange.request.path,
-            self._request_headers(attempt_id, span),
-            self._attempt_body(),
-            self._idle_timeout_ms(),
+            self._request_headers(attempt.attempt_id, span),
+            self._attempt_body(attempt),
+            self._remaining_ms(),
         )
         async with self._components.endpoints.open(endpoint_call) as response:
             if response.status in REFUSAL_STATUSES or response.status >= 500:
                 await response.read()
-                self._excluded_endpoints.add(state.spec.name)
-                self._last_error = f"{state.spec.name} answered {response.status}"
+                self._last_error = f"{endpoint_name} answered {response.status}"
                 return "refused"
             if response.status != 200:
-                return await self._forward_rejection(response)
+                return await self._forward_rejection(attempt, response)
             if self._generate_request.stream:
-                await self._relay_stream(response, state, dispatch)
-            else:
-                await self._forward_response(response, state, dispatch)
-        return "answered"
+                return await self._relay_stream(attempt, response)
+            return await self._forward_response(attempt, response)
 
-    def _idle_timeout_ms(self):
-        """Return the time in ms without data after which the attempt counts as broken.
+    def _idle_timeout_of_attempt_ms(self):
+        """Return the time in ms without data after which a further attempt is made.
 
         An unstreamed response arrives only at the end, and a long prompt yields no data
         during its prefill, so both may take longer than the gap between two tokens.
         """
         if not self._generate_request.stream:
-            return self._exchange.deadline_ms - self._components.clock.now_ms()
+            return math.inf
         first_token_timeout_ms = FIRST_TOKEN_TIMEOUT_FACTOR * self._predicted_ms
         return max(self._service.gap_limit_ms, first_token_timeout_ms)
 
@@ -348,27 +389,27 @@
             headers.append((b"traceparent", traceparent.encode()))
         return headers
 
-    def _attempt_body(self):
+    def _attempt_body(self, attempt):
         priority = PRIORITY_BY_LENGTH[self._placement_request.estimate.length_class]
         priority += self._exchange.team.limits.priority
         if not self._progress.has_relayed_event:
             return replace_json_fields(self._body, priority=priority)
-        self._position = self._progress.position()
+        position = attempt.position = self._progress.position()
         remaining_tokens = (
             self._generate_request.max_answer_tokens or 0
-        ) - self._position.tokens
+        ) - position.tokens
         limits = (
             {"max_tokens": remaining_tokens}
             if self._generate_request.max_answer_tokens
             else {}
         )
         if self._generate_request.messages is None:
-            prompt = (self._generate_request.prompt or "") + self._position.text
+            prompt = (self._generate_request.prompt or "") + position.text
             return replace_json_fields(
                 self._body, priority=priority, prompt=prompt, **limits
             )
         messages = msgspec.to_builtins(self._generate_request.messages)
-        partial = ChatMessage("assistant", self._position.text)
+        partial = ChatMessage("assistant", position.text)
         messages.append(msgspec.to_builtins(partial))
         return replace_json_fields(
             self._body,
@@ -379,8 +420,11 @@
             **limits,
         )
 
-    async def _forward_rejection(self, response):
+    async def _forward_rejection(self, attempt, response):
         body = await response.read()
+        if len(self._running) > 1:
+            self._last_error = f"{attempt.state.spec.name} answered {response.status}"
+            return "refused"
         if self._progress.has_relayed_event:
             detail = "the answer could not be continued"
             await self._exchange.refuse(
@@ -390,45 +434,58 @@
             await self._exchange.answer(response.status, body, b"application/json")
         return "rejected"
 
-    async def _forward_response(self, response, state, dispatch):
-        body = await response.read()
-        self._record_first_token(state, dispatch)
+    async def _forward_response(self, attempt, response):
+        body = await self._read(attempt, response)
+        self._record_first_token(attempt)
         await self._exchange.answer(200, body, b"application/json")
+        return "answered"
 
-    async def _relay_stream(self, response, state, dispatch):
+    async def _relay_stream(self, attempt, response):
+        clock = self._components.clock
         exchange = self._exchange
         send = exchange.send
-        feed = self._progress.feed
-        if not exchange.streaming:
-            await exchange.start_stream(response.headers)
+        feed = EventBuffer().feed
         async for chunk in response.chunks:
-            data = feed(chunk)
-            if not data:
+            attempt.record_data(clock.now_ms())
+            events = feed(chunk)
+            if not events:
                 continue
-            if dispatch is not None and dispatch.first_token_ms is None:
-                self._record_first_token(state, dispatch)
-            if self._position is not None:
-                data = corrected_usage(data, self._position)
-            await send({"type": "http.response.body", "body": data, "more_body": True})
-        await self._finish_stream()
-
-    async def _finish_stream(self):
+            if not self._take_over(attempt):
+                return "abandoned"
+            self._progress.record(events)
+            if attempt.dispatch.first_token_ms is None:
+                self._record_first_token(attempt)
+            if attempt.position is not None:
+                events = corrected_usage(events, attempt.position)
+            attempt.record_delivery()
+            if not exchange.streaming:
+                await exchange.start_stream(response.headers)
+            body = {"type": "http.response.body", "body": events, "more_body": True}
+            await send(body)
+            attempt.record_data(clock.now_ms())
+        return await self._finish_stream(attempt)
+
+    async def _finish_stream(self, attempt):
+        if not self._take_over(attempt):
+            return "abandoned"
         if not self._progress.done:
             raise EndpointBrokenError("the stream ended early")
         await self._exchange.end_stream()
+        return "answered"
 
-    def _record_first_token(self, state, dispatch):
+    def _record_first_token(self, attempt):
         components = self._components
         now_ms = components.clock.now_ms()
+        dispatch = attempt.dispatch
         dispatch.first_token_ms = now_ms
         if self._generate_request.stream:
-            state.update_prefill_rate(dispatch, now_ms - dispatch.sent_ms)
-        if self._attempt_count == 1:
+            attempt.state.update_prefill_rate(dispatch, now_ms - dispatch.sent_ms)
+        if attempt.number == 1:
             length = str(self._placement_request.estimate.length_class)
             elapsed_ms = now_ms - self._exchange.started_ms
             components.metrics.record_first_token(length, elapsed_ms)
 
-    async def _resume_on_same_engine(self, state, attempt_id):
+    async def _resume_on_same_engine(self, attempt):
         """Continue a broken stream on the same engine, if it is still reachable."""
         if not self._progress.has_relayed_event or self._exchange.answered:
             return
@@ -440,24 +497,24 @@
             await self._exchange.end_stream()
             return
         # The engine counts the tokens of its own attempt only.
-        offset = position.tokens - (self._position.tokens if self._position else 0)
+        offset = position.tokens - (attempt.position.tokens if attempt.position else 0)
         endpoint_call = EndpointCall(
             "GET",
-            state.spec.address,
-            f"/v1/streams/{attempt_id}?offset={offset}",
+            attempt.state.spec.address,
+            f"/v1/streams/{attempt.attempt_id}?offset={offset}",
             [],
             b"",
-            self._service.gap_limit_ms,
+            self._remaining_ms(),
         )
+        attempt.record_data(self._components.clock.now_ms())
         try:
             async with self._components.endpoints.open(endpoint_call) as response:
                 if response.status == 200:
-                    await self._relay_stream(response, state, None)
+                    await self._relay_stream(attempt, response)
         except EndpointError as error:
-            self._progress.discard_partial_event()
             log.warning(
                 "Stream could not be resumed on the same engine.",
-                endpoint=state.spec.name,
+                endpoint=attempt.state.spec.name,
                 error=str(error),
             )
 
--- a/vanillareach/features/entry_silence.feature
+++ b/vanillareach/features/entry_silence.feature
@@ -19,10 +19,40 @@
 
   Scenario: A silent service answers although the second one refuses the call
     Given the services answer after 3000 ms
-    And the second endpoint called refuses all requests
+    And the second endpoint called refuses
     When a caller sends a repeatable call
     Then the response has the status 201
 
+  Scenario Outline: A stream is complete although its engines fall silent
+    Given <count> engines are left
+    And all engines pause for 5000 ms at token <token>
+    And <budget> retries are left
+    When a caller streams 100 prompt tokens for 20 tokens
+    Then the caller received each token once, in order
+    And the engines have no memory in use
+
+    Examples:
+      | count | token | budget |
+      | 1     | 5     | 10     |
+      | 1     | 0     | 10     |
+      | 2     | 5     | 10     |
+      | 2     | 0     | 10     |
+      | 2     | 5     | 0      |
+
+  Scenario: A silent engine completes the stream if the second engine refuses
+    Given all engines pause for 5000 ms at token 5
+    And the second endpoint called refuses
+    When a caller streams 100 prompt tokens for 20 tokens
+    Then the caller received each token once, in order
+
+  Scenario: A second engine continues the stream of one that stays silent
+    Given all engines hang at token 5
+    And the second endpoint called is sound
+    When a caller streams 100 prompt tokens for 20 tokens
+    Then the caller received each token once, in order
+    And the response took less than 4000 ms
+    And the engines have no memory in use
+
   Scenario: An unstreamed response may take longer than the idle timeout
     Given all engines pause for 5000 ms at token 5
     When a caller requests 20 tokens without streaming
--- a/vanillareach/features/steps/entry_silence.py
+++ b/vanillareach/features/steps/entry_silence.py
@@ -40,20 +40,20 @@
         app.behaviour.delay_ms = delay_ms
 
 
-@given("the second endpoint called refuses all requests")
-def step_second_refuses(context):
+@given("the second endpoint called {behaviour}")
+def step_second_endpoint(context, behaviour):
     apps_by_address = context.stage.apps_by_address
     dispatches = context.stage.endpoints.dispatches
 
-    async def refuse_when_first_is_known():
+    async def change_when_first_is_known():
         while not dispatches:
             await trio.sleep(0.001)
         for address, app in apps_by_address.items():
             if address != dispatches[0].endpoint:
-                app.behaviour.refuse = True
+                app.behaviour = type(app.behaviour)(refuse=behaviour == "refuses")
 
     async def start():
-        context.stage.nursery.start_soon(refuse_when_first_is_known)
+        context.stage.nursery.start_soon(change_when_first_is_known)
 
     context.run(start)
 
--- a/vanillareach/features/steps/properties.py
+++ b/vanillareach/features/steps/properties.py
@@ -15,7 +15,7 @@
     Settle,
     ShardWriter,
 )
-from vanillareach.core.streams import StreamProgress
+from vanillareach.core.streams import EventBuffer, StreamProgress
 
 WRITERS = 3
 KEYS = ("k0", "k1")
@@ -176,15 +176,16 @@
     @CHECKED
     @given(st.lists(st.integers(1, 60), min_size=1, max_size=80))
     def check(sizes):
-        progress, passed, start = StreamProgress(), b"", 0
+        buffer, progress, passed, start = EventBuffer(), StreamProgress(), b"", 0
         for size in sizes:
-            passed += progress.feed(body[start : start + size])
+            events = buffer.feed(body[start : start + size])
+            progress.record(events)
+            passed += events
             start += size
             if start >= len(body):
                 break
         assert body.startswith(passed)
         assert passed == b"" or passed.endswith(b"\n\n")
-        progress.discard_partial_event()
         position = progress.position()
         assert position.tokens == passed.count(b"choices")
         assert progress.done == passed.endswith(b"[DONE]\n\n")
--- a/vanillareach/standins/engine.py
+++ b/vanillareach/standins/engine.py
@@ -73,6 +73,9 @@
         Number of streams to abort; None for all.
     hang_at_token : int or None
         Streams stall once this number of tokens has been sent; None for never.
+    freeze_at_token : int or None
+        The engine answers no call any more, of any kind, once a stream has sent this
+        number of tokens; None for never.
     pause_at_token : int or None
         Streams stall for `pause_ms`, once, when this number of tokens has been sent;
         None for never.
@@ -93,6 +96,7 @@
     break_at_token: int | None = None
     breaks: int | None = None
     hang_at_token: int | None = None
+    freeze_at_token: int | None = None
     pause_at_token: int | None = None
     pause_ms: float = 0.0
     refuse: bool = False
@@ -125,6 +129,7 @@
         self.cancel_count = 0
         self.answered_ids = set()
         self._paused_until_s = None
+        self._is_frozen = False
         self.load_history = [(float("-inf"), self._current_load())]
         self._step_finished = trio.Event()
         self._request_submitted = trio.Event()
@@ -152,6 +157,7 @@
         """Handle one ASGI connection."""
         if scope["type"] == "lifespan":
             return await answer_lifespan(receive, send)
+        await self._block_if_frozen()
         request = HttpRequest(scope, receive)
         parts = request.path.strip("/").split("/")
         route = _ROUTES.get((request.method, parts[0], parts[1] if parts[1:] else ""))
@@ -218,6 +224,7 @@
         is_chat = path.startswith("/v1/chat")
         await start_response(send, 200, EVENT_STREAM)
         while True:
+            await self._pause_at_token(offset)
             step_finished = self._step_finished
             if offset < len(engine_request.words):
                 events = b"".join(
@@ -227,7 +234,9 @@
                 offset = len(engine_request.words)
                 await send_chunk(send, events)
             self._break_stream_at_token(offset)
-            await self._pause_at_token(offset)
+            freeze_at_token = self.behaviour.freeze_at_token
+            self._is_frozen |= freeze_at_token is not None and offset >= freeze_at_token
+            await self._block_if_frozen()
             if self.behaviour.hang_at_token is not None and (
                 offset >= self.behaviour.hang_at_token
             ):
@@ -250,6 +259,10 @@
                 behaviour.break_at_token = None
         raise ConnectionError("stream broken by an injected fault")
 
+    async def _block_if_frozen(self):
+        if self._is_frozen:
+            await trio.sleep_forever()
+
     async def _pause_at_token(self, offset):
         behaviour = self.behaviour
         if behaviour.pause_at_token is None or offset < behaviour.pause_at_token:
