Start a background task again after an unexpected error

Cause: all tasks share one nursery, so the error of any of them cancels the callers' connections; the buffered log lines were not written. Change: a supervisor logs the error, counts it and starts the task again. An error that still ends the process is logged, and the lines are written.

--- a/vanillareach/features/steps/stopping.py
+++ b/vanillareach/features/steps/stopping.py
@@ -112,3 +112,37 @@
 @then("it ends at once")
 def step_check_has_ended(context):
     assert context.has_ended
+
+
+def make_task_fail(gateway, task):
+    """Let a background task of a gateway fail at its next step."""
+    owner, name = {
+        "idle_timeouts": (gateway.forwarder.idle_timeouts, "_check_interval_ms"),
+        "follower": (gateway.follower, "_wait_for_turn"),
+        "pace_estimator": (gateway.forwarder.pace_estimator, "_event_gap_predictor"),
+    }[task]
+
+    def fail(*arguments):
+        delattr(owner, name)
+        raise LookupError(task)
+
+    setattr(owner, name, fail)
+
+
+@when('a caller sends "{path}" and the task "{task}" fails meanwhile')
+def step_fail_task(context, path, task):
+    gateway = context.platform.gateways[0]
+
+    async def call():
+        async with await context.platform.connect() as caller:
+            await caller.send(path)
+            await context.platform.until(lambda: received(context))
+            make_task_fail(gateway, task)
+            context.response = await caller.receive()
+
+    context.run(call)
+
+
+@then("the failure is counted")
+def step_check_failure_counted(context):
+    assert context.platform.gateways[0].supervisor.failure_count == 1
--- a/vanillareach/features/stopping.feature
+++ b/vanillareach/features/stopping.feature
@@ -18,3 +18,17 @@
     Then it goes on
     When a stopping instance gets "SIGTERM,SIGINT"
     Then it ends at once
+
+  @platform
+  Scenario Outline: An error in a background task loses no request
+    Given a gateway in front of engines "m1,m2" and services "d1,d2"
+    And all endpoints will "late"
+    When a caller sends "/book/a" and the task "<task>" fails meanwhile
+    Then the response is 200, complete and signed
+    And the failure is counted
+
+    Examples:
+      | task           |
+      | idle_timeouts  |
+      | follower       |
+      | pace_estimator |
--- a/vanillareach/gateway/app.py
+++ b/vanillareach/gateway/app.py
@@ -20,6 +20,7 @@
 from vanillareach.gateway.reservations import ReservationManager
 from vanillareach.gateway.stalls import StallDetector
 from vanillareach.gateway.state import GatewayState
+from vanillareach.gateway.supervision import TaskSupervisor
 from vanillareach.log import configure_bounded_logs, get_logger
 from vanillareach.metrics import Metrics
 from vanillareach.peers.link import NngLink
@@ -64,22 +65,28 @@
         self.clock = TrioClock()
         self.metrics = Metrics()
         self.log_writer = log_writer
+        self.supervisor = TaskSupervisor(self.clock)
 
     async def run(self):
         """Serve until SIGTERM arrives, then finish the requests in progress."""
         signals = ProcessSignals(signal.SIGTERM, signal.SIGHUP)
         signals.install()
-        async with trio.open_nursery() as nursery:
-            self.build()
-            await self.start(nursery)
-            log.info("Started.", name=self.settings.name)
-            stopping = trio.Event()
-            nursery.start_soon(self._watch_signals, signals, stopping)
-            await stopping.wait()
-            await self.stop()
-            nursery.cancel_scope.cancel()
-        signals.ignore()
-        self.log_writer.drain()
+        try:
+            async with trio.open_nursery() as nursery:
+                self.build()
+                await self.start(nursery)
+                log.info("Started.", name=self.settings.name)
+                stopping = trio.Event()
+                nursery.start_soon(self._watch_signals, signals, stopping)
+                await stopping.wait()
+                await self.stop()
+                nursery.cancel_scope.cancel()
+        except Exception:
+            log.exception("Ended by an error.")
+            raise
+        finally:
+            signals.ignore()
+            self.log_writer.drain()
 
     def build(self):
         """Create all components; nothing is sent or received yet."""
@@ -129,6 +136,11 @@
             "Log lines left out.",
             lambda: self.log_writer.dropped_lines,
         )
+        add(
+            "task_failures",
+            "Errors of background tasks.",
+            lambda: self.supervisor.failure_count,
+        )
         add("store_calls", "Calls to the store.", lambda: self.store.calls)
         add("instances", "Instances known.", lambda: state.instance_count)
         add("is_placer", "Whether it places for others.", lambda: state.is_placer)
@@ -162,14 +174,17 @@
 
     async def start(self, nursery):
         """Start all tasks; return once callers can connect."""
-        nursery.start_soon(self._flush_logs)
-        nursery.start_soon(self.stall_detector.run)
-        nursery.start_soon(self.gossip.run)
-        nursery.start_soon(self.follower.run)
-        nursery.start_soon(self.reservations.run)
-        nursery.start_soon(self.forwarder.idle_timeouts.run)
-        nursery.start_soon(self.forwarder.pace_estimator.run)
-        nursery.start_soon(ReachabilityProber(self.state, self.gossip, self.clock).run)
+        for run in (
+            self._flush_logs,
+            self.stall_detector.run,
+            self.gossip.run,
+            self.follower.run,
+            self.reservations.run,
+            self.forwarder.idle_timeouts.run,
+            self.forwarder.pace_estimator.run,
+            ReachabilityProber(self.state, self.gossip, self.clock).run,
+        ):
+            nursery.start_soon(self.supervisor.keep_running, run)
         for listener in (
             self.caller_listener,
             self.readiness_listener,
