Drop log lines when nobody reads the log any more

What callers saw: an instance ended with all its requests when the reader of its standard output was gone. Cause: writing the log raised BrokenPipeError, which only a full pipe was handled for. Change: such lines are dropped and counted. Measured: stopping.feature, the scenario on a log without a reader: error before, passes now.

--- a/vanillareach/features/steps/stopping.py
+++ b/vanillareach/features/steps/stopping.py
@@ -11,6 +11,7 @@
 
 from vanillareach.features.support import received
 from vanillareach.features.users_platform.stage import Caller, free_address
+from vanillareach.log import BoundedWriter
 from vanillareach.servers import StopSignals
 from vanillareach.utils import split_address
 
@@ -146,3 +147,22 @@
 @then("the failure is counted")
 def step_check_failure_counted(context):
     assert context.platform.gateways[0].supervisor.failure_count == 1
+
+
+@given("a log whose reader is gone")
+def step_log_without_reader(context):
+    reader, writer = os.pipe()
+    os.close(reader)
+    context.log_writer = BoundedWriter(writer)
+
+
+@when("a line is written and drained")
+def step_write_line(context):
+    context.log_writer.write("line")
+    context.log_writer.drain()
+
+
+@then("it is counted as dropped")
+def step_check_dropped(context):
+    assert context.log_writer.dropped_lines == 1
+    assert not context.log_writer.has_lines
--- a/vanillareach/features/stopping.feature
+++ b/vanillareach/features/stopping.feature
@@ -32,3 +32,8 @@
       | idle_timeouts  |
       | follower       |
       | pace_estimator |
+
+  Scenario: A log that nobody reads any more doesn't end the process
+    Given a log whose reader is gone
+    When a line is written and drained
+    Then it is counted as dropped
--- a/vanillareach/log.py
+++ b/vanillareach/log.py
@@ -134,6 +134,10 @@
             written = os.write(self._descriptor, data)
         except BlockingIOError:
             return
+        except OSError:
+            # Nobody reads the log any more, which must not end the process.
+            self.dropped_lines += len(self._buffered_lines)
+            written = len(data)
         unwritten = data[written:]
         self._buffered_lines = deque([unwritten] if unwritten else ())
         self._buffered_bytes = len(unwritten)
