Check leaving and quiet over generated sequences

Answers, lists, older lists, restarts, restores and time in any order: nothing is chosen that left in its incarnation, none comes back in it, quiet holds for its time and ends. Finds a quiet period that a later, shorter one replaces, and leaving incarnations that are dropped (both planted).

--- a/vanillareach/features/properties.feature
+++ b/vanillareach/features/properties.feature
@@ -14,3 +14,6 @@
 
   Scenario: Lists of endpoints stay right over restores of the store
     Then no sequence of starts, drains, ends, copies, restores and reads breaks a list
+
+  Scenario: Endpoints that leave or want quiet stay out for as long as they said
+    Then no sequence of answers, lists, restarts and restores breaks leaving or quiet
