--- a/vanillareach/features/decision_log.feature
+++ b/vanillareach/features/decision_log.feature
@@ -17,3 +17,7 @@
   Scenario: The table of errors has counts of zero without predictions
     When predictions are read from no logs
     Then the table of errors has a count of 0 for each class of lengths
+
+  Scenario: A timeline names the endpoints that leave or asked for quiet
+    When the timeline of request "a3" is read from the sample logs
+    Then the timeline equals "docs/samples/logs/quiet.txt"
