--- a/vanillareach/emulation/endpoints.py
+++ b/vanillareach/emulation/endpoints.py
@@ -26,7 +26,9 @@
     Attributes
     ----------
     fault : str
-        Fault in force: "silent", "refuse" or "fail"; empty for none.
+        Fault in force: "silent", "refuse", "quiet" or "fail"; empty for none.
+    is_leaving : bool
+        Whether all responses say that the endpoint leaves.
     pace : float
         Slowdown factor.
     started_count : int
@@ -37,14 +39,21 @@
         self.name = name
         self.slots = slots
         self.fault = ""
+        self.is_leaving = False
         self.pace = 1.0
         self.started_count = 0
+        self._quiet_until_s = 0.0
         self._faults_ended = trio.Event()
 
     def start_fault(self, fault):
         """Put a fault into force."""
         self.fault = fault
 
+    def start_quiet(self, duration_s):
+        """Refuse all requests, and ask for none for the rest of a time."""
+        self.fault = "quiet"
+        self._quiet_until_s = trio.current_time() + duration_s
+
     def end_faults(self):
         """End all faults, the slowdown included."""
         self.fault = ""
@@ -60,18 +69,32 @@
         if fields.target not in (None, self.name):
             headers = emulated_wire.misdirected_headers(self.name)
             return await responder.answer(421, headers, b"")
-        if self.fault == "refuse" or not self._has_capacity(fields):
-            return await responder.answer(
-                503, emulated_wire.not_executed_headers(), b""
-            )
+        if self.fault in ("refuse", "quiet") or not self._has_capacity(fields):
+            return await responder.answer(503, self._refusal_headers(), b"")
         if self.fault == "silent":
             await self._faults_ended.wait()
         self.started_count += 1
         if self.fault == "fail":
-            headers = emulated_wire.signed_response_headers(fields.attempt_id)
+            headers = self._response_headers(fields)
             return await responder.answer(500, headers, b"emulated failure")
         return await self._run_request(fields, responder)
 
+    def _response_headers(self, fields):
+        """Return the headers of a response to a request that was run."""
+        headers = emulated_wire.signed_response_headers(fields.attempt_id)
+        return headers + self._leaving_headers()
+
+    def _refusal_headers(self):
+        """Return the headers of a 503."""
+        headers = emulated_wire.not_executed_headers() + self._leaving_headers()
+        if self.fault == "quiet":
+            remaining_s = max(0.0, self._quiet_until_s - trio.current_time())
+            headers += emulated_wire.quiet_headers(remaining_s)
+        return headers
+
+    def _leaving_headers(self):
+        return emulated_wire.leaving_headers() if self.is_leaving else []
+
     @abstractmethod
     def _has_capacity(self, fields):
         """Return whether a request can start."""
@@ -114,7 +137,7 @@
             )
         finally:
             self._running_count -= 1
-        headers = emulated_wire.signed_response_headers(fields.attempt_id)
+        headers = self._response_headers(fields)
         await responder.answer(200, headers, fields.attempt_id.encode())
 
 
@@ -137,6 +160,13 @@
         self._event_channels_by_run = {}
         self._tokens_by_reservation_id = {}
 
+    def end_faults(self):
+        """End all faults; see `EmulatedEndpoint`."""
+        if self.fault == "quiet":
+            # Nobody has renewed or released them meanwhile.
+            self._tokens_by_reservation_id.clear()
+        super().end_faults()
+
     async def run_passes(self):
         """Run passes until cancelled."""
         while True:
@@ -208,7 +238,7 @@
                 engine.passes.remove(run)
 
     async def _stream(self, fields, run, receive_channel, responder):
-        headers = emulated_wire.signed_response_headers(fields.attempt_id)
+        headers = self._response_headers(fields)
         event_id, remaining_events = fields.last_event_id, run.remaining_events
         is_started = False
         while remaining_events:
@@ -225,12 +255,15 @@
         await responder.finish()
 
     async def _answer_reservation_request(self, request, responder):
+        headers = self._leaving_headers()
+        if self.fault == "quiet":
+            return await responder.answer(503, self._refusal_headers(), b"{}")
         reservation = emulated_wire.read_reservation_request(request.body)
         self._tokens_by_reservation_id.pop(reservation.id, None)
         if not reservation.is_reservation:
-            return await responder.answer(200, [], b"{}")
+            return await responder.answer(200, headers, b"{}")
         reserved_tokens = sum(self._tokens_by_reservation_id.values())
         if not self.passes.has_capacity(reserved_tokens + reservation.tokens, 0):
-            return await responder.answer(409, [], b"{}")
+            return await responder.answer(409, headers, b"{}")
         self._tokens_by_reservation_id[reservation.id] = reservation.tokens
-        return await responder.answer(200, [], b"{}")
+        return await responder.answer(200, headers, b"{}")
--- a/vanillareach/emulation/scenario.py
+++ b/vanillareach/emulation/scenario.py
@@ -114,11 +114,19 @@
     """A fault of `count` endpoints of a service, or of the store.
 
     It starts `at_s` after the first request and lasts `for_s`. `x` is the slowdown
-    factor of a slow endpoint.
+    factor of a slow endpoint. A quiet one refuses, with Retry-After; one that leaves
+    says so in its answers too.
     """
 
     kind: Literal[
-        "silent", "slow", "refuse", "fail", "leave", "store_busy", "store_lost"
+        "silent",
+        "slow",
+        "refuse",
+        "quiet",
+        "fail",
+        "leave",
+        "store_busy",
+        "store_lost",
     ]
     at_s: float
     for_s: float = 3.0
--- a/vanillareach/emulation/world.py
+++ b/vanillareach/emulation/world.py
@@ -133,6 +133,8 @@
         for endpoint in affected:
             if fault.kind == "slow":
                 endpoint.pace = fault.x
+            elif fault.kind == "quiet":
+                endpoint.start_quiet(fault.for_s)
             else:
                 endpoint.start_fault(fault.kind)
         await trio.sleep(fault.for_s)
@@ -152,10 +154,14 @@
         entries = [self._entries_by_name[endpoint.name] for endpoint in affected]
         for entry in entries:
             self._put_entry(replace(entry, is_leaving=True))
+        for endpoint in affected:
+            endpoint.is_leaving = True
         await trio.sleep(LEAVING_DURATION_S)
         for entry in entries:
             emulated_wire.remove_endpoint(self.store, entry.id)
         await trio.sleep(for_s)
+        for endpoint in affected:
+            endpoint.is_leaving = False
         for entry in entries:
             incarnation = int(time.time() * MS_PER_SECOND)
             self._put_entry(replace(entry, incarnation=incarnation))
--- a/vanillareach/features/emulation.feature
+++ b/vanillareach/features/emulation.feature
@@ -60,3 +60,11 @@
     And its first engine refuses and its first service fails
     When its requests are sent
     Then each kind has requests and all are answered
+
+  @platform
+  Scenario: Requests survive an engine that wants quiet and a service that leaves
+    Given an emulated deployment with a gateway
+    And its first engine wants quiet and its first service leaves
+    When its requests are sent
+    Then each kind has requests and all are answered
+    And the gateway takes one for quiet and one for leaving
--- a/vanillareach/features/steps/emulation.py
+++ b/vanillareach/features/steps/emulation.py
@@ -23,6 +23,7 @@
 from vanillareach.features.users_platform.stage import free_address
 
 SAMPLE_SCENARIO = "docs/samples/scenarios/floods.toml"
+LONG_QUIET_S = 60.0
 CALM_SCENARIO = """
 name = "calm"
 duration_s = 1.5
@@ -257,6 +258,26 @@
     context.deployment.endpoints_by_name["desk-0"].start_fault("fail")
 
 
+@given("its first engine wants quiet and its first service leaves")
+def step_start_signals(context):
+    async def start():
+        context.deployment.endpoints_by_name["model-0"].start_quiet(LONG_QUIET_S)
+
+    context.run(start)
+    context.deployment.endpoints_by_name["desk-0"].is_leaving = True
+
+
+@then("the gateway takes one for quiet and one for leaving")
+def step_check_signals(context):
+    state = context.platform.gateways[0].state
+
+    async def read():
+        leaving = state.endpoints.leaving_unlike_list()
+        return state.quiet_endpoints(), [endpoint.id for endpoint in leaving]
+
+    assert context.run(read) == ({"model-0"}, ["desk-0"])
+
+
 @when("its requests are sent")
 def step_send_requests(context):
     random_source = random.Random(1)
--- a/vanillareach/platform/emulated_wire.py
+++ b/vanillareach/platform/emulated_wire.py
@@ -102,6 +102,16 @@
     return [(names.NOT_EXECUTED.title(), b"1")]
 
 
+def leaving_headers():
+    """Return the headers of any response of an endpoint that leaves."""
+    return [(names.SERVER_LEAVING.title(), b"1")]
+
+
+def quiet_headers(duration_s):
+    """Return the headers by which a 503 asks for no request for a time."""
+    return [(names.RETRY_AFTER.title(), f"{duration_s:.3f}".encode())]
+
+
 def misdirected_headers(own_id):
     """Return the headers of a response to a misdirected request."""
     return [(names.INSTANCE_ID.title(), own_id.encode())]
