--- a/vanillareach/features/gateway_core.feature
+++ b/vanillareach/features/gateway_core.feature
@@ -179,6 +179,13 @@
     And it is gone for 150000 ms, and a copy of the store lists "e1" again
     Then "e1" is not usable
 
+  Scenario: Of many endpoints that left the listed ones are remembered
+    Given a list with "e1" of incarnation 1 at revision 5
+    When "e1" of incarnation 1 says that it leaves
+    And 5000 endpoints that are not listed say that they leave
+    Then "e1" is not usable
+    And 4096 incarnations are remembered
+
   Scenario: An address that another endpoint uses again doesn't leave
     Given a list with "e1" of incarnation 1 at revision 5
     When "e1" of incarnation 1 says that it leaves
--- a/vanillareach/features/steps/endpoint_signals.py
+++ b/vanillareach/features/steps/endpoint_signals.py
@@ -269,6 +269,17 @@
     context.endpoint_list.record_leaving((name, incarnation), was_said=True)
 
 
+@when("{count:d} endpoints that are not listed say that they leave")
+def step_many_leave(context, count):
+    for number in range(count):
+        context.endpoint_list.record_leaving((f"gone-{number}", 1), was_said=True)
+
+
+@then("{count:d} incarnations are remembered")
+def step_check_remembered(context, count):
+    assert len(context.endpoint_list._was_said_by_leaving_key) == count
+
+
 @when('the list shows "{name}" at the address of "{other}"')
 def step_same_address(context, name, other):
     address = context.endpoint_list.by_id[other].address
