--- a/vanillareach/gateway/attempt_group.py
+++ b/vanillareach/gateway/attempt_group.py
@@ -9,7 +9,7 @@
 
 import trio
 
-from vanillareach.gateway.exchange import NOT_SENT_RESULTS, AttemptResult
+from vanillareach.gateway.exchange import NEVER_RUN_RESULTS, AttemptResult
 
 
 class AttemptSupersededError(Exception):
@@ -75,7 +75,7 @@
     @property
     def may_have_run(self):
         """Whether the endpoint may have begun to run the request."""
-        return self.may_have_been_sent and self.result not in NOT_SENT_RESULTS
+        return self.may_have_been_sent and self.result not in NEVER_RUN_RESULTS
 
     def mark_sent(self):
         """Record that bytes of the request may be sent from now on."""
--- a/vanillareach/gateway/exchange.py
+++ b/vanillareach/gateway/exchange.py
@@ -4,6 +4,7 @@
 from enum import Enum, auto
 
 from vanillareach.clock import MS_PER_SECOND
+from vanillareach.endpoints.base import EndpointError
 
 # Reserved before a deadline so that the response reaches the caller in time.
 ANSWER_MARGIN_MS = 20.0
@@ -20,6 +21,8 @@
     # The endpoint reported that it did not run the request, or memory for the request
     # was not reserved, so that it was not sent.
     NOT_RUN = auto()
+    # No longer allowed at an endpoint of the placement; no byte was sent to it.
+    NOT_SENT = auto()
     # The endpoint sent an error response, which is kept.
     FAILED = auto()
     # The response was aborted, or is not the endpoint's response to this attempt.
@@ -33,7 +36,13 @@
 POSSIBLY_RUN_RESULTS = frozenset(
     (AttemptResult.FAILED, AttemptResult.BROKEN, AttemptResult.SILENT)
 )
-NOT_SENT_RESULTS = frozenset((AttemptResult.UNREACHABLE, AttemptResult.NOT_RUN))
+NEVER_RUN_RESULTS = frozenset(
+    (AttemptResult.UNREACHABLE, AttemptResult.NOT_SENT, AttemptResult.NOT_RUN)
+)
+
+
+class EndpointWithdrawnError(EndpointError):
+    """An endpoint that was chosen must get no request; nothing was sent to it."""
 
 
 class FailureResponse:
--- a/vanillareach/gateway/forwarder.py
+++ b/vanillareach/gateway/forwarder.py
@@ -182,7 +182,9 @@
                 decision = await self._choose_placement(exchange, group)
                 placement = decision.placement
                 if placement is None and not group.is_running:
-                    reason = "stopping" if self._state.is_stopping else "no_room"
+                    reason = decision.reason or (
+                        "stopping" if self._state.is_stopping else "no_room"
+                    )
                     return await self._send_final_failure(
                         exchange, responder, reason, decision.retry_after_ms
                     )
@@ -196,6 +198,9 @@
                 continue
             if report.result is AttemptResult.ANSWERED:
                 return self._count_outcome("done", "")
+            if report.result is AttemptResult.NOT_SENT:
+                may_try = group.is_silent
+                continue
             self._exclude(exchange, report.attempt.placement)
             may_try = group.is_silent and self._may_try_again(exchange, report.result)
             if not may_try and not group.is_running:
@@ -260,8 +265,8 @@
             await self._refuse(exchange.fields, responder, 502, reason)
         else:
             if retry_after_ms is None:
-                retry_after_ms = self._dispatcher.retry_after_ms(
-                    exchange.service.name, self._clock.now_ms()
+                retry_after_ms = self._dispatcher.refusal_retry_after_ms(
+                    exchange, self._clock.now_ms()
                 )
             await self._refuse(exchange.fields, responder, 503, reason, retry_after_ms)
 
