Take a retry from the budget only for an attempt that is made

What callers saw: streams cut, or 502 and 503, with the retry budget spent although fewer requests had been sent again. Cause: the retry was taken before a placement was known. Without room it was lost; a silent request without room took one each time it fell silent. One was also taken after an attempt that had ended without being sent, as its memory wasn't reserved. Change: a retry is taken as an attempt starts, and one for each attempt that was sent before. Measured: attempts.feature, the scenario on a retry without an attempt: failed before, passes now; gateway.feature and silence.feature: 53 passed.

--- a/vanillareach/features/attempts.feature
+++ b/vanillareach/features/attempts.feature
@@ -11,3 +11,7 @@
   Scenario: A request that was answered leaves no reference cycle
     When requests have been served with garbage collection off
     Then no request is kept in memory
+
+  Scenario: A retry is taken from the budget only for an attempt that is made
+    When an endpoint falls silent and no other has room
+    Then no retry was taken from the budget
--- a/vanillareach/features/steps/attempts.py
+++ b/vanillareach/features/steps/attempts.py
@@ -468,6 +468,19 @@
         assert run.responder.is_complete and run.error is None
 
 
+@when("an endpoint falls silent and no other has room")
+def step_fall_silent_without_room(context):
+    case = Case("ask", (Script(head_ms=3_000),), ((0, True), *[(0, False)] * 20))
+    context.runs = [play(case)]
+
+
+@then("no retry was taken from the budget")
+def step_check_no_retry_taken(context):
+    for run in context.runs:
+        run.check()
+        assert not run.state.retry_share("desk")._retries_ms
+
+
 @when("requests have been served with garbage collection off")
 def step_serve_without_collection(context):
     gc.collect()
--- a/vanillareach/gateway/exchange.py
+++ b/vanillareach/gateway/exchange.py
@@ -70,6 +70,8 @@
     attempts : list of Attempt
     last_event_id : int or None
         Id of the last event of a stream that was sent to the caller.
+    retry_count : int
+        Retries taken from the retry budget.
     excluded_endpoints : set of str
         Ids of endpoints that further attempts leave out.
     failed_helper : str or None
@@ -96,6 +98,7 @@
         "last_event_ms",
         "longest_pause_ms",
         "request",
+        "retry_count",
         "route",
         "scope",
         "service",
@@ -119,6 +122,7 @@
         self._latest_ms = math.inf
         self.scope = None
         self.attempts = []
+        self.retry_count = 0
         self.excluded_endpoints = set()
         self.failure_response = None
         self.weights_version = None
@@ -134,6 +138,12 @@
         """Id that the caller gave this attempt."""
         return self.fields.attempt_id
 
+    @property
+    def needs_retry(self):
+        """Whether the next attempt needs a retry that wasn't taken yet."""
+        sent_count = sum(attempt.may_have_been_sent for attempt in self.attempts)
+        return self.retry_count < sent_count
+
     @property
     def possible_runs(self):
         """Number of attempts that may have run the request."""
--- a/vanillareach/gateway/forwarder.py
+++ b/vanillareach/gateway/forwarder.py
@@ -180,16 +180,16 @@
             wait_ms = math.inf
             if may_try:
                 decision = await self._choose_placement(exchange, group)
-                placement = decision.placement
-                if placement is None and not group.is_running:
+                may_start = decision.placement is not None and group.is_silent
+                if may_start and self._acquire_retry(exchange):
+                    group.start(decision.placement)
+                elif group.is_running:
+                    wait_ms = ROOM_CHECK_INTERVAL_MS
+                else:
                     reason = "stopping" if self._state.is_stopping else "no_room"
                     return await self._send_final_failure(
                         exchange, responder, reason, decision.retry_after_ms
                     )
-                if placement is None:
-                    wait_ms = ROOM_CHECK_INTERVAL_MS
-                elif group.is_silent:
-                    group.start(placement)
             report = await group.next_report(wait_ms)
             if report is None:
                 may_try = group.is_silent
@@ -230,15 +230,25 @@
         remaining_ms = exchange.deadline_ms - now_ms
         if remaining_ms < MIN_ATTEMPT_TIME_MS or len(exchange.attempts) >= MAX_ATTEMPTS:
             return False
-        if result is AttemptResult.UNREACHABLE:
-            return True
         if result in POSSIBLY_RUN_RESULTS:
             if not exchange.route.is_repeatable:
                 return False
             if exchange.possible_runs >= exchange.route.max_attempts:
                 return False
-        retry_share = self._state.retry_share(exchange.service.name)
-        return retry_share.try_acquire(self._state.instance_count, now_ms)
+        share = self._state.retry_share(exchange.service.name)
+        return not exchange.needs_retry or bool(
+            share.remaining(self._state.instance_count, now_ms)
+        )
+
+    def _acquire_retry(self, exchange):
+        """Take a retry for the next attempt from the budget, if it needs one."""
+        if exchange.needs_retry:
+            share = self._state.retry_share(exchange.service.name)
+            now_ms = self._clock.now_ms()
+            if not share.try_acquire(self._state.instance_count, now_ms):
+                return False
+            exchange.retry_count += 1
+        return True
 
     async def _send_final_failure(
         self, exchange, responder, reason, retry_after_ms=None
