--- a/vanillareach/gateway/attempt_group.py
+++ b/vanillareach/gateway/attempt_group.py
@@ -27,6 +27,8 @@
 
     Attributes
     ----------
+    failed_helper : ListedEndpoint or None
+        The helper engine that made the attempt fail.
     flight : InFlightRequest or None
         None until the attempt runs.
     idle_timeout : IdleTimeout or None
@@ -48,6 +50,7 @@
     __slots__ = (
         "_group",
         "exchange",
+        "failed_helper",
         "flight",
         "idle_timeout",
         "is_silent",
@@ -63,6 +66,7 @@
         self._group = group
         self.exchange = exchange
         self.placement = placement
+        self.failed_helper = None
         self.flight = None
         self.idle_timeout = None
         self.scope = trio.CancelScope()
@@ -77,6 +81,11 @@
         """Whether the endpoint may have begun to run the request."""
         return self.may_have_been_sent and self.result not in NOT_SENT_RESULTS
 
+    @property
+    def failed_endpoint(self):
+        """The endpoint or helper that the next attempts leave out."""
+        return self.failed_helper or self.placement.endpoint
+
     def mark_sent(self):
         """Record that bytes of the request may be sent from now on."""
         self.may_have_been_sent = True
--- a/vanillareach/gateway/attempts.py
+++ b/vanillareach/gateway/attempts.py
@@ -230,7 +230,7 @@
         if fields.failed_helper_address:
             for helper in placement.helpers:
                 if helper.address == fields.failed_helper_address:
-                    attempt.exchange.failed_helper = helper.id
+                    attempt.failed_helper = helper
                     state.record_fault(helper, EndpointFault.REFUSED, now_ms)
         elif fields.is_misdirected:
             state.record_fault(placement.endpoint, EndpointFault.LEAVING, now_ms)
--- a/vanillareach/gateway/exchange.py
+++ b/vanillareach/gateway/exchange.py
@@ -74,8 +74,6 @@
         Retries taken from the retry budget.
     excluded_endpoints : set of str
         Ids of endpoints that further attempts leave out.
-    failed_helper : str or None
-        Id of the helper engine that made the last attempt fail.
     first_event_ms : int or None
         Time from the arrival of the request to its first event.
     longest_pause_ms : float
@@ -89,7 +87,6 @@
         "configuration",
         "deadline_ms",
         "excluded_endpoints",
-        "failed_helper",
         "failure_response",
         "fields",
         "fingerprint",
@@ -126,7 +123,6 @@
         self.excluded_endpoints = set()
         self.failure_response = None
         self.weights_version = None
-        self.failed_helper = None
         self.fingerprint = ""
         self.first_event_ms = None
         self.last_event_ms = None
--- a/vanillareach/gateway/forwarder.py
+++ b/vanillareach/gateway/forwarder.py
@@ -196,7 +196,7 @@
                 continue
             if report.result is AttemptResult.ANSWERED:
                 return self._count_outcome("done", "")
-            self._exclude(exchange, report.attempt.placement)
+            exchange.excluded_endpoints.add(report.attempt.failed_endpoint.id)
             may_try = group.is_silent and self._may_try_again(exchange, report.result)
             if not may_try and not group.is_running:
                 return await self._send_final_failure(
@@ -217,14 +217,6 @@
                 return decision
             await self._clock.sleep_ms(CAPACITY_CHECK_INTERVAL_MS)
 
-    def _exclude(self, exchange, placement):
-        """Leave the endpoint or helper that failed out of further attempts."""
-        if exchange.failed_helper is None:
-            exchange.excluded_endpoints.add(placement.endpoint.id)
-        else:
-            exchange.excluded_endpoints.add(exchange.failed_helper)
-            exchange.failed_helper = None
-
     def _may_try_again(self, exchange, result):
         now_ms = self._clock.now_ms()
         remaining_ms = exchange.deadline_ms - now_ms
