Bind a stream to the weights that made its first event

What callers saw: 504 after the whole deadline although a second engine would have streamed. Cause: the version of the weights was taken from the head of a response, before any event. A second attempt beside one that fell silent after its head had to find the same version; an engine with another one refused it. Of two heads with different versions the first was kept, whichever attempt delivered. Change: the version is that of the attempt that delivers the first event. Measured: attempts.feature, the scenario on weights: failed before, passes now.

--- a/vanillareach/features/attempts.feature
+++ b/vanillareach/features/attempts.feature
@@ -15,3 +15,7 @@
   Scenario: A retry is taken from the budget only for an attempt that is made
     When an endpoint falls silent and no other has room
     Then no retry was taken from the budget
+
+  Scenario: The weights of an attempt that has delivered nothing don't bind the next
+    When an engine with other weights takes over from one that has sent no event
+    Then each response is complete, and its connection stays open
--- a/vanillareach/features/steps/attempts.py
+++ b/vanillareach/features/steps/attempts.py
@@ -33,6 +33,7 @@
 from vanillareach.gateway.stalls import StallDetector
 from vanillareach.gateway.state import GatewayState
 from vanillareach.metrics import Metrics
+from vanillareach.platform import names
 from vanillareach.platform.calls import PlatformProtocol
 from vanillareach.platform.documents import decode_configuration
 
@@ -71,6 +72,8 @@
         Time before each of the first events, or parts of a plain answer.
     end : str
         What follows those: "complete", "break" or "hang".
+    version : int
+        Of the weights; a request that expects another one is refused.
     """
 
     kind: str = "serve"
@@ -78,6 +81,7 @@
     head_ms: float = 0
     pauses_ms: tuple[float, ...] = ()
     end: str = "complete"
+    version: int = 1
 
     @property
     def is_sound(self):
@@ -97,7 +101,10 @@
 
     def __init__(self, number, script, first_event, is_stream):
         self.status = {"refuse": 503, "fail": 500}.get(script.kind, 200)
-        self.headers = [(b"Vanillareach-Attempt-Id", ATTEMPT_ID)]
+        self.headers = [
+            (b"Vanillareach-Attempt-Id", ATTEMPT_ID),
+            (names.WEIGHT_VERSIONS, str(script.version).encode()),
+        ]
         if script.kind in ("serve", "fail"):
             self.headers.append(SIGNATURE_HEADER)
         if script.kind == "refuse":
@@ -159,7 +166,11 @@
         await trio.lowlevel.checkpoint()
         self.sent.append(script)
         await trio.sleep(script.head_ms / 1000)
-        last_event = int(dict(request.headers).get(b"Last-Event-Id", b"0"))
+        values_by_name = {n.lower(): v for n, v in request.headers}
+        last_event = int(values_by_name.get(b"last-event-id", b"0"))
+        expected = values_by_name.get(names.EXPECTED_WEIGHT_VERSION)
+        if expected not in (None, str(script.version).encode()):
+            script = msgspec.structs.replace(script, kind="refuse")
         yield ScriptedResponse(number, script, last_event + 1, self._is_stream)
 
     @staticmethod
@@ -481,6 +492,12 @@
         assert not run.state.retry_share("desk")._retries_ms
 
 
+@when("an engine with other weights takes over from one that has sent no event")
+def step_take_over_with_other_weights(context):
+    scripts = Script(end="hang"), Script(version=2)
+    context.runs = [play(Case("ask", scripts))]
+
+
 @when("requests have been served with garbage collection off")
 def step_serve_without_collection(context):
     gc.collect()
--- a/vanillareach/gateway/attempt_group.py
+++ b/vanillareach/gateway/attempt_group.py
@@ -43,6 +43,8 @@
         Whether another attempt has taken over the response.
     was_delivery_slow : bool
         Whether delivering the last event took long, or none was delivered yet.
+    weights_version : int or None
+        Version of the endpoint's weights; None if it doesn't tell one.
     result : AttemptResult or None
         None while the attempt runs.
     """
@@ -60,6 +62,7 @@
         "result",
         "scope",
         "was_delivery_slow",
+        "weights_version",
     )
 
     def __init__(self, exchange, placement, group):
@@ -74,6 +77,7 @@
         self.is_silent = False
         self.is_superseded = False
         self.was_delivery_slow = True
+        self.weights_version = None
         self.result = None
 
     @property
--- a/vanillareach/gateway/attempts.py
+++ b/vanillareach/gateway/attempts.py
@@ -181,8 +181,7 @@
             exchange.failure_response = FailureResponse(response, body)
             return AttemptResult.FAILED
         if exchange.route.kind is RequestKind.STREAM:
-            if exchange.weights_version is None:
-                exchange.weights_version = fields.weights_version
+            attempt.weights_version = fields.weights_version
             observer = AttemptObserver(self, attempt)
             await relay_events(exchange, response, responder, observer)
         else:
@@ -245,6 +244,7 @@
         if pause_ms is not None and not attempt.was_delivery_slow:
             self._state.paces.record_gap(flight.engine, pause_ms, now_ms)
         if pause_ms is None:
+            exchange.weights_version = attempt.weights_version
             exchange.drop_answer_margin()
         if flight.is_prefilling:
             self._dispatcher.record_first_event(flight)
--- a/vanillareach/gateway/exchange.py
+++ b/vanillareach/gateway/exchange.py
@@ -74,6 +74,8 @@
         Retries taken from the retry budget.
     excluded_endpoints : set of str
         Ids of endpoints that further attempts leave out.
+    weights_version : int or None
+        Version of the weights that made the first event.
     first_event_ms : int or None
         Time from the arrival of the request to its first event.
     longest_pause_ms : float
