Wait longer for an endpoint that stops reading a long body

What callers saw: 502 some 2.5 s after a request with a long body, although its endpoint only paused. Cause: the time limit for unacknowledged bytes, 2 s, also ends a connection whose peer doesn't read. A body that doesn't fit into the receive buffer meets it. Ruled out: short bodies; the endpoint's kernel acknowledges them. Change: 15 s, as for callers, for requests whose body isn't sent inline. Measured: over loopback, bodies of 400 kB and 6 MB at a service that reads after 3 and 6 s: all four 502 before, all answered after; 9 kB was answered before and after. attempts.feature, the scenario on a long body: failed before, passes now.

--- a/vanillareach/features/attempts.feature
+++ b/vanillareach/features/attempts.feature
@@ -19,3 +19,7 @@
   Scenario: The weights of an attempt that has delivered nothing don't bind the next
     When an engine with other weights takes over from one that has sent no event
     Then each response is complete, and its connection stays open
+
+  Scenario: An endpoint that stops reading a long body for a while gets the whole body
+    When an endpoint begins to read a body of 1000000 bytes after 2.7 s
+    Then its response is received with status 200
--- a/vanillareach/features/steps/attempts.py
+++ b/vanillareach/features/steps/attempts.py
@@ -32,6 +32,7 @@
 from vanillareach.gateway.settings import GatewaySettings
 from vanillareach.gateway.stalls import StallDetector
 from vanillareach.gateway.state import GatewayState
+from vanillareach.gateway.upstream import UpstreamRequest, open_upstream
 from vanillareach.metrics import Metrics
 from vanillareach.platform import names
 from vanillareach.platform.calls import PlatformProtocol
@@ -42,6 +43,7 @@
 ATTEMPT_ID = b"attempt-1"
 # Time between the end of the last event and the caller's receipt of the response.
 END_MARGIN_MS = 200.0
+RECEIVE_BYTES = 65_536
 LOSS_CHECK_MS = 100.0
 # Longest time that a placement takes.
 PLACEMENT_MS = 400.0
@@ -498,6 +500,35 @@
     context.runs = [play(Case("ask", scripts))]
 
 
+@when("an endpoint begins to read a body of {size:d} bytes after {pause:g} s")
+def step_send_unread_body(context, size, pause):
+    async def read_late(stream):
+        await trio.sleep(pause)
+        received = 0
+        while received < size:
+            received += len(await stream.receive_some(RECEIVE_BYTES))
+        await stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+    async def send():
+        async with trio.open_nursery() as nursery:
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            host, port = listeners[0].socket.getsockname()
+            nursery.start_soon(trio.serve_listeners, read_late, listeners)
+            request = UpstreamRequest(
+                f"{host}:{port}", b"POST", b"/", [], b"h", b"x" * size
+            )
+            async with open_upstream(request, lambda: None) as response:
+                context.status = response.status
+            nursery.cancel_scope.cancel()
+
+    trio.run(send)
+
+
+@then("its response is received with status {status:d}")
+def step_check_received_status(context, status):
+    assert context.status == status
+
+
 @when("requests have been served with garbage collection off")
 def step_serve_without_collection(context):
     gc.collect()
--- a/vanillareach/gateway/sockets.py
+++ b/vanillareach/gateway/sockets.py
@@ -14,6 +14,9 @@
 KEEP_ALIVE_PROBES = 2
 # A connection to an endpoint ends if sent bytes stay unacknowledged for this time.
 ENDPOINT_UNACKED_TIMEOUT_MS = 2_000
+# Longer for a request body that doesn't fit into the endpoint's receive buffer, since
+# the kernel applies the same timeout to an endpoint that stops reading for a while.
+ENDPOINT_UNREAD_TIMEOUT_MS = 15_000
 # Longer for callers: the kernel applies the same timeout to a caller that stops reading
 # for a while.
 CALLER_UNACKED_TIMEOUT_MS = 15_000
@@ -36,9 +39,17 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
 
 
-async def connect(address, timeout_ms):
+async def connect(address, timeout_ms, unacked_timeout_ms=ENDPOINT_UNACKED_TIMEOUT_MS):
     """Return a stream to ``host:port``.
 
+    Parameters
+    ----------
+    address : str
+    timeout_ms : float
+        Time limit of the connection's establishment.
+    unacked_timeout_ms : int
+        See `enable_liveness_detection`.
+
     Raises
     ------
     OSError
@@ -48,7 +59,7 @@
     try:
         with trio.fail_after(timeout_ms / MS_PER_SECOND):
             await sock.connect(split_address(address))
-        enable_liveness_detection(sock, ENDPOINT_UNACKED_TIMEOUT_MS)
+        enable_liveness_detection(sock, unacked_timeout_ms)
     except trio.TooSlowError as error:
         sock.close()
         raise OSError(
--- a/vanillareach/gateway/upstream.py
+++ b/vanillareach/gateway/upstream.py
@@ -12,7 +12,11 @@
 import trio
 
 from vanillareach.endpoints.base import EndpointBrokenError, EndpointUnreachableError
-from vanillareach.gateway.sockets import connect
+from vanillareach.gateway.sockets import (
+    ENDPOINT_UNACKED_TIMEOUT_MS,
+    ENDPOINT_UNREAD_TIMEOUT_MS,
+    connect,
+)
 from vanillareach.utils import open_background_nursery
 
 RECEIVE_BUFFER_BYTES = 65_536
@@ -139,8 +143,13 @@
     EndpointBrokenError
         If the exchange is aborted.
     """
+    body = request.body or b""
+    is_inline = len(body) <= MAX_INLINE_BODY_BYTES
+    unacked_timeout_ms = (
+        ENDPOINT_UNACKED_TIMEOUT_MS if is_inline else ENDPOINT_UNREAD_TIMEOUT_MS
+    )
     try:
-        stream = await connect(request.address, CONNECT_TIMEOUT_MS)
+        stream = await connect(request.address, CONNECT_TIMEOUT_MS, unacked_timeout_ms)
     except OSError as error:
         raise EndpointUnreachableError(f"{request.address}: {error}") from error
     try:
@@ -148,9 +157,8 @@
             h11.CLIENT, max_incomplete_event_size=MAX_RESPONSE_HEADER_BYTES
         )
         on_connected()
-        body = request.body or b""
         head = _encode_head(connection, request)
-        if len(body) <= MAX_INLINE_BODY_BYTES:
+        if is_inline:
             await _send(stream, head + _encode_body(connection, body))
             yield await _read_head(connection, stream)
             return
