--- a/vanillareach/features/attempts.feature
+++ b/vanillareach/features/attempts.feature
@@ -11,3 +11,15 @@
   Scenario: A request that was answered leaves no reference cycle
     When requests have been served with garbage collection off
     Then no request is kept in memory
+
+  Scenario: A retry is taken from the budget only for an attempt that is made
+    When an endpoint falls silent and no other has room
+    Then no retry was taken from the budget
+
+  Scenario: The weights of an attempt that has delivered nothing don't bind the next
+    When an engine with other weights takes over from one that has sent no event
+    Then each response is complete, and its connection stays open
+
+  Scenario: An endpoint that stops reading a long body for a while gets the whole body
+    When an endpoint begins to read a body of 1000000 bytes after 2.7 s
+    Then its response is received with status 200
--- a/vanillareach/features/steps/attempts.py
+++ b/vanillareach/features/steps/attempts.py
@@ -32,7 +32,9 @@
 from vanillareach.gateway.settings import GatewaySettings
 from vanillareach.gateway.stalls import StallDetector
 from vanillareach.gateway.state import GatewayState
+from vanillareach.gateway.upstream import UpstreamRequest, open_upstream
 from vanillareach.metrics import Metrics
+from vanillareach.platform import names
 from vanillareach.platform.calls import PlatformProtocol
 from vanillareach.platform.documents import decode_configuration
 
@@ -41,6 +43,7 @@
 ATTEMPT_ID = b"attempt-1"
 # Time between the end of the last event and the caller's receipt of the response.
 END_MARGIN_MS = 200.0
+RECEIVE_BYTES = 65_536
 LOSS_CHECK_MS = 100.0
 # Longest time that a placement takes.
 PLACEMENT_MS = 400.0
@@ -71,6 +74,8 @@
         Time before each of the first events, or parts of a plain answer.
     end : str
         What follows those: "complete", "break" or "hang".
+    version : int
+        Of the weights; a request that expects another one is refused.
     """
 
     kind: str = "serve"
@@ -78,6 +83,7 @@
     head_ms: float = 0
     pauses_ms: tuple[float, ...] = ()
     end: str = "complete"
+    version: int = 1
 
     @property
     def is_sound(self):
@@ -97,7 +103,10 @@
 
     def __init__(self, number, script, first_event, is_stream):
         self.status = {"refuse": 503, "fail": 500}.get(script.kind, 200)
-        self.headers = [(b"Vanillareach-Attempt-Id", ATTEMPT_ID)]
+        self.headers = [
+            (b"Vanillareach-Attempt-Id", ATTEMPT_ID),
+            (names.WEIGHT_VERSIONS, str(script.version).encode()),
+        ]
         if script.kind in ("serve", "fail"):
             self.headers.append(SIGNATURE_HEADER)
         if script.kind == "refuse":
@@ -159,7 +168,11 @@
         await trio.lowlevel.checkpoint()
         self.sent.append(script)
         await trio.sleep(script.head_ms / 1000)
-        last_event = int(dict(request.headers).get(b"Last-Event-Id", b"0"))
+        values_by_name = {n.lower(): v for n, v in request.headers}
+        last_event = int(values_by_name.get(b"last-event-id", b"0"))
+        expected = values_by_name.get(names.EXPECTED_WEIGHT_VERSION)
+        if expected not in (None, str(script.version).encode()):
+            script = msgspec.structs.replace(script, kind="refuse")
         yield ScriptedResponse(number, script, last_event + 1, self._is_stream)
 
     @staticmethod
@@ -468,6 +481,54 @@
         assert run.responder.is_complete and run.error is None
 
 
+@when("an endpoint falls silent and no other has room")
+def step_fall_silent_without_room(context):
+    case = Case("ask", (Script(head_ms=3_000),), ((0, True), *[(0, False)] * 20))
+    context.runs = [play(case)]
+
+
+@then("no retry was taken from the budget")
+def step_check_no_retry_taken(context):
+    for run in context.runs:
+        run.check()
+        assert not run.state.retry_share("desk")._retries_ms
+
+
+@when("an engine with other weights takes over from one that has sent no event")
+def step_take_over_with_other_weights(context):
+    scripts = Script(end="hang"), Script(version=2)
+    context.runs = [play(Case("ask", scripts))]
+
+
+@when("an endpoint begins to read a body of {size:d} bytes after {pause:g} s")
+def step_send_unread_body(context, size, pause):
+    async def read_late(stream):
+        await trio.sleep(pause)
+        received = 0
+        while received < size:
+            received += len(await stream.receive_some(RECEIVE_BYTES))
+        await stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+    async def send():
+        async with trio.open_nursery() as nursery:
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            host, port = listeners[0].socket.getsockname()
+            nursery.start_soon(trio.serve_listeners, read_late, listeners)
+            request = UpstreamRequest(
+                f"{host}:{port}", b"POST", b"/", [], b"h", b"x" * size
+            )
+            async with open_upstream(request, lambda: None) as response:
+                context.status = response.status
+            nursery.cancel_scope.cancel()
+
+    trio.run(send)
+
+
+@then("its response is received with status {status:d}")
+def step_check_received_status(context, status):
+    assert context.status == status
+
+
 @when("requests have been served with garbage collection off")
 def step_serve_without_collection(context):
     gc.collect()
--- a/vanillareach/gateway/attempt_group.py
+++ b/vanillareach/gateway/attempt_group.py
@@ -27,6 +27,8 @@
 
     Attributes
     ----------
+    failed_helper : ListedEndpoint or None
+        The helper engine that made the attempt fail.
     flight : InFlightRequest or None
         None until the attempt runs.
     idle_timeout : IdleTimeout or None
@@ -41,6 +43,8 @@
         Whether another attempt has taken over the response.
     was_delivery_slow : bool
         Whether delivering the last event took long, or none was delivered yet.
+    weights_version : int or None
+        Version of the endpoint's weights; None if it doesn't tell one.
     result : AttemptResult or None
         None while the attempt runs.
     """
@@ -48,6 +52,7 @@
     __slots__ = (
         "_group",
         "exchange",
+        "failed_helper",
         "flight",
         "idle_timeout",
         "is_silent",
@@ -57,12 +62,14 @@
         "result",
         "scope",
         "was_delivery_slow",
+        "weights_version",
     )
 
     def __init__(self, exchange, placement, group):
         self._group = group
         self.exchange = exchange
         self.placement = placement
+        self.failed_helper = None
         self.flight = None
         self.idle_timeout = None
         self.scope = trio.CancelScope()
@@ -70,6 +77,7 @@
         self.is_silent = False
         self.is_superseded = False
         self.was_delivery_slow = True
+        self.weights_version = None
         self.result = None
 
     @property
@@ -77,6 +85,11 @@
         """Whether the endpoint may have begun to run the request."""
         return self.may_have_been_sent and self.result not in NEVER_RUN_RESULTS
 
+    @property
+    def failed_endpoint(self):
+        """The endpoint or helper that the next attempts leave out."""
+        return self.failed_helper or self.placement.endpoint
+
     def mark_sent(self):
         """Record that bytes of the request may be sent from now on."""
         self.may_have_been_sent = True
--- a/vanillareach/gateway/attempts.py
+++ b/vanillareach/gateway/attempts.py
@@ -202,8 +202,7 @@
             exchange.failure_response = FailureResponse(response, body)
             return AttemptResult.FAILED
         if exchange.route.kind is RequestKind.STREAM:
-            if exchange.weights_version is None:
-                exchange.weights_version = fields.weights_version
+            attempt.weights_version = fields.weights_version
             observer = AttemptObserver(self, attempt)
             await relay_events(exchange, response, responder, observer)
         else:
@@ -256,7 +255,7 @@
         if fields.failed_helper_address:
             for helper in placement.helpers:
                 if helper.address == fields.failed_helper_address:
-                    attempt.exchange.failed_helper = helper.id
+                    attempt.failed_helper = helper
                     state.record_fault(helper, EndpointFault.REFUSED, now_ms)
         elif fields.is_misdirected:
             state.record_fault(placement.endpoint, EndpointFault.LEAVING, now_ms)
@@ -271,6 +270,7 @@
         if pause_ms is not None and not attempt.was_delivery_slow:
             self._state.paces.record_gap(flight.engine, pause_ms, now_ms)
         if pause_ms is None:
+            exchange.weights_version = attempt.weights_version
             exchange.drop_answer_margin()
         if flight.is_prefilling:
             self._dispatcher.record_first_event(flight)
--- a/vanillareach/gateway/exchange.py
+++ b/vanillareach/gateway/exchange.py
@@ -79,10 +79,12 @@
     attempts : list of Attempt
     last_event_id : int or None
         Id of the last event of a stream that was sent to the caller.
+    retry_count : int
+        Retries taken from the retry budget.
     excluded_endpoints : set of str
         Ids of endpoints that further attempts leave out.
-    failed_helper : str or None
-        Id of the helper engine that made the last attempt fail.
+    weights_version : int or None
+        Version of the weights that made the first event.
     first_event_ms : int or None
         Time from the arrival of the request to its first event.
     longest_pause_ms : float
@@ -96,7 +98,6 @@
         "configuration",
         "deadline_ms",
         "excluded_endpoints",
-        "failed_helper",
         "failure_response",
         "fields",
         "fingerprint",
@@ -105,6 +106,7 @@
         "last_event_ms",
         "longest_pause_ms",
         "request",
+        "retry_count",
         "route",
         "scope",
         "service",
@@ -128,10 +130,10 @@
         self._latest_ms = math.inf
         self.scope = None
         self.attempts = []
+        self.retry_count = 0
         self.excluded_endpoints = set()
         self.failure_response = None
         self.weights_version = None
-        self.failed_helper = None
         self.fingerprint = ""
         self.first_event_ms = None
         self.last_event_ms = None
@@ -143,6 +145,12 @@
         """Id that the caller gave this attempt."""
         return self.fields.attempt_id
 
+    @property
+    def needs_retry(self):
+        """Whether the next attempt needs a retry that wasn't taken yet."""
+        sent_count = sum(attempt.may_have_been_sent for attempt in self.attempts)
+        return self.retry_count < sent_count
+
     @property
     def possible_runs(self):
         """Number of attempts that may have run the request."""
