Cancel a request at its engine without delaying the response

Callers of a request to a frozen engine got their answer up to 2 s after their time limit: 6,950 ms for a limit of 5,000 ms.

Cause: at the deadline the entry waited for the engine to confirm the cancellation of the attempt, up to 2 s, before it sent the refusal. A retry waited likewise.

Change: an exchange has a nursery for what follows a request; cancellations run there. A stopping instance still waits for them, since the exchange stays open.

--- a/vanillareach/entry/app.py
+++ b/vanillareach/entry/app.py
@@ -41,7 +41,8 @@
     Attributes
     ----------
     open_exchanges : int
-        Number of requests in progress, without those for health checks and metrics.
+        Number of requests in progress or being cleaned up, without those for health
+        checks and metrics.
     """
 
     def __init__(self, components, callers, services, operators):
@@ -82,12 +83,19 @@
             "entry.request", received_traceparent
         )
         self.open_exchanges += 1
+        try:
+            async with trio.open_nursery() as nursery:
+                exchange.cleanup_nursery = nursery
+                await self._handle_until_answered(exchange)
+        finally:
+            self.open_exchanges -= 1
+
+    async def _handle_until_answered(self, exchange):
         try:
             await self._handle_within_deadline(exchange)
         except CallerDisconnectedError:
             exchange.record_disconnect()
         finally:
-            self.open_exchanges -= 1
             self._record_outcome(exchange)
 
     async def _handle_within_deadline(self, exchange):
--- a/vanillareach/entry/exchange.py
+++ b/vanillareach/entry/exchange.py
@@ -78,6 +78,8 @@
         Set together with ``answered``.
     reason : str
         Reason of the refusal, ``caller_gone`` after a disconnect, otherwise empty.
+    cleanup_nursery : trio.Nursery
+        Runs what follows the request and must not delay its response.
     outcome_if_unanswered : Outcome
         Outcome to report if the request ends now without a response: ``not_run`` until
         the first byte may have been sent to an endpoint.
@@ -85,6 +87,7 @@
 
     __slots__ = (
         "answered",
+        "cleanup_nursery",
         "deadline_ms",
         "outcome_if_unanswered",
         "kind",
@@ -105,6 +108,7 @@
         self.request_id = request_id
         self.started_ms = started_ms
         self.deadline_ms = math.inf
+        self.cleanup_nursery = None
         self.outcome_if_unanswered = Outcome.NOT_RUN
         self.outcome = None
         self.reason = ""
--- a/vanillareach/entry/generation.py
+++ b/vanillareach/entry/generation.py
@@ -292,7 +292,9 @@
             span.set_attribute("result", result)
             span.end()
             if result in ("abandoned", "broken", "silent"):
-                await self._cancel(state, attempt.attempt_id)
+                self._exchange.cleanup_nursery.start_soon(
+                    self._cancel, state, attempt.attempt_id
+                )
 
     def _record_dispatch(self, state, attempt_id):
         components = self._components
@@ -521,7 +523,7 @@
     async def _cancel(self, state, attempt_id):
         """Cancel the attempt at its engine, which frees the engine's memory.
 
-        Shielded, since it must also run while the request is being cancelled.
+        Shielded, since it must also run while the instance is being stopped.
         """
         engine = EngineClient(self._components.endpoints)
         with (
--- a/vanillareach/features/calls.feature
+++ b/vanillareach/features/calls.feature
@@ -63,6 +63,12 @@
     Then the stream ends with outcome "failed" and reason "deadline_exceeded"
     And the response took less than 5000 ms
 
+  Scenario: A request to a frozen engine is answered within the time limit
+    Given all engines freeze at token 2
+    When a caller streams 100 prompt tokens for 20 tokens within 5000 ms
+    Then the stream ends with outcome "failed" and reason "deadline_exceeded"
+    And the response took less than 5000 ms
+
   Scenario: A call to an unresponsive service is answered as unknown within the time limit
     Given the services run calls without responding
     When a caller sends a keyed call within 3000 ms
--- a/vanillareach/features/steps/calls.py
+++ b/vanillareach/features/steps/calls.py
@@ -43,6 +43,12 @@
         app.behaviour = EngineBehaviour(hang_at_token=token)
 
 
+@given("all engines freeze at token {token:d}")
+def step_freeze_engines(context, token):
+    for app in engine_apps(context):
+        app.behaviour = EngineBehaviour(freeze_at_token=token)
+
+
 @given("the services run calls without responding")
 def step_unresponsive_services(context):
     for app in service_apps(context):
