Settle a keyed call without delaying its response

Callers of a keyed call got its outcome up to 2 s after their time limit when the owner of the key's shard fell silent: 4,150 ms for a limit of 3,000 ms.

Cause: at the deadline the outcome was first recorded in the ledger and then sent. The owner has 1.2 s to reply, the whole settlement 2 s.

Change: settlements run in the exchange's nursery, like cancellations. Until one is stored, a repeated key is refused as still running, as before.

ledger.feature, "A slow settlement doesn't delay the answer": failed before (4,150 ms), passes now; all 18 scenarios of ledger.feature pass.

--- a/vanillareach/entry/callers.py
+++ b/vanillareach/entry/callers.py
@@ -132,7 +132,7 @@
         try:
             return await run_while_connected(exchange, generation.run)
         finally:
-            await keyed_call.settle()
+            exchange.cleanup_nursery.start_soon(keyed_call.settle)
 
 
 def parse_generate_request(path, body):
--- a/vanillareach/entry/keyed.py
+++ b/vanillareach/entry/keyed.py
@@ -96,7 +96,7 @@
     async def settle(self):
         """Record the outcome in the ledger.
 
-        Shielded, since it must also run while the request is being cancelled.
+        Shielded, since it must also run while the instance is being stopped.
         """
         exchange = self._exchange
         outcome = exchange.outcome or exchange.outcome_if_unanswered
--- a/vanillareach/entry/services.py
+++ b/vanillareach/entry/services.py
@@ -108,7 +108,7 @@
         try:
             return await self.run_attempts()
         finally:
-            await self._keyed_call.settle()
+            self._exchange.cleanup_nursery.start_soon(self._keyed_call.settle)
 
     async def _next_attempt(self):
         state = self._choose_endpoint()
--- a/vanillareach/features/ledger.feature
+++ b/vanillareach/features/ledger.feature
@@ -47,6 +47,13 @@
     Then the call is "done"
     And the key ran 1 time
 
+  Scenario: A slow settlement doesn't delay the answer
+    Given the services run calls without responding
+    When a keyed call within 3000 ms is sent through another entry and the owner of the key's shard is paused after 2900 ms
+    Then the call is "unknown"
+    And the response took less than 3000 ms
+    And the key ran 1 time
+
   Scenario: The platform is down
     Given the platform is down for all entries
     When a keyed call is sent through entry 0
--- a/vanillareach/features/steps/ledger.py
+++ b/vanillareach/features/steps/ledger.py
@@ -8,6 +8,7 @@
     IDEMPOTENCY_KEY,
     SCORES_PATH,
     runs_of,
+    send_keyed,
     service_apps,
 )
 from vanillareach.invariants import find_violations
@@ -132,6 +133,24 @@
     context.answer = context.run(send, other)
 
 
+@when(
+    "a keyed call within {limit:d} ms is sent through another entry and the owner of "
+    "the key's shard is paused after {delay:d} ms"
+)
+def step_pause_owner_during_call(context, limit, delay):
+    async def pause_later():
+        await trio.sleep(delay / 1000)
+        step_pause_owner(context)
+
+    async def start():
+        context.stage.nursery.start_soon(pause_later)
+
+    context.run(start)
+    owner = owner_of_key(context)
+    other = next(e for e in context.stage.entries_by_name.values() if e is not owner)
+    context.answer = send_keyed(context, entry=other, x_time_limit_ms=str(limit))
+
+
 @then('the call is "{outcome}"')
 def step_outcome(context, outcome):
     headers = context.answer.headers_by_name
