Check that running requests keep what a change takes away

An entry takes the team, its limits and the service's definition at admission and looks nothing up later. The scenarios delete the team, the template and the services, and lower all limits and timeouts, while streams and calls wait for silent endpoints and are retried.

--- a/vanillareach/features/entry_silence.feature
+++ b/vanillareach/features/entry_silence.feature
@@ -57,3 +57,31 @@
     Given all engines pause for 5000 ms at token 5
     When a caller requests 20 tokens without streaming
     Then the response has status 200 and 20 completion tokens
+
+  Scenario Outline: A stream keeps what a change of the configuration takes away
+    Given all engines pause for 5000 ms at token 5
+    And an operator takes away <what> 500 ms later
+    When a caller streams 100 prompt tokens for 20 tokens
+    Then the caller received each token once, in order
+    And a further call is refused with status <status>
+
+    Examples:
+      | what         | status |
+      | the team     | 401    |
+      | the template | 401    |
+      | the services | 404    |
+      | high limits  | 504    |
+
+  Scenario Outline: A call keeps what a change of the configuration takes away
+    Given the services answer after 3000 ms
+    And an operator takes away <what> 500 ms later
+    When a caller sends a <kind> call
+    Then the response has the status 201
+
+    Examples:
+      | what         | kind       |
+      | the team     | keyed      |
+      | the template | unsafe     |
+      | the services | repeatable |
+      | high limits  | keyed      |
+      | high limits  | repeatable |
--- a/vanillareach/features/steps/entry_silence.py
+++ b/vanillareach/features/steps/entry_silence.py
@@ -4,7 +4,7 @@
 from behave import given, then, when
 
 from vanillareach.core.breakers import RetryBudget
-from vanillareach.features.harness import SERVICE_DOCUMENTS
+from vanillareach.features.harness import SERVICE_DOCUMENTS, TEMPLATE_DOCUMENT
 from vanillareach.features.support import (
     SCORES_PATH,
     engine_apps,
@@ -84,6 +84,42 @@
     budgets["model-pool"] = budget
 
 
+def changes_that_take_away(what):
+    """Return the changes as (path, document) pairs; None deletes the object."""
+    without_services = {**TEMPLATE_DOCUMENT, "services": []}
+    team = [("team/masons", None)]
+    if what == "the team":
+        return team
+    if what == "the template":
+        return [*team, ("template/standard", None)]
+    if what == "the services":
+        services = [(f"service/{doc['name']}", None) for _, doc in SERVICE_DOCUMENTS]
+        return [("template/standard", without_services), *services]
+    limits = {"requests_in_flight": 1, "tokens_in_flight": 1, "time_limit_ms": 50}
+    lowered = [("template/standard", {**TEMPLATE_DOCUMENT, "limits": limits})]
+    for _, document in SERVICE_DOCUMENTS:
+        changed = {**document, "time_limit_ms": 50, "gap_limit_ms": 50}
+        lowered.append((f"service/{document['name']}", changed))
+    return lowered
+
+
+@given("an operator takes away {what} {delay_ms:d} ms later")
+def step_take_away(context, what, delay_ms):
+    entry = first_entry(context)
+
+    async def change():
+        await trio.sleep(delay_ms / 1000)
+        for path, document in changes_that_take_away(what):
+            method = "DELETE" if document is None else "PUT"
+            answer = await entry.operator_call(method, path, document)
+            assert answer.status == 200, (path, answer.body)
+
+    async def start():
+        context.stage.nursery.start_soon(change)
+
+    context.run(start)
+
+
 @when("a caller sends a {kind} call")
 def step_send_call(context, kind):
     if kind == "keyed":
@@ -99,6 +135,13 @@
     assert context.answer.status == status, (context.answer.status, context.answer.body)
 
 
+@then("a further call is refused with status {status:d}")
+def step_further_call_refused(context, status):
+    entry = first_entry(context)
+    call = context.run(lambda: entry.team_call("POST", SCORES_PATH, {"score": 2}))
+    assert call.status == status, (call.status, call.body)
+
+
 @then("{count:d} calls ran")
 def step_calls_ran(context, count):
     runs = sum(sum(app.runs_by_key.values()) for app in service_apps(context))
