Serve connections that wait in the listen queue as a stop closes it

What callers saw: a connection made just before a stopping instance closed its listening socket was reset, with the request it had sent.

Cause: closing a listening socket resets what waits in its queue. A stop without open connections also ended the process at once.

Change: the listener accepts what is queued before it closes, and a stop waits until the listener and all its connections have ended.

--- a/vanillareach/features/connections.feature
+++ b/vanillareach/features/connections.feature
@@ -12,6 +12,15 @@
     When 20 callers send a request and idle connections are closed as it is read
     Then each of them gets a complete response that closes its connection
 
+  Scenario: A connection in the listen queue is served as the listener closes
+    When 5 callers connect and send a request just before the listener closes
+    Then each of them gets a complete response that closes its connection
+
+  Scenario: A stop waits for connections in the listen queue although none is open
+    When the gateway stops and 5 callers connect and send a request as it closes
+    Then each of them had its response as the stop ended
+    And each of them gets a complete response that closes its connection
+
   Scenario: A caller that ignores the close of its connection isn't kept waiting
     When a caller sends "/read/a" twice on a connection that is closed in between
     Then the connection ends within 200 ms
--- a/vanillareach/features/steps/connections.py
+++ b/vanillareach/features/steps/connections.py
@@ -8,7 +8,8 @@
 import trio
 from behave import given, then, when
 
-from vanillareach.features.users_platform.stage import configuration
+from vanillareach.features.users_platform.stage import Caller, configuration
+from vanillareach.utils import split_address
 
 STOP_DURATION_MS = 5_000
 # Longer than the shorter timeouts of the scenarios, shorter than the longer ones.
@@ -76,6 +77,52 @@
     context.run(call)
 
 
+def connect_at_once(context, count):
+    """Return callers that have sent a request; no other task had a turn meanwhile."""
+    address = split_address(context.platform.gateways[0].settings.front_listen)
+    callers = []
+    for _ in range(count):
+        sock = socket.create_connection(address)
+        sock.setblocking(False)
+        stream = trio.SocketStream(trio.socket.from_stdlib_socket(sock))
+        callers.append(Caller(context.platform, stream))
+        callers[-1].send_nowait(callers[-1].encode("/read/a"))
+    return callers
+
+
+@when("{count:d} callers connect and send a request just before the listener closes")
+def step_connect_before_close(context, count):
+    async def call():
+        callers = connect_at_once(context, count)
+        close_idle_connections(context)
+        await receive_all(context, callers)
+
+    context.run(call)
+
+
+@when("the gateway stops and {count:d} callers connect and send a request as it closes")
+def step_connect_during_stop(context, count):
+    gateway, callers = context.platform.gateways[0], []
+    close_idle = gateway.caller_listener.close_idle
+
+    def connect_and_close_idle():
+        callers.extend(connect_at_once(context, count))
+        close_idle()
+
+    async def call():
+        gateway.caller_listener.close_idle = connect_and_close_idle
+        await gateway.stop()
+        context.had_responses = [caller.has_data() for caller in callers]
+        await receive_all(context, callers)
+
+    context.run(call)
+
+
+@then("each of them had its response as the stop ended")
+def step_check_responses_at_stop(context):
+    assert all(context.had_responses), context.had_responses
+
+
 @then("each of them gets a complete response that closes its connection")
 def step_check_closing_responses(context):
     ends = [
--- a/vanillareach/features/users_platform/stage.py
+++ b/vanillareach/features/users_platform/stage.py
@@ -308,6 +308,10 @@
         except trio.BrokenResourceError:
             return b""
 
+    def has_data(self):
+        """Return whether data, or the end of the connection, can be received."""
+        return self._stream.socket.is_readable()
+
     def send_nowait(self, data):
         """Send an encoded request without giving other tasks a turn."""
         os.write(self._stream.socket.fileno(), data)
--- a/vanillareach/gateway/app.py
+++ b/vanillareach/gateway/app.py
@@ -188,8 +188,7 @@
         with trio.move_on_after(remaining_s):
             await trio.sleep(BALANCER_REMOVAL_S)
             self.caller_listener.close_idle()
-            while self.caller_listener.open_connections:
-                await trio.sleep(0.05)
+            await self.caller_listener.ended.wait()
         log.info("Stopped.", cut=self.caller_listener.open_connections)
         self.link.close()
 
--- a/vanillareach/gateway/listener.py
+++ b/vanillareach/gateway/listener.py
@@ -8,11 +8,36 @@
     CALLER_UNACKED_TIMEOUT_MS,
     enable_liveness_detection,
 )
+from vanillareach.log import get_logger
 from vanillareach.utils import split_address
 
 LISTEN_BACKLOG = 1_024
 # Connections queued while this instance started are accepted within this time.
 BACKLOG_ACCEPT_MS = 100.0
+# Time for accepting the connections that are queued when the listener closes.
+FINAL_ACCEPT_S = 0.1
+
+log = get_logger("connections")
+
+
+class OpenListener(trio.abc.Listener):
+    """Listener that stays open when `trio.serve_listeners` ends.
+
+    Parameters
+    ----------
+    listener : trio.SocketListener
+    """
+
+    def __init__(self, listener):
+        self._listener = listener
+
+    async def accept(self):
+        """Return the stream of the next connection."""
+        return await self._listener.accept()
+
+    async def aclose(self):
+        """Leave the listener open."""
+        await trio.lowlevel.checkpoint()
 
 
 class CallerListener:
@@ -29,6 +54,13 @@
         Coroutine function of (request, responder).
     is_stopping : callable
         Whether responses tell callers to close the connection.
+
+    Attributes
+    ----------
+    is_closing_idle : bool
+        Whether `close_idle` was called.
+    ended : trio.Event
+        Set once the listener and all connections have been closed after `close_idle`.
     """
 
     def __init__(self, address, clock, limits, handle, is_stopping):
@@ -38,6 +70,7 @@
         self.handle = handle
         self.is_stopping = is_stopping
         self.is_closing_idle = False
+        self.ended = trio.Event()
         self._connections = set()
         self._accept_scope = trio.CancelScope()
         self._accept_started_ms = None
@@ -65,11 +98,40 @@
             task_status.started()
             with self._accept_scope:
                 await trio.serve_listeners(
-                    self._serve, listeners, handler_nursery=nursery
+                    self._serve,
+                    [OpenListener(listener) for listener in listeners],
+                    handler_nursery=nursery,
                 )
+            for listener in listeners:
+                await self._accept_queued(listener, nursery)
+        self.ended.set()
+
+    async def _accept_queued(self, listener, nursery):
+        """Accept the connections in the listen queue, then close the listener.
+
+        Closing it would reset them, with the requests they have sent.
+        """
+        async with listener:
+            with trio.move_on_after(FINAL_ACCEPT_S):
+                while listener.socket.is_readable():
+                    try:
+                        stream = await listener.accept()
+                    except OSError as error:
+                        log.error("Queued connections not accepted.", cause=str(error))
+                        return
+                    nursery.start_soon(self._serve_final, stream)
+
+    async def _serve_final(self, stream):
+        try:
+            await self._serve(stream)
+        finally:
+            await trio.aclose_forcefully(stream)
 
     def close_idle(self):
-        """Stop accepting and close the connections that wait for a request."""
+        """Stop accepting and close the connections that wait for a request.
+
+        Requests that have arrived by then are served, also in the listen queue.
+        """
         self.is_closing_idle = True
         self._accept_scope.cancel()
         for connection in self._connections:
