Record processes, signals, faults and times in the soak

Cause: a check could not tell a disturbed gateway or endpoint from a sound one: faults had no target, attempts no gateway and no end, requests at endpoints no arrival. Change: bench/soak/observations.py; each attempt records the process that took it, when it was sent and when it ended, each fault its target, each signal its process.

--- a/bench/demo_gateway.py
+++ b/bench/demo_gateway.py
@@ -16,15 +16,10 @@
     RESERVATION_EXPIRY_S,
     wait_until_all_serve,
 )
+from bench.soak.callers import REQUEST_KINDS, connect, send_request
 from bench.soak.checks import find_leaked_reservations, find_violations
 from bench.soak.faults import FaultInjector
-from bench.soak.world import (
-    REQUEST_KINDS,
-    connect,
-    expected_body,
-    open_environment,
-    send_request,
-)
+from bench.soak.world import expected_body, open_environment
 
 SEED = 1
 
@@ -116,7 +111,7 @@
 
 async def demonstrate_gateway_loss(report, environment):
     """Show that a killed gateway serves again after its restart."""
-    await FaultInjector(environment)._do_kill()
+    await FaultInjector(environment).inject("kill")
     await report.demonstrate_request("ask", "a stream after one gateway was killed")
     violations = await wait_until_all_serve(environment, RECOVERY_TIMEOUT_S)
     report.print_row("the killed gateway serves again", "ready", not violations)
--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -10,16 +10,16 @@
 
 import trio
 
-from bench.soak.checks import find_leaked_reservations, find_violations
-from bench.soak.faults import FaultInjector
-from bench.soak.world import (
+from bench.soak.callers import (
     CALLER_COUNT,
     REQUEST_KINDS,
     connect,
-    open_environment,
     send_request,
     send_requests_forever,
 )
+from bench.soak.checks import find_leaked_reservations, find_violations
+from bench.soak.faults import FaultInjector
+from bench.soak.world import open_environment
 from vanillareach.utils import split_address
 
 READY_TIMEOUT_S = 60
@@ -53,8 +53,8 @@
             violations += find_violations(environment) + find_leaked_reservations(
                 environment
             )
-            for line in injector.injected_faults if violations else ():
-                print("   ", *line)
+            for fault in environment.observations.faults if violations else ():
+                print("   ", fault)
         nursery.cancel_scope.cancel()
     answered = sum(attempt.status == 200 for attempt in environment.attempts)
     return violations, f"{len(environment.attempts)} attempts, {answered} answered"
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -1,15 +1,13 @@
 """Faults of a soak, drawn from a seed; several may overlap."""
 
-import os
 import random
-import signal
-from pathlib import Path
 
 import trio
 
+from bench.soak.observations import Fault
+from bench.soak.processes import process_of, send_signal
 from bench.soak.world import DESK_NAMES, ENGINE_NAMES
 
-PID_FOLDER = Path("build/entries")
 # Steps of an endpoint's script, by the first letter of its name: engines and services.
 FAULT_STEPS_BY_NAME_PREFIX = {
     "m": ("torn", "shed", "gap", "unsigned", "mute", "misdirect"),
@@ -20,28 +18,23 @@
 
 
 class FaultInjector:
-    """Injects random faults for a given time.
+    """Injects random faults for a given time and records them.
 
-    Each method ``_do_KIND`` injects one fault of its kind, ends it if it lasts and
-    returns its target.
+    Each method ``_do_KIND`` injects one fault of its kind and ends it if it lasts. It
+    is given the `Fault` and adds the target to it.
 
     Parameters
     ----------
     environment : SoakEnvironment
-
-    Attributes
-    ----------
-    injected_faults : list of tuple
-        Start and end in seconds, kind and target of each fault that is over.
     """
 
     def __init__(self, environment):
         self._environment = environment
+        self._observations = environment.observations
         self._random = environment.random
         # Drills have a generator of their own, so that the other faults of a seed are
         # the same with and without them.
         self._drill_random = random.Random(environment.version)
-        self.injected_faults = []
 
     async def run(self, duration_s):
         """Inject faults for `duration_s`, then wait for those that still last."""
@@ -51,7 +44,7 @@
             nursery.start_soon(self._run_drills, end_s)
             while trio.current_time() < end_s:
                 kind = self._random.choice(kinds)
-                nursery.start_soon(self._inject, kind)
+                nursery.start_soon(self.inject, kind)
                 if self._random.random() > OVERLAP_PROBABILITY:
                     await trio.sleep(0.2 + self._random.random())
 
@@ -62,106 +55,85 @@
             await trio.sleep(1 + 3 * pause())
             copy = self._environment.stage.store.copy()
             await trio.sleep(0.2 + 2 * pause())
-            started_s = trio.current_time()
-            interval = [started_s, float("inf")]
-            self._environment.fault_intervals.append(interval)
+            fault = self._record("drill")
             self._environment.restore_store(copy)
             await trio.sleep(0.2 + pause())
             self._environment.write_again()
-            interval[1] = trio.current_time()
-            self.injected_faults.append(
-                (round(started_s, 2), round(interval[1], 2), "drill", None)
-            )
-
-    async def _inject(self, kind):
-        started_s = trio.current_time()
-        interval = [started_s, float("inf")]
-        self._environment.fault_intervals.append(interval)
-        target = await getattr(self, "_do_" + kind)()
-        interval[1] = trio.current_time()
-        self.injected_faults.append(
-            (round(started_s, 2), round(interval[1], 2), kind, target)
-        )
-
-    def _signal_random_gateway(self, signal_number):
+            fault.ended_s = trio.current_time()
+
+    def _record(self, kind):
+        fault = Fault(kind, trio.current_time())
+        self._observations.faults.append(fault)
+        return fault
+
+    async def inject(self, kind):
+        """Inject one fault of a kind."""
+        fault = self._record(kind)
+        await getattr(self, "_do_" + kind)(fault)
+        fault.ended_s = trio.current_time()
+
+    def _signal_random_gateway(self, fault, name):
         gateway = self._random.choice(self._environment.gateways)
-        path = PID_FOLDER / str(gateway.number)
-        try:
-            os.kill(int(path.read_text()), signal_number)
-        except (OSError, ValueError):
-            return None
-        return gateway.number
-
-    async def _do_kill(self):
-        target = self._signal_random_gateway(signal.SIGKILL)
+        fault.gateway = gateway.number
+        process = process_of(gateway)
+        return process if send_signal(self._observations, process, name) else None
+
+    async def _do_kill(self, fault):
+        self._signal_random_gateway(fault, "KILL")
         await trio.sleep(1.0)
-        return target
 
-    async def _do_terminate(self):
-        target = self._signal_random_gateway(signal.SIGTERM)
+    async def _do_terminate(self, fault):
+        self._signal_random_gateway(fault, "TERM")
         await trio.sleep(1.0)
-        return target
 
-    async def _do_reload(self):
-        return self._signal_random_gateway(signal.SIGHUP)
+    async def _do_reload(self, fault):
+        self._signal_random_gateway(fault, "HUP")
 
-    async def _do_pause(self):
-        gateway = self._random.choice(self._environment.gateways)
-        try:
-            pid = int((PID_FOLDER / str(gateway.number)).read_text())
-            os.kill(pid, signal.SIGSTOP)
-            await trio.sleep(0.3 + 2 * self._random.random())
-        except (OSError, ValueError):
-            return None
-        try:
-            os.kill(pid, signal.SIGCONT)
-        except OSError:
-            return None
-        return gateway.number
-
-    async def _apply_mode(self, proxy, mode):
-        proxy.mode = mode
+    async def _do_pause(self, fault):
+        process = self._signal_random_gateway(fault, "STOP")
+        if process is None:
+            return
+        await trio.sleep(0.3 + 2 * self._random.random())
+        send_signal(self._observations, process, "CONT")
+
+    async def _apply_mode(self, fault, proxy, mode):
+        fault.detail = proxy.mode = mode
         await trio.sleep(0.3 + 2 * self._random.random())
         proxy.mode = "pass"
         if mode == "silent":
             proxy.reset_all()
 
-    async def _do_store_link(self):
-        number = self._random.randrange(len(self._environment.store_proxies))
+    async def _do_store_link(self, fault):
+        fault.gateway = self._random.randrange(len(self._environment.store_proxies))
         mode = self._random.choice(("delay", "silent", "deaf", "cut"))
-        await self._apply_mode(self._environment.store_proxies[number], mode)
-        return number, mode
+        proxy = self._environment.store_proxies[fault.gateway]
+        await self._apply_mode(fault, proxy, mode)
 
-    async def _do_store(self):
+    async def _do_store(self, fault):
         store = self._environment.stage.store
-        store.failure = self._random.choice(("busy", "lost"))
-        failure = store.failure
+        store.failure = fault.detail = self._random.choice(("busy", "lost"))
         await trio.sleep(0.3 + 2 * self._random.random())
         store.failure = ""
-        return failure
 
-    async def _do_history(self):
+    async def _do_history(self, fault):
         self._environment.write_configuration()
         self._environment.stage.store.discard_history()
 
-    async def _do_endpoint_link(self):
-        name = self._random.choice((*ENGINE_NAMES, *DESK_NAMES))
+    async def _do_endpoint_link(self, fault):
+        fault.endpoint = self._random.choice((*ENGINE_NAMES, *DESK_NAMES))
         mode = self._random.choice(("delay", "silent", "deaf", "cut"))
-        await self._apply_mode(self._environment.endpoint_proxies[name], mode)
-        return name, mode
+        proxy = self._environment.endpoint_proxies[fault.endpoint]
+        await self._apply_mode(fault, proxy, mode)
 
-    async def _do_endpoint_reset(self):
-        name = self._random.choice((*ENGINE_NAMES, *DESK_NAMES))
-        self._environment.endpoint_proxies[name].reset_all()
-        return name
+    async def _do_endpoint_reset(self, fault):
+        fault.endpoint = self._random.choice((*ENGINE_NAMES, *DESK_NAMES))
+        self._environment.endpoint_proxies[fault.endpoint].reset_all()
 
-    async def _do_endpoint_answers(self):
-        name = self._random.choice((*ENGINE_NAMES, *DESK_NAMES))
-        step = self._random.choice(FAULT_STEPS_BY_NAME_PREFIX[name[0]])
+    async def _do_endpoint_answers(self, fault):
+        name = fault.endpoint = self._random.choice((*ENGINE_NAMES, *DESK_NAMES))
+        step = fault.detail = self._random.choice(FAULT_STEPS_BY_NAME_PREFIX[name[0]])
         endpoint = self._environment.endpoints_by_name[name]
         endpoint.script.extend([step] * self._random.randint(1, 6))
-        return name, step
 
-    async def _do_configuration(self):
+    async def _do_configuration(self, fault):
         self._environment.write_configuration()
-        return self._environment.version
--- /dev/null
+++ b/bench/soak/observations.py
@@ -0,0 +1,95 @@
+"""What a soak records of requests, faults and signals, for its checks."""
+
+import math
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One request of a caller and the response it received.
+
+    Attributes
+    ----------
+    started_s : float
+    sent_s, ended_s : float or None
+        When the last byte was sent, and when the response was complete or the
+        connection had ended. `ended_s` is None if the caller left first.
+    process : Process or None
+        Process of the gateway that took the connection.
+    """
+
+    id: str
+    kind: str
+    started_s: float
+    status: int | None = None
+    is_complete: bool = False
+    body: bytes = b""
+    sent_s: float | None = None
+    ended_s: float | None = None
+    process: object = None
+
+
+@dataclass(slots=True, frozen=True)
+class Process:
+    """A process of a gateway; `id` is that of the operating system."""
+
+    gateway: int
+    id: int
+
+
+@dataclass(slots=True)
+class Fault:
+    """One fault; `ended_s` is infinite while it lasts.
+
+    Attributes
+    ----------
+    kind : str
+    gateway, endpoint : int or None, str or None
+        Number of the gateway, or name of the endpoint, that it hits.
+    detail : str
+        Mode of a link or step of an endpoint's script.
+    """
+
+    kind: str
+    started_s: float
+    ended_s: float = math.inf
+    gateway: int | None = None
+    endpoint: str | None = None
+    detail: str = ""
+
+    def overlaps(self, started_s, ended_s):
+        """Return whether it lasted at some time of a span."""
+        return self.started_s <= ended_s and self.ended_s >= started_s
+
+    def __str__(self):
+        target = self.endpoint or ("" if self.gateway is None else self.gateway)
+        span = f"{self.started_s:.2f} {self.ended_s:.2f}"
+        return f"{span} {self.kind} {target} {self.detail}".rstrip()
+
+
+@dataclass(slots=True, frozen=True)
+class SentSignal:
+    """A signal that reached a process, with its name without ``SIG``."""
+
+    process: Process
+    name: str
+    at_s: float
+
+
+@dataclass(slots=True)
+class Observations:
+    """Everything recorded in one seed besides what the endpoints received.
+
+    Attributes
+    ----------
+    attempts : list of Attempt
+    faults : list of Fault
+    signals : list of SentSignal
+    timeouts_ms : list of (float, dict)
+        When a configuration was written, and its timeouts by route.
+    """
+
+    attempts: list = field(default_factory=list)
+    faults: list = field(default_factory=list)
+    signals: list = field(default_factory=list)
+    timeouts_ms: list = field(default_factory=list)
--- a/vanillareach/features/steps/soak_checks.py
+++ b/vanillareach/features/steps/soak_checks.py
@@ -10,7 +10,8 @@
 from bench.layout import Gateway
 from bench.soak.__main__ import wait_until_all_serve
 from bench.soak.checks import find_leaked_reservations, find_violations
-from bench.soak.world import Attempt, SoakEnvironment, expected_body
+from bench.soak.observations import Attempt
+from bench.soak.world import SoakEnvironment, expected_body
 from vanillareach.features.users_platform.endpoint import (
     ReceivedRequest,
     StandinEndpoint,
--- a/vanillareach/features/users_platform/endpoint.py
+++ b/vanillareach/features/users_platform/endpoint.py
@@ -1,5 +1,7 @@
 """Stand-in of an engine or service that follows a script."""
 
+import math
+
 import msgspec
 import trio
 
@@ -20,7 +22,18 @@
 
 
 class ReceivedRequest:
-    """A request as the stand-in received it."""
+    """A request as the stand-in received it.
+
+    Attributes
+    ----------
+    arrived_s, ended_s : float
+        When it arrived and when the stand-in ceased to work on it; `ended_s` is
+        infinite before.
+    step : str
+        Method that handled it.
+    was_cancelled : bool
+        Whether the sender closed the connection first.
+    """
 
     def __init__(self, request):
         self.path = request.target.decode()
@@ -28,6 +41,8 @@
         self.values_by_name = {n.lower(): v.decode() for n, v in request.headers}
         self.was_cancelled = False
         self.step = ""
+        self.arrived_s = 0.0
+        self.ended_s = math.inf
 
 
 class StandinEndpoint:
@@ -66,11 +81,14 @@
         self.received.append(received)
         step = self.script.pop(0) if self.script else self.default_step
         received.step = step
+        received.arrived_s = trio.current_time()
         try:
             await getattr(self, "_" + step)(received, responder)
         except trio.Cancelled:
             received.was_cancelled = True
             raise
+        finally:
+            received.ended_s = trio.current_time()
 
     def active_reservations(self):
         """Return the ids of the reservations that have not expired."""
