Report lost requests in the soak

Cause: a request that got no answer, a cut stream or an early 502 was no violation, so the soak could not show rule LOST. Signals, configurations, store faults and silent endpoints excuse nothing; the only excuses are a killed or paused process, an endpoint or link that broke off, the deadline or timeout, and the last sixth of the grace period.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -19,6 +19,7 @@
 )
 from bench.soak.checks import find_leaked_reservations, find_violations
 from bench.soak.faults import FaultInjector
+from bench.soak.observations import record_stalls
 from bench.soak.world import open_environment
 from vanillareach.utils import split_address
 
@@ -28,6 +29,7 @@
 # After the faults, all gateways must serve the newest configuration version again
 # within this time.
 RECOVERY_TIMEOUT_S = 15.0
+MAX_PRINTED_VIOLATIONS = 60
 METRICS_REQUEST = b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
 
 
@@ -41,6 +43,7 @@
         violations = await wait_until_all_serve(environment, READY_TIMEOUT_S)
         if not violations:
             injector = FaultInjector(environment)
+            nursery.start_soon(record_stalls, environment.observations)
             async with trio.open_nursery() as callers:
                 for _ in range(CALLER_COUNT):
                     callers.start_soon(send_requests_forever, environment)
@@ -130,7 +133,7 @@
         failed_seeds += bool(violations)
         verdict = "BROKEN" if violations else "held"
         print(f"soak seed {seed}: {verdict}; {summary}", flush=True)
-        for line in violations[:20]:
+        for line in violations[:MAX_PRINTED_VIOLATIONS]:
             print("   ", line)
     sys.exit(1 if failed_seeds else 0)
 
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -41,7 +41,7 @@
     except (OSError, trio.TooSlowError):
         await trio.sleep(0.1)
         return None
-    if process != process_of(gateway):
+    if process is None or process != process_of(gateway):
         # It isn't known which of the two processes has taken the connection.
         await stream.aclose()
         return None
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 
+from bench.soak.lost import find_lost
 from bench.soak.world import event_ids, expected_body
 from vanillareach.platform import names
 
@@ -21,6 +22,7 @@
     - REFUSED: a "book" request was executed, but its response says that it wasn't.
     - MIXED: a complete response has another body than the expected one.
     - ORDER: the events of an aborted stream have gaps or aren't in order.
+    - LOST: a request ended without an answer though nothing it met had failed.
     """
     run_counts = Counter()
     known_ids = {attempt.id for attempt in environment.attempts}
@@ -34,7 +36,7 @@
                 run_counts[attempt_id] += 1
     for attempt in environment.attempts:
         found += _check_attempt(attempt, run_counts[attempt.id])
-    return found
+    return [*found, *find_lost(environment)]
 
 
 def _check_attempt(attempt, run_count):
--- a/bench/soak/observations.py
+++ b/bench/soak/observations.py
@@ -2,6 +2,12 @@
 
 import math
 from dataclasses import dataclass, field
+from typing import ClassVar
+
+import trio
+
+STALL_CHECK_INTERVAL_S = 0.05
+MIN_STALL_S = 0.05
 
 
 @dataclass(slots=True)
@@ -50,6 +56,9 @@
         Mode of a link or step of an endpoint's script.
     """
 
+    # Kind of the times at which the soak itself was held up.
+    STALL: ClassVar[str] = "stall"
+
     kind: str
     started_s: float
     ended_s: float = math.inf
@@ -93,3 +102,13 @@
     faults: list = field(default_factory=list)
     signals: list = field(default_factory=list)
     timeouts_ms: list = field(default_factory=list)
+
+
+async def record_stalls(observations):
+    """Record the times at which this process itself is held up, until cancelled."""
+    while True:
+        due_s = trio.current_time() + STALL_CHECK_INTERVAL_S
+        await trio.sleep_until(due_s)
+        now_s = trio.current_time()
+        if now_s - due_s > MIN_STALL_S:
+            observations.faults.append(Fault(Fault.STALL, due_s, now_s))
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -18,6 +18,7 @@
 
 ENGINE_NAMES = ("m0", "m1", "m2", "m3")
 DESK_NAMES = ("d0", "d1", "d2")
+SERVICE_BY_KIND = {"read": "desk", "book": "desk", "ask": "model"}
 # Each is more than the number of versions, revisions or eras of one seed.
 VERSION_STRIDE_PER_SEED = 10_000
 REVISION_STRIDE_PER_SEED = 100_000
--- a/vanillareach/features/soak_checks.feature
+++ b/vanillareach/features/soak_checks.feature
@@ -27,3 +27,87 @@
     Given a "book" request that was executed once and answered with 200
     When another endpoint sheds it first
     Then the checks report no violation
+
+  Scenario Outline: A request that ends without an answer is reported as lost
+    Given a "<kind>" request sent at 10 s that ended at <end> s with <outcome>
+    And it was at <visits>
+    And there was <disturbance>
+    Then the checks report "LOST"
+
+    Examples: passed on, and no complete answer
+      | kind | end  | outcome   | visits                         | disturbance                   |
+      | ask  | 12   | a part    | m0 stream 10-12                | nothing                       |
+      | read | 12   | no answer | d0 answer 10-12                | nothing                       |
+      | read | 12   | no answer | d0 shed 10-10.1                | nothing                       |
+      | ask  | 12   | a part    | m0 mute 10-11, m1 stream 11-12 | nothing                       |
+      | ask  | 12   | a part    | m0 stream 10-12                | TERM 9, HUP 10, TERM 11       |
+      | ask  | 13.6 | a part    | m0 stream 10-13.6              | TERM 7                        |
+      | ask  | 14   | a part    | m0 stream 10-14                | TERM 6.9                      |
+      | ask  | 14   | a part    | m0 stream 10-11                | TERM 7                        |
+      | ask  | 14   | a part    | m0 stream 10-14                | TERM 9, TERM 7.5              |
+      | ask  | 12   | a part    | m0 stream 10-12                | KILL 12.1                     |
+      | ask  | 12   | a part    | m0 stream 10-12                | STOP 8, CONT 9.9              |
+      | ask  | 12   | a part    | m0 stream 10-12                | KILL 9 other                  |
+      | ask  | 12   | a part    | m0 stream 10-12                | link m1 silent 10-12          |
+      | ask  | 12   | a part    | m0 stream 10-12                | link m0 delay 10-12           |
+      | ask  | 12   | a part    | m0 stream 10-12                | link m0 cut 10-12             |
+      | ask  | 12   | a part    | m0 stream 10-12                | reset m0 9.7                  |
+      | ask  | 12   | a part    | m0 stream 10-12                | store_link m0 silent 10-12    |
+      | ask  | 14.9 | a part    | m0 stream 10-14.9              | nothing                       |
+      | ask  | 12.4 | a part    | m0 stream 10-12.4              | timeout 2500 at 9             |
+      | ask  | 12.6 | a part    | m0 stream 10-12.6              | timeout 2500 at 1, 60000 at 2 |
+      | ask  | 12.6 | a part    | m0 stream 10-12.6              | timeout 2500 at 12.7          |
+
+    Examples: not passed on
+      | kind | end  | outcome   | visits | disturbance         |
+      | read | 10.3 | no answer | none   | nothing             |
+      | ask  | 10.3 | no answer | none   | TERM 4              |
+      | book | 11   | no answer | none   | link d0 silent 9-12 |
+      | read | 10.3 | no answer | none   | stall 10-10.05      |
+
+    Examples: an error before the deadline
+      | kind | end | outcome    | visits                         | disturbance      |
+      | book | 12  | status 502 | d0 answer 10-12                | nothing          |
+      | read | 12  | status 504 | d0 answer 10-11, d1 mute 11-12 | TERM 11          |
+      | read | 11  | status 502 | none                           | link m0 cut 9-12 |
+      | read | 11  | status 502 | none                           | nothing          |
+      | read | 12  | status 502 | d0 answer 10-12                | link d1 cut 9-12 |
+
+  Scenario Outline: A request that ended for a reason that counts is not lost
+    Given a "<kind>" request sent at 10 s that ended at <end> s with <outcome>
+    And it was at <visits>
+    And there was <disturbance>
+    Then the checks report no violation
+
+    Examples:
+      | kind | end  | outcome    | visits                           | disturbance                   |
+      | ask  | 12   | a part     | m0 stream 10-12                  | KILL 11                       |
+      | ask  | 12   | a part     | m0 stream 10-12                  | STOP 8, CONT 10.1             |
+      | ask  | 12   | a part     | m0 stream 10-12                  | STOP 11                       |
+      | ask  | 12   | a part     | m0 stream 10-10.5, m1 torn 11-12 | nothing                       |
+      | ask  | 12   | a part     | m0 stream 10-12                  | link m0 silent 9-11           |
+      | ask  | 12   | a part     | m0 stream 10-12                  | link m0 deaf 11-13            |
+      | ask  | 12   | a part     | m0 stream 10-12                  | reset m0 12                   |
+      | ask  | 14   | a part     | m0 stream 10-14                  | TERM 7, TERM 9                |
+      | ask  | 14.8 | a part     | m0 stream 10-14.8                | STOP 6, TERM 6.5, CONT 8      |
+      | ask  | 14   | status 504 | m0 stream 10-14                  | TERM 7                        |
+      | ask  | 15   | a part     | m0 stream 10-15                  | nothing                       |
+      | read | 12.5 | status 504 | d0 answer 10-12.5                | timeout 2500 at 9             |
+      | read | 12.6 | status 504 | d0 answer 10-12.6                | timeout 2500 at 1, 60000 at 9 |
+      | read | 10.1 | no answer  | none                             | nothing                       |
+      | read | 10.3 | no answer  | none                             | stall 10-10.2                 |
+      | read | 11   | status 502 | none                             | link d1 cut 9-11              |
+      | book | 12   | status 502 | d0 unsigned 10-12                | nothing                       |
+      | book | 12   | status 502 | d0 answer 10-12                  | reset d0 11                   |
+      | read | 12   | status 503 | d0 shed 10-10.1                  | nothing                       |
+
+  Scenario Outline: A request whose caller left, or that was not sent whole, is not lost
+    Given a "read" request sent at 10 s that ended at 12 s with no answer
+    And it was at d0 answer 10-12
+    When <event>
+    Then the checks report no violation
+
+    Examples:
+      | event                           |
+      | its caller left before the end  |
+      | its last byte could not be sent |
--- a/vanillareach/features/steps/soak_checks.py
+++ b/vanillareach/features/steps/soak_checks.py
@@ -10,7 +10,7 @@
 from bench.layout import Gateway
 from bench.soak.__main__ import wait_until_all_serve
 from bench.soak.checks import find_leaked_reservations, find_violations
-from bench.soak.observations import Attempt
+from bench.soak.observations import Attempt, Fault, Process, SentSignal
 from bench.soak.world import SoakEnvironment, expected_body
 from vanillareach.features.users_platform.endpoint import (
     ReceivedRequest,
@@ -21,6 +21,8 @@
 # No layout starts a gateway with this number.
 UNUSED_GATEWAY_NUMBER = 99
 TIMEOUT_S = 0.3
+PROCESS, OTHER_PROCESS = Process(0, 1), Process(0, 2)
+SENT_S = 10.0
 
 
 class EndpointStage:
@@ -28,7 +30,7 @@
 
     def __init__(self):
         self.endpoints_by_name = {
-            name: StandinEndpoint(name) for name in ("m0", "d0", "d1")
+            name: StandinEndpoint(name) for name in ("m0", "m1", "d0", "d1")
         }
 
 
@@ -39,11 +41,13 @@
     return context.environment
 
 
-def record_received(context, name, attempt_id, step="answer"):
+def record_received(
+    context, name, attempt_id, step="answer", started_s=0.0, ended_s=0.0
+):
     """Record that a request reached an endpoint."""
     headers = [(names.ATTEMPT_ID, attempt_id.encode())]
     received = ReceivedRequest(SimpleNamespace(target=b"/x", body=b"", headers=headers))
-    received.step = step
+    received.step, received.arrived_s, received.ended_s = step, started_s, ended_s
     scenario_environment(context).endpoints_by_name[name].received.append(received)
 
 
@@ -115,6 +119,67 @@
     record_received(context, "d1", context.attempt.id, "shed")
 
 
+@given('a "{kind}" request sent at 10 s that ended at {end_s:g} s with {outcome}')
+def step_ended(context, kind, end_s, outcome):
+    attempt = Attempt("a-0", kind, SENT_S, sent_s=SENT_S, ended_s=end_s)
+    attempt.process = PROCESS
+    if outcome == "a part":
+        attempt.status = 200
+    elif outcome != "no answer":
+        attempt.status, attempt.is_complete = int(outcome.split()[1]), True
+    context.attempt = attempt
+    scenario_environment(context).attempts.append(attempt)
+
+
+@given("it was at {visits}")
+def step_visits(context, visits):
+    for visit in visits.split(", ") if visits != "none" else ():
+        name, step, span = visit.split()
+        record_received(context, name, context.attempt.id, step, *times(span))
+
+
+@given("there was {disturbances}")
+def step_disturbances(context, disturbances):
+    observations = scenario_environment(context).observations
+    if disturbances.startswith("timeout"):
+        for version in disturbances.removeprefix("timeout ").split(", "):
+            timeout_ms, written_s = version.split(" at ")
+            timeouts = {context.attempt.kind: float(timeout_ms)}
+            observations.timeouts_ms.append((float(written_s), timeouts))
+        return
+    for name, *details in map(str.split, disturbances.split(", ")):
+        if name.isupper():
+            process = OTHER_PROCESS if "other" in details else PROCESS
+            signal = SentSignal(process, name, float(details[0]))
+            observations.signals.append(signal)
+        elif name != "nothing":
+            observations.faults.append(fault(name, *details))
+
+
+def fault(kind, *details):
+    """Return a `Fault` of a kind; `details` are its endpoint and mode, and its span."""
+    names_by_kind = {"link": "endpoint_link", "reset": "endpoint_reset"}
+    *target, span = details
+    values = dict(zip(("endpoint", "detail"), target, strict=False))
+    return Fault(names_by_kind.get(kind, kind), *times(span), **values)
+
+
+def times(span):
+    """Return the start and end of a span such as ``10-12``, in seconds."""
+    started, _, ended = span.partition("-")
+    return float(started), float(ended or started)
+
+
+@when("its caller left before the end")
+def step_caller_left(context):
+    context.attempt.ended_s = None
+
+
+@when("its last byte could not be sent")
+def step_not_sent(context):
+    context.attempt.sent_s = None
+
+
 @given("a gateway that accepts no connection")
 def step_dead_gateway(context):
     scenario_environment(context).gateways = (Gateway(UNUSED_GATEWAY_NUMBER),)
--- a/vanillareach/features/users_platform/endpoint.py
+++ b/vanillareach/features/users_platform/endpoint.py
@@ -33,6 +33,8 @@
         Method that handled it.
     was_cancelled : bool
         Whether the sender closed the connection first.
+    silence_s : float
+        Time for which the stand-in was silent though it was sound.
     """
 
     def __init__(self, request):
@@ -41,6 +43,7 @@
         self.values_by_name = {n.lower(): v.decode() for n, v in request.headers}
         self.was_cancelled = False
         self.step = ""
+        self.silence_s = 0.0
         self.arrived_s = 0.0
         self.ended_s = math.inf
 
