Let the soak's callers use a connection until it ends

Cause: callers left when told `Connection: close` and hardly ever paused, so that no request crossed the closing of its connection. Change: four callers of ten go on sending until they see the end of the connection, three of ten pause for up to 5 s; 40 callers instead of 12 and 20 s instead of 10, since requests take longer now.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -1,6 +1,6 @@
 """Runs seeds of the soak against gateways that ``bench/fleet.sh`` started.
 
-usage: bash bench/fleet.sh soak python -m bench.soak [--seeds 1,2] [--seconds 10]
+usage: bash bench/fleet.sh soak python -m bench.soak [--seeds 1,2] [--seconds 20]
 """
 
 import argparse
@@ -14,6 +14,7 @@
     CALLER_COUNT,
     REQUEST_KINDS,
     connect,
+    draw_habits,
     send_request,
     send_requests_forever,
 )
@@ -46,7 +47,8 @@
             nursery.start_soon(record_stalls, environment.observations)
             async with trio.open_nursery() as callers:
                 for _ in range(CALLER_COUNT):
-                    callers.start_soon(send_requests_forever, environment)
+                    habits = draw_habits(environment.caller_random)
+                    callers.start_soon(send_requests_forever, environment, habits)
                 await injector.run(duration_s)
                 callers.cancel_scope.cancel()
             for endpoint in environment.endpoints_by_name.values():
@@ -122,7 +124,7 @@
     """Run the seeds and exit with 1 if violations were found."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", default="", help="comma-separated; else a fresh one")
-    parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument("--seconds", type=float, default=20.0)
     arguments = parser.parse_args()
     seeds = [int(seed) for seed in arguments.seeds.split(",") if seed]
     failed_seeds = 0
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -1,5 +1,7 @@
 """Callers of a soak: they send requests to the gateways and record what they get."""
 
+from dataclasses import dataclass
+
 import h11
 import trio
 
@@ -9,25 +11,59 @@
 from vanillareach.utils import split_address
 
 REQUEST_KINDS = ("read", "book", "ask")
-CALLER_COUNT = 12
+CALLER_COUNT = 40
 CONNECT_TIMEOUT_S = 1.0
 # Longer than the deadline that the requests carry.
 CALL_TIMEOUT_S = 8.0
-MAX_REQUEST_PAUSE_S = 0.05
+IGNORES_CLOSE_SHARE = 0.4
+LONG_PAUSE_SHARE = 0.3
+LONG_PAUSE_S = 5.0
+SHORT_PAUSE_S = 0.05
+
+
+@dataclass(slots=True, frozen=True)
+class CallerHabits:
+    """How a caller uses its connection.
+
+    Attributes
+    ----------
+    ignores_close : bool
+        Whether it sends on a connection that the gateway said it would close, until it
+        sees the end of it.
+    max_pause_s : float
+        Longest time between two requests.
+    """
+
+    ignores_close: bool
+    max_pause_s: float
 
 
-async def send_requests_forever(environment):
-    """Send requests one after another, reusing the connection while possible."""
+def draw_habits(generator):
+    """Return random `CallerHabits`."""
+    return CallerHabits(
+        generator.random() < IGNORES_CLOSE_SHARE,
+        LONG_PAUSE_S if generator.random() < LONG_PAUSE_SHARE else SHORT_PAUSE_S,
+    )
+
+
+async def send_requests_forever(environment, habits):
+    """Send requests one after another, on one connection until the gateway ends it."""
     caller = None
     while True:
         if caller is None:
             caller = await connect(environment)
         if caller is not None:
-            can_reuse_connection = await send_request(environment, caller)
-            if not can_reuse_connection:
+            reply = await send_request(environment, caller)
+            is_open = reply is not None and reply.is_complete
+            if not is_open or (announces_close(reply) and not habits.ignores_close):
                 await caller._stream.aclose()
                 caller = None
-        await trio.sleep(MAX_REQUEST_PAUSE_S * environment.caller_random.random())
+        await trio.sleep(habits.max_pause_s * environment.caller_random.random())
+
+
+def announces_close(response):
+    """Return whether a response says that the connection will be closed."""
+    return response.values_by_name.get(b"connection") == b"close"
 
 
 async def connect(environment, gateway=None):
@@ -51,7 +87,7 @@
 
 
 async def send_request(environment, caller, kind=None):
-    """Send a request, record its `Attempt`, return whether to keep the connection."""
+    """Send a request, record its `Attempt`, return the response or None."""
     kind = kind or environment.caller_random.choice(REQUEST_KINDS)
     attempt = Attempt(environment.next_id(), kind, trio.current_time())
     attempt.process = caller.process
@@ -60,8 +96,8 @@
     if kind == "ask":
         tokens = environment.caller_random.choice((900, 30_000, 120_000))
         header_values["Vanillareach_Token_Usage"] = f"{tokens},100"
-    if caller._connection.our_state is h11.DONE:
-        caller._connection.start_next_cycle()
+    # Also after a response that announced the end of the connection.
+    caller._connection = h11.Connection(h11.CLIENT)
     response = None
     with trio.move_on_after(CALL_TIMEOUT_S):
         try:
@@ -69,11 +105,10 @@
             attempt.sent_s = trio.current_time()
             response = await caller.receive()
         except (OSError, trio.BrokenResourceError, h11.ProtocolError):
-            return False
+            return None
     if response is None:
-        return False
+        return None
     attempt.ended_s = trio.current_time()
     attempt.status, attempt.is_complete = response.status, response.is_complete
     attempt.body = response.body
-    will_close = response.values_by_name.get(b"connection") == b"close"
-    return response.is_complete and not will_close
+    return response
