Send signals in series and change configurations in the soak

Cause: the soak stopped one gateway at a time, once, and never changed what a configuration says; losses around a stop or a change could not show.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -21,6 +21,7 @@
 from bench.soak.checks import find_leaked_reservations, find_violations
 from bench.soak.faults import FaultInjector
 from bench.soak.observations import record_stalls
+from bench.soak.signals import SignalSeries
 from bench.soak.world import open_environment
 from vanillareach.utils import split_address
 
@@ -44,12 +45,15 @@
         violations = await wait_until_all_serve(environment, READY_TIMEOUT_S)
         if not violations:
             injector = FaultInjector(environment)
+            series = SignalSeries(environment, seed)
             nursery.start_soon(record_stalls, environment.observations)
             async with trio.open_nursery() as callers:
                 for _ in range(CALLER_COUNT):
                     habits = draw_habits(environment.caller_random)
                     callers.start_soon(send_requests_forever, environment, habits)
-                await injector.run(duration_s)
+                async with trio.open_nursery() as disturbances:
+                    disturbances.start_soon(injector.run, duration_s)
+                    disturbances.start_soon(series.run, duration_s)
                 callers.cancel_scope.cancel()
             for endpoint in environment.endpoints_by_name.values():
                 endpoint.script.clear()
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -7,9 +7,11 @@
 
 from bench.soak.observations import Attempt
 from bench.soak.processes import process_of
+from bench.soak.world import SERVICES_BY_KIND, STREAM_KINDS
 from vanillareach.features.users_platform.stage import Caller
 from vanillareach.utils import split_address
 
+# Kinds of requests on routes that every version of the configuration has.
 REQUEST_KINDS = ("read", "book", "ask")
 CALLER_COUNT = 40
 CONNECT_TIMEOUT_S = 1.0
@@ -88,12 +90,12 @@
 
 async def send_request(environment, caller, kind=None):
     """Send a request, record its `Attempt`, return the response or None."""
-    kind = kind or environment.caller_random.choice(REQUEST_KINDS)
+    kind = kind or environment.caller_random.choice(tuple(SERVICES_BY_KIND))
     attempt = Attempt(environment.next_id(), kind, trio.current_time())
     attempt.process = caller.process
     environment.attempts.append(attempt)
     header_values = {"Vanillareach_Attempt_Id": attempt.id}
-    if kind == "ask":
+    if kind in STREAM_KINDS:
         tokens = environment.caller_random.choice((900, 30_000, 120_000))
         header_values["Vanillareach_Token_Usage"] = f"{tokens},100"
     # Also after a response that announced the end of the connection.
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -3,7 +3,7 @@
 from collections import Counter
 
 from bench.soak.lost import find_lost
-from bench.soak.world import event_ids, expected_body
+from bench.soak.world import STREAM_KINDS, event_ids, expected_body
 from vanillareach.platform import names
 
 # Statuses that tell the caller that its request was not executed.
@@ -47,7 +47,7 @@
     if attempt.status == 200 and attempt.is_complete:
         if attempt.body != expected_body(attempt):
             yield f"MIXED {attempt.id} ({attempt.kind}) got {attempt.body[:80]!r}"
-    elif attempt.status == 200 and attempt.kind == "ask":
+    elif attempt.status == 200 and attempt.kind in STREAM_KINDS:
         received_ids = event_ids(attempt.body)
         if received_ids != list(range(1, len(received_ids) + 1)):
             yield f"ORDER {attempt.id} got events {received_ids}"
--- a/bench/soak/endpoint.py
+++ b/bench/soak/endpoint.py
@@ -69,3 +69,14 @@
             await responder.send(b"id: 99\ndata: half")
             raise ResponseAbortedError("torn")
         await responder.finish()
+
+    async def _gap(self, received, responder):
+        """Leave out the second event that is due; abort if there is none after it."""
+        first = int(received.values_by_name.get(names.LAST_EVENT_ID, "0")) + 1
+        if first + 2 > EVENT_COUNT:
+            raise ResponseAbortedError("no event left to leave out")
+        headers = self._response_headers(received)
+        await responder.start(200, [*headers, (b"Transfer-Encoding", b"chunked")])
+        for number in (first, first + 2):
+            await responder.send(f"id: {number}\ndata: piece {number}\n\n".encode())
+        await responder.finish()
--- a/bench/soak/lost.py
+++ b/bench/soak/lost.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from bench.soak.observations import Fault
-from bench.soak.world import SERVICE_BY_KIND
+from bench.soak.world import SERVICES_BY_KIND
 from vanillareach.platform import names
 
 # A request that crosses the closing of its connection ends within this time.
@@ -205,12 +205,12 @@
 
 
 def was_service_cut_off(environment, attempt):
-    """Return whether a link to the attempt's service was disturbed meanwhile."""
-    service = SERVICE_BY_KIND[attempt.kind]
+    """Return whether a link to a service of the attempt was disturbed meanwhile."""
+    services = SERVICES_BY_KIND[attempt.kind]
     started_s = attempt.started_s - LINK_SLACK_S
     return any(
         fault.endpoint is not None
-        and environment.service_of(fault.endpoint) == service
+        and environment.service_of(fault.endpoint) in services
         and _hits_link(fault, PREVENTING_MODES)
         and fault.overlaps(started_s, attempt.ended_s)
         for fault in environment.observations.faults
@@ -231,7 +231,7 @@
     signals = ", ".join(
         f"{signal.name} {signal.at_s - attempt.sent_s:+.2f} s"
         for signal in environment.observations.signals
-        if signal.process == attempt.process
+        if signal.process == attempt.process and signal.at_s <= attempt.ended_s
     )
     versions = ", ".join(
         f"{written_s - attempt.sent_s:+.2f} s"
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -7,19 +7,31 @@
 import trio
 
 from bench.layout import GATEWAYS_BY_LAYOUT
+from bench.soak.configurations import ConfigurationVariant
 from bench.soak.endpoint import EVENT_COUNT, SoakEndpoint
 from bench.soak.observations import Observations
 from bench.soak.proxy import FaultProxy
 from vanillareach.features.users_platform.endpoint import response_body
 from vanillareach.features.users_platform.stage import (
     PlatformStage,
-    configuration,
     free_address,
 )
 
 ENGINE_NAMES = ("m0", "m1", "m2", "m3")
 DESK_NAMES = ("d0", "d1", "d2")
-SERVICE_BY_KIND = {"read": "desk", "book": "desk", "ask": "model"}
+# Endpoints of services that versions of the configuration take away and put back.
+SCANNER_NAMES = ("s0", "s1")
+TALKER_NAMES = ("t0", "t1")
+SERVICES_BY_PREFIX = {"m": "model", "d": "desk", "s": "scanner", "t": "talker"}
+ENGINE_SERVICES = ("model", "talker")
+SERVICES_BY_KIND = {
+    "read": ("desk",),
+    "book": ("desk",),
+    "ask": ("model",),
+    "scan": ("scanner", "desk"),
+    "talk": ("talker",),
+}
+STREAM_KINDS = ("ask", "talk")
 # Each is more than the number of versions, revisions or eras of one seed.
 VERSION_STRIDE_PER_SEED = 10_000
 REVISION_STRIDE_PER_SEED = 100_000
@@ -43,6 +55,8 @@
         Common start of the attempt ids of a seed.
     version : int
         Version of the newest configuration that the operator has written.
+    variant : ConfigurationVariant
+        What that configuration says.
     lost_entries, restored_entries : dict
         Entries of endpoints before and after the last restore, by name.
     """
@@ -56,6 +70,7 @@
     store_proxies: list = field(default_factory=list)
     endpoint_proxies: dict = field(default_factory=dict)
     version: int = 1
+    variant: ConfigurationVariant = ConfigurationVariant()
     lost_entries: dict = field(default_factory=dict)
     restored_entries: dict = field(default_factory=dict)
 
@@ -75,15 +90,21 @@
 
     def service_of(self, name):
         """Return the service of an endpoint."""
-        return "model" if name.startswith("m") else "desk"
+        return SERVICES_BY_PREFIX[name[0]]
 
     def write_configuration(self):
-        """Write a configuration with a higher version."""
+        """Write the configuration with a higher version."""
         self.version += self.random.randint(1, 4)
         self._put_configuration()
 
+    def change_configuration(self, variant):
+        """Write a variant of the configuration."""
+        self.variant = variant
+        self.version += 1
+        self._put_configuration()
+
     def _put_configuration(self):
-        document = configuration(self.version)
+        document = self.variant.document(self.version)
         timeouts = {route["name"]: route["timeout_ms"] for route in document["routes"]}
         self.observations.timeouts_ms.append((trio.current_time(), timeouts))
         self.stage.store.put("config", "main", document)
@@ -125,16 +146,17 @@
     )
     environment.id_prefix = f"seed-{seed}"
     environment.version += seed_index * VERSION_STRIDE_PER_SEED
-    services = {
-        name: environment.service_of(name) for name in (*ENGINE_NAMES, *DESK_NAMES)
-    }
+    endpoint_names = (*ENGINE_NAMES, *DESK_NAMES, *SCANNER_NAMES, *TALKER_NAMES)
+    services = {name: environment.service_of(name) for name in endpoint_names}
     await stage.open(services, lambda name: SoakEndpoint(name, seed))
     for gateway in gateways:
         proxy = FaultProxy(gateway.address("store"), stage.store_address)
         await nursery.start(proxy.run)
         environment.store_proxies.append(proxy)
     for name, endpoint in environment.endpoints_by_name.items():
-        endpoint.default_step = "stream" if services[name] == "model" else "answer"
+        endpoint.default_step = (
+            "stream" if services[name] in ENGINE_SERVICES else "answer"
+        )
         proxy = FaultProxy(free_address(), endpoint.address)
         await nursery.start(proxy.run)
         environment.endpoint_proxies[name] = proxy
@@ -146,7 +168,7 @@
 
 def expected_body(attempt):
     """Return the body that a successful response to an attempt must have."""
-    if attempt.kind != "ask":
+    if attempt.kind not in STREAM_KINDS:
         return response_body(attempt.id).encode()
     return b"".join(
         f"id: {n}\ndata: piece {n}\n\n".encode() for n in range(1, EVENT_COUNT + 1)
