--- a/bench/soak/observations.py
+++ b/bench/soak/observations.py
@@ -22,6 +22,10 @@
         connection had ended. `ended_s` is None if the caller left first.
     process : Process or None
         Process of the gateway that took the connection.
+    idle_s : float
+        Time for which the connection had been idle.
+    was_close_announced : bool
+        Whether the response before it said that the connection would be closed.
     """
 
     id: str
@@ -33,6 +37,8 @@
     sent_s: float | None = None
     ended_s: float | None = None
     process: object = None
+    idle_s: float = 0.0
+    was_close_announced: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/vanillareach/features/soak_checks.feature
+++ b/vanillareach/features/soak_checks.feature
@@ -60,11 +60,14 @@
       | ask  | 12.6 | a part    | m0 stream 10-12.6              | timeout 2500 at 12.7          |
 
     Examples: not passed on
-      | kind | end  | outcome   | visits | disturbance         |
-      | read | 10.3 | no answer | none   | nothing             |
-      | ask  | 10.3 | no answer | none   | TERM 4              |
-      | book | 11   | no answer | none   | link d0 silent 9-12 |
-      | read | 10.3 | no answer | none   | stall 10-10.05      |
+      | kind | end  | outcome   | visits | disturbance            |
+      | read | 10.3 | no answer | none   | nothing                |
+      | ask  | 10.3 | no answer | none   | TERM 4                 |
+      | book | 11   | no answer | none   | link d0 silent 9-12    |
+      | read | 10.1 | no answer | none   | nothing                |
+      | read | 10.1 | no answer | none   | TERM 10.2              |
+      | read | 10.1 | no answer | none   | idle 3.7               |
+      | read | 10.3 | no answer | none   | idle 4, stall 10-10.05 |
 
     Examples: an error before the deadline
       | kind | end | outcome    | visits                         | disturbance      |
@@ -96,8 +99,10 @@
       | ask  | 15   | a part     | m0 stream 10-15                  | nothing                       |
       | read | 12.5 | status 504 | d0 answer 10-12.5                | timeout 2500 at 9             |
       | read | 12.6 | status 504 | d0 answer 10-12.6                | timeout 2500 at 1, 60000 at 9 |
-      | read | 10.1 | no answer  | none                             | nothing                       |
-      | read | 10.3 | no answer  | none                             | stall 10-10.2                 |
+      | read | 10.1 | no answer  | none                             | TERM 10                       |
+      | read | 10.1 | no answer  | none                             | close_announced               |
+      | read | 10.1 | no answer  | none                             | idle 4                        |
+      | read | 10.3 | no answer  | none                             | idle 4, stall 10-10.2         |
       | read | 11   | status 502 | none                             | link d1 cut 9-11              |
       | book | 12   | status 502 | d0 unsigned 10-12                | nothing                       |
       | book | 12   | status 502 | d0 answer 10-12                  | reset d0 11                   |
--- a/vanillareach/features/steps/soak_checks.py
+++ b/vanillareach/features/steps/soak_checks.py
@@ -152,6 +152,10 @@
             process = OTHER_PROCESS if "other" in details else PROCESS
             signal = SentSignal(process, name, float(details[0]))
             observations.signals.append(signal)
+        elif name == "idle":
+            context.attempt.idle_s = float(details[0])
+        elif name == "close_announced":
+            context.attempt.was_close_announced = True
         elif name != "nothing":
             observations.faults.append(fault(name, *details))
 
