--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -1,6 +1,6 @@
 """Runs seeds of the soak against gateways that ``bench/fleet.sh`` started.
 
-usage: bash bench/fleet.sh soak python -m bench.soak [--seeds 1,2] [--seconds 10]
+usage: bash bench/fleet.sh soak python -m bench.soak [--seeds 1,2] [--seconds 12]
 """
 
 import argparse
@@ -10,16 +10,19 @@
 
 import trio
 
-from bench.soak.checks import find_leaked_reservations, find_violations
-from bench.soak.faults import FaultInjector
-from bench.soak.world import (
+from bench.soak.callers import (
     CALLER_COUNT,
     REQUEST_KINDS,
     connect,
-    open_environment,
+    draw_habits,
     send_request,
     send_requests_forever,
 )
+from bench.soak.checks import find_leaked_reservations, find_violations
+from bench.soak.faults import FaultInjector
+from bench.soak.observations import record_stalls
+from bench.soak.signals import SignalSeries
+from bench.soak.world import open_environment
 from vanillareach.utils import split_address
 
 READY_TIMEOUT_S = 60
@@ -28,10 +31,11 @@
 # After the faults, all gateways must serve the newest configuration version again
 # within this time.
 RECOVERY_TIMEOUT_S = 15.0
+MAX_PRINTED_VIOLATIONS = 60
 METRICS_REQUEST = b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
 
 
-async def run_seed(layout, seed, duration_s, seed_index):
+async def run_seed(layout, seed, duration_s, caller_count, seed_index):
     """Run one seed and return the violations found and a summary.
 
     `seed_index` is the number of seeds that the same gateways have served before.
@@ -41,10 +45,15 @@
         violations = await wait_until_all_serve(environment, READY_TIMEOUT_S)
         if not violations:
             injector = FaultInjector(environment)
+            series = SignalSeries(environment, seed)
+            nursery.start_soon(record_stalls, environment.observations)
             async with trio.open_nursery() as callers:
-                for _ in range(CALLER_COUNT):
-                    callers.start_soon(send_requests_forever, environment)
-                await injector.run(duration_s)
+                for _ in range(caller_count):
+                    habits = draw_habits(environment.caller_random)
+                    callers.start_soon(send_requests_forever, environment, habits)
+                async with trio.open_nursery() as disturbances:
+                    disturbances.start_soon(injector.run, duration_s)
+                    disturbances.start_soon(series.run, duration_s)
                 callers.cancel_scope.cancel()
             for endpoint in environment.endpoints_by_name.values():
                 endpoint.script.clear()
@@ -53,8 +62,8 @@
             violations += find_violations(environment) + find_leaked_reservations(
                 environment
             )
-            for line in injector.injected_faults if violations else ():
-                print("   ", *line)
+            for fault in environment.observations.faults if violations else ():
+                print("   ", fault)
         nursery.cancel_scope.cancel()
     answered = sum(attempt.status == 200 for attempt in environment.attempts)
     return violations, f"{len(environment.attempts)} attempts, {answered} answered"
@@ -119,18 +128,24 @@
     """Run the seeds and exit with 1 if violations were found."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", default="", help="comma-separated; else a fresh one")
-    parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument("--callers", type=int, default=CALLER_COUNT)
+    parser.add_argument("--seconds", type=float, default=12.0)
     arguments = parser.parse_args()
     seeds = [int(seed) for seed in arguments.seeds.split(",") if seed]
     failed_seeds = 0
     for seed_index, seed in enumerate(seeds or [secrets.randbelow(1_000_000)]):
         violations, summary = trio.run(
-            run_seed, os.environ["FLEET"], seed, arguments.seconds, seed_index
+            run_seed,
+            os.environ["FLEET"],
+            seed,
+            arguments.seconds,
+            arguments.callers,
+            seed_index,
         )
         failed_seeds += bool(violations)
         verdict = "BROKEN" if violations else "held"
         print(f"soak seed {seed}: {verdict}; {summary}", flush=True)
-        for line in violations[:20]:
+        for line in violations[:MAX_PRINTED_VIOLATIONS]:
             print("   ", line)
     sys.exit(1 if failed_seeds else 0)
 
--- a/vanillareach/features/users_platform/endpoint.py
+++ b/vanillareach/features/users_platform/endpoint.py
@@ -1,5 +1,7 @@
 """Stand-in of an engine or service that follows a script."""
 
+import math
+
 import msgspec
 import trio
 
@@ -22,7 +24,20 @@
 
 
 class ReceivedRequest:
-    """A request as the stand-in received it."""
+    """A request as the stand-in received it.
+
+    Attributes
+    ----------
+    arrived_s, ended_s : float
+        When it arrived and when the stand-in ceased to work on it; `ended_s` is
+        infinite before.
+    step : str
+        Method that handled it.
+    was_cancelled : bool
+        Whether the sender closed the connection first.
+    silence_s : float
+        Time for which the stand-in was silent though it was sound.
+    """
 
     def __init__(self, request):
         self.path = request.target.decode()
@@ -31,6 +46,9 @@
         self.attempt_id = self.values_by_name.get(names.ATTEMPT_ID, "")
         self.was_cancelled = False
         self.step = ""
+        self.silence_s = 0.0
+        self.arrived_s = 0.0
+        self.ended_s = math.inf
 
 
 class StandinEndpoint(SignallingEndpoint):
@@ -71,11 +89,14 @@
         self.record_arrival(received.attempt_id)
         step = self.script.pop(0) if self.script else self.default_step
         received.step = step
+        received.arrived_s = trio.current_time()
         try:
             await getattr(self, "_" + step)(received, responder)
         except trio.Cancelled:
             received.was_cancelled = True
             raise
+        finally:
+            received.ended_s = trio.current_time()
 
     def active_reservations(self):
         """Return the ids of the reservations that have not expired."""
