Check renewals and releases at engines that leave or want quiet

And longer times of quiet in scenarios that don't wait for their end, so that a slow machine doesn't change them. endpoint_signals.feature 22 of 22, twice.

--- a/vanillareach/features/endpoint_signals.feature
+++ b/vanillareach/features/endpoint_signals.feature
@@ -93,11 +93,12 @@
 
   Scenario Outline: If all endpoints want quiet, a request is refused at once
     Given all endpoints will "quiet"
+    And endpoints that ask for 30 s of quiet
     When a caller sends "<path>"
     And 3 more callers send "<path>" with a prompt of 1000 tokens
     And a caller sends "<path>"
     Then the response is 503
-    And the response says "quiet" and has a Retry-After of 500 to 2050 ms
+    And the response says "quiet" and has a Retry-After of 25000 to 30900 ms
     And none got a request it didn't want
 
     Examples:
@@ -105,10 +106,22 @@
       | /book/a |
       | /ask/a  |
 
+  Scenario Outline: Reservations end at a leaving engine as usual, and by themselves in quiet
+    Given all endpoints will "mute"
+    When a caller sends "/ask/a" with 120000 tokens and waits for the answer
+    And a helper of it says meanwhile that it is <cause>
+    Then the helper got <renewals> and, after the caller left, <releases>
+
+    Examples:
+      | cause   | renewals    | releases   |
+      | leaving | renewals    | a release  |
+      | quiet   | no renewals | no release |
+
   Scenario: Operators see which endpoints leave or want quiet
     Given the first endpoint called will "leave_answer"
     And later ones will "quiet"
+    And endpoints that ask for 30 s of quiet
     When a caller sends "/read/a"
     And a caller sends "/book/a"
-    Then the reports of the endpoints say "leaving (said by an answer)" and "quiet for 2 s"
+    Then the reports of the endpoints say "leaving (said by an answer)" and "quiet for" with a time
     And the metrics say 1 for "endpoints_leaving" and "endpoints_quiet"
--- a/vanillareach/features/steps/endpoint_signals.py
+++ b/vanillareach/features/steps/endpoint_signals.py
@@ -2,13 +2,15 @@
 
 import json
 import math
+import re
 
 import msgspec
 import trio
 from behave import given, then, when
 
 from vanillareach.core.endpoint_list import ListedEndpoint
-from vanillareach.features.support import endpoints
+from vanillareach.features.support import endpoints, received
+from vanillareach.gateway.ports import EndpointSignals
 from vanillareach.gateway.report import InstanceReport
 from vanillareach.platform.signals import read_signals
 
@@ -16,6 +18,9 @@
 SERVICE = "desk"
 # So many that load leads some of them to each endpoint of a service.
 CALLS_AT_ONCE = 12
+# By then a reservation was renewed, and later released if it is at all.
+RENEWALS_S = 1.3
+RELEASE_S = 0.5
 # Longer prompts are sent one after another, as they need most of the memory.
 MAX_TOKENS_AT_ONCE = 1_000
 
@@ -27,6 +32,12 @@
             endpoint.default_step = "stream"
 
 
+@given("endpoints that ask for {duration_s:d} s of quiet")
+def step_quiet_duration(context, duration_s):
+    for endpoint in endpoints(context):
+        endpoint.retry_after = str(duration_s).encode()
+
+
 def call_all(context, calls):
     """Send requests at once; keep their responses."""
     context.responses = []
@@ -94,7 +105,7 @@
 
 @then("1 endpoint has asked for quiet, and none got a request it didn't want")
 def step_one_quiet(context):
-    context.endpoint = one(e for e in endpoints(context) if e._signals)
+    context.endpoint = one(e for e in endpoints(context) if e.quiet_count)
     check_none_unwanted(context)
 
 
@@ -213,6 +224,48 @@
     assert context.run(retries) == 0
 
 
+@when('a caller sends "{path}" with {tokens:d} tokens and waits for the answer')
+def step_wait_for_answer(context, path, tokens):
+    async def call():
+        context.caller = await context.platform.connect()
+        await context.caller.send(path, Vanillareach_Token_Usage=f"{tokens},100")
+        await context.platform.until(lambda: received(context))
+
+    context.run(call)
+
+
+@when("a helper of it says meanwhile that it is {cause}")
+def step_helper_says(context, cause):
+    context.endpoint = next(
+        e for e in endpoints(context) if e.reservation_count and not e.received
+    )
+    state = context.platform.gateways[0].state
+    signals = EndpointSignals(cause == "leaving", LONG_QUIET_MS * (cause == "quiet"))
+
+    async def record():
+        entry = state.endpoints.by_id[context.endpoint.name]
+        state.record_signals(entry, signals)
+        await trio.sleep(RENEWALS_S)
+
+    context.run(record)
+
+
+@then("the helper got {renewals} and, after the caller left, {releases}")
+def step_check_renewals(context, renewals, releases):
+    helper = context.endpoint
+    assert (helper.reservation_count > 1) is (renewals == "renewals"), (
+        helper.reservation_count
+    )
+
+    async def leave():
+        await context.caller.__aexit__()
+        await context.platform.until(lambda: received(context)[0].was_cancelled)
+        await trio.sleep(RELEASE_S)
+
+    context.run(leave)
+    assert bool(helper.expiry_s_by_reservation) is (releases == "no release")
+
+
 @then(
     'the response says "{reason}" and has a Retry-After of {low_ms:d} to {high_ms:d} ms'
 )
@@ -223,7 +276,7 @@
     assert low_ms <= retry_after_ms <= high_ms, retry_after_ms
 
 
-@then('the reports of the endpoints say "{first}" and "{second}"')
+@then('the reports of the endpoints say "{first}" and "{second}" with a time')
 def step_check_reports(context, first, second):
     gateway = context.platform.gateways[0]
 
@@ -231,8 +284,10 @@
         return gateway._encoded_report()
 
     decoded = msgspec.json.decode(context.run(report), type=InstanceReport)
-    standings = {endpoint.standing for endpoint in decoded.endpoints}
-    assert {first, second} <= standings, standings
+    standings = [endpoint.standing for endpoint in decoded.endpoints]
+    assert first in standings, standings
+    patterns = [re.fullmatch(second + r" (\d+) s", text) for text in standings]
+    assert 25 <= int(one(filter(None, patterns))[1]) <= 31, standings
 
 
 @then('the metrics say 1 for "{first}" and "{second}"')
--- a/vanillareach/features/users_platform/endpoint_signals.py
+++ b/vanillareach/features/users_platform/endpoint_signals.py
@@ -41,6 +41,8 @@
         Number of seconds that the steps about quiet send.
     is_leaving : bool
         Whether all answers say that the endpoint leaves.
+    quiet_count : int
+        Number of answers that asked for quiet.
     unwanted : list of UnwantedRequest
         Releases of memory don't count.
     """
@@ -48,6 +50,7 @@
     def __init__(self):
         self.retry_after = b"1.5"
         self.is_leaving = False
+        self.quiet_count = 0
         self.unwanted = []
         # Cause, attempt id, time of the answer and end of each signal.
         self._signals = []
@@ -78,6 +81,7 @@
         self._signals.append((cause, attempt_id, said_s, said_s + duration_s))
 
     def _quiet_headers(self, attempt_id):
+        self.quiet_count += 1
         self._record_signal("quiet", attempt_id, float(self.retry_after))
         return [(b"Retry-After", self.retry_after)]
 
