Serve a pipelined request before a stopping instance closes its connection

What callers saw: of two requests sent at once to a stopping instance, the second was read and dropped, as the first response said Connection: close.

Change: a response announces the close only if no part of a next request has arrived; the response to that one announces it.

Result: the new scenario failed before (one response) and passes now.

--- a/vanillareach/features/connections.feature
+++ b/vanillareach/features/connections.feature
@@ -21,6 +21,10 @@
     Then each of them had its response as the stop ended
     And each of them gets a complete response that closes its connection
 
+  Scenario: A request sent before the response to the last one is served in a stop
+    When a caller sends "/read/a" twice at once to a stopping gateway
+    Then both are answered and the second response closes the connection
+
   Scenario: A caller that ignores the close of its connection isn't kept waiting
     When a caller sends "/read/a" twice on a connection that is closed in between
     Then the connection ends within 200 ms
--- a/vanillareach/features/steps/connections.py
+++ b/vanillareach/features/steps/connections.py
@@ -149,6 +149,27 @@
     context.run(call)
 
 
+@when('a caller sends "{path}" twice at once to a stopping gateway')
+def step_pipeline_during_stop(context, path):
+    async def call():
+        gateway = context.platform.gateways[0]
+        gateway.state.mark_stopping(gateway.clock.now_ms() + STOP_DURATION_MS)
+        async with await context.platform.connect() as caller:
+            await caller.send_raw(2 * caller.encode(path))
+            context.data = b""
+            while data := await caller.receive_raw():
+                context.data += data
+
+    context.run(call)
+
+
+@then("both are answered and the second response closes the connection")
+def step_check_pipelined_responses(context):
+    first, second = context.data.split(b"HTTP/1.1 200")[1:]
+    assert b"Connection: close" not in first
+    assert b"Connection: close" in second
+
+
 @then("the connection ends within {limit_ms:d} ms")
 def step_check_duration(context, limit_ms):
     assert not context.data
--- a/vanillareach/gateway/connections.py
+++ b/vanillareach/gateway/connections.py
@@ -35,7 +35,7 @@
     ----------
     connection : h11.Connection
     stream : trio.SocketStream
-    is_stopping : callable
+    is_last : callable
         Whether the connection is to be closed after this response.
     is_head : bool
         Whether the request's method is HEAD, so that the response has no body.
@@ -51,17 +51,17 @@
     __slots__ = (
         "_connection",
         "_is_head",
-        "_is_stopping",
+        "_is_last",
         "_stream",
         "_unsent",
         "is_complete",
         "is_started",
     )
 
-    def __init__(self, connection, stream, is_stopping, is_head=False):
+    def __init__(self, connection, stream, is_last, is_head=False):
         self._connection = connection
         self._stream = stream
-        self._is_stopping = is_stopping
+        self._is_last = is_last
         self._is_head = is_head
         self._unsent = memoryview(b"")
         self.is_started = False
@@ -119,7 +119,7 @@
             self._unsent = self._unsent[sent_bytes:]
 
     def _head(self, status, headers, reason):
-        if self._is_stopping():
+        if self._is_last():
             headers = [*headers, (b"Connection", b"close")]
         return self._connection.send(
             h11.Response(status_code=status, headers=headers, reason=reason)
@@ -216,7 +216,7 @@
         responder = Responder(
             self._connection,
             self._stream,
-            self._listener.is_stopping,
+            self._is_last_response,
             is_head=request.method == b"HEAD",
         )
         try:
@@ -242,6 +242,13 @@
         else:
             await self._send_error(request)
 
+    def _is_last_response(self):
+        """Return whether the connection closes after the response in progress.
+
+        Part of a next request may have arrived; the response to that one is the last.
+        """
+        return self._listener.is_stopping() and not self._connection.trailing_data[0]
+
     async def _send_error(self, request):
         """Send an error response in place of one that the handler could not send."""
         # The state of the current one may allow no response after a failed one.
