Free the memory of engines whose service was deleted

An engine kept the memory of a request for good when the request's entry was lost after its service had been taken out of the configuration.

Cause: the instances look for expired requests only at engines of services that are in force. The scenario that an entry is killed didn't show it: clean-up that is shielded from cancellation still reached the engine of a killed entry.

Change: an instance remembers which services were engines. In the harness a killed entry reaches no endpoint any more. The feature runs with four entries, so that the killed one isn't the only one in its domain; engines of a domain without any instance are looked after by nobody, by design.

streams.feature, "Engine memory is freed after its service was taken out of the configuration": failed before, passes now. "No engine memory stays in use after an entry is killed" passes with the stricter kill.

--- a/vanillareach/endpoints/monitor.py
+++ b/vanillareach/endpoints/monitor.py
@@ -34,6 +34,7 @@
         self._engines = engines
         self._fleet = fleet
         self._loads = loads
+        self._service_kinds_by_name = {}
 
     async def run(self):
         """Poll loads and cancel expired requests until cancelled."""
@@ -65,15 +66,19 @@
 
     def _assigned_engines(self):
         settings = self._components.settings
-        services = self._components.view().services_by_name
+        # The engines of a service that was deleted may still run its requests.
+        self._service_kinds_by_name.update(
+            (spec.name, spec.kind)
+            for spec in self._components.view().services_by_name.values()
+        )
         alive = self._fleet.membership.alive(settings.domain)
         names = [record.name for record in alive]
         return [
             state
             for state in self._components.directory.endpoints_by_id.values()
             if state.spec.domain == settings.domain
-            and state.spec.service in services
-            and services[state.spec.service].kind is ServiceKind.ENGINE
+            and self._service_kinds_by_name.get(state.spec.service)
+            is ServiceKind.ENGINE
             and polls_engine_load(settings.name, state.spec.name, names)
         ]
 
--- a/vanillareach/features/harness.py
+++ b/vanillareach/features/harness.py
@@ -160,6 +160,8 @@
     def kill(self):
         """Stop the entry abruptly, as a crash does."""
         self.killed = True
+        # Clean-up that is shielded from cancellation must not reach any endpoint.
+        self.components.endpoints = MemoryEndpoints({}, self.stage.nursery)
         self.scope.cancel()
         self.stage.network.disconnect(self.settings.peer_listen)
 
--- a/vanillareach/features/streams.feature
+++ b/vanillareach/features/streams.feature
@@ -2,7 +2,7 @@
 Feature: Streams survive the loss of an engine
 
   Background:
-    Given 6 engines, 1 services and 2 entries
+    Given 6 engines, 1 services and 4 entries
 
   Scenario Outline: An engine dies during a stream
     When the serving engine dies after token <token> of a stream of 20 tokens
@@ -48,3 +48,9 @@
     When entry 0 is killed 300 ms after the start of a long stream with a time limit of 4000 ms
     And 9000 ms pass
     Then the engines have no memory in use
+
+  Scenario: Engine memory is freed after its service was taken out of the configuration
+    Given an operator takes away the services 200 ms later
+    When entry 0 is killed 300 ms after the start of a long stream with a time limit of 4000 ms
+    And 9000 ms pass
+    Then the engines have no memory in use
