Resume a silent stream over a second connection to its engine

Since silent attempts overlap, a stream whose connection fell silent without an error, while its engine went on, waited until its deadline when no other engine or retry was left.

Change: once the stream's attempt is silent, it is resumed at its engine over a second connection, beside the first, before another engine is tried. It needs no retry budget and no prefill. The engine's request is cancelled only if neither connection continues it. docs/design/attempts.md describes the design of overlapping attempts.

entry_silence.feature, "A stream is resumed on its engine if only the connection falls silent": failed before (504), passes now; 22 passed, 0 failed. entry_silence, streams, calls, crashes, outage, ledger, limits, properties and fuzz: 95 passed, 0 failed.

--- a/vanillareach/entry/generation.py
+++ b/vanillareach/entry/generation.py
@@ -56,15 +56,41 @@
         Set once the attempt is sent.
     position : StreamPosition or None
         Position in the stream from which the attempt continues it.
+    has_resumption : bool
+        Whether a `Resumption` was made since its last event.
     """
 
-    __slots__ = ("dispatch", "number", "position")
+    __slots__ = ("dispatch", "has_resumption", "number", "position")
 
-    def __init__(self, state, request_id, number, idle_timeout_ms, now_ms):
-        super().__init__(state, f"{request_id}-{number}", idle_timeout_ms, now_ms)
+    def __init__(self, state, attempt_id, number, idle_timeout_ms, now_ms):
+        super().__init__(state, attempt_id, idle_timeout_ms, now_ms)
         self.number = number
         self.dispatch = None
         self.position = None
+        self.has_resumption = False
+
+
+class Resumption(GenerationAttempt):
+    """Further connection to the engine of a silent attempt, to continue its stream.
+
+    Parameters
+    ----------
+    source : GenerationAttempt
+        The silent attempt, whose connection may be lost while its engine goes on.
+    idle_timeout_ms : float
+    now_ms : float
+    """
+
+    __slots__ = ()
+
+    def __init__(self, source, idle_timeout_ms, now_ms):
+        super().__init__(
+            source.state, source.attempt_id, source.number, idle_timeout_ms, now_ms
+        )
+        self.dispatch = source.dispatch
+        self.position = source.position
+        self.has_resumption = True
+        source.has_resumption = True
 
 
 class Generation(OverlappingAttempts):
@@ -91,6 +117,8 @@
         self._body = body
         self._placement_request = placement_request
         self._progress = StreamProgress()
+        # Attempt that relayed the last event.
+        self._leader = None
         self._attempt_count = 0
         self._next_needs_retry_budget = False
         self._excluded_endpoints = set()
@@ -106,6 +134,9 @@
         await self.run_attempts()
 
     async def _next_attempt(self):
+        if self._may_resume_leader():
+            now_ms = self._components.clock.now_ms()
+            return Resumption(self._leader, self._service.gap_limit_ms, now_ms)
         refusal = self._quarantine_refusal()
         if refusal is not None:
             return refusal
@@ -119,18 +150,25 @@
             if isinstance(state, Refusal):
                 return state
         self._attempt_count += 1
+        attempt_id = f"{self._exchange.request_id}-{self._attempt_count}"
         # Reset if the engine was unreachable: that attempt put no load on any engine,
         # so the next one needs no retry budget.
         self._next_needs_retry_budget = True
         self._excluded_endpoints.add(state.spec.name)
         return GenerationAttempt(
             state,
-            self._exchange.request_id,
+            attempt_id,
             self._attempt_count,
             self._idle_timeout_of_attempt_ms(),
             self._components.clock.now_ms(),
         )
 
+    def _may_resume_leader(self):
+        leader = self._leader
+        return (
+            leader in self._running and leader.is_silent and not leader.has_resumption
+        )
+
     def _retry_budget(self):
         budgets = self._components.retry_budgets_by_service
         return budgets.setdefault(self._service.name, RetryBudget())
@@ -219,6 +257,8 @@
         )
 
     async def _record_silence(self, attempt):
+        if isinstance(attempt, Resumption):
+            return
         await super()._record_silence(attempt)
         self._last_error = f"{attempt.state.spec.name} sent no data in time"
         log.warning(
@@ -260,6 +300,11 @@
         await self._exchange.refuse(refusal)
 
     async def _run_attempt(self, attempt):
+        if isinstance(attempt, Resumption):
+            return await self._run_resumption(attempt)
+        return await self._run_first_connection(attempt)
+
+    async def _run_first_connection(self, attempt):
         components = self._components
         state = attempt.state
         span = components.traces.start_child_span(
@@ -292,9 +337,14 @@
             span.set_attribute("result", result)
             span.end()
             if result in ("abandoned", "broken", "silent"):
-                self._exchange.cleanup_nursery.start_soon(
-                    self._cancel, state, attempt.attempt_id
-                )
+                self._cancel_unless_resumed(attempt)
+
+    async def _run_resumption(self, attempt):
+        try:
+            await self._resume_on_same_engine(attempt)
+        finally:
+            if self._leader is attempt:
+                self._cancel_unless_resumed(attempt)
 
     def _record_dispatch(self, state, attempt_id):
         components = self._components
@@ -454,6 +504,8 @@
                 continue
             if not self._take_over(attempt):
                 return "abandoned"
+            self._leader = attempt
+            attempt.has_resumption = False
             self._progress.record(events)
             if attempt.dispatch.first_token_ms is None:
                 self._record_first_token(attempt)
@@ -493,6 +545,8 @@
             return
         position = self._progress.position()
         if position.finished and not self._generate_request.includes_usage:
+            if not self._take_over(attempt):
+                return
             await self._exchange.send(
                 {"type": "http.response.body", "body": DONE_EVENT, "more_body": True}
             )
@@ -520,6 +574,16 @@
                 error=str(error),
             )
 
+    def _cancel_unless_resumed(self, attempt):
+        """Cancel the attempt at its engine unless another connection continues it."""
+        leader = self._leader
+        is_resumed = leader in self._running and leader is not attempt
+        if is_resumed and leader.attempt_id == attempt.attempt_id:
+            return
+        self._exchange.cleanup_nursery.start_soon(
+            self._cancel, attempt.state, attempt.attempt_id
+        )
+
     async def _cancel(self, state, attempt_id):
         """Cancel the attempt at its engine, which frees the engine's memory.
 
--- a/vanillareach/features/entry_silence.feature
+++ b/vanillareach/features/entry_silence.feature
@@ -53,6 +53,15 @@
     And the response took less than 4000 ms
     And the engines have no memory in use
 
+  Scenario: A stream is resumed on its engine if only the connection falls silent
+    Given 1 engines are left
+    And one connection to each engine falls silent at token 5
+    And 0 retries are left
+    When a caller streams 100 prompt tokens for 20 tokens
+    Then the caller received each token once, in order
+    And no prompt was prefilled twice
+    And the engines have no memory in use
+
   Scenario: An unstreamed response may take longer than the idle timeout
     Given all engines pause for 5000 ms at token 5
     When a caller requests 20 tokens without streaming
--- a/vanillareach/features/steps/entry_silence.py
+++ b/vanillareach/features/steps/entry_silence.py
@@ -75,6 +75,12 @@
         app.behaviour = EngineBehaviour(pause_at_token=token, pause_ms=pause_ms)
 
 
+@given("one connection to each engine falls silent at token {token:d}")
+def step_silent_connection(context, token):
+    for app in engine_apps(context):
+        app.behaviour = EngineBehaviour(hang_at_token=token, hangs=1)
+
+
 @given("{count:d} retries are left")
 def step_retries_left(context, count):
     budget = RetryBudget()
--- a/vanillareach/standins/engine.py
+++ b/vanillareach/standins/engine.py
@@ -73,6 +73,8 @@
         Number of streams to abort; None for all.
     hang_at_token : int or None
         Streams stall once this number of tokens has been sent; None for never.
+    hangs : int or None
+        Number of streams to stall; None for all.
     freeze_at_token : int or None
         The engine answers no call any more, of any kind, once a stream has sent this
         number of tokens; None for never.
@@ -96,6 +98,7 @@
     break_at_token: int | None = None
     breaks: int | None = None
     hang_at_token: int | None = None
+    hangs: int | None = None
     freeze_at_token: int | None = None
     pause_at_token: int | None = None
     pause_ms: float = 0.0
@@ -237,10 +240,7 @@
             freeze_at_token = self.behaviour.freeze_at_token
             self._is_frozen |= freeze_at_token is not None and offset >= freeze_at_token
             await self._block_if_frozen()
-            if self.behaviour.hang_at_token is not None and (
-                offset >= self.behaviour.hang_at_token
-            ):
-                await trio.sleep_forever()
+            await self._hang_at_token(offset)
             if engine_request.is_finished:
                 break
             await step_finished.wait()
@@ -259,6 +259,16 @@
                 behaviour.break_at_token = None
         raise ConnectionError("stream broken by an injected fault")
 
+    async def _hang_at_token(self, offset):
+        behaviour = self.behaviour
+        if behaviour.hang_at_token is None or offset < behaviour.hang_at_token:
+            return
+        if behaviour.hangs is not None:
+            behaviour.hangs -= 1
+            if behaviour.hangs <= 0:
+                behaviour.hang_at_token = None
+        await trio.sleep_forever()
+
     async def _block_if_frozen(self):
         if self._is_frozen:
             await trio.sleep_forever()
