Check generated sequences of attempts for whole responses

Up to five attempts with delays, refusals, errors, breaks and silences, with late or missing placements, a stop and a caller that leaves, run through the forwarder and its attempts on a mock clock: events come once and in order, one attempt delivers at a time, a sound attempt completes the response unless a faulty one has taken over, no more than max_attempts run, each repeat has a retry of the budget, 503 only if none has run, nothing stays counted. Of nine faults put in by hand it finds six; the other three are: a superseded attempt that isn't told (found by gateway_core.feature), and two that make an attempt needlessly early.

--- a/vanillareach/features/attempts.feature
+++ b/vanillareach/features/attempts.feature
@@ -23,3 +23,6 @@
   Scenario: An endpoint that stops reading a long body for a while gets the whole body
     When an endpoint begins to read a body of 1000000 bytes after 2.7 s
     Then its response is received with status 200
+
+  Scenario: Any attempts, placements, stops and departures keep a response whole
+    Then no sequence of attempts loses, repeats or mixes a response
