Read what has arrived before taking an endpoint for silent

What callers saw: nothing directly; after a stall of the instance every endpoint in use counted as failing, here and at peers, and requests were sent again. Cause: after a stall all idle timeouts have passed; the monitor took them for silence in the same turn of the event loop in which the data that had arrived was received. Change: a check that is late by more than 100 ms waits a little first. Measured: attempts.feature, the scenario on a stall: failed before, passes now.

--- a/vanillareach/features/attempts.feature
+++ b/vanillareach/features/attempts.feature
@@ -26,3 +26,7 @@
 
   Scenario: Any attempts, placements, stops and departures keep a response whole
     Then no sequence of attempts loses, repeats or mixes a response
+
+  Scenario: The stall of an instance isn't taken for the silence of an endpoint
+    When an instance is stalled for 2000 ms while an endpoint answers
+    Then no endpoint counts as silent
--- a/vanillareach/features/steps/attempts.py
+++ b/vanillareach/features/steps/attempts.py
@@ -47,6 +47,7 @@
 LOSS_CHECK_MS = 100.0
 # Longest time that a placement takes.
 PLACEMENT_MS = 400.0
+STALL_START_MS = 100.0
 # Time from a stop to the last moment at which requests are answered.
 STOP_MS = 1_000.0
 ROUTES = {
@@ -274,6 +275,8 @@
         Time that each write to the caller takes.
     leave_ms, stop_ms : float or None
         When the caller leaves, and when the instance is told to stop.
+    stall_ms : float
+        Time for which nothing runs, soon after the request.
     """
 
     route: str
@@ -282,6 +285,7 @@
     write_ms: float = 0
     leave_ms: float | None = None
     stop_ms: float | None = None
+    stall_ms: float = 0
 
 
 class CaseRun:
@@ -317,6 +321,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.forwarder.idle_timeouts.run)
             nursery.start_soon(self._stop)
+            nursery.start_soon(self._stall)
             leave_ms = self.case.leave_ms
             with trio.CancelScope() as scope:
                 if leave_ms is not None:
@@ -363,6 +368,10 @@
             await self.clock.sleep_ms(self.case.stop_ms)
             self.forwarder.set_final_deadline(self.clock.now_ms() + STOP_MS)
 
+    async def _stall(self):
+        await self.clock.sleep_ms(STALL_START_MS)
+        trio.lowlevel.current_clock().jump(self.case.stall_ms / 1000)
+
     def check(self):
         """Check all that holds for any case."""
         self._check_nothing_left()
@@ -529,6 +538,19 @@
     assert context.status == status
 
 
+@when("an instance is stalled for {duration_ms:d} ms while an endpoint answers")
+def step_stall_instance(context, duration_ms):
+    case = Case("ask", (Script(head_ms=300),), stall_ms=duration_ms)
+    context.runs = [play(case, seed) for seed in range(10)]
+
+
+@then("no endpoint counts as silent")
+def step_check_none_silent(context):
+    for run in context.runs:
+        run.check()
+        assert not run.metrics.attempts[("desk", "silent")]
+
+
 @when("requests have been served with garbage collection off")
 def step_serve_without_collection(context):
     gc.collect()
--- a/vanillareach/gateway/idle_timeouts.py
+++ b/vanillareach/gateway/idle_timeouts.py
@@ -10,6 +10,8 @@
 MAX_CHECK_INTERVAL_MS = 400.0
 # An expired timeout is extended by this while prefill is pending at the engine.
 BUSY_EXTENSION_MS = 200.0
+# A check that is late by more than this shows that the event loop was stalled.
+STALL_MS = 100.0
 
 
 class IdleTimeout:
@@ -79,7 +81,13 @@
             while not self._timeouts:
                 self._watch_event = trio.Event()
                 await self._watch_event.wait()
-            await self._clock.sleep_ms(self._check_interval_ms())
+            interval_ms = self._check_interval_ms()
+            due_ms = self._clock.now_ms() + interval_ms
+            await self._clock.sleep_ms(interval_ms)
+            if self._clock.now_ms() > due_ms + STALL_MS:
+                # The silence may be this instance's own: data that has arrived
+                # meanwhile is received first.
+                await self._clock.sleep_ms(MIN_CHECK_INTERVAL_MS)
             now_ms = self._clock.now_ms()
             for idle_timeout in [x for x in self._timeouts if x.deadline_ms <= now_ms]:
                 await self._expire_or_extend(idle_timeout, now_ms)
