--- a/vanillareach/features/processes.feature
+++ b/vanillareach/features/processes.feature
@@ -19,6 +19,12 @@
     Then the stream is complete
     And entry 8 exits with code 0 and is restarted
 
+  Scenario: Further SIGTERM don't cut a stream of a stopping entry
+    Given the fleet of processes with the sample configuration
+    When entry 8 receives SIGTERM at every event of a stream
+    Then the stream is complete
+    And entry 8 exits with code 0 and is restarted
+
   Scenario: A key sent through two entries runs once
     Given the fleet of processes with the sample configuration
     When one key is sent through entries 1 and 5 one after the other
--- a/vanillareach/features/steps/processes.py
+++ b/vanillareach/features/steps/processes.py
@@ -151,8 +151,8 @@
         raise AssertionError("an unknown model was not refused")
 
 
-@when("entry {index:d} receives SIGTERM in the middle of a stream")
-def step_stop_in_stream(context, index):
+def stop_in_stream(context, index, is_repeated):
+    """Send SIGTERM at the first event of a stream, or at every event."""
     received = []
     headers = [(n.encode(), v.encode()) for n, v in team_headers("utrecht")]
     with httpcore.stream(
@@ -166,9 +166,21 @@
             received.append(chunk)
             if context.old_pid is None:
                 context.old_pid = send_signal(index, signal.SIGTERM)
+            elif is_repeated:
+                os.kill(context.old_pid, signal.SIGTERM)
     context.received = b"".join(received)
 
 
+@when("entry {index:d} receives SIGTERM in the middle of a stream")
+def step_stop_in_stream(context, index):
+    stop_in_stream(context, index, is_repeated=False)
+
+
+@when("entry {index:d} receives SIGTERM at every event of a stream")
+def step_stop_repeatedly_in_stream(context, index):
+    stop_in_stream(context, index, is_repeated=True)
+
+
 @then("the stream is complete")
 def step_stream_complete(context):
     assert context.received.endswith(DONE_EVENT), context.received[-300:]
