End a stream that lacks only its usage instead of continuing it

A caller that asked for the usage got 36 tokens for a limit of 20 when the stream broke or fell silent after its last token.

Cause: such a stream was continued on another engine with zero tokens left, which the engine takes for no limit.

Change: the engine that generated the response is asked for the usage for at most 2 s, and the stream then ends without it.

streams.feature, "A stream that lacks only its usage is not generated any further": two scenarios failed before (36 tokens), pass now. entry_silence, streams, calls, crashes, outage, ledger, limits, properties and fuzz: 97 passed, 0 failed. A stand-in whose pause is over no longer fails.

--- a/vanillareach/entry/generation.py
+++ b/vanillareach/entry/generation.py
@@ -30,6 +30,8 @@
 
 NO_ENDPOINT_RETRY_AFTER_MS = 2000
 CANCEL_TIMEOUT_MS = 2000
+# Time to wait for the usage of a response after its last token.
+MAX_USAGE_TIMEOUT_MS = 2000
 REFUSAL_STATUSES = (429, 503)
 FIRST_TOKEN_TIMEOUT_FACTOR = 4
 ISOLATION_RETRY_INTERVAL_MS = 100
@@ -540,18 +542,30 @@
             components.metrics.record_first_token(length, elapsed_ms)
 
     async def _resume_on_same_engine(self, attempt):
-        """Continue a broken stream on the same engine, if it is still reachable."""
+        """Continue a broken stream on the same engine, if it is still reachable.
+
+        A stream of which all tokens were relayed ends here. Another engine would
+        generate further ones, so its usage is left out if this engine can't send it.
+        """
         if not self._progress.has_relayed_event or self._exchange.answered:
             return
         position = self._progress.position()
-        if position.finished and not self._generate_request.includes_usage:
-            if not self._take_over(attempt):
-                return
+        if not position.finished:
+            await self._request_rest(attempt, position, self._remaining_ms())
+            return
+        if self._generate_request.includes_usage and not position.has_usage:
+            await self._request_rest(attempt, position, self._usage_timeout_ms())
+        if not self._exchange.answered and self._take_over(attempt):
             await self._exchange.send(
                 {"type": "http.response.body", "body": DONE_EVENT, "more_body": True}
             )
             await self._exchange.end_stream()
-            return
+
+    def _usage_timeout_ms(self):
+        # Shorter than the idle timeout, after which another engine would be asked.
+        return min(MAX_USAGE_TIMEOUT_MS, self._service.gap_limit_ms / 2)
+
+    async def _request_rest(self, attempt, position, idle_timeout_ms):
         # The engine counts the tokens of its own attempt only.
         offset = position.tokens - (attempt.position.tokens if attempt.position else 0)
         endpoint_call = EndpointCall(
@@ -560,7 +574,7 @@
             f"/v1/streams/{attempt.attempt_id}?offset={offset}",
             [],
             b"",
-            self._remaining_ms(),
+            idle_timeout_ms,
         )
         attempt.record_data(self._components.clock.now_ms())
         try:
--- a/vanillareach/features/steps/streams.py
+++ b/vanillareach/features/steps/streams.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 
 from vanillareach.core.streams import StreamProgress
-from vanillareach.features.support import engine_apps, first_entry, prompt_of
+from vanillareach.features.support import engine_apps, first_entry, prompt_of, stream
 from vanillareach.standins.engine import EngineBehaviour
 from vanillareach.standins.engine_model import EngineRequest
 
@@ -136,6 +136,18 @@
         app.behaviour = EngineBehaviour(break_at_token=token, breaks=1)
 
 
+@given("all engines {fail} all streams at token {token:d}")
+def step_fail_all_streams(context, fail, token):
+    for app in engine_apps(context):
+        app.behaviour = EngineBehaviour(**{f"{fail}_at_token": token})
+
+
+@when("a caller streams {tokens:d} tokens with usage")
+def step_stream_with_usage(context, tokens):
+    options = {"include_usage": True}
+    stream(context, completion(tokens, stream_options=options))
+
+
 @then("no prompt was prefilled twice")
 def step_one_attempt(context):
     attempts = first_entry(context).components.metrics.attempts
--- a/vanillareach/features/streams.feature
+++ b/vanillareach/features/streams.feature
@@ -35,6 +35,17 @@
     When the serving engine dies after token 6 of a stream of 20 tokens with usage
     Then the usage counts 20 completion tokens and the prompt's own tokens
 
+  Scenario Outline: A stream that lacks only its usage is not generated any further
+    Given all engines <fail> all streams at token 20
+    When a caller streams 20 tokens with usage
+    Then the caller received each token once, in order
+    And the response took less than 35000 ms
+
+    Examples:
+      | fail  |
+      | break |
+      | hang  |
+
   Scenario: Retries stay within their budget when half of the engines refuse
     Given half of the engines refuse all requests
     When 400 requests are sent at 50 a second
--- a/vanillareach/standins/engine.py
+++ b/vanillareach/standins/engine.py
@@ -280,7 +280,7 @@
         now_s = trio.current_time()
         if self._paused_until_s is None:
             self._paused_until_s = now_s + behaviour.pause_ms / 1000
-        await trio.sleep(self._paused_until_s - now_s)
+        await trio.sleep(max(0.0, self._paused_until_s - now_s))
 
     async def _resume(self, request, send):
         request_id = request.path.rsplit("/", 1)[-1]
