Free a request's memory as it is cancelled, too

Cause: an attempt that was cancelled, since its caller left or its deadline passed, and its group referred to each other. Change: an attempt that ends forgets its group.

--- a/vanillareach/features/attempts.feature
+++ b/vanillareach/features/attempts.feature
@@ -8,7 +8,7 @@
     When a silent endpoint answers while no room is found for another attempt
     Then each response is complete, and its connection stays open
 
-  Scenario: A request that was answered leaves no reference cycle
+  Scenario: A request leaves no reference cycle however it ends
     When requests have been served with garbage collection off
     Then no request is kept in memory
 
--- a/vanillareach/features/steps/attempts.py
+++ b/vanillareach/features/steps/attempts.py
@@ -553,11 +553,19 @@
 
 @when("requests have been served with garbage collection off")
 def step_serve_without_collection(context):
+    hanging, broken = Script(end="hang"), Script(end="break")
+    cases = (
+        Case("ask", (Script(),)),
+        Case("ask", (Script(head_ms=1_900, end="hang"), Script(head_ms=100))),
+        Case("ask", (hanging, hanging)),
+        Case("ask", (hanging,), leave_ms=500),
+        Case("ask", (broken,) * 5),
+    )
     gc.collect()
     gc.disable()
     try:
-        for script in (Script(), Script(head_ms=1_900, end="hang")):
-            play(Case("ask", (script, Script(head_ms=100)))).check()
+        for case in cases:
+            play(case).check()
         context.remaining = [x for x in gc.get_objects() if type(x) in REQUEST_TYPES]
     finally:
         gc.enable()
--- a/vanillareach/gateway/attempt_group.py
+++ b/vanillareach/gateway/attempt_group.py
@@ -99,6 +99,10 @@
         self.is_silent = True
         self._group.report_silence(self)
 
+    def leave_group(self):
+        """End the reference to the group, whose reference to the attempt remains."""
+        self._group = None
+
     def supersede(self):
         """End the attempt, since another one has taken over."""
         self.is_superseded = True
@@ -221,4 +225,6 @@
         except Exception as raised:
             # Raised by `next_report`, outside the nursery.
             error = raised
+        finally:
+            attempt.leave_group()
         self._send_channel.send_nowait(AttemptReport(attempt, attempt.result, error))
