--- a/vanillareach/features/attempts.feature
+++ b/vanillareach/features/attempts.feature
@@ -8,7 +8,7 @@
     When a silent endpoint answers while no room is found for another attempt
     Then each response is complete, and its connection stays open
 
-  Scenario: A request that was answered leaves no reference cycle
+  Scenario: A request leaves no reference cycle however it ends
     When requests have been served with garbage collection off
     Then no request is kept in memory
 
@@ -30,3 +30,6 @@
   Scenario: The stall of an instance isn't taken for the silence of an endpoint
     When an instance is stalled for 2000 ms while an endpoint answers
     Then no endpoint counts as silent
+
+  Scenario: Memory stays reserved while its engine is silent
+    Then memory stays reserved at an engine that is silent for 2.5 s
