End a resumed stream whose connection breaks after its last token

Callers got more tokens than they asked for, in a response that said it was complete, when a stream was resumed on its engine, relayed its last token there and broke again before its final event.

Cause: the check for a finished stream was made before the resumption only, so that the stream went to another engine with zero tokens left.

Change: the check follows the resumption too.

--- a/vanillareach/entry/generation.py
+++ b/vanillareach/entry/generation.py
@@ -552,6 +552,8 @@
         position = self._progress.position()
         if not position.finished:
             await self._request_rest(attempt, position, self._remaining_ms())
+            position = self._progress.position()
+        if not position.finished or self._exchange.answered:
             return
         if self._generate_request.includes_usage and not position.has_usage:
             await self._request_rest(attempt, position, self._usage_timeout_ms())
--- a/vanillareach/features/entry_silence.feature
+++ b/vanillareach/features/entry_silence.feature
@@ -62,6 +62,12 @@
     And no prompt was prefilled twice
     And the engines have no memory in use
 
+  Scenario: No mix of pauses, hangs and breaks adds, drops or repeats a token
+    Given all engines pause, hang and break at random
+    When 100 streams of 20 tokens are requested over 10 s
+    Then every stream is complete, with each token once, or ends with a problem
+    And the engines have no memory in use
+
   Scenario: An unstreamed response may take longer than the idle timeout
     Given all engines pause for 5000 ms at token 5
     When a caller requests 20 tokens without streaming
--- a/vanillareach/features/steps/entry_silence.py
+++ b/vanillareach/features/steps/entry_silence.py
@@ -1,13 +1,18 @@
 """Steps about endpoints that are silent for a while, in front of an entry."""
 
+import random
+
+import msgspec
 import trio
 from behave import given, then, when
 
 from vanillareach.core.breakers import RetryBudget
+from vanillareach.core.streams import StreamProgress
 from vanillareach.features.harness import SERVICE_DOCUMENTS, TEMPLATE_DOCUMENT
 from vanillareach.features.support import (
     SCORES_PATH,
     engine_apps,
+    expected_text,
     first_entry,
     send_keyed,
     service_apps,
@@ -16,6 +21,8 @@
 
 SEARCH_PATH = "/services/desk/search"
 CONFIGURATION_SPREAD_S = 2
+MAX_FAULT_INTERVAL_S = 0.2
+STREAM_TOKENS = 20
 
 
 @given('the services "{names}" have an idle timeout of {limit_ms:d} ms')
@@ -81,6 +88,73 @@
         app.behaviour = EngineBehaviour(hang_at_token=token, hangs=1)
 
 
+def random_behaviour(generator):
+    """Return an engine behaviour with at most one fault, at a random token."""
+    token = generator.randrange(1, STREAM_TOKENS + 1)
+    count = generator.randrange(1, 4)
+    return generator.choice(
+        (
+            EngineBehaviour(),
+            EngineBehaviour(pause_at_token=token, pause_ms=500 * count),
+            EngineBehaviour(hang_at_token=token, hangs=count),
+            EngineBehaviour(break_at_token=token, breaks=count),
+        )
+    )
+
+
+@given("all engines pause, hang and break at random")
+def step_random_faults(context):
+    generator = random.Random(1)
+
+    async def change_often():
+        while True:
+            app = generator.choice(engine_apps(context))
+            app.behaviour = random_behaviour(generator)
+            await trio.sleep(generator.random() * MAX_FAULT_INTERVAL_S)
+
+    async def start():
+        context.stage.nursery.start_soon(change_often)
+
+    context.run(start)
+
+
+@when("{count:d} streams of {tokens:d} tokens are requested over {duration:d} s")
+def step_many_streams(context, count, tokens, duration):
+    entry = first_entry(context)
+    context.answers_by_prompt = {}
+
+    async def request(prompt):
+        document = {"model": "model", "prompt": prompt, "stream": True}
+        context.answers_by_prompt[prompt] = await entry.team_call(
+            "POST", "/v1/completions", {**document, "max_tokens": tokens}
+        )
+
+    async def run():
+        async with trio.open_nursery() as nursery:
+            for number in range(count):
+                nursery.start_soon(request, f"prompt {number}")
+                await trio.sleep(duration / count)
+
+    context.run(run)
+
+
+@then("every stream is complete, with each token once, or ends with a problem")
+def step_streams_right(context):
+    complete = 0
+    for prompt, answer in context.answers_by_prompt.items():
+        progress = StreamProgress()
+        progress.feed(answer.body)
+        if not progress.done:
+            problem = msgspec.json.decode(answer.body.split(b"data: ")[-1])
+            outcomes = ("failed",) if answer.status == 200 else ("failed", "not_run")
+            assert problem["outcome"] in outcomes, problem
+            continue
+        complete += 1
+        text = progress.position().text
+        assert text == expected_text(prompt, STREAM_TOKENS), (prompt, text)
+    assert complete > len(context.answers_by_prompt) / 2, complete
+
+
 @given("{count:d} retries are left")
 def step_retries_left(context, count):
     budget = RetryBudget()
--- a/vanillareach/features/steps/streams.py
+++ b/vanillareach/features/steps/streams.py
@@ -5,9 +5,14 @@
 from behave import given, then, when
 
 from vanillareach.core.streams import StreamProgress
-from vanillareach.features.support import engine_apps, first_entry, prompt_of, stream
+from vanillareach.features.support import (
+    engine_apps,
+    expected_text,
+    first_entry,
+    prompt_of,
+    stream,
+)
 from vanillareach.standins.engine import EngineBehaviour
-from vanillareach.standins.engine_model import EngineRequest
 
 PROMPT = prompt_of(100)
 
@@ -112,11 +117,8 @@
     progress.feed(context.answer.body)
     assert progress.done, context.answer.body[-300:]
     position = progress.position()
-    expected = EngineRequest("expected", PROMPT.encode(), tokens)
-    for _ in range(tokens):
-        expected.generate()
     assert position.tokens == tokens, position.tokens
-    assert position.text == "".join(expected.words)
+    assert position.text == expected_text(PROMPT, tokens)
 
 
 @then("the surviving engines have no memory in use")
--- a/vanillareach/features/support.py
+++ b/vanillareach/features/support.py
@@ -1,5 +1,7 @@
 """Helpers shared by the steps of several features."""
 
+from vanillareach.standins.engine_model import EngineRequest
+
 IDEMPOTENCY_KEY = "key-1"
 SCORES_PATH = "/services/desk/scores"
 
@@ -30,6 +32,14 @@
     return ("brick wall " * (tokens * 4 // 11 + 1))[: tokens * 4]
 
 
+def expected_text(prompt, tokens):
+    """Return the text that an engine generates for a prompt."""
+    request = EngineRequest("expected", prompt.encode(), tokens)
+    for _ in range(tokens):
+        request.generate()
+    return "".join(request.words)
+
+
 def runs_of(context, key=IDEMPOTENCY_KEY):
     """Return how often an idempotency key ran, summed over all services."""
     return sum(app.runs_by_key.get(key, 0) for app in service_apps(context))
