Check that a caller slow to read isn't taken for a silent engine

Attempts that overlap must not count the time in which a caller takes data: a second engine would cut off the event that is being sent.

--- a/vanillareach/features/entry_silence.feature
+++ b/vanillareach/features/entry_silence.feature
@@ -62,6 +62,11 @@
     And no prompt was prefilled twice
     And the engines have no memory in use
 
+  Scenario: A caller that is slow to read isn't taken for a silent engine
+    When a caller reads a stream of 20 tokens and pauses for 5000 ms at event 3
+    Then the caller received each token once, in order
+    And no prompt was prefilled twice
+
   Scenario: No mix of pauses, hangs and breaks adds, drops or repeats a token
     Given all engines pause, hang and break at random
     When 100 streams of 20 tokens are requested over 10 s
--- a/vanillareach/features/steps/entry_silence.py
+++ b/vanillareach/features/steps/entry_silence.py
@@ -8,12 +8,19 @@
 
 from vanillareach.core.breakers import RetryBudget
 from vanillareach.core.streams import StreamProgress
-from vanillareach.features.harness import SERVICE_DOCUMENTS, TEMPLATE_DOCUMENT
+from vanillareach.features.harness import (
+    SERVICE_DOCUMENTS,
+    TEAM_TOKEN,
+    TEMPLATE_DOCUMENT,
+    Answer,
+    MemoryCall,
+)
 from vanillareach.features.support import (
     SCORES_PATH,
     engine_apps,
     expected_text,
     first_entry,
+    prompt_of,
     send_keyed,
     service_apps,
 )
@@ -200,6 +207,42 @@
     context.run(start)
 
 
+class SlowCall(MemoryCall):
+    """Call whose caller doesn't read for a while before one of the messages."""
+
+    def __init__(self, body, pause_s, paused_message):
+        headers = [(b"authorization", f"Bearer {TEAM_TOKEN}".encode())]
+        super().__init__("POST", "/v1/completions", headers, body)
+        self._pause_s = pause_s
+        self._messages_before_pause = paused_message
+
+    async def send(self, message):
+        """Queue a message, after the pause if it is due."""
+        if self._messages_before_pause == 0:
+            await trio.sleep(self._pause_s)
+        self._messages_before_pause -= 1
+        await super().send(message)
+
+
+@when(
+    "a caller reads a stream of {tokens:d} tokens and pauses for {pause_ms:d} ms at "
+    "event {event:d}"
+)
+def step_read_slowly(context, tokens, pause_ms, event):
+    entry = first_entry(context)
+    document = {"model": "model", "prompt": prompt_of(100), "max_tokens": tokens}
+    body = msgspec.json.encode({**document, "stream": True})
+
+    async def read():
+        call = SlowCall(body, pause_ms / 1000, event)
+        entry.nursery.start_soon(call.run, entry.app)
+        context.answer = Answer()
+        async for message in call.messages:
+            context.answer.record_event(message)
+
+    context.run(read)
+
+
 @when("a caller sends a {kind} call")
 def step_send_call(context, kind):
     if kind == "keyed":
