Send a share of the soak's requests in two parts

Cause: each request arrived in one piece, so that no stop or change of the limits met one that was being read. Change: one request of ten is sent in two parts, up to 1.2 s apart.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -21,6 +21,9 @@
 LONG_PAUSE_SHARE = 0.3
 LONG_PAUSE_S = 5.0
 SHORT_PAUSE_S = 0.05
+# Requests that are sent in two parts; the pause is shorter than the header timeout.
+SLOW_SEND_SHARE = 0.1
+MAX_SEND_PAUSE_S = 1.2
 
 
 @dataclass(slots=True, frozen=True)
@@ -63,6 +66,31 @@
         await trio.sleep(habits.max_pause_s * environment.caller_random.random())
 
 
+class SlowSendStream:
+    """Stream that sends some data in two parts, with a pause at a random place.
+
+    Parameters
+    ----------
+    stream : trio.SocketStream
+    generator : random.Random
+    """
+
+    def __init__(self, stream, generator):
+        self._stream = stream
+        self._random = generator
+        self.receive_some = stream.receive_some
+        self.aclose = stream.aclose
+
+    async def send_all(self, data):
+        """Send `data`, a share of it slowly."""
+        if self._random.random() < SLOW_SEND_SHARE:
+            size = self._random.randrange(1, len(data))
+            await self._stream.send_all(data[:size])
+            await trio.sleep(MAX_SEND_PAUSE_S * self._random.random())
+            data = data[size:]
+        await self._stream.send_all(data)
+
+
 async def connect(environment, gateway=None):
     """Return a `Caller` connected to a gateway, or None if it refuses."""
     gateway = gateway or environment.caller_random.choice(environment.gateways)
@@ -78,6 +106,7 @@
         # It isn't known which of the two processes has taken the connection.
         await stream.aclose()
         return None
+    stream = SlowSendStream(stream, environment.caller_random)
     caller = Caller(environment.stage, stream)
     caller.process = process
     caller.idle_since_s, caller.is_closing = trio.current_time(), False
