Let endpoints leave and ask for quiet in the soak, and check both

Endpoints now leave (with and without a change of their entries), end, refuse connections or have their address used by another service, and come back as another incarnation; others ask one gateway or all for 0.5 to 4 s of quiet.

DRAIN and QUIET report each request or reservation that reaches an endpoint incarnation from a gateway process over half a second after that process was told; DRAIN also one that a caller sent over 2 s after such an answer was passed on. Renewals of what an engine still runs don't count for DRAIN. The process is that of the caller's connection; reservation ids begin with the attempt id. LOST knows that an endpoint that ends breaks off what it runs.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -22,6 +22,7 @@
 from bench.soak.faults import FaultInjector
 from bench.soak.observations import record_stalls
 from bench.soak.signals import SignalSeries
+from bench.soak.withdrawals import WithdrawalInjector
 from bench.soak.world import open_environment
 from vanillareach.utils import split_address
 
@@ -46,6 +47,7 @@
         if not violations:
             injector = FaultInjector(environment)
             series = SignalSeries(environment, seed)
+            withdrawals = WithdrawalInjector(environment, seed)
             nursery.start_soon(record_stalls, environment.observations)
             async with trio.open_nursery() as callers:
                 for _ in range(caller_count):
@@ -54,6 +56,7 @@
                 async with trio.open_nursery() as disturbances:
                     disturbances.start_soon(injector.run, duration_s)
                     disturbances.start_soon(series.run, duration_s)
+                    disturbances.start_soon(withdrawals.run, duration_s)
                 callers.cancel_scope.cancel()
             for endpoint in environment.endpoints_by_name.values():
                 endpoint.script.clear()
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -3,13 +3,14 @@
 from collections import Counter
 
 from bench.soak.lost import find_lost
+from bench.soak.unwanted import find_unwanted
 from bench.soak.world import STREAM_KINDS, event_ids, expected_body
 from vanillareach.platform import names
 
 # Statuses that tell the caller that its request was not executed.
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 # Steps of an endpoint's script in which it does not execute the request.
-NOT_EXECUTED_STEPS = ("shed", "misdirect")
+NOT_EXECUTED_STEPS = ("shed", "misdirect", "quiet")
 
 
 def find_violations(environment):
@@ -23,6 +24,8 @@
     - MIXED: a complete response has another body than the expected one.
     - ORDER: the events of an aborted stream have gaps or aren't in order.
     - LOST: a request ended without an answer though nothing it met had failed.
+    - DRAIN: a gateway sent to an endpoint that had told it that it leaves.
+    - QUIET: a gateway sent to an endpoint that had asked it for quiet.
     """
     run_counts = Counter()
     known_ids = {attempt.id for attempt in environment.attempts}
@@ -36,7 +39,7 @@
                 run_counts[attempt_id] += 1
     for attempt in environment.attempts:
         found += _check_attempt(attempt, run_counts[attempt.id])
-    return [*found, *find_lost(environment)]
+    return [*found, *find_lost(environment), *find_unwanted(environment)]
 
 
 def _check_attempt(attempt, run_count):
--- a/bench/soak/endpoint.py
+++ b/bench/soak/endpoint.py
@@ -4,7 +4,11 @@
 
 import trio
 
-from vanillareach.features.users_platform.endpoint import StandinEndpoint
+from bench.soak.observations import Arrival, SentNotice
+from vanillareach.features.users_platform.endpoint import (
+    ReceivedRequest,
+    StandinEndpoint,
+)
 from vanillareach.gateway.connections import ResponseAbortedError
 from vanillareach.platform import names
 
@@ -28,14 +32,57 @@
     ----------
     name : str
     seed : int
+    incarnation : int
+        Number of its first start.
+
+    Attributes
+    ----------
+    arrivals : list of Arrival
+    notices : list of SentNotice
     """
 
-    def __init__(self, name, seed):
+    def __init__(self, name, seed, incarnation=1):
         super().__init__(name)
+        self.incarnation = incarnation
+        self.arrivals = []
+        self.notices = []
         self._random = random.Random(f"{name} {seed}")
         index = (seed - 1) % len(SILENT_STREAM_SHARES)
         self._silent_stream_share = SILENT_STREAM_SHARES[index]
 
+    def restart(self):
+        """Start again as another incarnation, which holds no memory."""
+        super().restart()
+        self.expiry_s_by_reservation.clear()
+
+    def record_arrival(self, attempt_id):
+        """Record a request or reservation."""
+        is_renewal = attempt_id in self.expiry_s_by_reservation
+        now_s = trio.current_time()
+        arrival = Arrival(attempt_id, now_s, self.incarnation, is_renewal)
+        self.arrivals.append(arrival)
+
+    def _record_signal(self, cause, attempt_id, duration_s):
+        notice = SentNotice(
+            cause, attempt_id, trio.current_time(), duration_s, self.incarnation
+        )
+        self.notices.append(notice)
+
+    async def handle(self, request, responder):
+        """Handle one request; refuse reservations meant for another endpoint."""
+        received = ReceivedRequest(request)
+        target = received.values_by_name.get(names.TARGET_INSTANCE, self.name)
+        if target != self.name:
+            return await self._misdirect(received, responder)
+        return await super().handle(request, responder)
+
+    async def _signal_at_reservation(self, reservation, responder):
+        if self.default_step != "quiet":
+            return await super()._signal_at_reservation(reservation, responder)
+        headers = self._quiet_headers(reservation["id"])
+        await responder.answer(503, headers, b"")
+        return True
+
     async def _answer(self, received, responder):
         is_late = self._random.random() < LATE_ANSWER_SHARE
         span_s = LATE_ANSWER_TIME_S if is_late else ANSWER_TIME_S
--- a/bench/soak/lost.py
+++ b/bench/soak/lost.py
@@ -115,14 +115,14 @@
             if signal.name == "KILL":
                 return True
             if signal.name == "STOP":
-                resumed_s = _resumption_s(observations, attempt.process, signal.at_s)
+                resumed_s = resumption_s(observations, attempt.process, signal.at_s)
                 if resumed_s >= attempt.started_s:
                     return True
     return False
 
 
-def _resumption_s(observations, process, at_s):
-    """Return when a process paused at `at_s` went on."""
+def resumption_s(observations, process, at_s):
+    """Return when a process paused at `at_s` went on, or infinity."""
     later = (
         signal.at_s
         for signal in observations.signals
@@ -165,7 +165,7 @@
     started_s = min(times)
     for signal in observations.signals:
         if signal.process == process and signal.name == "STOP":
-            resumed_s = _resumption_s(observations, process, signal.at_s)
+            resumed_s = resumption_s(observations, process, signal.at_s)
             if signal.at_s <= started_s <= resumed_s:
                 started_s = resumed_s
     return started_s
@@ -197,7 +197,7 @@
 
 
 def _hits_link(fault, modes):
-    return fault.kind == "endpoint_reset" or (
+    return fault.kind in ("endpoint_reset", "endpoint_end") or (
         fault.kind == "endpoint_link" and fault.detail in modes
     )
 
@@ -232,12 +232,17 @@
 
 def waiting_s(observations, attempt):
     """Return the time from the last byte to the end, without stalls of the soak."""
-    waited_s = attempt.ended_s - attempt.sent_s
+    return unstalled_s(observations, attempt.sent_s, attempt.ended_s)
+
+
+def unstalled_s(observations, started_s, ended_s):
+    """Return the length of a span without stalls of the soak."""
+    span_s = ended_s - started_s
     for fault in observations.faults:
         if fault.kind == Fault.STALL:
-            started_s = max(fault.started_s, attempt.sent_s)
-            waited_s -= max(0.0, min(fault.ended_s, attempt.ended_s) - started_s)
-    return waited_s
+            stalled_s = min(fault.ended_s, ended_s) - max(fault.started_s, started_s)
+            span_s -= max(0.0, stalled_s)
+    return span_s
 
 
 def _describe(environment, attempt, visits, reason):
--- a/bench/soak/observations.py
+++ b/bench/soak/observations.py
@@ -91,6 +91,50 @@
     at_s: float
 
 
+@dataclass(slots=True, frozen=True)
+class Arrival:
+    """A request or reservation as it reached an endpoint.
+
+    Attributes
+    ----------
+    sender_id : str
+        Id of the attempt, or of the reservation, which begins with it.
+    at_s : float
+    incarnation : int
+        Incarnation of the endpoint.
+    is_renewal : bool
+        Whether it renews a reservation that the endpoint holds.
+    """
+
+    sender_id: str
+    at_s: float
+    incarnation: int
+    is_renewal: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class SentNotice:
+    """An endpoint's answer which said that it leaves or asked for quiet.
+
+    Attributes
+    ----------
+    cause : str
+        "leaving" or "quiet".
+    sender_id : str
+        Id of the attempt or reservation that it answers.
+    at_s, duration_s : float
+        When it was sent, and for how long it holds.
+    incarnation : int
+        Incarnation of the endpoint.
+    """
+
+    cause: str
+    sender_id: str
+    at_s: float
+    duration_s: float
+    incarnation: int
+
+
 @dataclass(slots=True)
 class Observations:
     """Everything recorded in one seed besides what the endpoints received.
--- a/bench/soak/proxy.py
+++ b/bench/soak/proxy.py
@@ -34,11 +34,29 @@
         self.target = target
         self.mode = "pass"
         self._open_streams = set()
+        self._listening_scope = None
+        self._reopening_event = None
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
-        """Accept and forward connections until cancelled."""
+        """Accept and forward connections until cancelled, except while closed."""
         host, port = split_address(self.listen)
-        await trio.serve_tcp(self._serve, port, host=host, task_status=task_status)
+        while True:
+            self._reopening_event = trio.Event()
+            with trio.CancelScope() as self._listening_scope:
+                await trio.serve_tcp(
+                    self._serve, port, host=host, task_status=task_status
+                )
+            task_status = trio.TASK_STATUS_IGNORED
+            await self._reopening_event.wait()
+
+    def close(self):
+        """Reset all connections and refuse new ones until `reopen`."""
+        self.reset_all()
+        self._listening_scope.cancel()
+
+    def reopen(self):
+        """Accept connections again."""
+        self._reopening_event.set()
 
     def reset_all(self):
         """Reset all open connections."""
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -36,6 +36,7 @@
 VERSION_STRIDE_PER_SEED = 10_000
 REVISION_STRIDE_PER_SEED = 100_000
 ERA_STRIDE_PER_SEED = 1_000
+INCARNATION_STRIDE_PER_SEED = 1_000
 
 
 @dataclass(slots=True)
@@ -135,7 +136,8 @@
 async def open_environment(nursery, layout, seed, seed_index):
     """Start all stand-ins and proxies and return the `SoakEnvironment`.
 
-    The same gateways serve all seeds, so versions and revisions rise from seed to seed.
+    The same gateways serve all seeds, so versions, revisions and incarnations rise
+    from seed to seed.
     """
     stage = PlatformStage(nursery)
     stage.store.revision += seed_index * REVISION_STRIDE_PER_SEED
@@ -148,7 +150,8 @@
     environment.version += seed_index * VERSION_STRIDE_PER_SEED
     endpoint_names = (*ENGINE_NAMES, *DESK_NAMES, *SCANNER_NAMES, *TALKER_NAMES)
     services = {name: environment.service_of(name) for name in endpoint_names}
-    await stage.open(services, lambda name: SoakEndpoint(name, seed))
+    incarnation = 1 + seed_index * INCARNATION_STRIDE_PER_SEED
+    await stage.open(services, lambda name: SoakEndpoint(name, seed, incarnation))
     for gateway in gateways:
         proxy = FaultProxy(gateway.address("store"), stage.store_address)
         await nursery.start(proxy.run)
--- a/vanillareach/features/soak_checks.feature
+++ b/vanillareach/features/soak_checks.feature
@@ -19,6 +19,11 @@
       | a stream is cut after events 1,3                 | ORDER   |
       | an endpoint keeps memory aside                   | LEAK    |
 
+  Scenario: A request that an endpoint refuses for quiet is not executed
+    Given a "book" request that was executed once and answered with 200
+    When another endpoint asks for quiet first
+    Then the checks report no violation
+
   Scenario: A gateway that does not recover is reported
     Given a gateway that accepts no connection
     Then waiting for it reports "RECOVER"
@@ -53,6 +58,9 @@
       | ask  | 12   | a part    | m0 stream 10-12                | link m0 delay 10-12           |
       | ask  | 12   | a part    | m0 stream 10-12                | link m0 cut 10-12             |
       | ask  | 12   | a part    | m0 stream 10-12                | reset m0 9.7                  |
+      | ask  | 12   | a part    | m0 stream 10-12                | endpoint_end m0 9.7           |
+      | ask  | 12   | a part    | m0 stream 10-12                | endpoint_leaves m0 9-13       |
+      | read | 12   | no answer | d0 quiet 10-10.1               | nothing                       |
       | ask  | 12   | a part    | m0 stream 10-12                | store_link m0 silent 10-12    |
       | ask  | 14.9 | a part    | m0 stream 10-14.9              | nothing                       |
       | ask  | 12.4 | a part    | m0 stream 10-12.4              | timeout 2500 at 9             |
@@ -93,6 +101,8 @@
       | ask  | 12   | a part     | m0 stream 10-12                  | link m0 silent 9-11           |
       | ask  | 12   | a part     | m0 stream 10-12                  | link m0 deaf 11-13            |
       | ask  | 12   | a part     | m0 stream 10-12                  | reset m0 12                   |
+      | ask  | 12   | a part     | m0 stream 10-12                  | endpoint_end m0 12            |
+      | read | 12   | status 502 | d0 quiet 10-10.1                 | link d1 cut 10-12             |
       | ask  | 14   | a part     | m0 stream 10-14                  | TERM 7, TERM 9                |
       | ask  | 14.8 | a part     | m0 stream 10-14.8                | STOP 6, TERM 6.5, CONT 8      |
       | ask  | 14   | status 504 | m0 stream 10-14                  | TERM 7                        |
@@ -119,3 +129,45 @@
       | event                           |
       | its caller left before the end  |
       | its last byte could not be sent |
+
+  Scenario Outline: A request to an endpoint that wanted none is reported
+    Given d0 <told> in its answer to a request that was passed on
+    And a <arrival> arrived <after> s later at d0 from the process
+    And there was <disturbance>
+    Then the checks report "<promise>"
+
+    Examples:
+      | told    | arrival     | after | disturbance             | promise |
+      | leaving | request     | 0.6   | nothing                 | DRAIN   |
+      | leaving | reservation | 0.6   | nothing                 | DRAIN   |
+      | leaving | request     | 0.6   | stall 10-10.05          | DRAIN   |
+      | leaving | request     | 2.1   | link d0 deaf 9-12.1     | DRAIN   |
+      | leaving | request     | 2.1   | STOP 9, CONT 9.9        | DRAIN   |
+      | quiet 2 | request     | 0.6   | nothing                 | QUIET   |
+      | quiet 2 | request     | 1.9   | STOP 11 other           | QUIET   |
+      | quiet 2 | reservation | 0.6   | nothing                 | QUIET   |
+      | quiet 2 | renewal     | 0.6   | nothing                 | QUIET   |
+      | quiet 2 | request     | 1.9   | link d0 silent 10.4-11  | QUIET   |
+      | quiet 2 | request     | 0.6   | link d1 cut 9-12        | QUIET   |
+
+  Scenario Outline: A request that may reach an endpoint is not reported
+    Given d0 <told> in its answer to a request that was passed on
+    And a <arrival> arrived <after> s later at d0 from <process>
+    And there was <disturbance>
+    Then the checks report no violation
+
+    Examples:
+      | told    | arrival               | after | process         | disturbance         |
+      | leaving | request               | 0.4   | the process     | nothing             |
+      | leaving | renewal               | 3     | the process     | nothing             |
+      | leaving | request               | 3     | another process | nothing             |
+      | leaving | request after restart | 3     | the process     | nothing             |
+      | leaving | request               | 3     | the process     | STOP 9, CONT 10.1   |
+      | leaving | request               | 0.6   | the process     | stall 10-10.2       |
+      | leaving | request               | 1     | the process     | link d0 deaf 9-10.9 |
+      | quiet 2 | request               | 0.4   | the process     | nothing             |
+      | quiet 2 | request               | 2.1   | the process     | nothing             |
+      | quiet 2 | request               | 1     | another process | nothing             |
+      | quiet 2 | request after restart | 1     | the process     | nothing             |
+      | quiet 2 | request               | 1     | the process     | STOP 10.5           |
+      | quiet 2 | request               | 1     | the process     | link d0 delay 10-11 |
--- a/vanillareach/features/steps/soak_checks.py
+++ b/vanillareach/features/steps/soak_checks.py
@@ -10,12 +10,17 @@
 from bench.layout import Gateway
 from bench.soak.__main__ import wait_until_all_serve
 from bench.soak.checks import find_leaked_reservations, find_violations
-from bench.soak.observations import Attempt, Fault, Process, SentSignal
-from bench.soak.world import SoakEnvironment, expected_body
-from vanillareach.features.users_platform.endpoint import (
-    ReceivedRequest,
-    StandinEndpoint,
+from bench.soak.endpoint import SoakEndpoint
+from bench.soak.observations import (
+    Arrival,
+    Attempt,
+    Fault,
+    Process,
+    SentNotice,
+    SentSignal,
 )
+from bench.soak.world import SoakEnvironment, expected_body
+from vanillareach.features.users_platform.endpoint import ReceivedRequest
 from vanillareach.platform import names
 
 # No layout starts a gateway with this number.
@@ -30,7 +35,7 @@
 
     def __init__(self):
         self.endpoints_by_name = {
-            name: StandinEndpoint(name) for name in ("m0", "m1", "d0", "d1")
+            name: SoakEndpoint(name, 1) for name in ("m0", "m1", "d0", "d1")
         }
 
 
@@ -119,6 +124,11 @@
     record_received(context, "d1", context.attempt.id, "shed")
 
 
+@when("another endpoint asks for quiet first")
+def step_asks_for_quiet(context):
+    record_received(context, "d1", context.attempt.id, "quiet")
+
+
 @given('a "{kind}" request sent at 10 s that ended at {end_s:g} s with {outcome}')
 def step_ended(context, kind, end_s, outcome):
     attempt = Attempt("a-0", kind, SENT_S, sent_s=SENT_S, ended_s=end_s)
@@ -174,6 +184,29 @@
     return float(started), float(ended or started)
 
 
+@given("d0 {told} in its answer to a request that was passed on")
+def step_told(context, told):
+    attempt = add_attempt(context, "read")
+    attempt.process, attempt.started_s, attempt.ended_s = PROCESS, SENT_S, SENT_S
+    record_received(context, "d0", attempt.id)
+    cause, *duration_s = told.split()
+    duration_s = float(duration_s[0]) if duration_s else math.inf
+    notice = SentNotice(cause, attempt.id, SENT_S, duration_s, 1)
+    scenario_environment(context).endpoints_by_name["d0"].notices.append(notice)
+
+
+@given("a {arrival} arrived {after_s:g} s later at d0 from {process}")
+def step_arrived(context, arrival, after_s, process):
+    attempt = add_attempt(context, "read")
+    attempt.process = PROCESS if process == "the process" else OTHER_PROCESS
+    at_s = attempt.started_s = SENT_S + after_s
+    sender_id = attempt.id if "request" in arrival else f"{attempt.id}-1:2-0"
+    incarnation = 2 if "restart" in arrival else 1
+    context.environment.endpoints_by_name["d0"].arrivals.append(
+        Arrival(sender_id, at_s, incarnation, arrival == "renewal")
+    )
+
+
 @when("its caller left before the end")
 def step_caller_left(context):
     context.attempt.ended_s = None
--- a/vanillareach/features/users_platform/endpoint_signals.py
+++ b/vanillareach/features/users_platform/endpoint_signals.py
@@ -39,6 +39,8 @@
     ----------
     retry_after : bytes
         Number of seconds that the steps about quiet send.
+    incarnation : int
+        Number of its start, which its entry has as `born`.
     is_leaving : bool
         Whether all answers say that the endpoint leaves.
     quiet_count : int
@@ -48,6 +50,7 @@
     """
 
     def __init__(self):
+        self.incarnation = 1
         self.retry_after = b"1.5"
         self.is_leaving = False
         self.quiet_count = 0
@@ -57,6 +60,7 @@
 
     def restart(self):
         """Forget what was said, as another incarnation."""
+        self.incarnation += 1
         self.is_leaving = False
         self._signals.clear()
 
--- a/vanillareach/features/users_platform/stage.py
+++ b/vanillareach/features/users_platform/stage.py
@@ -190,7 +190,7 @@
             "state": state,
             "cold_remaining_ms": 0,
             "sequence": 1,
-            "born": 1,
+            "born": endpoint.incarnation,
             **values,
         }
         self.store.put("servers", name, entry)
