Break no connection in the soak when an endpoint returns to its address

Only the end of an endpoint breaks connections, and only that is recorded for LOST. A reset at the return could have cut an answer of the other service unrecorded.

--- a/bench/soak/withdrawals.py
+++ b/bench/soak/withdrawals.py
@@ -104,10 +104,8 @@
         else:
             proxy.close()
         await trio.sleep(self._random.uniform(*ABSENCE_S))
-        if is_reused:
-            proxy.reset_all()
-            proxy.target = target
-        else:
+        proxy.target = target
+        if not is_reused:
             proxy.reopen()
 
     def _remove_entry(self, name):
