--- a/bench/soak/unwanted.py
+++ b/bench/soak/unwanted.py
@@ -40,8 +40,15 @@
             pair = arrival.incarnation, attempt.process
             for notice, passed_on_s in notices_by_pair[pair]:
                 is_late = attempt.started_s > passed_on_s + DRAIN_TIME_S
-                call = endpoint.name, attempt.process, notice, arrival, is_late
-                if name := violation_of(observations, *call):
+                name = violation_of(
+                    observations,
+                    endpoint.name,
+                    attempt.process,
+                    notice,
+                    arrival,
+                    is_late,
+                )
+                if name:
                     yield _describe(name, endpoint, attempt, notice, arrival)
                     break
 
