--- a/bench/soak/unwanted.py
+++ b/bench/soak/unwanted.py
@@ -30,7 +30,7 @@
         notices_by_pair = defaultdict(list)
         for notice in endpoint.notices:
             if told := _attempt_of(attempts_by_id, notice.sender_id):
-                passed_on_s = _passed_on_s(told, visits_by_id[told.id])
+                passed_on_s = _passed_on_s(endpoint, told, visits_by_id[told.id])
                 pair = notice.incarnation, told.process
                 notices_by_pair[pair].append((notice, passed_on_s))
         for arrival in endpoint.arrivals:
@@ -60,11 +60,16 @@
     return attempts_by_id.get(sender_id)
 
 
-def _passed_on_s(attempt, visits):
-    """Return when a caller had the answer of the one endpoint, or infinity."""
-    if attempt.status not in ENDPOINT_STATUSES or len(visits) != 1:
-        return math.inf
-    return math.inf if attempt.ended_s is None else attempt.ended_s
+def _passed_on_s(endpoint, attempt, visits):
+    """Return when a caller had the answer of an endpoint, or infinity.
+
+    It is known to be that endpoint's if the attempt was at no other one.
+    """
+    is_answered = attempt.status in ENDPOINT_STATUSES and attempt.ended_s is not None
+    visited_names = [visit.endpoint for visit in visits]
+    if is_answered and visited_names == [endpoint.name]:
+        return attempt.ended_s
+    return math.inf
 
 
 def violation_of(observations, endpoint, process, notice, arrival, is_late):
