--- a/bench/layout.py
+++ b/bench/layout.py
@@ -11,7 +11,8 @@
 from vanillareach.core.objects import EndpointSpec, InstanceSpec
 from vanillareach.utils import sha256_hex
 
-HOST = "127.0.0.1"
+# Loopback address of all processes; another one lets several fleets run side by side.
+HOST = os.environ.get("FLEET_HOST", "127.0.0.1")
 PLATFORM_ADDRESS = f"{HOST}:18001"
 FIRST_ENTRY_PORT = 18100
 FIRST_PEER_PORT = 18200
