--- a/vanillareach/features/steps/attempts.py
+++ b/vanillareach/features/steps/attempts.py
@@ -153,13 +153,13 @@
             release_request=lambda *arguments: None,
             is_granted=lambda status: status == 200,
         )
-        super().__init__(protocol, TrioClock())
+        super().__init__(protocol, None, TrioClock())
         self._silent_from_s = silent_from_s
         self._silent_until_s = silent_from_s + duration_s
         self.expiry_s = math.inf
         self.has_lapsed = False
 
-    async def _send(self, request):
+    async def _send(self, engine, request, stops):
         with trio.move_on_after(RESERVATION_REQUEST_TIMEOUT_MS / 1000):
             if trio.current_time() >= self._silent_from_s:
                 await trio.sleep_until(self._silent_until_s)
