Log what a request had done at an endpoint that was lost

A lost endpoint left the same line for the request that crashed it and for the streams beside it. The line now says whether the request had been written, how long it ran, and which parts its prompt shares.

--- a/vanillareach/gateway/attempt_group.py
+++ b/vanillareach/gateway/attempt_group.py
@@ -41,6 +41,10 @@
         Whether the idle timeout has expired and nothing was delivered since.
     is_superseded : bool
         Whether another attempt has taken over the response.
+    sent_ms : float or None
+        When the first byte may have been sent; None before.
+    has_written : bool
+        Whether the endpoint has delivered an event or a complete response.
     was_delivery_slow : bool
         Whether delivering the last event took long, or none was delivered yet.
     weights_version : int or None
@@ -54,6 +58,7 @@
         "exchange",
         "failed_helper",
         "flight",
+        "has_written",
         "idle_timeout",
         "is_silent",
         "is_superseded",
@@ -61,6 +66,7 @@
         "placement",
         "result",
         "scope",
+        "sent_ms",
         "was_delivery_slow",
         "weights_version",
     )
@@ -76,6 +82,8 @@
         self.may_have_been_sent = False
         self.is_silent = False
         self.is_superseded = False
+        self.sent_ms = None
+        self.has_written = False
         self.was_delivery_slow = True
         self.weights_version = None
         self.result = None
@@ -90,9 +98,10 @@
         """The endpoint or helper that the next attempts leave out."""
         return self.failed_helper or self.placement.endpoint
 
-    def mark_sent(self):
+    def mark_sent(self, now_ms):
         """Record that bytes of the request may be sent from now on."""
         self.may_have_been_sent = True
+        self.sent_ms = now_ms
 
     def mark_silent(self):
         """Record that the endpoint is silent, so that another one may be tried."""
--- a/vanillareach/gateway/attempts.py
+++ b/vanillareach/gateway/attempts.py
@@ -27,6 +27,8 @@
 # meanwhile, so the gap between the two can't be measured.
 SLOW_DELIVERY_THRESHOLD_MS = 15.0
 
+MAX_LOGGED_PARTS = 16
+
 log = get_logger("request")
 
 
@@ -177,7 +179,7 @@
     def _mark_sent(self, attempt):
         """Prepare for the first byte of the request, if it may still be sent."""
         self._check_placement(attempt)
-        attempt.mark_sent()
+        attempt.mark_sent(self._clock.now_ms())
 
     def _check_placement(self, attempt):
         placement = attempt.placement
@@ -209,6 +211,7 @@
             body = await response.read(MAX_BUFFERED_RESPONSE_BYTES)
             attempt.idle_timeout.pause()
             attempt.take_over()
+            attempt.has_written = True
             await send_buffered(response, body, responder)
         return AttemptResult.ANSWERED
 
@@ -265,6 +268,7 @@
     def record_events(self, attempt):
         """Record that complete events arrived."""
         exchange, flight = attempt.exchange, attempt.flight
+        attempt.has_written = True
         now_ms = self._clock.now_ms()
         pause_ms = exchange.record_event(now_ms)
         if pause_ms is not None and not attempt.was_delivery_slow:
@@ -308,7 +312,7 @@
             state.record_fault(placement.endpoint, EndpointFault.FAILED, now_ms)
         self._log_end(attempt, result_name, detail)
         if result is AttemptResult.BROKEN:
-            await self._check_endpoint_loss(exchange, placement.endpoint)
+            await self._check_endpoint_loss(attempt)
 
     def _record_unreachable(self, endpoint, cause):
         state = self._state
@@ -321,17 +325,19 @@
             set_aside=len(state.health.unreachable_by_key),
         )
 
-    async def _check_endpoint_loss(self, exchange, endpoint):
+    async def _check_endpoint_loss(self, attempt):
         """Record a loss if the endpoint of a broken attempt accepts no connection."""
+        endpoint = attempt.placement.endpoint
         try:
             stream = await connect(endpoint.address, LOSS_CHECK_TIMEOUT_MS)
         except OSError as error:
             self._record_unreachable(endpoint, str(error))
-            self._record_loss(exchange, endpoint)
+            self._record_loss(attempt)
         else:
             stream.socket.close()
 
-    def _record_loss(self, exchange, endpoint):
+    def _record_loss(self, attempt):
+        exchange, endpoint = attempt.exchange, attempt.placement.endpoint
         state, now_ms = self._state, self._clock.now_ms()
         loss = Loss(exchange.fingerprint, endpoint.id, endpoint.domain, now_ms)
         if not state.crashes.record_loss(loss):
@@ -341,6 +347,9 @@
             id=exchange.id,
             endpoint=endpoint.id,
             fingerprint=exchange.fingerprint,
+            has_written=attempt.has_written,
+            ran_ms=round(now_ms - attempt.sent_ms),
+            prompt_parts=exchange.fields.prompt_parts[:MAX_LOGGED_PARTS],
         )
         state.publish()
 
--- a/vanillareach/gateway/ports.py
+++ b/vanillareach/gateway/ports.py
@@ -23,6 +23,8 @@
         Length of the prompt and maximum length of the answer; 0 if not specified.
     last_event_id : int or None
         Event after which a stream is to resume.
+    prompt_parts : tuple of str
+        Ids of the parts that the prompt may share with other requests, in order.
     """
 
     attempt_id: str
@@ -31,6 +33,7 @@
     prompt_tokens: int
     answer_tokens: int
     last_event_id: int | None
+    prompt_parts: tuple[str, ...] = ()
 
 
 @dataclass(slots=True, frozen=True)
--- a/vanillareach/platform/calls.py
+++ b/vanillareach/platform/calls.py
@@ -30,6 +30,9 @@
             prompt_tokens=prompt,
             answer_tokens=answer,
             last_event_id=_parse_integer(first_values.get(names.LAST_EVENT_ID)),
+            prompt_parts=_parse_shared_parts(
+                first_values.get(names.PROMPT_PREFIX, b"")
+            ),
         )
 
     def endpoint_headers(self, headers, endpoint_fields, strips_key):
@@ -115,6 +118,12 @@
     return _parse_integer(prompt) or 0, _parse_integer(answer) or 0
 
 
+def _parse_shared_parts(value):
+    """Return the ids in ``ID:TOKENS,ID:TOKENS``, without the prompt's own last part."""
+    entries = [entry.partition(b":")[0].strip() for entry in value.split(b",")]
+    return tuple(entry.lower().decode("latin-1") for entry in entries[:-1] if entry)
+
+
 def _parse_integer(value):
     text = (value or b"").strip()
     return int(text) if text.isdigit() else None
