Refuse requests with a prompt part that crashes engines

Callers saw engines crash one after another, and their streams break with them: one part of a prompt crashes each engine that begins to answer it, and no two such requests are alike.

Cause: crashes were counted by a digest of the whole request, so each request began without a record. The class of fault is an identity too narrow for the evidence. Losses of several endpoints of a domain within 2 s also counted against no request, which several crashes by one part look like.

Change: a crash is evidence against each request that ran there unwritten and against the parts its prompt shares; output clears them. Crashes count in turn, by what was known as the request was sent. What the request lacks and what explains the crashes excuses it, so sound requests that share the other parts run on. Instances tell each other reports, clearances and trials in beacons. A loss is also seen where the listener closes just after the connections.

The counting by domains is gone from the gateway: a mass loss is one round.

Checks changed: the scenario of three losses records the same evidence in its new form; the beacon of an older version lacks one field more, whose default is checked, too; scripted attempts check losses where that code is now.

--- a/vanillareach/core/messages.py
+++ b/vanillareach/core/messages.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from vanillareach.core.configuration import ConfigurationObject
+from vanillareach.core.crash_news import CrashNews
 from vanillareach.core.directory import LoadReport
 from vanillareach.core.endpoint_list import ListedEndpoint
 from vanillareach.core.ledger import Claim, ClaimRecord, Settle
@@ -284,7 +285,7 @@
     flights : tuple of InFlightRequest
         Requests of the sender that are in flight at endpoints.
     losses : tuple of (str, str, str)
-        Recent endpoint losses: fingerprint of the request, endpoint, failure domain.
+        Not used; keeps the places of the later fields.
     paces : tuple of (str, float)
         Engines that the sender measured as slow, with the slowdown factor.
     configuration_stamp, endpoints_stamp : int
@@ -298,6 +299,7 @@
     leaving : tuple of (str, int)
         Id and incarnation of endpoints that are leaving unlike their entries in the
         sender's list.
+    crash_news : CrashNews
     """
 
     name: str
@@ -312,7 +314,7 @@
     endpoints_digest: int
     endpoints_age_ms: float
     flights: tuple[InFlightRequest, ...]
-    losses: tuple[tuple[str, str, str], ...]
+    losses: tuple[tuple[str, str, str], ...] = ()
     paces: tuple[tuple[str, float], ...] = ()
     configuration_stamp: int = 0
     endpoints_stamp: int = 0
@@ -321,6 +323,7 @@
     store_era: int = 0
     endpoints_era: int = 0
     leaving: tuple[tuple[str, int], ...] = ()
+    crash_news: CrashNews = CrashNews()
 
 
 class RelayedDatagram(Wire, tag=23, frozen=True):
--- a/vanillareach/features/attempt_cases.py
+++ b/vanillareach/features/attempt_cases.py
@@ -22,7 +22,7 @@
     ScriptedPlacement,
 )
 from vanillareach.features.users_platform.stage import HOST, configuration, route
-from vanillareach.gateway import attempts
+from vanillareach.gateway import attempts, loss_checks
 from vanillareach.gateway.connections import ResponseAbortedError
 from vanillareach.gateway.forwarder import Forwarder
 from vanillareach.gateway.ports import StorePosition
@@ -108,6 +108,7 @@
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.forwarder.idle_timeouts.run)
+            nursery.start_soon(self.forwarder.loss_checker.run)
             nursery.start_soon(self._stop)
             nursery.start_soon(self._stall)
             leave_ms = self.case.leave_ms
@@ -228,7 +229,7 @@
     trio._core._run._r.seed(seed)
     with (
         patch.object(attempts, "open_upstream", run.endpoints.open),
-        patch.object(attempts, "connect", run.endpoints.connect),
+        patch.object(loss_checks, "connect", run.endpoints.connect),
     ):
         trio.run(run.run, clock=trio.testing.MockClock(autojump_threshold=0))
     return run
--- a/vanillareach/features/scripted_attempts.py
+++ b/vanillareach/features/scripted_attempts.py
@@ -135,7 +135,10 @@
     async def connect(address, timeout_ms):
         """Stand for `connect`, with which a loss is checked."""
         await trio.sleep(LOSS_CHECK_MS / 1000)
-        return SimpleNamespace(socket=SimpleNamespace(close=lambda: None))
+        return SimpleNamespace(
+            socket=SimpleNamespace(close=lambda: None),
+            receive_some=lambda size: trio.sleep_forever(),
+        )
 
 
 class RecordingResponder:
--- a/vanillareach/features/steps/gateway.py
+++ b/vanillareach/features/steps/gateway.py
@@ -5,10 +5,10 @@
 import trio
 from behave import given, then, when
 
-from vanillareach.core.suspicion import Loss
+from vanillareach.core.crash_evidence import CrashReport, Suspect
 from vanillareach.features.support import endpoints, received
 from vanillareach.features.users_platform.stage import KEY
-from vanillareach.gateway.forwarder import QUARANTINE_LOSS_COUNT, fingerprint_of
+from vanillareach.gateway.exchange import fingerprint_of
 from vanillareach.gateway.request_reader import CallerRequest
 from vanillareach.platform.calls import PlatformProtocol
 
@@ -112,10 +112,12 @@
         request.method, request.target, request.body = b"POST", path.encode(), b"body"
         request.headers = [(b"Authorization", f"Bearer {KEY}".encode())]
         fields = PlatformProtocol().read_request(request.headers)
-        fingerprint = fingerprint_of(request, fields)
-        for number in range(QUARANTINE_LOSS_COUNT):
-            loss = Loss(fingerprint, f"e{number}", f"zone-{number}", clock.now_ms())
-            gateway.state.crashes.record_loss(loss)
+        suspect = Suspect(fingerprint_of(request, fields))
+        now_ms = clock.now_ms()
+        for number in range(3):
+            key = (f"e{number}", 1)
+            report = CrashReport(key, suspect.fingerprint, {}, now_ms)
+            gateway.state.quarantine.evidence.record_report(report, now_ms)
 
     context.run(record_losses)
 
--- a/vanillareach/features/steps/placers.py
+++ b/vanillareach/features/steps/placers.py
@@ -6,6 +6,7 @@
 import trio
 from behave import given, then, when
 
+from vanillareach.core.crash_news import CrashNews
 from vanillareach.core.messages import (
     Beacon,
     EndpointFault,
@@ -320,12 +321,14 @@
             "store_era",
             "endpoints_era",
             "leaving",
+            "crash_news",
         )
         beacon = decode_message(
             msgspec.msgpack.encode(values[: len(values) - len(newer_fields)])
         )
         assert isinstance(beacon, Beacon)
         assert (beacon.capacity, beacon.is_placer) == (0.0, False)
+        assert beacon.crash_news == CrashNews()
 
 
 @then("a message of an unknown kind is rejected")
--- /dev/null
+++ b/vanillareach/features/users_platform/crashing_endpoint.py
@@ -0,0 +1,34 @@
+"""Stand-in of an engine that crashes by a part of a prompt."""
+
+import trio
+
+from vanillareach.features.users_platform.endpoint import StandinEndpoint
+from vanillareach.platform import names
+
+
+class CrashingEndpoint(StandinEndpoint):
+    """Endpoint that crashes as it begins to answer a prompt with a deadly part.
+
+    A crash ends all connections; new ones are refused.
+
+    Attributes
+    ----------
+    deadly_part : str
+    has_crashed : bool
+    scope : trio.CancelScope
+        Of all that the endpoint does.
+    """
+
+    deadly_part = "dead"
+
+    def __init__(self, name):
+        super().__init__(name)
+        self.has_crashed = False
+        self.scope = trio.CancelScope()
+
+    async def _stream(self, received, responder, **values):
+        prefix = received.values_by_name.get(names.PROMPT_PREFIX, "")
+        if f"{self.deadly_part}:" in prefix:
+            self.has_crashed = True
+            self.scope.cancel()
+        await super()._stream(received, responder, **values)
--- a/vanillareach/features/users_platform/stage.py
+++ b/vanillareach/features/users_platform/stage.py
@@ -159,12 +159,17 @@
         self._last_attempt_number = 0
         self._sockets = []
 
-    async def listen(self, address, handle):
-        """Serve `handle` at an address."""
+    async def listen(self, address, handle, scope=None):
+        """Serve `handle` at an address, until a scope is cancelled if there is one."""
         listener = CallerListener(
             address, self.clock, CallerLimits, handle, lambda: False
         )
-        await self._nursery.start(listener.run)
+
+        async def run(task_status=trio.TASK_STATUS_IGNORED):
+            with scope or trio.CancelScope():
+                await listener.run(task_status)
+
+        await self._nursery.start(run)
 
     async def open(self, services_by_name, make_endpoint=StandinEndpoint):
         """Start the store and one endpoint for each name, and list the endpoints."""
@@ -174,7 +179,8 @@
             endpoint = make_endpoint(name)
             endpoint.address = free_address()
             self.endpoints_by_name[name] = endpoint
-            await self.listen(endpoint.address, endpoint.handle)
+            scope = getattr(endpoint, "scope", None)
+            await self.listen(endpoint.address, endpoint.handle, scope)
             self.put_endpoint(name, service)
 
     def put_endpoint(self, name, service, state="ready", **values):
--- a/vanillareach/gateway/announcements.py
+++ b/vanillareach/gateway/announcements.py
@@ -1,9 +1,8 @@
 """Builds the messages in which an instance tells its peers of its state."""
 
+from vanillareach.core.crash_news import build_news
 from vanillareach.core.messages import Beacon, FlightUpdate
 
-# A lost endpoint is reported in each beacon for this time.
-LOSS_BROADCAST_PERIOD_MS = 3_000.0
 # Leaving endpoints told in one beacon, the latest ones.
 MAX_LEAVING_IN_BEACON = 256
 
@@ -40,12 +39,14 @@
             faults=self._state.take_faults(),
         )
 
-    def beacon(self):
-        """Return a `Beacon` with the state of the instance."""
+    def beacon(self, is_own_only=False):
+        """Return a `Beacon` with the state of the instance.
+
+        `is_own_only` leaves out the crash reports of other instances.
+        """
         now_ms, state = self._clock.now_ms(), self._state
         self._sequence += 1
         leaving = state.endpoints.leaving_unlike_list()[-MAX_LEAVING_IN_BEACON:]
-        losses = state.crashes.recent_losses(now_ms - LOSS_BROADCAST_PERIOD_MS)
         registration = self._registration
         return Beacon(
             name=registration.name,
@@ -64,11 +65,11 @@
             endpoints_digest=state.endpoints.digest,
             endpoints_age_ms=state.endpoints_age_ms(),
             flights=state.load_state.own_flights(now_ms),
-            losses=tuple((x.fingerprint, x.endpoint, x.domain) for x in losses),
             paces=tuple(state.paces.own_paces.items()),
             capacity=registration.capacity,
             is_placer=state.is_placer,
             store_era=state.store_era,
             endpoints_era=state.endpoints.era,
             leaving=tuple(endpoint.key for endpoint in leaving),
+            crash_news=build_news(state.quarantine.evidence, now_ms, is_own_only),
         )
--- a/vanillareach/gateway/app.py
+++ b/vanillareach/gateway/app.py
@@ -198,6 +198,7 @@
             self.follower.run,
             self.reservations.run,
             self.forwarder.idle_timeouts.run,
+            self.forwarder.loss_checker.run,
             self.forwarder.pace_estimator.run,
             ReachabilityProber(self.state, self.gossip, self.clock).run,
         ):
--- a/vanillareach/gateway/attempt_group.py
+++ b/vanillareach/gateway/attempt_group.py
@@ -45,6 +45,8 @@
         When the first byte may have been sent; None before.
     has_written : bool
         Whether the endpoint has delivered an event or a complete response.
+    rounds_by_part : dict of int to int
+        See `CrashReport`; empty before the request is sent.
     was_delivery_slow : bool
         Whether delivering the last event took long, or none was delivered yet.
     weights_version : int or None
@@ -65,6 +67,7 @@
         "may_have_been_sent",
         "placement",
         "result",
+        "rounds_by_part",
         "scope",
         "sent_ms",
         "was_delivery_slow",
@@ -84,6 +87,7 @@
         self.is_superseded = False
         self.sent_ms = None
         self.has_written = False
+        self.rounds_by_part = {}
         self.was_delivery_slow = True
         self.weights_version = None
         self.result = None
--- a/vanillareach/gateway/attempts.py
+++ b/vanillareach/gateway/attempts.py
@@ -4,7 +4,6 @@
 
 from vanillareach.core.messages import EndpointFault
 from vanillareach.core.routing import RequestKind
-from vanillareach.core.suspicion import Loss
 from vanillareach.endpoints.base import EndpointBrokenError, EndpointUnreachableError
 from vanillareach.gateway.attempt_group import AttemptSupersededError
 from vanillareach.gateway.exchange import (
@@ -15,20 +14,15 @@
 )
 from vanillareach.gateway.ports import EndpointRequestFields
 from vanillareach.gateway.relay import RelayObserver, relay_events, send_buffered
-from vanillareach.gateway.sockets import connect
 from vanillareach.gateway.upstream import UpstreamRequest, open_upstream
 from vanillareach.log import get_logger
 
 # Responses other than event streams are buffered until complete, up to this size.
 MAX_BUFFERED_RESPONSE_BYTES = 4 * 1024 * 1024
-# Time limit of the connection that checks whether an endpoint is still running.
-LOSS_CHECK_TIMEOUT_MS = 300.0
 # If sending an event to the caller takes longer, the next event may have arrived
 # meanwhile, so the gap between the two can't be measured.
 SLOW_DELIVERY_THRESHOLD_MS = 15.0
 
-MAX_LOGGED_PARTS = 16
-
 log = get_logger("request")
 
 
@@ -72,7 +66,7 @@
     ----------
     state : GatewayState
     dispatcher : Dispatcher
-    placement_client : PlacementClient
+    loss_checker : EndpointLossChecker
     idle_timeouts : IdleTimeoutMonitor
     protocol : RequestProtocol
     reservation_protocol : MemoryReservationProtocol
@@ -85,7 +79,7 @@
         self,
         state,
         dispatcher,
-        placement_client,
+        loss_checker,
         idle_timeouts,
         protocol,
         reservation_protocol,
@@ -95,7 +89,7 @@
     ):
         self._state = state
         self._dispatcher = dispatcher
-        self._placement_client = placement_client
+        self._loss_checker = loss_checker
         self._idle_timeouts = idle_timeouts
         self._protocol = protocol
         self._reservation_protocol = reservation_protocol
@@ -124,10 +118,12 @@
             self._idle_timeouts.unwatch(attempt.idle_timeout)
             attempt.idle_timeout = None
             if attempt.result is None and not attempt.scope.cancelled_caught:
+                self._state.quarantine.record_abandoned(attempt)
                 self._log_end(
                     attempt, "abandoned", "caller disconnected or deadline passed"
                 )
         if attempt.result is None:
+            self._state.quarantine.record_abandoned(attempt)
             attempt.result = (
                 AttemptResult.SUPERSEDED
                 if attempt.is_superseded
@@ -180,6 +176,7 @@
         """Prepare for the first byte of the request, if it may still be sent."""
         self._check_placement(attempt)
         attempt.mark_sent(self._clock.now_ms())
+        self._state.quarantine.record_sent(attempt)
 
     def _check_placement(self, attempt):
         placement = attempt.placement
@@ -187,6 +184,8 @@
             cause = self._state.unusable_cause(endpoint)
             if cause:
                 raise EndpointWithdrawnError(f"{endpoint.id}: {cause}")
+        if self._state.quarantine.refuses(attempt.exchange):
+            raise EndpointWithdrawnError("quarantined")
 
     async def _relay_response(self, attempt, response, responder):
         exchange = attempt.exchange
@@ -211,7 +210,7 @@
             body = await response.read(MAX_BUFFERED_RESPONSE_BYTES)
             attempt.idle_timeout.pause()
             attempt.take_over()
-            attempt.has_written = True
+            self._record_output(attempt)
             await send_buffered(response, body, responder)
         return AttemptResult.ANSWERED
 
@@ -268,7 +267,8 @@
     def record_events(self, attempt):
         """Record that complete events arrived."""
         exchange, flight = attempt.exchange, attempt.flight
-        attempt.has_written = True
+        if not attempt.has_written:
+            self._record_output(attempt)
         now_ms = self._clock.now_ms()
         pause_ms = exchange.record_event(now_ms)
         if pause_ms is not None and not attempt.was_delivery_slow:
@@ -304,7 +304,7 @@
         if result is AttemptResult.ANSWERED:
             state.health.record_outcome(placement.endpoint.key, False, now_ms)
         elif result is AttemptResult.UNREACHABLE:
-            self._record_unreachable(placement.endpoint, detail)
+            self._loss_checker.record_unreachable(placement.endpoint, detail)
         elif result in POSSIBLY_RUN_RESULTS or (
             # Not run; with helpers, one of them may be the cause instead.
             result is AttemptResult.NOT_RUN and not placement.helpers
@@ -312,46 +312,11 @@
             state.record_fault(placement.endpoint, EndpointFault.FAILED, now_ms)
         self._log_end(attempt, result_name, detail)
         if result is AttemptResult.BROKEN:
-            await self._check_endpoint_loss(attempt)
-
-    def _record_unreachable(self, endpoint, cause):
-        state = self._state
-        state.record_fault(endpoint, EndpointFault.UNREACHABLE, self._clock.now_ms())
-        self._placement_client.record_unreachable(endpoint)
-        log.warning(
-            "Endpoint unreachable.",
-            endpoint=endpoint.id,
-            cause=cause,
-            set_aside=len(state.health.unreachable_by_key),
-        )
-
-    async def _check_endpoint_loss(self, attempt):
-        """Record a loss if the endpoint of a broken attempt accepts no connection."""
-        endpoint = attempt.placement.endpoint
-        try:
-            stream = await connect(endpoint.address, LOSS_CHECK_TIMEOUT_MS)
-        except OSError as error:
-            self._record_unreachable(endpoint, str(error))
-            self._record_loss(attempt)
-        else:
-            stream.socket.close()
+            await self._loss_checker.check(attempt)
 
-    def _record_loss(self, attempt):
-        exchange, endpoint = attempt.exchange, attempt.placement.endpoint
-        state, now_ms = self._state, self._clock.now_ms()
-        loss = Loss(exchange.fingerprint, endpoint.id, endpoint.domain, now_ms)
-        if not state.crashes.record_loss(loss):
-            return
-        log.info(
-            "Endpoint lost while running.",
-            id=exchange.id,
-            endpoint=endpoint.id,
-            fingerprint=exchange.fingerprint,
-            has_written=attempt.has_written,
-            ran_ms=round(now_ms - attempt.sent_ms),
-            prompt_parts=exchange.fields.prompt_parts[:MAX_LOGGED_PARTS],
-        )
-        state.publish()
+    def _record_output(self, attempt):
+        attempt.has_written = True
+        self._state.quarantine.record_output(attempt.exchange)
 
     def _log_dispatch(self, exchange, placement, now_ms):
         state = self._state
--- a/vanillareach/gateway/exchange.py
+++ b/vanillareach/gateway/exchange.py
@@ -4,6 +4,7 @@
 from enum import Enum, auto
 
 from vanillareach.clock import MS_PER_SECOND
+from vanillareach.core.hashing import hash128_hex
 from vanillareach.endpoints.base import EndpointError
 
 # Reserved before a deadline so that the response reaches the caller in time.
@@ -57,6 +58,12 @@
         self.body = body
 
 
+def fingerprint_of(request, fields):
+    """Return a digest that is the same when a caller sends a request again."""
+    parts = (request.method, request.target, (fields.key or "").encode(), request.body)
+    return hash128_hex(b"\n".join(part or b"" for part in parts))
+
+
 class GatewayExchange:
     """One request of a caller and the state of its attempts.
 
@@ -85,6 +92,10 @@
         Ids of endpoints that further attempts leave out.
     weights_version : int or None
         Version of the weights that made the first event.
+    suspect : Suspect or None
+        What of the request may crash endpoints; None before it is admitted.
+    is_trial : bool
+        Whether it may be sent though its like are refused; see `core.crash_trials`.
     first_event_ms : int or None
         Time from the arrival of the request to its first event.
     longest_pause_ms : float
@@ -100,8 +111,8 @@
         "excluded_endpoints",
         "failure_response",
         "fields",
-        "fingerprint",
         "first_event_ms",
+        "is_trial",
         "last_event_id",
         "last_event_ms",
         "longest_pause_ms",
@@ -110,6 +121,7 @@
         "route",
         "scope",
         "service",
+        "suspect",
         "team",
         "weights_version",
     )
@@ -134,7 +146,8 @@
         self.excluded_endpoints = set()
         self.failure_response = None
         self.weights_version = None
-        self.fingerprint = ""
+        self.suspect = None
+        self.is_trial = False
         self.first_event_ms = None
         self.last_event_ms = None
         self.longest_pause_ms = 0.0
--- a/vanillareach/gateway/forwarder.py
+++ b/vanillareach/gateway/forwarder.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from vanillareach.core.hashing import hash128_hex
+from vanillareach.core.crash_evidence import Suspect
 from vanillareach.gateway.attempt_group import AttemptGroup
 from vanillareach.gateway.attempts import AttemptRunner
 from vanillareach.gateway.connections import ResponseAbortedError
@@ -13,9 +13,13 @@
     POSSIBLY_RUN_RESULTS,
     AttemptResult,
     GatewayExchange,
+    fingerprint_of,
 )
 from vanillareach.gateway.idle_timeouts import IdleTimeoutMonitor
+from vanillareach.gateway.loss_checks import EndpointLossChecker
 from vanillareach.gateway.pacing import EnginePaceEstimator
+from vanillareach.gateway.placing import PlacementDecision
+from vanillareach.gateway.quarantine import QUARANTINE_RETRY_AFTER_MS
 from vanillareach.gateway.relay import send_buffered
 from vanillareach.log import get_logger
 from vanillareach.utils import open_background_nursery
@@ -24,9 +28,6 @@
 MAX_ATTEMPTS = 4
 # No further attempt is made with less time left: it could not complete.
 MIN_ATTEMPT_TIME_MS = 30.0
-# A request is refused after this many endpoints were lost while running it.
-QUARANTINE_LOSS_COUNT = 3
-QUARANTINE_RETRY_AFTER_MS = 10_000.0
 NOT_READY_RETRY_AFTER_MS = 300.0
 # Requests that arrive during start-up wait for the first responses of the store.
 STARTUP_WAIT_MS = 300.0
@@ -87,10 +88,11 @@
         self.pace_estimator = EnginePaceEstimator(
             state, dispatcher, placement_client, clock
         )
+        self.loss_checker = EndpointLossChecker(state, placement_client, clock)
         self._attempt_runner = AttemptRunner(
             state,
             dispatcher,
-            placement_client,
+            self.loss_checker,
             self.idle_timeouts,
             protocol,
             reservation_protocol,
@@ -159,9 +161,8 @@
             await self._refuse(fields, responder, 503, "no_service", 1_000.0)
             return None
         exchange = GatewayExchange(request, fields, route, service, team, configuration)
-        exchange.fingerprint = fingerprint_of(request, fields)
-        losses = state.crashes.counted_losses(exchange.fingerprint, request.received_ms)
-        if losses >= QUARANTINE_LOSS_COUNT:
+        exchange.suspect = Suspect(fingerprint_of(request, fields), fields.prompt_parts)
+        if state.quarantine.refuses(exchange):
             await self._refuse(
                 fields, responder, 503, "quarantined", QUARANTINE_RETRY_AFTER_MS
             )
@@ -215,6 +216,8 @@
         received meanwhile.
         """
         while True:
+            if self._state.quarantine.refuses(exchange):
+                return PlacementDecision(None, QUARANTINE_RETRY_AFTER_MS, "quarantined")
             decision = await self._placement_client.choose(exchange)
             if decision.placement is not None or group.is_running:
                 return decision
@@ -335,9 +338,3 @@
 
     def _count_outcome(self, outcome, reason):
         self._metrics.requests[("forward", outcome, reason)] += 1
-
-
-def fingerprint_of(request, fields):
-    """Return a digest that is the same when a caller sends a request again."""
-    parts = (request.method, request.target, (fields.key or "").encode(), request.body)
-    return hash128_hex(b"\n".join(part or b"" for part in parts))
--- a/vanillareach/gateway/gossip.py
+++ b/vanillareach/gateway/gossip.py
@@ -27,7 +27,6 @@
 )
 from vanillareach.core.placers import PLACER_SILENCE_MS
 from vanillareach.core.state_change import ChangeKind
-from vanillareach.core.suspicion import Loss
 from vanillareach.gateway.announcements import AnnouncementBuilder
 from vanillareach.gateway.datagrams import MAX_DATAGRAM_BYTES, DatagramSocket
 from vanillareach.gateway.peer_table import PeerTable
@@ -241,7 +240,11 @@
     def _broadcast(self, kind, now_ms):
         """Send a message about a kind of change to those that need it."""
         is_flights, messages = kind is ChangeKind.FLIGHTS, self.announcements
-        message = messages.flight_update() if is_flights else messages.beacon()
+        if is_flights:
+            message = messages.flight_update()
+        else:
+            is_member = not (self.audience.is_direct or self.audience.is_placer)
+            message = messages.beacon(is_own_only=is_member)
         has_flights = self._state.load_state.own_flight_count > 0
         self.audience.record_sent(kind, has_flights, now_ms)
         data = self._authenticator.encode(message)
@@ -309,7 +312,7 @@
         load_state = self._state.load_state
         return not beacon.is_placer and bool(
             beacon.flights
-            or beacon.losses
+            or beacon.crash_news
             or beacon.paces
             or load_state.peer_flight_count(beacon.name)
         )
@@ -382,9 +385,9 @@
         # with its clock behind has a lower order, which is accepted after a silence.
         if order <= peer.last_message_order and not was_silent:
             return
-        is_new_placer = beacon.is_placer and (
-            not peer.is_placer or beacon.incarnation != peer.last_message_order[0]
-        )
+        is_new_incarnation = beacon.incarnation != peer.last_message_order[0]
+        is_new_placer = beacon.is_placer and (not peer.is_placer or is_new_incarnation)
+        is_unaware = was_silent or is_new_incarnation
         if was_silent:
             log.info("Peer heard.", peer=peer.name, address=beacon.address)
         peer.last_message_order = order
@@ -401,7 +404,7 @@
         election.record_unavailable(beacon.name, beacon.is_leaving)
         self._state.load_state.replace_peer(beacon.name, beacon.flights, now_ms)
         self._state.paces.merge_peer_paces(beacon.paces, now_ms)
-        self._record_losses(beacon, now_ms)
+        self._apply_crash_news(beacon, is_unaware, now_ms)
         for key in beacon.leaving:
             self._state.record_reported_leaving(*key)
         self._fetcher.reconcile(
@@ -414,20 +417,16 @@
     def _max_fetch_delay_ms(self):
         return 0.0 if self.has_full_picture else MAX_FETCH_DELAY_MS
 
-    def _record_losses(self, beacon, now_ms):
-        for fingerprint, endpoint, domain in beacon.losses:
-            loss = Loss(fingerprint, endpoint, domain, now_ms)
-            if not self._state.crashes.record_loss(loss):
-                continue
-            log.info(
-                "Endpoint loss reported by peer.",
-                fingerprint=fingerprint,
-                endpoint=endpoint,
-                peer=beacon.name,
-            )
-            if self.audience.is_placer:
-                # The instances of this domain hear of it from here.
-                self._on_state_change(ChangeKind.STATE)
+    def _apply_crash_news(self, beacon, is_unaware, now_ms):
+        """Record what a peer tells of crashes; tell it all if it may know nothing."""
+        quarantine = self._state.quarantine
+        must_tell = quarantine.apply_news(beacon.crash_news, beacon.name)
+        if is_unaware and quarantine.evidence.marks_by_trait:
+            quarantine.evidence.tell_again(now_ms)
+            must_tell = True
+        if must_tell and self.audience.is_placer:
+            # The instances of this domain hear of it from here.
+            self._on_state_change(ChangeKind.STATE)
 
 
 class PendingQuery:
--- /dev/null
+++ b/vanillareach/gateway/quarantine.py
@@ -0,0 +1,136 @@
+"""Refusal of requests that have crashed endpoints, or share a part with such ones."""
+
+from vanillareach.core.crash_evidence import CrashEvidence, CrashReport
+from vanillareach.core.crash_news import apply_news
+from vanillareach.core.crash_trials import is_trial_due
+from vanillareach.core.crash_verdicts import guilty_trait
+from vanillareach.log import get_logger
+
+# Retry-After of a refused request. Only the caller's next requests can do better.
+QUARANTINE_RETRY_AFTER_MS = 10_000.0
+MAX_LOGGED_PARTS = 16
+
+log = get_logger("quarantine")
+
+
+class Quarantine:
+    """Collects what attempts show of crashes, and refuses requests by it.
+
+    Parameters
+    ----------
+    state : GatewayState
+    instance_name : str
+    clock : Clock
+
+    Attributes
+    ----------
+    evidence : CrashEvidence
+    """
+
+    def __init__(self, state, instance_name, clock):
+        self._state = state
+        self.evidence = CrashEvidence()
+        self._instance_name = instance_name
+        self._clock = clock
+
+    def refuses(self, exchange):
+        """Return whether a request must not be sent to an endpoint now."""
+        evidence, suspect = self.evidence, exchange.suspect
+        if exchange.is_trial or not evidence.marks_by_trait:
+            return False
+        trait = guilty_trait(evidence, suspect)
+        if trait is None:
+            return False
+        now_ms = self._clock.now_ms()
+        evidence.keep(trait, now_ms)
+        is_part = trait != suspect.fingerprint
+        if is_part and is_trial_due(
+            evidence, trait, suspect, self._instance_name, now_ms
+        ):
+            self._begin_trial(exchange, trait, now_ms)
+            return False
+        log.info(
+            "Crashes endpoints.",
+            id=exchange.id,
+            prompt_part=exchange.fields.prompt_parts[suspect.parts.index(trait)]
+            if is_part
+            else "",
+            endpoints=[key[0] for key in evidence.crash_keys(trait)][:MAX_LOGGED_PARTS],
+        )
+        return True
+
+    def _begin_trial(self, exchange, part, now_ms):
+        exchange.is_trial = True
+        self.evidence.trials.record(part, now_ms)
+        log.info("Trial of a refused part.", id=exchange.id)
+        self._state.publish()
+
+    def record_output(self, exchange):
+        """Record that an endpoint has written output for a request."""
+        now_ms = self._clock.now_ms()
+        traits = exchange.suspect.traits
+        if self.evidence.record_sound(traits, now_ms, now_ms):
+            log.info("Parts cleared.", id=exchange.id)
+            self._state.publish()
+
+    def record_sent(self, attempt):
+        """Record which crashes are known as a request is sent."""
+        attempt.rounds_by_part = {
+            part: self.evidence.count_rounds(part) + 1
+            for part in attempt.exchange.suspect.parts
+        }
+
+    def record_loss(self, attempt):
+        """Record that an endpoint was lost while it ran a request."""
+        now_ms = self._clock.now_ms()
+        exchange, endpoint = attempt.exchange, attempt.placement.endpoint
+        log.info(
+            "Endpoint lost while running.",
+            id=exchange.id,
+            endpoint=endpoint.id,
+            has_written=attempt.has_written,
+            ran_ms=round(now_ms - attempt.sent_ms),
+            prompt_parts=exchange.fields.prompt_parts[:MAX_LOGGED_PARTS],
+        )
+        exchange.is_trial = False
+        reports = self.evidence.abandoned_reports(endpoint.key, now_ms)
+        if not attempt.has_written:
+            reports.append(report_of(attempt))
+        self._record_own(reports)
+
+    def record_abandoned(self, attempt):
+        """Record that an attempt was cancelled, and may still crash its endpoint."""
+        if attempt.has_written or attempt.sent_ms is None:
+            return
+        self.evidence.record_abandoned(report_of(attempt), self._clock.now_ms())
+
+    def apply_news(self, news, peer_name):
+        """Record what a peer tells of crashes; return whether any of it was unknown."""
+        if not news:
+            return False
+        evidence, now_ms = self.evidence, self._clock.now_ms()
+        known = set(evidence.crashes_by_key)
+        is_news = apply_news(news, evidence, now_ms)
+        for key in evidence.crashes_by_key.keys() - known:
+            log.info("Crash reported by peer.", endpoint=key[0], peer=peer_name)
+            self._record_own(evidence.abandoned_reports(key, now_ms))
+        return is_news
+
+    def _record_own(self, reports):
+        now_ms = self._clock.now_ms()
+        is_news = False
+        for report in reports:
+            report.is_own = True
+            is_news |= self.evidence.record_report(report, now_ms)
+        if is_news:
+            self._state.publish()
+
+
+def report_of(attempt):
+    """Return the `CrashReport` of an attempt whose endpoint was lost."""
+    return CrashReport(
+        attempt.placement.endpoint.key,
+        attempt.exchange.suspect.fingerprint,
+        attempt.rounds_by_part,
+        attempt.sent_ms,
+    )
--- a/vanillareach/gateway/state.py
+++ b/vanillareach/gateway/state.py
@@ -20,7 +20,7 @@
 from vanillareach.core.retry_share import RetryBudgetShare
 from vanillareach.core.routing import CallerLimits
 from vanillareach.core.state_change import ChangeKind
-from vanillareach.core.suspicion import CrashTracker
+from vanillareach.gateway.quarantine import Quarantine
 from vanillareach.log import get_logger
 
 DEFAULT_CALLER_LIMITS = CallerLimits()
@@ -60,7 +60,7 @@
     endpoints : EndpointList
     load_state : LoadState
     health : EndpointHealth
-    crashes : CrashTracker
+    quarantine : Quarantine
     paces : EnginePaces
     quiet_periods : QuietPeriods
         Endpoints that want no request from this instance for a time.
@@ -88,7 +88,7 @@
         self.endpoints = EndpointList()
         self.load_state = LoadState()
         self.health = EndpointHealth()
-        self.crashes = CrashTracker()
+        self.quarantine = Quarantine(self, settings.name, clock)
         self.paces = EnginePaces()
         extension = preference("readmission", settings.name) / MAX_PREFERENCE
         self.quiet_periods = QuietPeriods(extension)
