Count each request once, by what its caller was given

What callers saw: nothing; operators saw a log line and a count too many. A plain answer was delivered, its caller closed the connection, and 0.3 ms after `Attempt ended.` with `answered` the request was logged as `Ended without a complete response.` and counted as `aborted`.

Cause: a caller that closes its connection cancels the handling of its request, also in the moment between the last byte and the end of the handling. The outcome was counted at several places, before or after the response was written, so some requests were counted twice, as a wrong outcome, or not at all.

Change: the responder carries the outcome that its response tells. It is counted at one place, when the handling ends: by the response if all of it was sent, else as `aborted`, with the log line. This includes requests that end before they are admitted. What a deadline has left unsent is sent within the handling, so that a caller that leaves then is counted. A fault of the gateway that is answered with 500 is counted as `unknown` for `internal_error` and logged as `Refused.` with the id.

Tests: the recording responder of the generated sequences now behaves as a `Responder` does: a response is complete before its last write, and `flush` sends what a cancelled call has left; any other write after a cancelled one is an error. The check that an outcome is `aborted` exactly if the response isn't complete now asks for its delivery, and for one log line.

--- a/vanillareach/features/attempt_cases.py
+++ b/vanillareach/features/attempt_cases.py
@@ -8,6 +8,7 @@
 import msgspec
 import trio
 import trio.testing
+from structlog.testing import CapturingLogger
 
 from vanillareach.clock import TrioClock
 from vanillareach.core.dispatching import Dispatcher
@@ -22,7 +23,7 @@
     ScriptedPlacement,
 )
 from vanillareach.features.users_platform.stage import HOST, configuration, route
-from vanillareach.gateway import attempts
+from vanillareach.gateway import attempts, forwarder
 from vanillareach.gateway.connections import ResponseAbortedError
 from vanillareach.gateway.forwarder import Forwarder
 from vanillareach.gateway.ports import StorePosition
@@ -40,6 +41,7 @@
 STALL_START_MS = 100.0
 # Time from a stop to the last moment at which requests are answered.
 STOP_MS = 1_000.0
+INCOMPLETE_EVENT = "Ended without a complete response."
 ROUTES = {
     "read": route("read", "idempotent", "desk", max_attempts=2),
     "book": route("book", "non_idempotent", "desk", max_attempts=1),
@@ -65,6 +67,12 @@
         When the caller leaves, and when the instance is told to stop.
     stall_ms : float
         Time for which nothing runs, soon after the request.
+    leaves_at_end : bool
+        Whether the caller closes its connection once it has the response.
+    has_route : bool
+        Whether the request's path has a route.
+    has_state : bool
+        Whether the instance knows its endpoints.
     """
 
     route: str
@@ -74,6 +82,9 @@
     leave_ms: float | None = None
     stop_ms: float | None = None
     stall_ms: float = 0
+    leaves_at_end: bool = False
+    has_route: bool = True
+    has_state: bool = True
 
 
 class CaseRun:
@@ -85,7 +96,9 @@
         self.endpoints = ScriptedEndpoints(
             case.scripts, self.route["route_type"] == "streaming"
         )
-        self.responder = RecordingResponder(case.write_ms)
+        self.responder = RecordingResponder(case.write_ms, self._record_delivery)
+        self._caller_scope = trio.CancelScope()
+        self.log = CapturingLogger()
         self.error = None
         self.deadline_ms = self.route["timeout_ms"]
         if case.stop_ms is not None:
@@ -96,7 +109,7 @@
         self._build()
         started_ms = self.clock.now_ms()
         self.deadline_ms += started_ms
-        path = f"/{self.case.route}/a"
+        path = f"/{self.case.route if self.case.has_route else 'none'}/a"
         request = SimpleNamespace(
             method=b"POST",
             target=path.encode(),
@@ -111,17 +124,21 @@
             nursery.start_soon(self._stop)
             nursery.start_soon(self._stall)
             leave_ms = self.case.leave_ms
-            with trio.CancelScope() as scope:
+            with self._caller_scope:
                 if leave_ms is not None:
-                    scope.deadline = trio.current_time() + leave_ms / 1000
+                    self._caller_scope.deadline = trio.current_time() + leave_ms / 1000
                 try:
                     await self.forwarder.handle(request, self.responder)
                 except ResponseAbortedError as error:
                     self.error = error
-            self.has_left = scope.cancelled_caught
+            self.has_left = self._caller_scope.cancelled_caught
             self.ended_ms = self.clock.now_ms()
             nursery.cancel_scope.cancel()
 
+    def _record_delivery(self):
+        if self.case.leaves_at_end:
+            self._caller_scope.cancel()
+
     def _build(self):
         self.clock = clock = TrioClock()
         self.state = state = GatewayState(GatewaySettings(name="g", domain="a"), clock)
@@ -134,7 +151,8 @@
             ListedEndpoint(f"d{n}", 1, "desk", f"10.0.0.{n}:80", "a", 8, False)
             for n in range(5)
         ]
-        state.apply_endpoints(listed, StorePosition(0, 1), 0.0, "test")
+        if self.case.has_state:
+            state.apply_endpoints(listed, StorePosition(0, 1), 0.0, "test")
         policy = POLICIES_BY_NAME[DEFAULT_POLICY]()
         dispatcher = Dispatcher(state, "a", SimpleNamespace(random=lambda: 0), policy)
         dispatcher.may_wait = lambda exchange, now_ms: True
@@ -192,8 +210,15 @@
             outcomes[outcome] += count
             assert outcome != "aborted" or reason != "BaseExceptionGroup"
         assert sum(outcomes.values()) == 1, self.metrics.requests
-        assert self.responder.is_complete == (not outcomes["aborted"]), outcomes
-        assert self.responder.is_complete or self.error or self.has_left
+        assert self.responder.is_delivered == (not outcomes["aborted"]), outcomes
+        assert self.responder.is_delivered or self.error or self.has_left
+        lines = self.incomplete_lines()
+        assert len(lines) == outcomes["aborted"], lines
+
+    def incomplete_lines(self):
+        """Return the fields of each log line about an incomplete response."""
+        calls = self.log.calls
+        return [call.kwargs for call in calls if call.args == (INCOMPLETE_EVENT,)]
 
     def _check_events(self):
         lines = self.responder.body.decode().split()
@@ -229,6 +254,7 @@
     with (
         patch.object(attempts, "open_upstream", run.endpoints.open),
         patch.object(attempts, "connect", run.endpoints.connect),
+        patch.object(forwarder, "log", run.log),
     ):
         trio.run(run.run, clock=trio.testing.MockClock(autojump_threshold=0))
     return run
--- a/vanillareach/features/attempts.feature
+++ b/vanillareach/features/attempts.feature
@@ -37,3 +37,23 @@
   Scenario: An endpoint's error response is returned if the next one never answers
     When an endpoint fails and the next one never answers
     Then the response of each run is 500
+
+  Scenario Outline: A request is counted once, by what its caller was given
+    When a request is served whose caller <act>
+    Then it is counted once, as "<count>"
+
+    Examples:
+      | act                                         | count              |
+      | closes once it has an answer                | done               |
+      | closes once it has a stream                 | done               |
+      | closes once it has an endpoint's error      | failed: failed     |
+      | closes once it has a refusal                | not_run: not_run   |
+      | closes once it has the refusal of a path    | not_run: no_route  |
+      | reads an answer past its deadline           | done               |
+      | reads an endpoint's error past its deadline | failed: failed     |
+      | reads a refusal past its deadline           | not_run: not_run   |
+      | leaves within an answer                     | aborted: Cancelled |
+      | leaves within an endpoint's error           | aborted: Cancelled |
+      | leaves within a refusal                     | aborted: Cancelled |
+      | leaves within the refusal of a path         | aborted: Cancelled |
+      | leaves an instance that starts              | aborted: Cancelled |
--- a/vanillareach/features/connections.feature
+++ b/vanillareach/features/connections.feature
@@ -60,6 +60,12 @@
       | a bad header    |
       | a bad body      |
 
+  Scenario: A request that a fault of the gateway answers isn't counted as cut
+    Given the choice of an endpoint will raise an error
+    When a caller sends "/read/a"
+    Then the response is 500
+    And the request is counted once, as "unknown" for "internal_error"
+
   Scenario: A request by HEAD that is refused gets its response
     When a caller sends "/none/a" by HEAD
     Then the response is 404
--- a/vanillareach/features/scripted_attempts.py
+++ b/vanillareach/features/scripted_attempts.py
@@ -10,6 +10,7 @@
 from vanillareach.endpoints.base import EndpointBrokenError, EndpointUnreachableError
 from vanillareach.features.users_platform.endpoint import SIGNATURE_HEADER
 from vanillareach.gateway.placing import PlacementDecision
+from vanillareach.gateway.request_outcome import RequestOutcome
 from vanillareach.platform import names
 
 EVENTS = 4
@@ -141,25 +142,40 @@
 class RecordingResponder:
     """Responder that allows one writer at a time and nothing after the end.
 
+    As with a `Responder`, a response is complete before its last bytes are sent, and
+    `flush` sends what a cancelled call has left. Nothing else may follow that call.
+
+    Parameters
+    ----------
+    write_ms : float
+        Time that each write takes.
+    on_delivered : callable
+        Called when the caller has been given a complete response.
+
     Attributes
     ----------
     status : int or None
     body : bytes
+    outcome : RequestOutcome
     completed_ms : float
-        When the response was complete; infinite until then.
+        When the caller had the complete response; infinite until then.
     """
 
-    def __init__(self, write_ms):
+    def __init__(self, write_ms, on_delivered):
         self._write_ms = write_ms
+        self._on_delivered = on_delivered
         self._is_writing = False
+        self._unsent = None
         self.status = None
         self.body = b""
         self.is_started = False
+        self.is_complete = False
+        self.outcome = RequestOutcome()
         self.completed_ms = math.inf
 
     @property
-    def is_complete(self):
-        """Whether the response was sent to its end."""
+    def is_delivered(self):
+        """Whether the caller has been given a complete response."""
         return self.completed_ms < math.inf
 
     async def start(self, status, headers, reason=b""):
@@ -175,21 +191,35 @@
 
     async def finish(self):
         """End the response."""
-        await self._write(b"")
-        self.completed_ms = trio.current_time() * 1000
+        assert self.is_started
+        await self._write(b"", is_last=True)
 
     async def answer(self, status, headers, body, reason=b""):
         """Send a whole response."""
-        await self.start(status, headers)
-        self.body += body
-        self.completed_ms = trio.current_time() * 1000
+        assert not self.is_started
+        self.is_started, self.status = True, status
+        await self._write(body, is_last=True)
 
-    async def _write(self, data):
-        assert not self._is_writing and not self.is_complete
+    async def flush(self):
+        """Send what a cancelled call has left."""
+        if self._unsent is None:
+            return
         self._is_writing = True
-        await trio.sleep(self._write_ms / 1000)
-        self._is_writing = False
-        self.body += data
+        try:
+            await trio.sleep(self._write_ms / 1000)
+        finally:
+            self._is_writing = False
+        self.body += self._unsent
+        self._unsent = None
+        if self.is_complete:
+            self.completed_ms = trio.current_time() * 1000
+            self._on_delivered()
+
+    async def _write(self, data, is_last=False):
+        assert not self._is_writing and not self.is_complete
+        assert self._unsent is None, "a write after one that was cancelled"
+        self._unsent, self.is_complete = data, is_last
+        await self.flush()
 
 
 class ScriptedPlacement:
--- a/vanillareach/features/steps/attempts.py
+++ b/vanillareach/features/steps/attempts.py
@@ -4,6 +4,7 @@
 import math
 from types import SimpleNamespace
 
+import msgspec
 import trio
 import trio.testing
 from behave import then, when
@@ -29,6 +30,51 @@
 
 REQUEST_TYPES = (GatewayExchange, Attempt)
 RECEIVE_BYTES = 65_536
+# Time of a write that a departure or deadline interrupts.
+SLOW_WRITE_MS = 1_000
+ANSWER, FAILURE, REFUSAL = (Script(),), (Script("fail"),) * 2, (Script("refuse"),) * 4
+LATE_MS = 4_900
+CASES_BY_ACT = {
+    "closes once it has an answer": Case("read", ANSWER, leaves_at_end=True),
+    "closes once it has a stream": Case("ask", ANSWER, leaves_at_end=True),
+    "closes once it has an endpoint's error": Case("read", FAILURE, leaves_at_end=True),
+    "closes once it has a refusal": Case("read", REFUSAL, leaves_at_end=True),
+    "closes once it has the refusal of a path": Case(
+        "read", (), has_route=False, leaves_at_end=True
+    ),
+    "reads an answer past its deadline": Case(
+        "book", (Script(head_ms=LATE_MS),), write_ms=SLOW_WRITE_MS
+    ),
+    "reads an endpoint's error past its deadline": Case(
+        "book", (Script("fail", head_ms=LATE_MS),), write_ms=SLOW_WRITE_MS
+    ),
+    "reads a refusal past its deadline": Case(
+        "book", (Script("refuse", head_ms=LATE_MS / 4),) * 4, write_ms=SLOW_WRITE_MS
+    ),
+    "leaves within an answer": Case(
+        "read", ANSWER, write_ms=SLOW_WRITE_MS, leave_ms=SLOW_WRITE_MS / 2
+    ),
+    "leaves within an endpoint's error": Case(
+        "read", FAILURE, write_ms=SLOW_WRITE_MS, leave_ms=SLOW_WRITE_MS / 2
+    ),
+    "leaves within a refusal": Case(
+        "read", REFUSAL, write_ms=SLOW_WRITE_MS, leave_ms=SLOW_WRITE_MS / 2
+    ),
+    "leaves within the refusal of a path": Case(
+        "read",
+        (),
+        has_route=False,
+        write_ms=SLOW_WRITE_MS,
+        leave_ms=SLOW_WRITE_MS / 2,
+    ),
+    "leaves an instance that starts": Case("read", (), leave_ms=10, has_state=False),
+}
+# Of routes whose caller's deadline is 5 s after the request.
+STOPS_MS_BY_TIME = {"before": 1_000, "after": 4_500}
+CASES_BY_KIND = {
+    "stream": Case("once", (Script(pauses_ms=(100,), end="hang"),)),
+    "call": Case("book", (Script(end="hang"),)),
+}
 # Equal times make several attempts change at the same moment.
 DELAYS_MS = st.sampled_from((0, 0, 10, 300, 700, 1_300, 1_900, 2_500))
 SCRIPTS = st.builds(
@@ -49,6 +95,7 @@
     st.sampled_from((0, 0, 5)),
     st.none() | st.none() | DELAYS_MS,
     st.none() | st.none() | DELAYS_MS,
+    leaves_at_end=st.booleans(),
 )
 
 
@@ -229,3 +276,26 @@
     for run in context.runs:
         run.check()
         assert run.responder.status == status
+
+
+@when("a request is served whose caller {act}")
+def step_play_act(context, act):
+    context.runs = [play(CASES_BY_ACT[act], seed) for seed in range(10)]
+
+
+@when("a {kind} still runs and its instance ends {time} its caller's deadline")
+def step_end_instance(context, kind, time):
+    stop_ms = STOPS_MS_BY_TIME[time]
+    case = msgspec.structs.replace(CASES_BY_KIND[kind], stop_ms=stop_ms)
+    context.runs = [play(case, seed) for seed in range(10)]
+
+
+@then('it is counted once, as "{count}"')
+def step_check_count(context, count):
+    outcome, _, reason = count.partition(": ")
+    for run in context.runs:
+        counts = dict(run.metrics.requests)
+        assert counts == {("forward", outcome, reason): 1}, counts
+        lines = run.incomplete_lines()
+        assert len(lines) == (outcome == "aborted"), lines
+        assert all(reason in (line["reason"], line["error"]) for line in lines), lines
--- a/vanillareach/features/steps/connections.py
+++ b/vanillareach/features/steps/connections.py
@@ -248,6 +248,11 @@
 @given('the gateway will meet "{fault}" in its own code')
 def step_break_handler(context, fault):
     context.platform.gateways[0].caller_listener.handle = HANDLERS_BY_FAULT[fault]
+    capture_logs(context)
+
+
+def capture_logs(context):
+    """Store the log lines of the rest of the scenario."""
     capture = structlog.testing.capture_logs()
     context.lines = capture.__enter__()
     context.add_cleanup(capture.__exit__, None, None, None)
@@ -268,6 +273,21 @@
     assert secret not in str(lines)
 
 
+@given("the choice of an endpoint will raise an error")
+def step_break_choice(context):
+    async def choose(exchange):
+        raise KeyError("figures")
+
+    context.platform.gateways[0].forwarder._placement_client.choose = choose
+    capture_logs(context)
+
+
+@then('the request is counted once, as "{outcome}" for "{reason}"')
+def step_check_request_count(context, outcome, reason):
+    counts = dict(context.platform.gateways[0].metrics.requests)
+    assert counts == {("forward", outcome, reason): 1}, counts
+
+
 @when('a caller sends "{path}" by HEAD')
 def step_send_head(context, path):
     async def call():
--- a/vanillareach/gateway/connections.py
+++ b/vanillareach/gateway/connections.py
@@ -4,6 +4,7 @@
 import trio
 
 from vanillareach.clock import MS_PER_SECOND
+from vanillareach.gateway.request_outcome import RequestOutcome
 from vanillareach.gateway.request_reader import (
     NO_LIMIT_BYTES,
     RECEIVE_BUFFER_BYTES,
@@ -46,6 +47,8 @@
         Whether a response has begun, so that no other one may be sent.
     is_complete : bool
         Whether the response is complete; `flush` sends what is left of it.
+    outcome : RequestOutcome
+        What the response tells, once it is complete; set by the handler.
     """
 
     __slots__ = (
@@ -56,6 +59,7 @@
         "_unsent",
         "is_complete",
         "is_started",
+        "outcome",
     )
 
     def __init__(self, connection, stream, is_last, is_head=False):
@@ -66,6 +70,12 @@
         self._unsent = memoryview(b"")
         self.is_started = False
         self.is_complete = False
+        self.outcome = RequestOutcome()
+
+    @property
+    def is_delivered(self):
+        """Whether the response is complete and all of it was sent."""
+        return self.is_complete and not self._unsent
 
     async def start(self, status, headers, reason=b""):
         """Send the status and headers, which include the framing."""
--- a/vanillareach/gateway/forwarder.py
+++ b/vanillareach/gateway/forwarder.py
@@ -17,6 +17,7 @@
 from vanillareach.gateway.idle_timeouts import IdleTimeoutMonitor
 from vanillareach.gateway.pacing import EnginePaceEstimator
 from vanillareach.gateway.relay import send_buffered
+from vanillareach.gateway.request_outcome import RequestOutcome
 from vanillareach.log import get_logger
 from vanillareach.utils import open_background_nursery
 
@@ -34,6 +35,8 @@
 CAPACITY_CHECK_INTERVAL_MS = 60.0
 # The same, for a request whose attempts are silent.
 ROOM_CHECK_INTERVAL_MS = 250.0
+# An error of the gateway itself, which its caller gets as a 500.
+FAULT = RequestOutcome("unknown", "internal_error")
 
 log = get_logger("request")
 
@@ -103,11 +106,21 @@
         """Handle one request."""
         self._stall_detector.check_suspension()
         fields = self._protocol.read_request(request.headers)
-        exchange = await self._admit(request, fields, responder)
-        if exchange is None:
-            return
+        exchange = None
+        try:
+            exchange = await self._admit(request, fields, responder)
+            if exchange is not None:
+                await self._serve_until_deadline(exchange, responder)
+            # A deadline that has passed may have left a part of it unsent.
+            await responder.flush()
+        except BaseException as error:
+            self._record_error(request, fields, exchange, responder, error)
+            raise
+        self._count_outcome(responder.outcome)
+
+    async def _serve_until_deadline(self, exchange, responder):
         self._state.retry_share(exchange.service.name).record_request(
-            request.received_ms
+            exchange.request.received_ms
         )
         exchange.cap_deadline(self._final_deadline_ms)
         exchange.scope = self._clock.scope_until(exchange.deadline_ms)
@@ -115,11 +128,8 @@
         try:
             with exchange.scope:
                 await self._serve(exchange, responder)
-            if exchange.scope.cancelled_caught:
+            if exchange.scope.cancelled_caught and not responder.is_complete:
                 await self._send_deadline_exceeded(exchange, responder)
-        except BaseException as error:
-            self._record_incomplete(exchange, responder, error)
-            raise
         finally:
             self._exchanges.discard(exchange)
             # Ends the reference cycle that would keep the request's body in memory
@@ -197,7 +207,7 @@
                 may_try = group.is_silent
                 continue
             if report.result is AttemptResult.ANSWERED:
-                return self._count_outcome("done", "")
+                return None
             if report.result is AttemptResult.NOT_SENT:
                 may_try = group.is_silent
                 continue
@@ -271,23 +281,21 @@
         """Send the error response that an endpoint gave."""
         failure_response = exchange.failure_response
         log.info("Failure passed on.", id=exchange.id, status=failure_response.status)
+        responder.outcome = RequestOutcome("failed", reason)
         await send_buffered(failure_response, failure_response.body, responder)
-        self._count_outcome("failed", reason)
 
     async def _send_deadline_exceeded(self, exchange, responder):
         """Send the error response of a request whose deadline has passed."""
-        if responder.is_complete:
-            self._count_outcome("done", "")
-            return
+        reason = "deadline"
         if responder.is_started:
-            raise ResponseAbortedError("deadline")
+            raise ResponseAbortedError(reason)
         if exchange.failure_response is not None:
-            await self._pass_on_failure(exchange, responder, "deadline")
+            await self._pass_on_failure(exchange, responder, reason)
         elif exchange.possible_runs:
-            await self._refuse(exchange.fields, responder, 504, "deadline")
+            await self._refuse(exchange.fields, responder, 504, reason)
         else:
             await self._refuse(
-                exchange.fields, responder, 503, "deadline", NOT_READY_RETRY_AFTER_MS
+                exchange.fields, responder, 503, reason, NOT_READY_RETRY_AFTER_MS
             )
 
     async def _refuse(self, fields, responder, status, reason, retry_after_ms=None):
@@ -304,37 +312,52 @@
             reason=reason,
             retry_after_ms=retry_after_ms and round(retry_after_ms),
         )
-        self._count_outcome(outcome, reason)
+        responder.outcome = RequestOutcome(outcome, reason)
         body = msgspec.json.encode(RefusalBody(outcome, reason))
         await responder.answer(status, headers, body)
 
-    def _record_incomplete(self, exchange, responder, error):
+    def _record_error(self, request, fields, exchange, responder, error):
+        """Count a request whose handling ends by `error`.
+
+        A caller that was given everything may leave before the handling has ended.
+        """
+        if responder.is_delivered:
+            self._count_outcome(responder.outcome)
+        elif isinstance(error, Exception) and not responder.is_started:
+            # The connection sends the error response of a fault of the gateway.
+            log.info("Refused.", id=fields.attempt_id, status=500, reason=FAULT.reason)
+            self._count_outcome(FAULT)
+        else:
+            self._record_incomplete(request, fields, exchange, responder, error)
+
+    def _record_incomplete(self, request, fields, exchange, responder, error):
         """Record that a request ends without a complete response.
 
         `error` says why: a `trio.Cancelled` if the caller disconnected, or if its
-        connection was closed by this instance.
+        connection was closed by this instance. `exchange` is None if the request wasn't
+        admitted.
         """
         state, now_ms = self._state, self._clock.now_ms()
         # Nested nurseries raise a cancellation as a group.
         name = type(error).__name__ if isinstance(error, Exception) else "Cancelled"
         reason = str(error) if isinstance(error, ResponseAbortedError) else ""
-        last_data_ms = exchange.last_event_ms or exchange.request.received_ms
+        last_data_ms = (exchange and exchange.last_event_ms) or request.received_ms
         log.info(
             "Ended without a complete response.",
-            id=exchange.id,
+            id=fields.attempt_id,
             error=name,
             reason=reason,
             has_begun=responder.is_started,
             silent_ms=round(now_ms - last_data_ms),
-            remaining_ms=round(exchange.deadline_ms - now_ms),
-            version=exchange.configuration.version,
-            version_in_force=state.configuration.version,
+            remaining_ms=exchange and round(exchange.deadline_ms - now_ms),
+            version=exchange and exchange.configuration.version,
+            version_in_force=state.configuration and state.configuration.version,
             is_stopping=state.is_stopping,
         )
-        self._count_outcome("aborted", reason or name)
+        self._count_outcome(RequestOutcome("aborted", reason or name))
 
-    def _count_outcome(self, outcome, reason):
-        self._metrics.requests[("forward", outcome, reason)] += 1
+    def _count_outcome(self, outcome):
+        self._metrics.requests[("forward", outcome.name, outcome.reason)] += 1
 
 
 def fingerprint_of(request, fields):
