Name the stop as the reason of a response that it ends

What operators saw: a response ended by the end of an instance's grace period was logged, counted and answered with the reason `deadline`, though its caller would still have waited. The stop could only be guessed from `is_stopping`, which is also true for a request whose own deadline passes during a stop.

Cause: `cap_deadline` replaces the deadline of the request, and the reason was fixed.

Change: the exchange keeps its own deadline beside the end of the instance, and the reason is `stopping` if the latter comes first: in the line `Ended without a complete response.`, in `vanillareach_requests`, and in the 503 or 504 of a request that hasn't begun.

Evidence: the new scenarios failed before with - a cut stream: {('forward', 'aborted', 'deadline'): 1} - a call that never answers: {('forward', 'unknown', 'deadline'): 1} Those whose own deadline comes first passed before and after.

--- a/vanillareach/features/attempts.feature
+++ b/vanillareach/features/attempts.feature
@@ -57,3 +57,14 @@
       | leaves within a refusal                     | aborted: Cancelled |
       | leaves within the refusal of a path         | aborted: Cancelled |
       | leaves an instance that starts              | aborted: Cancelled |
+
+  Scenario Outline: A response cut by a stop isn't put down to its caller's deadline
+    When a <kind> still runs and its instance ends <time> its caller's deadline
+    Then it is counted once, as "<count>"
+
+    Examples:
+      | kind   | time   | count             |
+      | stream | before | aborted: stopping |
+      | stream | after  | aborted: deadline |
+      | call   | before | unknown: stopping |
+      | call   | after  | unknown: deadline |
--- a/vanillareach/gateway/exchange.py
+++ b/vanillareach/gateway/exchange.py
@@ -93,6 +93,7 @@
 
     __slots__ = (
         "_latest_ms",
+        "_own_deadline_ms",
         "_time_limit_ms",
         "attempts",
         "configuration",
@@ -123,7 +124,8 @@
         self.configuration = configuration
         caller_timeout_ms = math.inf if fields.timeout_ms is None else fields.timeout_ms
         timeout_ms = min(route.timeout_ms, caller_timeout_ms - HANDSHAKE_MARGIN_MS)
-        self.deadline_ms = request.received_ms + timeout_ms - ANSWER_MARGIN_MS
+        self._own_deadline_ms = request.received_ms + timeout_ms - ANSWER_MARGIN_MS
+        self.deadline_ms = self._own_deadline_ms
         self._time_limit_ms = request.received_ms + min(
             route.timeout_ms, caller_timeout_ms
         )
@@ -159,19 +161,29 @@
     def cap_deadline(self, latest_ms):
         """Bring the deadline forward to `latest_ms`, if it is later."""
         self._latest_ms = min(self._latest_ms, latest_ms)
-        self._set_deadline(min(self.deadline_ms, self._latest_ms))
+        self._set_deadline()
 
     def drop_answer_margin(self):
         """Let the deadline be the whole time limit: a stream has begun.
 
         No other response can be sent any more, so no time is reserved for one.
         """
-        self._set_deadline(min(self._time_limit_ms, self._latest_ms))
+        self._own_deadline_ms = self._time_limit_ms
+        self._set_deadline()
 
-    def _set_deadline(self, deadline_ms):
-        self.deadline_ms = deadline_ms
+    def _set_deadline(self):
+        self.deadline_ms = min(self._own_deadline_ms, self._latest_ms)
         if self.scope is not None:
-            self.scope.deadline = deadline_ms / MS_PER_SECOND
+            self.scope.deadline = self.deadline_ms / MS_PER_SECOND
+
+    @property
+    def deadline_reason(self):
+        """Why the response ends at the deadline: "stopping" or "deadline".
+
+        It is "stopping" if this instance ends before the time limit of the caller or
+        the route is reached.
+        """
+        return "stopping" if self._latest_ms < self._own_deadline_ms else "deadline"
 
     def record_event(self, now_ms):
         """Record an event; return the pause before it, None for the first one."""
--- a/vanillareach/gateway/forwarder.py
+++ b/vanillareach/gateway/forwarder.py
@@ -286,7 +286,7 @@
 
     async def _send_deadline_exceeded(self, exchange, responder):
         """Send the error response of a request whose deadline has passed."""
-        reason = "deadline"
+        reason = exchange.deadline_reason
         if responder.is_started:
             raise ResponseAbortedError(reason)
         if exchange.failure_response is not None:
