Use the one background nursery for a request and its disconnect check

`CallerConnection._handle` repeated what `utils.open_background_nursery` does: cancel the background task at the end of the block, raise the block's own error as it is. No change of behaviour; connections, silence, gateway_news, limits, stopping and gateway features pass as before (98 scenarios).

--- a/vanillareach/gateway/connections.py
+++ b/vanillareach/gateway/connections.py
@@ -14,6 +14,7 @@
 )
 from vanillareach.gateway.sockets import set_reset_on_close
 from vanillareach.log import get_logger
+from vanillareach.utils import open_background_nursery
 
 # Bytes of pipelined requests that are read while a response is in progress.
 MAX_PIPELINED_BYTES = 65_536
@@ -200,18 +201,11 @@
 
     async def _handle(self, request):
         """Respond to a request, cancelled as soon as the caller disconnects."""
-        failure, is_answered = None, False
-        async with trio.open_nursery() as nursery:
+        is_answered = False
+        async with open_background_nursery() as nursery:
             nursery.start_soon(self._cancel_on_disconnect, nursery.cancel_scope)
-            try:
-                await self._respond(request)
-                is_answered = True
-            except Exception as error:
-                # Raised outside the nursery, which would wrap it in an exception group.
-                failure = error
-            nursery.cancel_scope.cancel()
-        if failure is not None:
-            raise failure
+            await self._respond(request)
+            is_answered = True
         if not is_answered:
             raise CallerDisconnectedError("closed before the response")
 
