Don't put a stream that no endpoint can continue down to the stop

What operators saw: on a stopping instance, a stream that its engine broke off and that no other engine could continue ended with the reason `stopping`, at once and seconds before the end of the instance.

Cause: while the instance stops, each request without a placement got that reason. Once a stream has begun, the stop restricts its further attempts in nothing (`Dispatcher` counts with an infinite time to the shutdown).

Change: a stream that has begun gets `no_room`, as on any other instance.

Tests: a stop of the generated sequences now also marks the instance as stopping.

--- a/vanillareach/features/attempt_cases.py
+++ b/vanillareach/features/attempt_cases.py
@@ -69,6 +69,8 @@
         Time for which nothing runs, soon after the request.
     leaves_at_end : bool
         Whether the caller closes its connection once it has the response.
+    may_wait : bool
+        Whether the request may wait for room.
     has_route : bool
         Whether the request's path has a route.
     has_state : bool
@@ -83,6 +85,7 @@
     stop_ms: float | None = None
     stall_ms: float = 0
     leaves_at_end: bool = False
+    may_wait: bool = True
     has_route: bool = True
     has_state: bool = True
 
@@ -155,7 +158,7 @@
             state.apply_endpoints(listed, StorePosition(0, 1), 0.0, "test")
         policy = POLICIES_BY_NAME[DEFAULT_POLICY]()
         dispatcher = Dispatcher(state, "a", SimpleNamespace(random=lambda: 0), policy)
-        dispatcher.may_wait = lambda exchange, now_ms: True
+        dispatcher.may_wait = lambda exchange, now_ms: self.case.may_wait
         self.metrics = Metrics()
         self.forwarder = Forwarder(
             state,
@@ -172,7 +175,9 @@
     async def _stop(self):
         if self.case.stop_ms is not None:
             await self.clock.sleep_ms(self.case.stop_ms)
-            self.forwarder.set_final_deadline(self.clock.now_ms() + STOP_MS)
+            deadline_ms = self.clock.now_ms() + STOP_MS
+            self.state.mark_stopping(deadline_ms)
+            self.forwarder.set_final_deadline(deadline_ms)
 
     async def _stall(self):
         await self.clock.sleep_ms(STALL_START_MS)
@@ -212,13 +217,12 @@
         assert sum(outcomes.values()) == 1, self.metrics.requests
         assert self.responder.is_delivered == (not outcomes["aborted"]), outcomes
         assert self.responder.is_delivered or self.error or self.has_left
-        lines = self.incomplete_lines()
+        lines = self.logged(INCOMPLETE_EVENT)
         assert len(lines) == outcomes["aborted"], lines
 
-    def incomplete_lines(self):
-        """Return the fields of each log line about an incomplete response."""
-        calls = self.log.calls
-        return [call.kwargs for call in calls if call.args == (INCOMPLETE_EVENT,)]
+    def logged(self, event):
+        """Return the fields of each log line of an event."""
+        return [call.kwargs for call in self.log.calls if call.args == (event,)]
 
     def _check_events(self):
         lines = self.responder.body.decode().split()
@@ -254,6 +258,7 @@
     with (
         patch.object(attempts, "open_upstream", run.endpoints.open),
         patch.object(attempts, "connect", run.endpoints.connect),
+        patch.object(attempts, "log", run.log),
         patch.object(forwarder, "log", run.log),
     ):
         trio.run(run.run, clock=trio.testing.MockClock(autojump_threshold=0))
--- a/vanillareach/features/attempts.feature
+++ b/vanillareach/features/attempts.feature
@@ -68,3 +68,7 @@
       | stream | after  | aborted: deadline |
       | call   | before | unknown: stopping |
       | call   | after  | unknown: deadline |
+
+  Scenario: A stream that no endpoint can continue isn't put down to a stop
+    When a stream breaks on a stopping instance and no endpoint has room
+    Then it is counted once, as "aborted: no_room"
--- a/vanillareach/features/steps/attempts.py
+++ b/vanillareach/features/steps/attempts.py
@@ -13,7 +13,12 @@
 
 from vanillareach.clock import TrioClock
 from vanillareach.core.endpoint_list import ListedEndpoint
-from vanillareach.features.attempt_cases import PLACEMENT_MS, Case, play
+from vanillareach.features.attempt_cases import (
+    INCOMPLETE_EVENT,
+    PLACEMENT_MS,
+    Case,
+    play,
+)
 from vanillareach.features.scripted_attempts import (
     EVENTS,
     Script,
@@ -290,12 +295,40 @@
     context.runs = [play(case, seed) for seed in range(10)]
 
 
+@when("a stream breaks on a stopping instance and no endpoint has room")
+def step_break_while_stopping(context):
+    broken = Script(pauses_ms=(100,), end="break")
+    placements = (0, True), (0, False)
+    case = Case("ask", (broken,), placements, stop_ms=0, may_wait=False)
+    context.runs = [play(case, seed) for seed in range(10)]
+
+
+@when(
+    "an attempt at a {kind} answers beside a silent one and the caller closes at once"
+)
+def step_answer_beside_silent_attempt(context, kind):
+    route = {"call": "read", "stream": "ask"}[kind]
+    scripts = Script(end="hang"), Script()
+    case = Case(route, scripts, leaves_at_end=True)
+    context.runs = [play(case, seed) for seed in range(10)]
+
+
+@then("one attempt is logged and counted as answered, the other as superseded")
+def step_check_attempt_results(context):
+    for run in context.runs:
+        run.check()
+        results = sorted(line["result"] for line in run.logged("Attempt ended."))
+        assert results == ["answered", "superseded"], results
+        counts = {result: count for (_, result), count in run.metrics.attempts.items()}
+        assert counts == {"silent": 1, "answered": 1, "superseded": 1}, counts
+
+
 @then('it is counted once, as "{count}"')
 def step_check_count(context, count):
     outcome, _, reason = count.partition(": ")
     for run in context.runs:
         counts = dict(run.metrics.requests)
         assert counts == {("forward", outcome, reason): 1}, counts
-        lines = run.incomplete_lines()
+        lines = run.logged(INCOMPLETE_EVENT)
         assert len(lines) == (outcome == "aborted"), lines
         assert all(reason in (line["reason"], line["error"]) for line in lines), lines
--- a/vanillareach/gateway/forwarder.py
+++ b/vanillareach/gateway/forwarder.py
@@ -196,9 +196,7 @@
                 elif group.is_running:
                     wait_ms = ROOM_CHECK_INTERVAL_MS
                 else:
-                    reason = decision.reason or (
-                        "stopping" if self._state.is_stopping else "no_room"
-                    )
+                    reason = decision.reason or self._refusal_reason(responder)
                     return await self._send_final_failure(
                         exchange, responder, reason, decision.retry_after_ms
                     )
@@ -218,6 +216,12 @@
                     exchange, responder, report.result.name.lower()
                 )
 
+    def _refusal_reason(self, responder):
+        """Return why a request has no endpoint though some may be asked."""
+        # A stop prevents no further attempt once a stream has begun.
+        is_due_to_stop = self._state.is_stopping and not responder.is_started
+        return "stopping" if is_due_to_stop else "no_room"
+
     async def _choose_placement(self, exchange, group):
         """Return the next `PlacementDecision`; wait briefly for room.
 
