Log attempts as ended by what they did, though their caller leaves

Cause: the attempt that has lost to another one, or the one that has answered, may still be ending when the caller leaves. It was then taken for one that the departure has ended.

Change: an attempt that is cancelled with its request is recorded as superseded if another has taken over, as answered if it has delivered the whole response, else as abandoned.

Tests: the scripted connections to endpoints now take a turn of the event loop to end.

--- a/vanillareach/features/attempts.feature
+++ b/vanillareach/features/attempts.feature
@@ -72,3 +72,12 @@
   Scenario: A stream that no endpoint can continue isn't put down to a stop
     When a stream breaks on a stopping instance and no endpoint has room
     Then it is counted once, as "aborted: no_room"
+
+  Scenario Outline: An attempt isn't abandoned by a caller that has the response
+    When an attempt at a <kind> answers beside a silent one and the caller closes at once
+    Then one attempt is logged and counted as answered, the other as superseded
+
+    Examples:
+      | kind   |
+      | call   |
+      | stream |
--- a/vanillareach/features/scripted_attempts.py
+++ b/vanillareach/features/scripted_attempts.py
@@ -118,19 +118,23 @@
         script = next(self._scripts, Script("unreachable"))
         number = len(self.started)
         self.started.append((script, trio.current_time() * 1000))
-        await trio.sleep(script.connect_ms / 1000)
-        if script.kind == "unreachable":
-            raise EndpointUnreachableError("refused")
-        on_connected()
-        await trio.lowlevel.checkpoint()
-        self.sent.append(script)
-        await trio.sleep(script.head_ms / 1000)
-        values_by_name = {n.lower(): v for n, v in request.headers}
-        last_event = int(values_by_name.get(b"last-event-id", b"0"))
-        expected = values_by_name.get(names.EXPECTED_WEIGHT_VERSION)
-        if expected not in (None, str(script.version).encode()):
-            script = msgspec.structs.replace(script, kind="refuse")
-        yield ScriptedResponse(number, script, last_event + 1, self._is_stream)
+        try:
+            await trio.sleep(script.connect_ms / 1000)
+            if script.kind == "unreachable":
+                raise EndpointUnreachableError("refused")
+            on_connected()
+            await trio.lowlevel.checkpoint()
+            self.sent.append(script)
+            await trio.sleep(script.head_ms / 1000)
+            values_by_name = {n.lower(): v for n, v in request.headers}
+            last_event = int(values_by_name.get(b"last-event-id", b"0"))
+            expected = values_by_name.get(names.EXPECTED_WEIGHT_VERSION)
+            if expected not in (None, str(script.version).encode()):
+                script = msgspec.structs.replace(script, kind="refuse")
+            yield ScriptedResponse(number, script, last_event + 1, self._is_stream)
+        finally:
+            # As at the end of the task that sends a large body.
+            await trio.lowlevel.checkpoint()
 
     @staticmethod
     async def connect(address, timeout_ms):
--- a/vanillareach/gateway/attempt_group.py
+++ b/vanillareach/gateway/attempt_group.py
@@ -108,6 +108,17 @@
         self.is_silent = True
         self._group.report_silence(self)
 
+    def set_interrupted_result(self, is_delivered):
+        """Set the result of an attempt that is cancelled together with its request.
+
+        A caller that has the response may leave before the attempts have ended. The
+        result stays None if that isn't so.
+        """
+        if self.is_superseded:
+            self.result = AttemptResult.SUPERSEDED
+        elif is_delivered and self.has_written:
+            self.result = AttemptResult.ANSWERED
+
     def leave_group(self):
         """End the reference to the group, whose reference to the attempt remains."""
         self._group = None
--- a/vanillareach/gateway/attempts.py
+++ b/vanillareach/gateway/attempts.py
@@ -124,16 +124,22 @@
             self._idle_timeouts.unwatch(attempt.idle_timeout)
             attempt.idle_timeout = None
             if attempt.result is None and not attempt.scope.cancelled_caught:
-                self._log_end(
-                    attempt, "abandoned", "caller disconnected or deadline passed"
-                )
+                attempt.set_interrupted_result(responder.is_delivered)
+                if attempt.result is not None:
+                    self._record_result(attempt, "")
+                else:
+                    self._log_end(
+                        attempt, "abandoned", "caller disconnected or deadline passed"
+                    )
         if attempt.result is None:
             attempt.result = (
                 AttemptResult.SUPERSEDED
                 if attempt.is_superseded
                 else AttemptResult.UNREACHABLE
             )
-        await self._record_result(attempt, detail)
+        self._record_result(attempt, detail)
+        if attempt.result is AttemptResult.BROKEN:
+            await self._check_endpoint_loss(attempt)
 
     def _begin(self, attempt):
         """Count the attempt as in flight and watch its idle timeout."""
@@ -292,7 +298,7 @@
         idle_timeout_ms = self._dispatcher.event_gap_timeout_ms(exchange)
         attempt.idle_timeout.extend(now_ms + idle_timeout_ms)
 
-    async def _record_result(self, attempt, detail):
+    def _record_result(self, attempt, detail):
         exchange, placement, result = (
             attempt.exchange,
             attempt.placement,
@@ -311,8 +317,6 @@
         ):
             state.record_fault(placement.endpoint, EndpointFault.FAILED, now_ms)
         self._log_end(attempt, result_name, detail)
-        if result is AttemptResult.BROKEN:
-            await self._check_endpoint_loss(attempt)
 
     def _record_unreachable(self, endpoint, cause):
         state = self._state
