Let placement in a stopping gateway end with its responses

Cause: a stopping gateway refuses streams that would outlast it, but counted on the time to its exit. Its responses end 100 ms before, when the last error responses are sent. A stream that fitted into the former only was accepted, and cut without an answer.

Change: the instance is marked as stopping with the end of its responses.

Found by reading the code after a stream was cut by the end of a stop; it isn't the cause of that cut, which silence of two engines has delayed by more.

--- a/vanillareach/features/steps/stopping.py
+++ b/vanillareach/features/steps/stopping.py
@@ -78,6 +78,41 @@
     context.run(call)
 
 
+@when(
+    'the gateway stops and a caller sends "{path}" with a deadline of '
+    "{deadline_ms:d} ms"
+)
+def step_send_while_stopping(context, path, deadline_ms):
+    gateway, context.generations = context.platform.gateways[0], []
+    dispatcher = gateway.forwarder._dispatcher
+    place = dispatcher.place
+
+    def record_and_place(service, generation, *arguments):
+        context.generations.append(generation)
+        return place(service, generation, *arguments)
+
+    async def call():
+        dispatcher.place = record_and_place
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(gateway.stop)
+            await context.platform.until(lambda: gateway.state.is_stopping)
+            context.response = await context.platform.call(
+                path,
+                Vanillareach_Token_Usage="1000,100",
+                Vanillareach_Deadline_Ms=str(deadline_ms),
+            )
+            nursery.cancel_scope.cancel()
+
+    context.run(call)
+
+
+@then("its placement counted on the time to the end of its responses")
+def step_check_time_to_shutdown(context):
+    (generation,) = context.generations
+    excess_ms = generation.time_to_shutdown_ms - generation.time_to_deadline_ms
+    assert abs(excess_ms) < 1, excess_ms
+
+
 @then("the process exits with code 0")
 def step_check_exit_code(context):
     assert context.process.wait(PROCESS_TIMEOUT_S) == 0, context.process.returncode
--- a/vanillareach/features/stopping.feature
+++ b/vanillareach/features/stopping.feature
@@ -11,6 +11,14 @@
     And its events are 1 to 6, each once
     And the process exits with code 0
 
+  @platform
+  Scenario: A stopping gateway counts on no time after the end of its responses
+    Given a gateway in front of engines "m1,m2" and services "d1,d2"
+    And all endpoints will "stream"
+    When the gateway stops and a caller sends "/ask/a" with a deadline of 60000 ms
+    Then the response is 200, complete and signed
+    And its placement counted on the time to the end of its responses
+
   Scenario: Only a person's second interrupt ends a stopping instance at once
     When a stopping instance gets "SIGTERM,SIGTERM"
     Then it goes on
--- a/vanillareach/gateway/app.py
+++ b/vanillareach/gateway/app.py
@@ -33,8 +33,8 @@
 BALANCER_REMOVAL_S = 3.2
 # Part of the grace period that is reserved for the exit of the process.
 EXIT_MARGIN_S = 0.3
-# Time before the stop deadline that is reserved for sending error responses to the
-# requests still in progress.
+# Time before the exit that is reserved for sending error responses to the requests that
+# are still in progress.
 FINAL_RESPONSE_MARGIN_MS = 100.0
 LOG_FLUSH_INTERVAL_S = 0.1
 # A readiness check waits at most this long for the first responses of the store; the
@@ -213,10 +213,10 @@
         """Wait until the load balancer sends no more callers, then finish requests."""
         log.info("Stopping.", flights=self.state.load_state.own_flight_count)
         remaining_s = self.settings.grace_s - EXIT_MARGIN_S
-        self.state.mark_stopping(self.clock.now_ms() + remaining_s * MS_PER_SECOND)
-        self.forwarder.set_final_deadline(
-            self.state.stop_deadline_ms - FINAL_RESPONSE_MARGIN_MS
-        )
+        remaining_ms = remaining_s * MS_PER_SECOND - FINAL_RESPONSE_MARGIN_MS
+        final_deadline_ms = self.clock.now_ms() + remaining_ms
+        self.state.mark_stopping(final_deadline_ms)
+        self.forwarder.set_final_deadline(final_deadline_ms)
         with trio.move_on_after(remaining_s):
             await trio.sleep(BALANCER_REMOVAL_S)
             self.caller_listener.close_idle()
--- a/vanillareach/gateway/state.py
+++ b/vanillareach/gateway/state.py
@@ -76,7 +76,8 @@
         Number of instances that place requests independently of each other.
     is_stopping : bool
     stop_deadline_ms : float
-        Monotonic time by which this instance exits; infinite unless it is stopping.
+        Monotonic time by which all responses of this instance end; infinite unless it
+        is stopping.
     """
 
     def __init__(self, settings, clock):
@@ -220,7 +221,7 @@
             self.health.record_outcome(endpoint.key, True, now_ms)
 
     def mark_stopping(self, stop_deadline_ms):
-        """Accept no new callers and notify peers; exit by `stop_deadline_ms`."""
+        """Accept no new callers and notify peers; see `stop_deadline_ms`."""
         self.is_stopping = True
         self.stop_deadline_ms = stop_deadline_ms
         self.publish()
