--- a/vanillareach/features/attempts.feature
+++ b/vanillareach/features/attempts.feature
@@ -37,3 +37,47 @@
   Scenario: An endpoint's error response is returned if the next one never answers
     When an endpoint fails and the next one never answers
     Then the response of each run is 500
+
+  Scenario Outline: A request is counted once, by what its caller was given
+    When a request is served whose caller <act>
+    Then it is counted once, as "<count>"
+
+    Examples:
+      | act                                         | count              |
+      | closes once it has an answer                | done               |
+      | closes once it has a stream                 | done               |
+      | closes once it has an endpoint's error      | failed: failed     |
+      | closes once it has a refusal                | not_run: not_run   |
+      | closes once it has the refusal of a path    | not_run: no_route  |
+      | reads an answer past its deadline           | done               |
+      | reads an endpoint's error past its deadline | failed: failed     |
+      | reads a refusal past its deadline           | not_run: not_run   |
+      | leaves within an answer                     | aborted: Cancelled |
+      | leaves within an endpoint's error           | aborted: Cancelled |
+      | leaves within a refusal                     | aborted: Cancelled |
+      | leaves within the refusal of a path         | aborted: Cancelled |
+      | leaves an instance that starts              | aborted: Cancelled |
+
+  Scenario Outline: A response cut by a stop isn't put down to its caller's deadline
+    When a <kind> still runs and its instance ends <time> its caller's deadline
+    Then it is counted once, as "<count>"
+
+    Examples:
+      | kind   | time   | count             |
+      | stream | before | aborted: stopping |
+      | stream | after  | aborted: deadline |
+      | call   | before | unknown: stopping |
+      | call   | after  | unknown: deadline |
+
+  Scenario: A stream that no endpoint can continue isn't put down to a stop
+    When a stream breaks on a stopping instance and no endpoint has room
+    Then it is counted once, as "aborted: no_room"
+
+  Scenario Outline: An attempt isn't abandoned by a caller that has the response
+    When an attempt at a <kind> answers beside a silent one and the caller closes at once
+    Then one attempt is logged and counted as answered, the other as superseded
+
+    Examples:
+      | kind   |
+      | call   |
+      | stream |
--- a/vanillareach/gateway/connections.py
+++ b/vanillareach/gateway/connections.py
@@ -4,6 +4,7 @@
 import trio
 
 from vanillareach.clock import MS_PER_SECOND
+from vanillareach.gateway.request_outcome import RequestOutcome
 from vanillareach.gateway.request_reader import (
     NO_LIMIT_BYTES,
     RECEIVE_BUFFER_BYTES,
@@ -13,6 +14,7 @@
 )
 from vanillareach.gateway.sockets import set_reset_on_close
 from vanillareach.log import get_logger
+from vanillareach.utils import open_background_nursery
 
 # Bytes of pipelined requests that are read while a response is in progress.
 MAX_PIPELINED_BYTES = 65_536
@@ -46,6 +48,8 @@
         Whether a response has begun, so that no other one may be sent.
     is_complete : bool
         Whether the response is complete; `flush` sends what is left of it.
+    outcome : RequestOutcome
+        What the response tells, once it is complete; set by the handler.
     """
 
     __slots__ = (
@@ -56,6 +60,7 @@
         "_unsent",
         "is_complete",
         "is_started",
+        "outcome",
     )
 
     def __init__(self, connection, stream, is_last, is_head=False):
@@ -66,6 +71,12 @@
         self._unsent = memoryview(b"")
         self.is_started = False
         self.is_complete = False
+        self.outcome = RequestOutcome()
+
+    @property
+    def is_delivered(self):
+        """Whether the response is complete and all of it was sent."""
+        return self.is_complete and not self._unsent
 
     async def start(self, status, headers, reason=b""):
         """Send the status and headers, which include the framing."""
@@ -190,18 +201,11 @@
 
     async def _handle(self, request):
         """Respond to a request, cancelled as soon as the caller disconnects."""
-        failure, is_answered = None, False
-        async with trio.open_nursery() as nursery:
+        is_answered = False
+        async with open_background_nursery() as nursery:
             nursery.start_soon(self._cancel_on_disconnect, nursery.cancel_scope)
-            try:
-                await self._respond(request)
-                is_answered = True
-            except Exception as error:
-                # Raised outside the nursery, which would wrap it in an exception group.
-                failure = error
-            nursery.cancel_scope.cancel()
-        if failure is not None:
-            raise failure
+            await self._respond(request)
+            is_answered = True
         if not is_answered:
             raise CallerDisconnectedError("closed before the response")
 
