Split streams into events at a cost that is linear in their bytes

A stream without a blank line took processor time that grew with the square of its bytes: each read joined all that had come before it, and a copy of the rest was made. The splitter now appends to one buffer and searches only what is new. The delimiter begins with its newline, so that the search skips to it at once.

--- a/vanillareach/core/event_stream.py
+++ b/vanillareach/core/event_stream.py
@@ -3,14 +3,17 @@
 import re
 
 ID_LINE = re.compile(rb"^id:[ ]?(\d+)\s*$", re.MULTILINE)
-# Length of the longest delimiter that `EVENT_END` matches.
-EVENT_END_BYTES = 4
-EVENT_END = re.compile(rb"\r?\n\r?\n")
+# Length of the longest delimiter that `EVENT_END` matches. A carriage return before the
+# first newline makes no difference to where the event ends.
+EVENT_END_BYTES = 3
+EVENT_END = re.compile(rb"\n\r?\n")
 
 
 class EventSplitter:
     """Splits a stream into complete events and checks that their ids have no gap.
 
+    The time that it takes grows linearly with the bytes fed.
+
     Parameters
     ----------
     last_id : int or None
@@ -23,10 +26,11 @@
         Id of the last event that was returned.
     """
 
-    __slots__ = ("_partial_event", "last_id")
+    __slots__ = ("_error", "_partial_event", "last_id")
 
     def __init__(self, last_id=None):
-        self._partial_event = b""
+        self._partial_event = bytearray()
+        self._error = None
         self.last_id = last_id
 
     def feed(self, data):
@@ -39,32 +43,47 @@
         EventGapError
             If the next event's id is greater than `last_id` + 1.
         """
-        search_start = max(0, len(self._partial_event) - EVENT_END_BYTES)
-        buffered = self._partial_event + data
-        complete, start = [], 0
-        for match in EVENT_END.finditer(buffered, search_start):
-            event = buffered[start : match.end()]
-            event_id = _id_of(event)
-            if self._is_gap(event_id):
-                if not complete:
-                    raise EventGapError(f"event {event_id} follows {self.last_id}")
-                break
-            start = match.end()
-            if event_id is None or self.last_id is None or event_id > self.last_id:
-                complete.append(event)
-                self.last_id = self.last_id if event_id is None else event_id
-        self._partial_event = buffered[start:]
+        complete = []
+        if self._error is None:
+            try:
+                self._split(data, complete)
+            except EventGapError as error:
+                self._error = error
+        if self._error is not None and not complete:
+            raise self._error
         return b"".join(complete)
 
+    def _split(self, data, complete):
+        """Add the events that `data` completes to `complete`."""
+        buffer = self._partial_event
+        # All but the end of what has come before was searched then.
+        position = max(0, len(buffer) - EVENT_END_BYTES + 1)
+        buffer += data
+        start = 0
+        while match := EVENT_END.search(buffer, position):
+            position = match.end()
+            event = bytes(buffer[start:position])
+            start = position
+            if self._is_new(event):
+                complete.append(event)
+        del buffer[:start]
+
+    def _is_new(self, event):
+        """Record the id of an event and return whether it is to be returned."""
+        event_id = _id_of(event)
+        if event_id is None:
+            return True
+        if self.last_id is not None and event_id > self.last_id + 1:
+            raise EventGapError(f"event {event_id} follows {self.last_id}")
+        if self.last_id is not None and event_id <= self.last_id:
+            return False
+        self.last_id = event_id
+        return True
+
     @property
     def is_at_event_boundary(self):
         """Whether no event is incomplete."""
-        return not self._partial_event.strip()
-
-    def _is_gap(self, event_id):
-        if event_id is None or self.last_id is None:
-            return False
-        return event_id > self.last_id + 1
+        return self._error is None and not self._partial_event.strip()
 
 
 def _id_of(event):
--- a/vanillareach/features/gateway_core.feature
+++ b/vanillareach/features/gateway_core.feature
@@ -46,6 +46,10 @@
       | 7    |
       | 1000 |
 
+  Scenario: An incomplete event isn't copied again for each fragment that arrives
+    When an event of 1000000 bytes arrives in fragments of 1000 bytes
+    Then at most 100 of them have made the splitter copy 100000 bytes
+
   Scenario: A stream that an endpoint starts again forwards no event twice
     Given an event splitter whose last event is 4
     When events 2 to 7 arrive
--- a/vanillareach/features/steps/gateway_core.py
+++ b/vanillareach/features/steps/gateway_core.py
@@ -1,5 +1,6 @@
 """Steps about decisions of the gateway, without sockets or a running clock."""
 
+import tracemalloc
 from types import SimpleNamespace
 
 import trio
@@ -144,6 +145,26 @@
     assert context.splitter.is_at_event_boundary
 
 
+@when("an event of {size:d} bytes arrives in fragments of {fragment:d} bytes")
+def step_feed_large_event(context, size, fragment):
+    splitter, data = EventSplitter(), b"x" * fragment
+    context.allocated_bytes = []
+    tracemalloc.start()
+    for _ in range(size // fragment):
+        before_bytes, _ = tracemalloc.get_traced_memory()
+        tracemalloc.reset_peak()
+        splitter.feed(data)
+        _, peak_bytes = tracemalloc.get_traced_memory()
+        context.allocated_bytes.append(peak_bytes - before_bytes)
+    tracemalloc.stop()
+
+
+@then("at most {count:d} of them have made the splitter copy {size:d} bytes")
+def step_check_copies(context, count, size):
+    copies = sum(allocated >= size for allocated in context.allocated_bytes)
+    assert copies <= count, copies
+
+
 @given("an event splitter whose last event is {number:d}")
 def step_create_splitter(context, number):
     context.splitter = EventSplitter(number)
