Break off a stream whose event is too long or has no field

A request whose endpoint sent a stream without a blank line got 504 at its deadline, and the bytes were collected without limit. Endless blank lines, comments or other bytes were passed on to the caller as events, so the stream was cut at the deadline. An id of 5000 digits ended the request as a fault of the gateway (500).

An event is now at most 4 MiB, as an answer in one piece is, and an id at most 19 digits. Lines up to a blank one are an event only with a field of an event (data, event, id, retry); others, such as comments, are kept and passed on with the next event, at most 64 KiB of them. A stream beyond a limit is a broken attempt: its connection is closed, it counts against the endpoint's health, and the request goes on elsewhere.

--- a/bench/splitting.py
+++ b/bench/splitting.py
@@ -18,7 +18,7 @@
     """Return the least time of several runs, per byte."""
     times_ns = []
     for _ in range(REPEATS):
-        splitter, data = EventSplitter(), b"x" * chunk
+        splitter, data = EventSplitter(max_event_bytes=size), b"x" * chunk
         start_ns = time.process_time_ns()
         for _ in range(size // chunk):
             splitter.feed(data)
--- /dev/null
+++ b/vanillareach/features/steps/upstream.py
@@ -0,0 +1,93 @@
+"""Steps about endpoints whose responses are malformed, endless or cut."""
+
+import re
+from collections import Counter
+
+from behave import given, then, when
+
+from vanillareach.features.steps.gateway import SharedScript
+from vanillareach.features.support import endpoints, received
+from vanillareach.features.users_platform.endpoint_faults import encode_events
+
+ANSWER = b"an answer of a length that nobody told"
+STREAM = encode_events(1, 3)
+
+
+@then('the attempts at "{service}" ended "{results}"')
+def step_check_attempt_results(context, service, results):
+    attempts = context.platform.gateways[0].metrics.attempts
+    expected = Counter(results.split(","))
+
+    def counts():
+        return {result: n for (name, result), n in attempts.items() if name == service}
+
+    async def wait_for_results():
+        # The last result is recorded after the response was sent.
+        await context.platform.until(lambda: sum(counts().values()) >= expected.total())
+
+    context.run(wait_for_results)
+    assert counts() == expected, counts()
+
+
+def set_raw_body(context, body, end):
+    """Set what the steps that end with the connection send."""
+    for endpoint in endpoints(context):
+        endpoint.raw_body, endpoint.is_reset = body, end == "reset"
+
+
+@given('an answer without length or chunks will end by "{end}" after "{step}"')
+def step_script_answer(context, end, step):
+    set_raw_body(context, ANSWER, end)
+    context.script = SharedScript([step])
+    for endpoint in endpoints(context):
+        endpoint.script = context.script
+
+
+@then("its body is the one that the endpoint sent")
+def step_check_body(context):
+    assert context.response.body == ANSWER, context.response.body
+
+
+@when(
+    'a stream without length or chunks is cut at each offset by "{end}" after "{step}"'
+)
+def step_cut_at_each_offset(context, end, step):
+    """Send one request for each offset; the second endpoint sends the rest."""
+    context.runs = []
+
+    async def call(offset):
+        set_raw_body(context, STREAM[:offset], end)
+        script = SharedScript([step, "resume_with_connection"])
+        for endpoint in endpoints(context):
+            endpoint.received.clear()
+            endpoint.script = script
+        # Each request at its own time: the retry budget is shared by all.
+        share = context.platform.gateways[0].state.retry_share("model")
+        share._retries_ms.clear()
+        response = await context.platform.call(
+            "/ask/a", Vanillareach_Token_Usage="1000,100"
+        )
+        requests = sorted(received(context), key=lambda request: request.arrived_s)
+        context.runs.append((offset, response, requests))
+
+    context.is_reset = end == "reset"
+    for offset in range(len(STREAM) + 1):
+        context.run(call, offset)
+
+
+@then("each stream is whole, and resumed wherever the cut was inside an event")
+def step_check_cut_streams(context):
+    for offset, response, requests in context.runs:
+        sent = STREAM[:offset]
+        whole_count = sent.count(b"\n\n")
+        is_between_events = sent.endswith(b"\n\n")
+        assert response.status == 200 and response.is_complete, (offset, response.body)
+        numbers = [int(n) for n in re.findall(rb"id: (\d+)\n", response.body)]
+        if is_between_events and not context.is_reset:
+            assert len(requests) == 1, (offset, len(requests))
+            assert response.body == sent, (offset, response.body)
+            continue
+        assert numbers == list(range(1, 7)), (offset, response.body)
+        assert len(requests) == 2, (offset, len(requests))
+        last_event = requests[1].values_by_name.get(b"last-event-id", "0")
+        assert int(last_event) == whole_count, (offset, last_event)
--- a/vanillareach/features/users_platform/endpoint.py
+++ b/vanillareach/features/users_platform/endpoint.py
@@ -5,7 +5,7 @@
 import msgspec
 import trio
 
-from vanillareach.features.users_platform.endpoint_signals import SignallingEndpoint
+from vanillareach.features.users_platform.endpoint_faults import FaultyEndpoint
 from vanillareach.gateway.connections import ResponseAbortedError
 from vanillareach.platform import names
 
@@ -51,7 +51,7 @@
         self.ended_s = math.inf
 
 
-class StandinEndpoint(SignallingEndpoint):
+class StandinEndpoint(FaultyEndpoint):
     """Stand-in of one engine or service.
 
     Attributes
--- a/vanillareach/gateway/relay.py
+++ b/vanillareach/gateway/relay.py
@@ -3,7 +3,7 @@
 from abc import ABC, abstractmethod
 
 from vanillareach.connection_headers import CONNECTION_HEADERS
-from vanillareach.core.event_stream import EventGapError, EventSplitter
+from vanillareach.core.event_stream import EventSplitter, EventStreamError
 from vanillareach.endpoints.base import EndpointBrokenError
 
 
@@ -57,8 +57,8 @@
     Raises
     ------
     EndpointBrokenError
-        If the stream is aborted, lacks an event or ends within one; the complete events
-        before that have been forwarded.
+        If the stream is aborted, lacks an event, ends within one or exceeds a limit;
+        the complete events before that have been forwarded.
     """
     events = EventSplitter(exchange.last_event_id)
     while True:
@@ -68,7 +68,7 @@
         observer.on_data()
         try:
             complete_events = events.feed(data)
-        except EventGapError as error:
+        except EventStreamError as error:
             raise EndpointBrokenError(str(error)) from error
         if complete_events:
             observer.on_events()
