Let only progress, not bytes, keep an attempt from being silent

Any byte of a stream restarted the idle timeout, so an endpoint that sent an event byte by byte, or only comments, held the request until its deadline: 504, or a stream that was cut. An answer of known length that arrived slowly was taken for silence on the other hand, though it was sound.

Progress is now complete events, or bytes of an answer in one piece whose length is known if at their pace it is complete by the deadline. The timeout is suspended while events are delivered, so a slow caller is still no silence; what has arrived meanwhile is read before it expires.

Evidence: upstream.feature, before the change: drip_event ASSERT FAILED: 504 drip_after_events 200 but incomplete drip_comments ASSERT FAILED: 504 slow_body ASSERT FAILED: {'silent': 2, 'answered': 1, 'superseded': 1} drip_body and drip_announced_body passed before too and guard against the opposite fault. After the change they pass, as do gateway_core, gateway, silence, connections and attempts, with the slow caller and the large events among them.

--- a/vanillareach/features/scripted_attempts.py
+++ b/vanillareach/features/scripted_attempts.py
@@ -56,6 +56,7 @@
     """Response of the endpoint of one attempt; stands for an `UpstreamResponse`."""
 
     reason = b""
+    content_length = None
 
     def __init__(self, number, script, first_event, is_stream):
         self.status = {"refuse": 503, "fail": 500}.get(script.kind, 200)
@@ -89,10 +90,6 @@
         """Return the next part of the body, or None at its end."""
         return await anext(self._parts, None)
 
-    async def read(self, max_bytes):
-        """Return the complete body."""
-        return b"".join([part async for part in self._parts])
-
 
 class ScriptedEndpoints:
     """Endpoints that follow a script for each attempt.
--- a/vanillareach/features/steps/gateway_core.py
+++ b/vanillareach/features/steps/gateway_core.py
@@ -358,13 +358,10 @@
     def __init__(self, attempt):
         self.on_events = self.on_end = attempt.take_over
 
-    def on_data(self):
-        """Do nothing."""
-
     def on_delivered(self):
         """Do nothing."""
 
-    on_events = on_end = on_data
+    on_events = on_end = on_delivered
 
 
 @given("an attempt that is superseded while event 1 arrives")
--- a/vanillareach/features/upstream.feature
+++ b/vanillareach/features/upstream.feature
@@ -19,3 +19,35 @@
       | endless_comments      |
       | long_event_id         |
       | endless_garbage       |
+
+  Scenario Outline: Bytes that complete no event don't hold a stream
+    Given the first endpoint called will "<fault>"
+    And later ones will "stream"
+    When a caller sends "/ask/a" with a prompt of 1000 tokens
+    Then the response is 200, complete and signed
+    And its events are 1 to 6, each once
+    And the attempts at "model" ended "silent,superseded,answered"
+
+    Examples:
+      | fault             |
+      | drip_event        |
+      | drip_after_events |
+      | drip_comments     |
+
+  Scenario Outline: Bytes without a chance to complete an answer don't hold a call
+    Given the first endpoint called will "<fault>"
+    And later ones will "answer"
+    When a caller sends "/read/a"
+    Then the response is 200, complete and signed
+    And the attempts at "desk" ended "silent,superseded,answered"
+
+    Examples:
+      | fault               |
+      | drip_body           |
+      | drip_announced_body |
+
+  Scenario: An answer of known length that arrives slowly isn't taken for silence
+    Given all endpoints will "slow_body"
+    When a caller sends "/read/a"
+    Then the response is 200, complete and signed
+    And the attempts at "desk" ended "answered"
--- a/vanillareach/gateway/attempts.py
+++ b/vanillareach/gateway/attempts.py
@@ -14,7 +14,12 @@
     FailureResponse,
 )
 from vanillareach.gateway.ports import EndpointRequestFields
-from vanillareach.gateway.relay import RelayObserver, relay_events, send_buffered
+from vanillareach.gateway.relay import (
+    RelayObserver,
+    read_answer,
+    relay_events,
+    send_buffered,
+)
 from vanillareach.gateway.sockets import connect
 from vanillareach.gateway.upstream import UpstreamRequest, open_upstream
 from vanillareach.log import get_logger
@@ -47,12 +52,12 @@
         self._runner = runner
         self._attempt = attempt
 
-    def on_data(self):
-        """Suspend the idle timeout; see `RelayObserver`."""
-        self._attempt.idle_timeout.pause()
-
     def on_events(self):
-        """Take over the response and record the events; see `RelayObserver`."""
+        """Take over the response and record the events; see `RelayObserver`.
+
+        The idle timeout is suspended: a slow caller isn't a silent endpoint.
+        """
+        self._attempt.idle_timeout.pause()
         self._attempt.take_over()
         self._runner.record_events(self._attempt)
 
@@ -200,7 +205,7 @@
         if not fields.is_signed:
             raise EndpointBrokenError(f"unsigned answer {response.status}")
         if response.status >= 300:
-            body = await response.read(MAX_BUFFERED_RESPONSE_BYTES)
+            body = await self._read_answer(attempt, response)
             exchange.failure_response = FailureResponse(response, body)
             return AttemptResult.FAILED
         if exchange.route.kind is RequestKind.STREAM:
@@ -208,13 +213,29 @@
             observer = AttemptObserver(self, attempt)
             await relay_events(exchange, response, responder, observer)
         else:
-            body = await response.read(MAX_BUFFERED_RESPONSE_BYTES)
+            body = await self._read_answer(attempt, response)
             attempt.idle_timeout.pause()
             attempt.take_over()
             attempt.has_written = True
             await send_buffered(response, body, responder)
         return AttemptResult.ANSWERED
 
+    async def _read_answer(self, attempt, response):
+        """Return the body of an answer in one piece.
+
+        Bytes are progress if at their pace the body is complete by the deadline.
+        """
+        exchange, begin_ms = attempt.exchange, self._clock.now_ms()
+        idle_timeout_ms = self._dispatcher.event_gap_timeout_ms(exchange)
+
+        def record_progress(received_bytes, length):
+            now_ms = self._clock.now_ms()
+            remaining_share = (length - received_bytes) / received_bytes
+            if now_ms + (now_ms - begin_ms) * remaining_share < exchange.deadline_ms:
+                attempt.idle_timeout.extend_to_latest(now_ms + idle_timeout_ms)
+
+        return await read_answer(response, MAX_BUFFERED_RESPONSE_BYTES, record_progress)
+
     def _upstream_request(self, attempt, reservation):
         exchange, placement = attempt.exchange, attempt.placement
         request = exchange.request
--- a/vanillareach/gateway/idle_timeouts.py
+++ b/vanillareach/gateway/idle_timeouts.py
@@ -1,4 +1,4 @@
-"""Detects attempts whose endpoint sends no data and has no prefill pending."""
+"""Detects attempts whose endpoint makes no progress and has no prefill pending."""
 
 import math
 
@@ -37,6 +37,10 @@
         """Let the timeout expire at `deadline_ms`."""
         self.deadline_ms = deadline_ms
 
+    def extend_to_latest(self, deadline_ms):
+        """Let the timeout expire at `deadline_ms` if that is later than so far."""
+        self.deadline_ms = max(self.deadline_ms, deadline_ms)
+
     def expire(self):
         """Report the silence; the timeout is paused until `extend`."""
         self.pause()
--- a/vanillareach/gateway/relay.py
+++ b/vanillareach/gateway/relay.py
@@ -12,10 +12,6 @@
 
     __slots__ = ()
 
-    @abstractmethod
-    def on_data(self):
-        """Note that data has arrived."""
-
     @abstractmethod
     def on_events(self):
         """Note that complete events have arrived and are about to be sent.
@@ -37,6 +33,31 @@
     return [(n, v) for n, v in headers if n.lower() not in CONNECTION_HEADERS]
 
 
+async def read_answer(response, max_bytes, on_progress):
+    """Return the complete body of an answer in one piece.
+
+    Parameters
+    ----------
+    response : UpstreamResponse
+    max_bytes : int
+    on_progress : callable
+        Called with the bytes that have arrived and those announced, if a length was.
+
+    Raises
+    ------
+    EndpointBrokenError
+        If the body is aborted or longer than `max_bytes`.
+    """
+    body, length = bytearray(), response.content_length
+    while (data := await response.next_data()) is not None:
+        body += data
+        if len(body) > max_bytes:
+            raise EndpointBrokenError(f"response body exceeds {max_bytes} bytes")
+        if length is not None:
+            on_progress(len(body), length)
+    return bytes(body)
+
+
 async def send_buffered(response, body, responder):
     """Send a response whose body is complete."""
     headers = end_to_end_headers(response.headers)
@@ -65,7 +86,6 @@
         data = await response.next_data()
         if data is None:
             break
-        observer.on_data()
         try:
             complete_events = events.feed(data)
         except EventStreamError as error:
@@ -75,7 +95,7 @@
             exchange.last_event_id = events.last_id
             await _ensure_started(response, responder)
             await responder.send(complete_events)
-        observer.on_delivered()
+            observer.on_delivered()
     if not events.is_at_event_boundary:
         raise EndpointBrokenError("the stream ended within an event")
     observer.on_end()
--- a/vanillareach/gateway/upstream.py
+++ b/vanillareach/gateway/upstream.py
@@ -63,9 +63,18 @@
     reason : bytes
     headers : list of (bytes, bytes)
         Names in the endpoint's spelling.
+    content_length : int or None
+        Announced length of the body.
     """
 
-    __slots__ = ("_connection", "_stream", "headers", "reason", "status")
+    __slots__ = (
+        "_connection",
+        "_stream",
+        "content_length",
+        "headers",
+        "reason",
+        "status",
+    )
 
     def __init__(self, connection, stream, head):
         self._connection = connection
@@ -73,6 +82,9 @@
         self.status = head.status_code
         self.reason = bytes(head.reason)
         self.headers = [(bytes(n), bytes(v)) for n, v in head.headers.raw_items()]
+        # h11 has checked that the value is a number.
+        lengths = [int(v) for n, v in head.headers if n == b"content-length"]
+        self.content_length = lengths[0] if lengths else None
 
     async def next_data(self):
         """Return the next bytes of the body, or None at its end.
