Close a connection whose response has no chance to be an answer

Informational responses were skipped without a count, the extensions of chunks weren't limited together, a complete head could have twice the limit and any number of fields, and a body was read although its announced length was beyond the limit. Such an endpoint was given up only as silent, and a request that must run once waited for its deadline (504).

All reading of a response is in gateway/response_reader.py with a limit for each: 64 KiB for the head with the informational responses before it, 256 fields, 16 informational responses, as many bytes of framing as of body and 64 KiB more. A longer announced length is refused at the head. Beyond a limit the attempt is broken. Small chunks that have arrived at once no longer keep other tasks from their turn.

A response to HEAD announces a length without a body; its scenario guards that.

--- a/vanillareach/features/upstream.feature
+++ b/vanillareach/features/upstream.feature
@@ -19,6 +19,48 @@
       | endless_comments      |
       | long_event_id         |
       | endless_garbage       |
+      | endless_head          |
+      | endless_fields        |
+      | many_fields           |
+      | endless_informational |
+      | long_chunk_extensions |
+      | one_byte_chunks       |
+      | long_length           |
+
+  Scenario Outline: An answer that has no chance to be one is closed at once
+    Given the first endpoint called will "<fault>"
+    And later ones will "answer"
+    When a caller sends "/read/a"
+    Then the response is 200, complete and signed
+    And the attempts at "desk" ended "broken,answered"
+
+    Examples:
+      | fault                 |
+      | endless_head          |
+      | endless_informational |
+      | long_chunk_extensions |
+      | one_byte_chunks       |
+      | long_length           |
+      | announced_too_long    |
+      | endless_body          |
+
+  Scenario: A response to HEAD may announce a body of any length
+    Given all endpoints will "announced_too_long"
+    When a caller sends "/read/a" by HEAD
+    Then the response is 200
+
+  Scenario Outline: A request that must run once isn't sent again after such an answer
+    Given the first endpoint called will "<fault>"
+    And later ones will "answer"
+    When a caller sends "/book/a"
+    Then the response is 502
+    And 1 requests reached endpoints
+
+    Examples:
+      | fault                 |
+      | endless_informational |
+      | long_chunk_extensions |
+      | announced_too_long    |
 
   Scenario Outline: Bytes that complete no event don't hold a stream
     Given the first endpoint called will "<fault>"
--- a/vanillareach/features/users_platform/endpoint_faults.py
+++ b/vanillareach/features/users_platform/endpoint_faults.py
@@ -11,7 +11,7 @@
 DRIP_INTERVAL_S = 0.2
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
 STREAM_EVENTS = 6
-# Exceeds the largest number that Python converts from text.
+# More digits than Python converts to a number.
 LONG_NUMBER_DIGITS = 5_000
 
 
--- a/vanillareach/gateway/relay.py
+++ b/vanillareach/gateway/relay.py
@@ -49,6 +49,8 @@
         If the body is aborted or longer than `max_bytes`.
     """
     body, length = bytearray(), response.content_length
+    if length is not None and length > max_bytes:
+        raise EndpointBrokenError(f"response body exceeds {max_bytes} bytes")
     while (data := await response.next_data()) is not None:
         body += data
         if len(body) > max_bytes:
--- a/vanillareach/gateway/upstream.py
+++ b/vanillareach/gateway/upstream.py
@@ -12,6 +12,10 @@
 import trio
 
 from vanillareach.endpoints.base import EndpointBrokenError, EndpointUnreachableError
+from vanillareach.gateway.response_reader import (
+    MAX_RESPONSE_HEAD_BYTES,
+    ResponseReader,
+)
 from vanillareach.gateway.sockets import (
     ENDPOINT_UNACKED_TIMEOUT_MS,
     ENDPOINT_UNREAD_TIMEOUT_MS,
@@ -19,11 +23,10 @@
 )
 from vanillareach.utils import open_background_nursery
 
-RECEIVE_BUFFER_BYTES = 65_536
 # Bodies up to this size fit into the socket buffer and are sent without a task of their
 # own.
 MAX_INLINE_BODY_BYTES = 8_192
-MAX_RESPONSE_HEADER_BYTES = 65_536
+STATUSES_WITHOUT_BODY = (204, 304)
 # Without packet loss a connection takes milliseconds. The kernel retransmits a lost
 # packet only after 1 s; another endpoint is tried before that.
 CONNECT_TIMEOUT_MS = 400.0
@@ -57,6 +60,13 @@
 class UpstreamResponse:
     """An endpoint's response as it arrives.
 
+    Parameters
+    ----------
+    head : h11.Response
+    reader : ResponseReader
+    method : bytes
+        Of the request.
+
     Attributes
     ----------
     status : int
@@ -64,42 +74,22 @@
     headers : list of (bytes, bytes)
         Names in the endpoint's spelling.
     content_length : int or None
-        Announced length of the body.
+        Announced length of the body that follows.
+    next_data : callable
+        See `ResponseReader.next_data`.
     """
 
-    __slots__ = (
-        "_connection",
-        "_stream",
-        "content_length",
-        "headers",
-        "reason",
-        "status",
-    )
+    __slots__ = ("content_length", "headers", "next_data", "reason", "status")
 
-    def __init__(self, connection, stream, head):
-        self._connection = connection
-        self._stream = stream
+    def __init__(self, head, reader, method):
         self.status = head.status_code
         self.reason = bytes(head.reason)
         self.headers = [(bytes(n), bytes(v)) for n, v in head.headers.raw_items()]
         # h11 has checked that the value is a number.
         lengths = [int(v) for n, v in head.headers if n == b"content-length"]
-        self.content_length = lengths[0] if lengths else None
-
-    async def next_data(self):
-        """Return the next bytes of the body, or None at its end.
-
-        Raises
-        ------
-        EndpointBrokenError
-            If the response is aborted or malformed.
-        """
-        event = await next_event(self._connection, self._stream)
-        if isinstance(event, h11.Data):
-            return bytes(event.data)
-        if isinstance(event, h11.EndOfMessage):
-            return None
-        raise EndpointBrokenError(f"unexpected {type(event).__name__}")
+        has_body = method != b"HEAD" and self.status not in STATUSES_WITHOUT_BODY
+        self.content_length = lengths[0] if lengths and has_body else None
+        self.next_data = reader.next_data
 
     async def read(self, max_bytes):
         """Return the complete body.
@@ -118,26 +108,6 @@
         return b"".join(parts)
 
 
-async def next_event(connection, stream):
-    """Return the next h11 event of a connection to an endpoint."""
-    while True:
-        try:
-            event = connection.next_event()
-        except h11.RemoteProtocolError as error:
-            raise EndpointBrokenError(f"malformed response: {error}") from error
-        if event is h11.NEED_DATA:
-            try:
-                connection.receive_data(await stream.receive_some(RECEIVE_BUFFER_BYTES))
-            except trio.BrokenResourceError as error:
-                raise EndpointBrokenError("connection reset") from error
-            continue
-        if isinstance(event, h11.InformationalResponse):
-            continue
-        if isinstance(event, h11.ConnectionClosed):
-            raise EndpointBrokenError("connection closed")
-        return event
-
-
 @asynccontextmanager
 async def open_upstream(request, on_connected):
     """Send a request and yield its `UpstreamResponse` once its headers have arrived.
@@ -166,28 +136,26 @@
         raise EndpointUnreachableError(f"{request.address}: {error}") from error
     try:
         connection = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=MAX_RESPONSE_HEADER_BYTES
+            h11.CLIENT, max_incomplete_event_size=MAX_RESPONSE_HEAD_BYTES
         )
         on_connected()
         head = _encode_head(connection, request)
         if is_inline:
             await _send(stream, head + _encode_body(connection, body))
-            yield await _read_head(connection, stream)
+            yield await _read_head(connection, stream, request.method)
             return
         # At the end of the block the rest of the request body is no longer needed.
         async with open_background_nursery() as nursery:
             nursery.start_soon(_send, stream, head + _encode_body(connection, body))
-            yield await _read_head(connection, stream)
+            yield await _read_head(connection, stream, request.method)
     finally:
         # Closes at once: an aborted exchange must not wait for the endpoint.
         stream.socket.close()
 
 
-async def _read_head(connection, stream):
-    head = await next_event(connection, stream)
-    if not isinstance(head, h11.Response):
-        raise EndpointBrokenError(f"unexpected {type(head).__name__}")
-    return UpstreamResponse(connection, stream, head)
+async def _read_head(connection, stream, method):
+    reader = ResponseReader(connection, stream)
+    return UpstreamResponse(await reader.read_head(), reader, method)
 
 
 def _encode_head(connection, request):
