Bound the incomplete events and answers that an instance holds

Each attempt may hold 4 MiB of an incomplete event or answer. Endpoints that stop just before that, on streams and calls that must run once, kept it until the deadline of each request, without a limit for all of them.

One budget of 256 MiB for an instance now counts what attempts hold while they wait for the rest. Beyond it those that have waited longest are broken off, since what is sound is complete soon. Less than 64 KiB isn't counted, so a token stream pays one comparison. The reading of an answer in one piece has moved to gateway/answers.py.

Evidence: upstream.feature, five callers whose endpoints hold 300000 bytes each, budget 700000. Not counted: the body of an error response (at most 4 MiB) that is kept while another endpoint is tried.

--- a/vanillareach/features/steps/gateway_core.py
+++ b/vanillareach/features/steps/gateway_core.py
@@ -14,6 +14,7 @@
 from vanillareach.core.retry_share import RetryBudgetShare
 from vanillareach.core.routing import CallerLimits, RequestKind, Route, RouteTable
 from vanillareach.gateway.attempt_group import Attempt, AttemptSupersededError
+from vanillareach.gateway.buffer_budget import BufferBudget
 from vanillareach.gateway.relay import RelayObserver, relay_events
 
 NOW_MS = 100_000.0
@@ -378,6 +379,7 @@
                 ArrivedResponse(),
                 context.responder,
                 TakingOverObserver(attempt),
+                BufferBudget().share(),
             )
 
     context.was_superseded = False
--- a/vanillareach/features/steps/upstream.py
+++ b/vanillareach/features/steps/upstream.py
@@ -3,6 +3,7 @@
 import re
 from collections import Counter
 
+import trio
 from behave import given, then, when
 
 from vanillareach.features.steps.gateway import SharedScript
@@ -10,6 +11,8 @@
 from vanillareach.features.users_platform.endpoint_faults import encode_events
 
 ANSWER = b"an answer of a length that nobody told"
+# For what an endpoint has sent to reach the gateway.
+SETTLE_S = 0.1
 STREAM = encode_events(1, 3)
 
 
@@ -29,6 +32,42 @@
     assert counts() == expected, counts()
 
 
+@given("the gateway may hold {size:d} bytes of incomplete events and answers")
+def step_set_buffer_budget(context, size):
+    runner = context.platform.gateways[0].forwarder._attempt_runner
+    runner.buffer_budget.max_bytes = size
+
+
+@when('{count:d} callers send "{path}" one after another and wait')
+def step_hold_parts(context, count, path):
+    stage = context.platform
+    responses = [None] * count
+
+    async def receive(number):
+        responses[number] = await stage.call(path, Vanillareach_Token_Usage="1000,100")
+
+    async def call():
+        async with trio.open_nursery() as nursery:
+            for number in range(count):
+                nursery.start_soon(receive, number)
+                await stage.until(
+                    lambda sent=number + 1: len(received(context)) == sent
+                )
+                await trio.sleep(SETTLE_S)
+
+    context.run(call)
+    context.responses = responses
+
+
+@then(
+    "the first {broken:d} are refused with {first:d} "
+    "and the last {held:d} with {last:d}"
+)
+def step_check_refusals(context, broken, first, held, last):
+    statuses = [response.status for response in context.responses]
+    assert statuses == [first] * broken + [last] * held, statuses
+
+
 def set_raw_body(context, body, end):
     """Set what the steps that end with the connection send."""
     for endpoint in endpoints(context):
--- a/vanillareach/features/upstream.feature
+++ b/vanillareach/features/upstream.feature
@@ -93,3 +93,14 @@
     When a caller sends "/read/a"
     Then the response is 200, complete and signed
     And the attempts at "desk" ended "answered"
+
+  Scenario Outline: Attempts that hold incomplete data don't take an instance's memory
+    Given the gateway may hold 700000 bytes of incomplete events and answers
+    And all endpoints will "hold_part"
+    When 5 callers send "<path>" one after another and wait
+    Then the first 3 are refused with 502 and the last 2 with 504
+
+    Examples:
+      | path    |
+      | /once/a |
+      | /book/a |
--- a/vanillareach/features/users_platform/endpoint_faults.py
+++ b/vanillareach/features/users_platform/endpoint_faults.py
@@ -9,6 +9,8 @@
 
 PART_BYTES = 65_536
 DRIP_INTERVAL_S = 0.2
+# More than one read, less than any limit of an attempt.
+HELD_BYTES = 300_000
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
 STREAM_EVENTS = 6
 # More digits than Python converts to a number.
@@ -124,6 +126,12 @@
         head = self._encode_head(received, CHUNKED)
         await self._send_endless(responder, head, encode_chunk(b"x" * PART_BYTES))
 
+    async def _hold_part(self, received, responder):
+        """Send a part of an event or answer, then nothing more."""
+        head = self._encode_head(received, CHUNKED)
+        await self._send_raw(responder, head + encode_chunk(b"x" * HELD_BYTES))
+        await trio.sleep_forever()
+
     async def _drip_event(self, received, responder):
         """Send an event byte by byte, without an end."""
         head = self._encode_head(received, CHUNKED)
--- a/vanillareach/gateway/attempts.py
+++ b/vanillareach/gateway/attempts.py
@@ -6,7 +6,9 @@
 from vanillareach.core.routing import RequestKind
 from vanillareach.core.suspicion import Loss
 from vanillareach.endpoints.base import EndpointBrokenError, EndpointUnreachableError
+from vanillareach.gateway.answers import AnswerProgress, read_answer
 from vanillareach.gateway.attempt_group import AttemptSupersededError
+from vanillareach.gateway.buffer_budget import BufferBudget
 from vanillareach.gateway.exchange import (
     POSSIBLY_RUN_RESULTS,
     AttemptResult,
@@ -14,18 +16,11 @@
     FailureResponse,
 )
 from vanillareach.gateway.ports import EndpointRequestFields
-from vanillareach.gateway.relay import (
-    RelayObserver,
-    read_answer,
-    relay_events,
-    send_buffered,
-)
+from vanillareach.gateway.relay import RelayObserver, relay_events, send_buffered
 from vanillareach.gateway.sockets import connect
 from vanillareach.gateway.upstream import UpstreamRequest, open_upstream
 from vanillareach.log import get_logger
 
-# Responses other than event streams are buffered until complete, up to this size.
-MAX_BUFFERED_RESPONSE_BYTES = 4 * 1024 * 1024
 # Time limit of the connection that checks whether an endpoint is still running.
 LOSS_CHECK_TIMEOUT_MS = 300.0
 # If sending an event to the caller takes longer, the next event may have arrived
@@ -84,6 +79,10 @@
     reservations : ReservationManager
     clock : Clock
     metrics : Metrics
+
+    Attributes
+    ----------
+    buffer_budget : BufferBudget
     """
 
     def __init__(
@@ -107,6 +106,7 @@
         self._reservations = reservations
         self._clock = clock
         self._metrics = metrics
+        self.buffer_budget = BufferBudget()
 
     async def run(self, attempt, responder):
         """Run one attempt; set and record its result."""
@@ -211,7 +211,8 @@
         if exchange.route.kind is RequestKind.STREAM:
             attempt.weights_version = fields.weights_version
             observer = AttemptObserver(self, attempt)
-            await relay_events(exchange, response, responder, observer)
+            share = self.buffer_budget.share()
+            await relay_events(exchange, response, responder, observer, share)
         else:
             body = await self._read_answer(attempt, response)
             attempt.idle_timeout.pause()
@@ -221,20 +222,9 @@
         return AttemptResult.ANSWERED
 
     async def _read_answer(self, attempt, response):
-        """Return the body of an answer in one piece.
-
-        Bytes are progress if at their pace the body is complete by the deadline.
-        """
-        exchange, begin_ms = attempt.exchange, self._clock.now_ms()
-        idle_timeout_ms = self._dispatcher.event_gap_timeout_ms(exchange)
-
-        def record_progress(received_bytes, length):
-            now_ms = self._clock.now_ms()
-            remaining_share = (length - received_bytes) / received_bytes
-            if now_ms + (now_ms - begin_ms) * remaining_share < exchange.deadline_ms:
-                attempt.idle_timeout.extend_to_latest(now_ms + idle_timeout_ms)
-
-        return await read_answer(response, MAX_BUFFERED_RESPONSE_BYTES, record_progress)
+        idle_timeout_ms = self._dispatcher.event_gap_timeout_ms(attempt.exchange)
+        progress = AnswerProgress(attempt, idle_timeout_ms, self._clock)
+        return await read_answer(response, self.buffer_budget.share(), progress)
 
     def _upstream_request(self, attempt, reservation):
         exchange, placement = attempt.exchange, attempt.placement
--- a/vanillareach/gateway/relay.py
+++ b/vanillareach/gateway/relay.py
@@ -33,40 +33,13 @@
     return [(n, v) for n, v in headers if n.lower() not in CONNECTION_HEADERS]
 
 
-async def read_answer(response, max_bytes, on_progress):
-    """Return the complete body of an answer in one piece.
-
-    Parameters
-    ----------
-    response : UpstreamResponse
-    max_bytes : int
-    on_progress : callable
-        Called with the bytes that have arrived and those announced, if a length was.
-
-    Raises
-    ------
-    EndpointBrokenError
-        If the body is aborted or longer than `max_bytes`.
-    """
-    body, length = bytearray(), response.content_length
-    if length is not None and length > max_bytes:
-        raise EndpointBrokenError(f"response body exceeds {max_bytes} bytes")
-    while (data := await response.next_data()) is not None:
-        body += data
-        if len(body) > max_bytes:
-            raise EndpointBrokenError(f"response body exceeds {max_bytes} bytes")
-        if length is not None:
-            on_progress(len(body), length)
-    return bytes(body)
-
-
 async def send_buffered(response, body, responder):
     """Send a response whose body is complete."""
     headers = end_to_end_headers(response.headers)
     await responder.answer(response.status, headers, body, response.reason)
 
 
-async def relay_events(exchange, response, responder, observer):
+async def relay_events(exchange, response, responder, observer, share):
     """Forward the complete events of a stream as they arrive.
 
     Parameters
@@ -76,6 +49,7 @@
     response : UpstreamResponse
     responder : Responder
     observer : RelayObserver
+    share : BufferShare
 
     Raises
     ------
@@ -85,7 +59,7 @@
     """
     events = EventSplitter(exchange.last_event_id)
     while True:
-        data = await response.next_data()
+        data = await share.next_data(response, events.buffered_bytes)
         if data is None:
             break
         try:
