Take a stream that ends with its connection before any event as broken off

A stream with neither a length nor chunks ends with its connection. If an endpoint was lost after the head, before the first byte of an event, the caller got an empty stream that looked complete. Such an attempt is now broken, and the request goes on elsewhere. An empty rest of a stream that is resumed is still complete.

A cut between two events by a close can't be told from an end; the scenario expects the events until there.

--- a/vanillareach/features/upstream.feature
+++ b/vanillareach/features/upstream.feature
@@ -104,3 +104,32 @@
       | path    |
       | /once/a |
       | /book/a |
+
+  Scenario Outline: A stream that ends with its connection is whole or goes on elsewhere
+    When a stream without length or chunks is cut at each offset by "<end>" after "<head>"
+    Then each stream is whole, and resumed wherever the cut was inside an event
+
+    Examples:
+      | end   | head                    |
+      | close | end_with_connection     |
+      | reset | end_with_connection     |
+      | close | end_with_connection_1_0 |
+
+  Scenario Outline: An answer that ends with its connection is passed on whole
+    Given an answer without length or chunks will end by "close" after "<head>"
+    When a caller sends "/read/a"
+    Then the response is 200, complete and signed
+    And its body is the one that the endpoint sent
+    And the attempts at "desk" ended "answered"
+
+    Examples:
+      | head                    |
+      | end_with_connection     |
+      | end_with_connection_1_0 |
+
+  Scenario: An answer without length or chunks that ends by a reset isn't complete
+    Given an answer without length or chunks will end by "reset" after "end_with_connection"
+    And later ones will "answer"
+    When a caller sends "/read/a"
+    Then the response is 200, complete and signed
+    And the attempts at "desk" ended "broken,answered"
--- a/vanillareach/gateway/relay.py
+++ b/vanillareach/gateway/relay.py
@@ -74,6 +74,10 @@
             observer.on_delivered()
     if not events.is_at_event_boundary:
         raise EndpointBrokenError("the stream ended within an event")
+    has_event = responder.is_started or exchange.last_event_id is not None
+    if response.is_ended_by_close and not has_event:
+        # An endpoint that is lost after the head ends its stream in the same way.
+        raise EndpointBrokenError("the connection ended before the first event")
     observer.on_end()
     await _ensure_started(response, responder)
     await responder.finish()
--- a/vanillareach/gateway/upstream.py
+++ b/vanillareach/gateway/upstream.py
@@ -75,11 +75,20 @@
         Names in the endpoint's spelling.
     content_length : int or None
         Announced length of the body that follows.
+    is_ended_by_close : bool
+        Whether only the end of the connection tells where the body ends.
     next_data : callable
         See `ResponseReader.next_data`.
     """
 
-    __slots__ = ("content_length", "headers", "next_data", "reason", "status")
+    __slots__ = (
+        "content_length",
+        "headers",
+        "is_ended_by_close",
+        "next_data",
+        "reason",
+        "status",
+    )
 
     def __init__(self, head, reader, method):
         self.status = head.status_code
@@ -89,6 +98,9 @@
         lengths = [int(v) for n, v in head.headers if n == b"content-length"]
         has_body = method != b"HEAD" and self.status not in STATUSES_WITHOUT_BODY
         self.content_length = lengths[0] if lengths and has_body else None
+        names = [name for name, _ in head.headers]
+        is_framed = b"transfer-encoding" in names or b"content-length" in names
+        self.is_ended_by_close = has_body and not is_framed
         self.next_data = reader.next_data
 
     async def read(self, max_bytes):
