Take a number with too many digits in a header as no number

A response whose version of weights had 5000 digits, or a caller's number of that length, ended the request as a fault of the gateway (500): Python refuses to convert it. More than 19 digits are now taken as no number, like any other text.

Evidence: upstream.feature, long_weights_version.

--- a/vanillareach/features/upstream.feature
+++ b/vanillareach/features/upstream.feature
@@ -133,3 +133,9 @@
     When a caller sends "/read/a"
     Then the response is 200, complete and signed
     And the attempts at "desk" ended "broken,answered"
+
+  Scenario: A field whose number is too long is taken as no number
+    Given all endpoints will "long_weights_version"
+    When a caller sends "/ask/a" with a prompt of 1000 tokens
+    Then the response is 200, complete and signed
+    And its events are 1 to 6, each once
--- a/vanillareach/features/users_platform/endpoint_faults.py
+++ b/vanillareach/features/users_platform/endpoint_faults.py
@@ -112,6 +112,12 @@
         await self._send_raw(responder, head + encode_chunk(data))
         await trio.sleep_forever()
 
+    async def _long_weights_version(self, received, responder):
+        version = b": ".join((names.WEIGHT_VERSIONS, b"1" * LONG_NUMBER_DIGITS))
+        head = self._encode_head(received, version + b"\r\n" + CHUNKED)
+        data = encode_chunk(encode_events(1)) + b"0\r\n\r\n"
+        await self._send_raw(responder, head + data)
+
     async def _long_length(self, received, responder):
         length = b"Content-Length: " + b"1" * LONG_NUMBER_DIGITS + b"\r\n"
         await self._send_endless(responder, self._encode_head(received, length), b"x")
--- a/vanillareach/platform/calls.py
+++ b/vanillareach/platform/calls.py
@@ -12,6 +12,8 @@
 # Headers of a caller's request that are not copied into the request to the endpoint.
 # The gateway sets some of them anew.
 DROPPED_HEADERS = CONNECTION_HEADERS | {b"expect", b"host"}
+# The largest 64-bit number has 19 digits; a longer one is taken as none.
+MAX_DIGITS = 19
 
 
 class PlatformProtocol(RequestProtocol):
@@ -126,7 +128,7 @@
 
 def _parse_integer(value):
     text = (value or b"").strip()
-    return int(text) if text.isdigit() else None
+    return int(text) if text.isdigit() and len(text) <= MAX_DIGITS else None
 
 
 def _parse_number(value):
