Break a stream off at its fault when events came before it at once

A gap or a limit that follows a sound event in the same read ended the attempt only when the endpoint sent more or closed; one that then sent nothing was given up as silent, and a stream that must run once waited for its deadline.

Evidence: upstream.feature, gap_and_hang. Before: ASSERT FAILED: {'silent': 1, 'superseded': 1, 'answered': 1} After: broken, then answered; upstream, gateway and gateway_core pass (135 scenarios).

--- a/vanillareach/core/event_stream.py
+++ b/vanillareach/core/event_stream.py
@@ -58,7 +58,7 @@
     def feed(self, data):
         """Return the events that `data` completes, as bytes.
 
-        Events before an error are returned first; the next call then raises.
+        Events before an error are returned first; the next call and `check` then raise.
 
         Raises
         ------
@@ -73,10 +73,15 @@
                 self._split(data, complete)
             except EventStreamError as error:
                 self._error = error
-        if self._error is not None and not complete:
-            raise self._error
+        if not complete:
+            self.check()
         return b"".join(complete)
 
+    def check(self):
+        """Raise the error that has ended the stream, if one has; see `feed`."""
+        if self._error is not None:
+            raise self._error
+
     def _split(self, data, complete):
         """Add the events that `data` completes to `complete`."""
         buffer = self._partial_event
--- a/vanillareach/features/upstream.feature
+++ b/vanillareach/features/upstream.feature
@@ -19,6 +19,7 @@
       | endless_comments      |
       | long_event_id         |
       | endless_garbage       |
+      | gap_and_hang          |
       | endless_head          |
       | endless_fields        |
       | many_fields           |
--- a/vanillareach/features/users_platform/endpoint_faults.py
+++ b/vanillareach/features/users_platform/endpoint_faults.py
@@ -112,6 +112,13 @@
         await self._send_raw(responder, head + encode_chunk(data))
         await trio.sleep_forever()
 
+    async def _gap_and_hang(self, received, responder):
+        """Send two events of which the second doesn't follow the first, and no more."""
+        data = encode_events(1, 1) + encode_events(3, 3)
+        head = self._encode_head(received, CHUNKED)
+        await self._send_raw(responder, head + encode_chunk(data))
+        await trio.sleep_forever()
+
     async def _long_weights_version(self, received, responder):
         version = b": ".join((names.WEIGHT_VERSIONS, b"1" * LONG_NUMBER_DIGITS))
         head = self._encode_head(received, version + b"\r\n" + CHUNKED)
--- a/vanillareach/gateway/relay.py
+++ b/vanillareach/gateway/relay.py
@@ -64,14 +64,15 @@
             break
         try:
             complete_events = events.feed(data)
+            if complete_events:
+                observer.on_events()
+                exchange.last_event_id = events.last_id
+                await _ensure_started(response, responder)
+                await responder.send(complete_events)
+                observer.on_delivered()
+            events.check()
         except EventStreamError as error:
             raise EndpointBrokenError(str(error)) from error
-        if complete_events:
-            observer.on_events()
-            exchange.last_event_id = events.last_id
-            await _ensure_started(response, responder)
-            await responder.send(complete_events)
-            observer.on_delivered()
     if not events.is_at_event_boundary:
         raise EndpointBrokenError("the stream ended within an event")
     has_event = responder.is_started or exchange.last_event_id is not None
