--- a/vanillareach/features/steps/gateway_core.py
+++ b/vanillareach/features/steps/gateway_core.py
@@ -1,5 +1,6 @@
 """Steps about decisions of the gateway, without sockets or a running clock."""
 
+import tracemalloc
 from types import SimpleNamespace
 
 import trio
@@ -13,6 +14,7 @@
 from vanillareach.core.retry_share import RetryBudgetShare
 from vanillareach.core.routing import CallerLimits, RequestKind, Route, RouteTable
 from vanillareach.gateway.attempt_group import Attempt, AttemptSupersededError
+from vanillareach.gateway.buffer_budget import BufferBudget
 from vanillareach.gateway.relay import RelayObserver, relay_events
 
 NOW_MS = 100_000.0
@@ -144,6 +146,26 @@
     assert context.splitter.is_at_event_boundary
 
 
+@when("an event of {size:d} bytes arrives in fragments of {fragment:d} bytes")
+def step_feed_large_event(context, size, fragment):
+    splitter, data = EventSplitter(), b"x" * fragment
+    context.allocated_bytes = []
+    tracemalloc.start()
+    for _ in range(size // fragment):
+        before_bytes, _ = tracemalloc.get_traced_memory()
+        tracemalloc.reset_peak()
+        splitter.feed(data)
+        _, peak_bytes = tracemalloc.get_traced_memory()
+        context.allocated_bytes.append(peak_bytes - before_bytes)
+    tracemalloc.stop()
+
+
+@then("at most {count:d} of them have made the splitter copy {size:d} bytes")
+def step_check_copies(context, count, size):
+    copies = sum(allocated >= size for allocated in context.allocated_bytes)
+    assert copies <= count, copies
+
+
 @given("an event splitter whose last event is {number:d}")
 def step_create_splitter(context, number):
     context.splitter = EventSplitter(number)
@@ -337,13 +359,10 @@
     def __init__(self, attempt):
         self.on_events = self.on_end = attempt.take_over
 
-    def on_data(self):
-        """Do nothing."""
-
     def on_delivered(self):
         """Do nothing."""
 
-    on_events = on_end = on_data
+    on_events = on_end = on_delivered
 
 
 @given("an attempt that is superseded while event 1 arrives")
@@ -360,6 +379,7 @@
                 ArrivedResponse(),
                 context.responder,
                 TakingOverObserver(attempt),
+                BufferBudget().share(),
             )
 
     context.was_superseded = False
--- a/vanillareach/gateway/attempts.py
+++ b/vanillareach/gateway/attempts.py
@@ -5,7 +5,9 @@
 from vanillareach.core.messages import EndpointFault
 from vanillareach.core.routing import RequestKind
 from vanillareach.endpoints.base import EndpointBrokenError, EndpointUnreachableError
+from vanillareach.gateway.answers import AnswerProgress, read_answer
 from vanillareach.gateway.attempt_group import AttemptSupersededError
+from vanillareach.gateway.buffer_budget import BufferBudget
 from vanillareach.gateway.exchange import (
     POSSIBLY_RUN_RESULTS,
     AttemptResult,
@@ -17,8 +19,6 @@
 from vanillareach.gateway.upstream import UpstreamRequest, open_upstream
 from vanillareach.log import get_logger
 
-# Responses other than event streams are buffered until complete, up to this size.
-MAX_BUFFERED_RESPONSE_BYTES = 4 * 1024 * 1024
 # If sending an event to the caller takes longer, the next event may have arrived
 # meanwhile, so the gap between the two can't be measured.
 SLOW_DELIVERY_THRESHOLD_MS = 15.0
@@ -41,12 +41,12 @@
         self._runner = runner
         self._attempt = attempt
 
-    def on_data(self):
-        """Suspend the idle timeout; see `RelayObserver`."""
-        self._attempt.idle_timeout.pause()
-
     def on_events(self):
-        """Take over the response and record the events; see `RelayObserver`."""
+        """Take over the response and record the events; see `RelayObserver`.
+
+        The idle timeout is suspended: a slow caller isn't a silent endpoint.
+        """
+        self._attempt.idle_timeout.pause()
         self._attempt.take_over()
         self._runner.record_events(self._attempt)
 
@@ -73,6 +73,10 @@
     reservations : ReservationManager
     clock : Clock
     metrics : Metrics
+
+    Attributes
+    ----------
+    buffer_budget : BufferBudget
     """
 
     def __init__(
@@ -96,6 +100,7 @@
         self._reservations = reservations
         self._clock = clock
         self._metrics = metrics
+        self.buffer_budget = BufferBudget()
 
     async def run(self, attempt, responder):
         """Run one attempt; set and record its result."""
@@ -205,21 +210,27 @@
         if not fields.is_signed:
             raise EndpointBrokenError(f"unsigned answer {response.status}")
         if response.status >= 300:
-            body = await response.read(MAX_BUFFERED_RESPONSE_BYTES)
+            body = await self._read_answer(attempt, response)
             exchange.failure_response = FailureResponse(response, body)
             return AttemptResult.FAILED
         if exchange.route.kind is RequestKind.STREAM:
             attempt.weights_version = fields.weights_version
             observer = AttemptObserver(self, attempt)
-            await relay_events(exchange, response, responder, observer)
+            share = self.buffer_budget.share()
+            await relay_events(exchange, response, responder, observer, share)
         else:
-            body = await response.read(MAX_BUFFERED_RESPONSE_BYTES)
+            body = await self._read_answer(attempt, response)
             attempt.idle_timeout.pause()
             attempt.take_over()
             self._record_output(attempt)
             await send_buffered(response, body, responder)
         return AttemptResult.ANSWERED
 
+    async def _read_answer(self, attempt, response):
+        idle_timeout_ms = self._dispatcher.event_gap_timeout_ms(attempt.exchange)
+        progress = AnswerProgress(attempt, idle_timeout_ms, self._clock)
+        return await read_answer(response, self.buffer_budget.share(), progress)
+
     def _upstream_request(self, attempt, reservation):
         exchange, placement = attempt.exchange, attempt.placement
         request = exchange.request
--- a/vanillareach/gateway/relay.py
+++ b/vanillareach/gateway/relay.py
@@ -3,7 +3,7 @@
 from abc import ABC, abstractmethod
 
 from vanillareach.connection_headers import CONNECTION_HEADERS
-from vanillareach.core.event_stream import EventGapError, EventSplitter
+from vanillareach.core.event_stream import EventSplitter, EventStreamError
 from vanillareach.endpoints.base import EndpointBrokenError
 
 
@@ -12,10 +12,6 @@
 
     __slots__ = ()
 
-    @abstractmethod
-    def on_data(self):
-        """Note that data has arrived."""
-
     @abstractmethod
     def on_events(self):
         """Note that complete events have arrived and are about to be sent.
@@ -43,7 +39,7 @@
     await responder.answer(response.status, headers, body, response.reason)
 
 
-async def relay_events(exchange, response, responder, observer):
+async def relay_events(exchange, response, responder, observer, share):
     """Forward the complete events of a stream as they arrive.
 
     Parameters
@@ -53,31 +49,36 @@
     response : UpstreamResponse
     responder : Responder
     observer : RelayObserver
+    share : BufferShare
 
     Raises
     ------
     EndpointBrokenError
-        If the stream is aborted, lacks an event or ends within one; the complete events
-        before that have been forwarded.
+        If the stream is aborted, lacks an event, ends within one or exceeds a limit;
+        the complete events before that have been forwarded.
     """
     events = EventSplitter(exchange.last_event_id)
     while True:
-        data = await response.next_data()
+        data = await share.next_data(response, events.buffered_bytes)
         if data is None:
             break
-        observer.on_data()
         try:
             complete_events = events.feed(data)
-        except EventGapError as error:
+            if complete_events:
+                observer.on_events()
+                exchange.last_event_id = events.last_id
+                await _ensure_started(response, responder)
+                await responder.send(complete_events)
+                observer.on_delivered()
+            events.check()
+        except EventStreamError as error:
             raise EndpointBrokenError(str(error)) from error
-        if complete_events:
-            observer.on_events()
-            exchange.last_event_id = events.last_id
-            await _ensure_started(response, responder)
-            await responder.send(complete_events)
-        observer.on_delivered()
     if not events.is_at_event_boundary:
         raise EndpointBrokenError("the stream ended within an event")
+    has_event = responder.is_started or exchange.last_event_id is not None
+    if response.is_ended_by_close and not has_event:
+        # An endpoint that is lost after the head ends its stream in the same way.
+        raise EndpointBrokenError("the connection ended before the first event")
     observer.on_end()
     await _ensure_started(response, responder)
     await responder.finish()
