Limit what endpoints may send to the own interface

Callers got "no answer within the time limit" although another engine or service could have answered: an endpoint that sent bytes which never became an answer kept its attempt until the deadline, and each of its bytes counted as a sign of life. A fast one filled the memory of the instance. An unstreamed answer that ended with its connection inside the document was passed on as a success.

Cause: the own interface had idle timeouts only, and no limit of a size; the event buffer copied its partial event with each piece.

Change: named limits in endpoints/limits.py for head, refusal, buffered answer and stream, MAX_EVENT_BYTES for one event, and a total timeout for control calls. Beyond them the connection is closed with EndpointLimitError, which counts as a failed attempt at the breaker and is logged. A part of an event is no sign of life. The usage of a finished stream has to be complete in its timeout, or another engine would be asked for more tokens. A buffered answer of an engine has to be one JSON document. The event buffer is linear.

--- a/vanillareach/core/streams.py
+++ b/vanillareach/core/streams.py
@@ -9,9 +9,16 @@
 
 EVENT_END = b"\n\n"
 DONE_EVENT = b"data: [DONE]\n\n"
+# An event holds one token; with its alternatives and their log probabilities that is
+# some kilobytes.
+MAX_EVENT_BYTES = 1024 * 1024
 _DATA = b"data: "
 
 
+class EventTooLongError(Exception):
+    """An event is longer than `MAX_EVENT_BYTES`."""
+
+
 class StreamDelta(msgspec.Struct):
     """Text of one chat event."""
 
@@ -39,26 +46,38 @@
     __slots__ = ("_partial_event",)
 
     def __init__(self):
-        self._partial_event = b""
+        self._partial_event = bytearray()
 
     def feed(self, chunk):
         """Add bytes as they arrived and return the events that are complete.
 
+        Each byte is searched once, however small the pieces in which an event arrives.
+
         Returns
         -------
         bytes
             Complete events; empty while the next one is incomplete.
+
+        Raises
+        ------
+        EventTooLongError
+            If more than `MAX_EVENT_BYTES` arrived without the end of an event.
         """
-        data = self._partial_event + chunk if self._partial_event else chunk
-        if data.endswith(EVENT_END):
-            self._partial_event = b""
-            return data
-        end = data.rfind(EVENT_END) + len(EVENT_END)
+        end = chunk.rfind(EVENT_END) + len(EVENT_END)
         if end < len(EVENT_END):
-            self._partial_event = data
+            # The end of an event may be cut in two.
+            is_cut_end = chunk.startswith(b"\n") and self._partial_event.endswith(b"\n")
+            end = 1 if is_cut_end else 0
+        if not end:
+            self._partial_event += chunk
+            if len(self._partial_event) > MAX_EVENT_BYTES:
+                raise EventTooLongError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
             return b""
-        self._partial_event = data[end:]
-        return data[:end]
+        events = chunk if end == len(chunk) else chunk[:end]
+        if self._partial_event:
+            events = bytes(self._partial_event) + events
+        self._partial_event = bytearray(chunk[end:])
+        return events
 
 
 class StreamProgress:
@@ -68,14 +87,17 @@
     ----------
     done : bool
         Whether the final event was relayed.
+    size : int
+        Bytes of the relayed events.
     """
 
-    __slots__ = ("_events", "_relayed_chunks", "done")
+    __slots__ = ("_events", "_relayed_chunks", "done", "size")
 
     def __init__(self):
         self._events = EventBuffer()
         self._relayed_chunks = []
         self.done = False
+        self.size = 0
 
     @property
     def has_relayed_event(self):
@@ -91,6 +113,7 @@
     def record(self, events):
         """Record complete events, as `EventBuffer` returns them, as relayed."""
         self._relayed_chunks.append(events)
+        self.size += len(events)
         if events.endswith(DONE_EVENT):
             self.done = True
 
--- a/vanillareach/endpoints/base.py
+++ b/vanillareach/endpoints/base.py
@@ -15,6 +15,10 @@
     """The call failed or timed out after parts of it may have been sent."""
 
 
+class EndpointLimitError(EndpointBrokenError):
+    """The response exceeded a limit of its size or time and was broken off."""
+
+
 class EndpointResponse:
     """Status and headers of an endpoint's response, and an iterator over its body.
 
@@ -36,9 +40,20 @@
         self.headers = headers
         self.chunks = chunks
 
-    async def read(self):
-        """Read the entire body."""
-        return b"".join([chunk async for chunk in self.chunks])
+    async def read(self, max_bytes):
+        """Read the entire body.
+
+        Raises
+        ------
+        EndpointLimitError
+            If it is longer than `max_bytes`.
+        """
+        body = bytearray()
+        async for chunk in self.chunks:
+            body += chunk
+            if len(body) > max_bytes:
+                raise EndpointLimitError(f"response body exceeds {max_bytes} bytes")
+        return bytes(body)
 
 
 class EndpointCall:
--- a/vanillareach/endpoints/engine.py
+++ b/vanillareach/endpoints/engine.py
@@ -1,11 +1,15 @@
 """Control calls to model engines, and the request bodies that engines accept."""
 
 import msgspec
+import trio
 
+from vanillareach.clock import MS_PER_SECOND
 from vanillareach.core.directory import LoadReport
 from vanillareach.endpoints.base import EndpointBrokenError, EndpointCall, EndpointError
+from vanillareach.endpoints.limits import MAX_CONTROL_ANSWER_BYTES
 
 JSON_HEADERS = [(b"content-type", b"application/json")]
+# Time limit of a whole call; an engine answers from memory.
 CONTROL_CALL_TIMEOUT_MS = 2000
 PRIORITY_FIELD = "priority"
 
@@ -107,6 +111,15 @@
     return msgspec.json.encode(raw_values_by_field)
 
 
+def is_json(body):
+    """Return whether `body` is one complete JSON document."""
+    try:
+        msgspec.json.decode(body, type=msgspec.Raw)
+    except msgspec.DecodeError:
+        return False
+    return True
+
+
 class EngineClient:
     """Control calls to engines.
 
@@ -155,8 +168,14 @@
         call = EndpointCall(
             method, address, path, JSON_HEADERS, body, CONTROL_CALL_TIMEOUT_MS
         )
-        async with self._port.open(call) as response:
-            content = await response.read()
+        try:
+            with trio.fail_after(CONTROL_CALL_TIMEOUT_MS / MS_PER_SECOND):
+                async with self._port.open(call) as response:
+                    content = await response.read(MAX_CONTROL_ANSWER_BYTES)
+        except trio.TooSlowError as error:
+            raise EndpointBrokenError(
+                f"{address}{path}: incomplete after {CONTROL_CALL_TIMEOUT_MS} ms"
+            ) from error
         if response.status == 409:
             raise OrderRefusedError(address)
         if response.status not in (200, 404):
--- a/vanillareach/endpoints/http.py
+++ b/vanillareach/endpoints/http.py
@@ -1,6 +1,6 @@
 """Calls to endpoints over HTTP/1.1."""
 
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 
 import httpcore
 
@@ -12,6 +12,7 @@
     EndpointResponse,
     EndpointUnreachableError,
 )
+from vanillareach.endpoints.limits import HeadLimit, HeadLimitBackend
 from vanillareach.traffic import CountingBackend
 
 HOP_BY_HOP_HEADERS = CONNECTION_HEADERS | {b"date", b"host", b"server"}
@@ -31,7 +32,9 @@
     """
 
     def __init__(self, connect_limit_ms, traffic=None):
-        backend = CountingBackend(traffic) if traffic is not None else None
+        backend = HeadLimitBackend(
+            httpcore.TrioBackend() if traffic is None else CountingBackend(traffic)
+        )
         self._connect_timeout_s = connect_limit_ms / MS_PER_SECOND
         self._keep_alive_pool = httpcore.AsyncConnectionPool(
             max_connections=MAX_CONNECTIONS,
@@ -65,14 +68,17 @@
             "write": idle_timeout_s,
         }
         url = f"http://{call.address}{call.path}"
+        stream = pool.stream(
+            call.method,
+            url,
+            headers=call.headers,
+            content=call.body,
+            extensions={"timeout": timeout},
+        )
         try:
-            async with pool.stream(
-                call.method,
-                url,
-                headers=call.headers,
-                content=call.body,
-                extensions={"timeout": timeout},
-            ) as response:
+            async with AsyncExitStack() as stack:
+                with HeadLimit():
+                    response = await stack.enter_async_context(stream)
                 yield EndpointResponse(
                     response.status,
                     [(k, v) for k, v in response.headers if _is_end_to_end(k)],
--- a/vanillareach/endpoints/monitor.py
+++ b/vanillareach/endpoints/monitor.py
@@ -5,7 +5,7 @@
 from vanillareach.core.loadtree import polls_engine_load
 from vanillareach.core.objects import ServiceKind
 from vanillareach.core.sweeping import expired_requests
-from vanillareach.endpoints.base import EndpointError
+from vanillareach.endpoints.base import EndpointError, EndpointLimitError
 from vanillareach.log import get_logger
 
 SWEEP_INTERVAL_MS = 2000
@@ -61,6 +61,10 @@
     async def _run_logging_errors(self, action, state):
         try:
             await action(state)
+        except EndpointLimitError as error:
+            log.warning(
+                "Engine answer broken off.", endpoint=state.spec.name, error=str(error)
+            )
         except EndpointError as error:
             log.debug("Engine call failed.", endpoint=state.spec.name, error=str(error))
 
--- a/vanillareach/entry/attempts.py
+++ b/vanillareach/entry/attempts.py
@@ -7,6 +7,7 @@
 
 from vanillareach.clock import MS_PER_SECOND
 from vanillareach.core.outcomes import Outcome
+from vanillareach.endpoints.limits import read_answer
 
 # Shortest wait for an attempt. The clock's resolution may be coarser than the rest of
 # an idle timeout.
@@ -153,13 +154,13 @@
             other.scope.cancel()
         return True
 
-    async def _read(self, attempt, response):
-        """Return the entire body of a response."""
-        chunks = []
-        async for chunk in response.chunks:
-            attempt.record_data(self._components.clock.now_ms())
-            chunks.append(chunk)
-        return b"".join(chunks)
+    async def _read(self, attempt, response, time_limit_ms):
+        """Return the entire body of a response; see `read_answer`."""
+        return await read_answer(
+            response.chunks,
+            lambda: attempt.record_data(self._components.clock.now_ms()),
+            time_limit_ms,
+        )
 
     def _remaining_ms(self):
         return self._exchange.deadline_ms - self._components.clock.now_ms()
--- a/vanillareach/entry/generation.py
+++ b/vanillareach/entry/generation.py
@@ -5,6 +5,7 @@
 import msgspec
 import trio
 
+from vanillareach.clock import MS_PER_SECOND
 from vanillareach.core.breakers import RetryBudget
 from vanillareach.core.directory import Dispatch
 from vanillareach.core.hashing import hash128_hex
@@ -13,6 +14,7 @@
 from vanillareach.core.streams import (
     DONE_EVENT,
     EventBuffer,
+    EventTooLongError,
     StreamProgress,
     corrected_usage,
 )
@@ -22,9 +24,21 @@
     EndpointBrokenError,
     EndpointCall,
     EndpointError,
+    EndpointLimitError,
     EndpointUnreachableError,
 )
-from vanillareach.endpoints.engine import ChatMessage, EngineClient, replace_json_fields
+from vanillareach.endpoints.engine import (
+    ChatMessage,
+    EngineClient,
+    is_json,
+    replace_json_fields,
+)
+from vanillareach.endpoints.limits import (
+    ANSWER_TIME_LIMIT_MS,
+    MAX_REFUSAL_BYTES,
+    MAX_STREAM_BYTES,
+    REFUSAL_TIME_LIMIT_MS,
+)
 from vanillareach.entry.attempts import OverlappingAttempts
 from vanillareach.entry.generation_attempts import GenerationAttempt, Resumption
 from vanillareach.log import get_logger
@@ -354,7 +368,7 @@
         )
         async with self._components.endpoints.open(endpoint_call) as response:
             if response.status in REFUSAL_STATUSES or response.status >= 500:
-                await response.read()
+                await self._read_refusal(response)
                 self._last_error = f"{endpoint_name} answered {response.status}"
                 return "refused"
             if response.status != 200:
@@ -428,7 +442,7 @@
         )
 
     async def _forward_rejection(self, attempt, response):
-        body = await response.read()
+        body = await self._read_refusal(response)
         if len(self._running) > 1:
             self._last_error = f"{attempt.state.spec.name} answered {response.status}"
             return "refused"
@@ -441,22 +455,32 @@
             await self._exchange.answer(response.status, body, b"application/json")
         return "rejected"
 
+    async def _read_refusal(self, response):
+        try:
+            with trio.fail_after(REFUSAL_TIME_LIMIT_MS / MS_PER_SECOND):
+                return await response.read(MAX_REFUSAL_BYTES)
+        except trio.TooSlowError as error:
+            raise EndpointLimitError(
+                f"refusal incomplete after {REFUSAL_TIME_LIMIT_MS:.0f} ms"
+            ) from error
+
     async def _forward_response(self, attempt, response):
-        body = await self._read(attempt, response)
+        body = await self._read(attempt, response, ANSWER_TIME_LIMIT_MS)
+        # Without a length and chunks, only the body itself shows that it is complete.
+        if not is_json(body):
+            raise EndpointBrokenError("the answer is not a complete JSON document")
         self._record_first_token(attempt)
         await self._exchange.answer(200, body, b"application/json")
         return "answered"
 
-    async def _relay_stream(self, attempt, response):
+    async def _relay_stream(self, attempt, response, event_timeout_ms=math.inf):
         clock = self._components.clock
         exchange = self._exchange
         send = exchange.send
-        feed = EventBuffer().feed
-        async for chunk in response.chunks:
+        buffer = EventBuffer()
+        while events := await self._next_events(buffer, response, event_timeout_ms):
+            # A part of an event shows no progress: it may never be completed.
             attempt.record_data(clock.now_ms())
-            events = feed(chunk)
-            if not events:
-                continue
             if not self._take_over(attempt):
                 return "abandoned"
             self._leader = attempt
@@ -474,6 +498,26 @@
             attempt.record_data(clock.now_ms())
         return await self._finish_stream(attempt)
 
+    async def _next_events(self, buffer, response, timeout_ms):
+        """Return the next complete events; empty at the end of the response."""
+        with trio.move_on_after(timeout_ms / MS_PER_SECOND):
+            async for chunk in response.chunks:
+                events = self._complete_events(buffer, chunk)
+                if events:
+                    return events
+            return b""
+        raise EndpointLimitError(f"no event complete within {timeout_ms:.0f} ms")
+
+    def _complete_events(self, buffer, chunk):
+        """Return the events that `chunk` completes, within the limits of a stream."""
+        try:
+            events = buffer.feed(chunk)
+        except EventTooLongError as error:
+            raise EndpointLimitError(str(error)) from error
+        if self._progress.size + len(events) > MAX_STREAM_BYTES:
+            raise EndpointLimitError(f"stream exceeds {MAX_STREAM_BYTES} bytes")
+        return events
+
     async def _finish_stream(self, attempt):
         if not self._take_over(attempt):
             return "abandoned"
@@ -535,7 +579,7 @@
         try:
             async with self._components.endpoints.open(endpoint_call) as response:
                 if response.status == 200:
-                    await self._relay_stream(attempt, response)
+                    await self._relay_stream(attempt, response, idle_timeout_ms)
         except EndpointError as error:
             log.warning(
                 "Stream could not be resumed on the same engine.",
--- a/vanillareach/entry/services.py
+++ b/vanillareach/entry/services.py
@@ -12,9 +12,11 @@
     EndpointUnreachableError,
 )
 from vanillareach.endpoints.http import HOP_BY_HOP_HEADERS
+from vanillareach.endpoints.limits import ANSWER_TIME_LIMIT_MS
 from vanillareach.entry.attempts import Attempt, OverlappingAttempts
 from vanillareach.entry.callers import run_while_connected
 from vanillareach.entry.keyed import MAX_KEY_LENGTH, KeyedCall, send_recorded_answer
+from vanillareach.log import get_logger
 
 NO_ENDPOINT_RETRY_AFTER_MS = 2000
 REFUSAL_STATUS = 503
@@ -23,6 +25,8 @@
 )
 SAFE_METHODS = frozenset(("GET", "HEAD", "OPTIONS"))
 
+log = get_logger("entry")
+
 
 class ServiceRoutes:
     """Handles calls to plain services.
@@ -159,6 +163,11 @@
             result = "unreachable"
         except EndpointBrokenError as error:
             result = "broken"
+            log.warning(
+                "Attempt failed, endpoint excluded for this call.",
+                endpoint=state.spec.name,
+                error=str(error),
+            )
             if not self._repeatable:
                 await self._exchange.refuse_with_current_outcome(
                     Reason.ENDPOINT_LOST, str(error)
@@ -181,7 +190,9 @@
             self._repeatable,
         )
         async with self._components.endpoints.open(call) as response:
-            body = await self._read(attempt, response)
+            # A call that may run only once is not given up before its deadline.
+            time_limit_ms = ANSWER_TIME_LIMIT_MS if self._repeatable else math.inf
+            body = await self._read(attempt, response, time_limit_ms)
         if response.status == REFUSAL_STATUS and self._repeatable:
             return "refused"
         if not self._take_over(attempt):
--- /dev/null
+++ b/vanillareach/features/response_limits.feature
@@ -0,0 +1,99 @@
+Feature: What endpoints, peers and the store send is read up to a limit
+
+  @stage
+  Scenario Outline: A streamed answer that never becomes one goes on at another engine
+    Given 2 engines, 2 services and 1 entry
+    And the services "model-pool,desk" have an idle timeout of 1000 ms
+    And the first engine called <fault>
+    When a caller streams 100 prompt tokens for 20 tokens
+    Then the caller received each token once, in order
+    And the response took less than 6000 ms
+
+    Examples:
+      | fault                                  |
+      | drips one event without end            |
+      | sends one event without end            |
+      | ends its connection inside an event    |
+      | refuses with a body that drips         |
+      | refuses with a body without end        |
+
+  @stage
+  Scenario: A usage that drips without end is left out of a finished stream
+    Given 2 engines, 2 services and 1 entry
+    And the services "model-pool,desk" have an idle timeout of 1000 ms
+    And all engines break all streams at token 20
+    And a resumed stream drips one event without end
+    When a caller streams 20 tokens with usage
+    Then the caller received each token once, in order
+    And the response took less than 6000 ms
+    And no prompt was prefilled twice
+
+  @stage
+  Scenario: A stream of events without end is broken off
+    Given 1 engines, 2 services and 1 entry
+    And the first engine called sends events without end
+    When a caller streams 100 prompt tokens for 20 tokens
+    Then the stream ends with a problem after at most 65 MiB
+
+  @stage
+  Scenario Outline: A buffered answer that never ends is replaced by that of another engine
+    Given 2 engines, 2 services and 1 entry
+    And the first engine called <fault>
+    When a caller requests 20 tokens without streaming
+    Then the response has status 200 and 20 completion tokens
+    And the response took less than 20000 ms
+    And the first engine called has failed once
+
+    Examples:
+      | fault                                   |
+      | sends a body that drips                 |
+      | sends a body without end                |
+      | ends its connection inside a document   |
+      | refuses with a body that drips          |
+      | refuses with a body without end         |
+
+  @stage
+  Scenario Outline: A call goes on at another service if the first one's answer never ends
+    Given 2 engines, 2 services and 1 entry
+    And the services "model-pool,desk" have a time limit of 60000 ms
+    And the first service called <fault>
+    When a caller sends a repeatable call
+    Then the response has the status 201
+    And the response took less than 20000 ms
+
+    Examples:
+      | fault                    |
+      | sends a body that drips  |
+      | sends a body without end |
+
+  @stage
+  Scenario Outline: A load report without end delays those of other engines by its time limit at most
+    Given 7 engines, 2 services and 1 entry
+    And a load report <fault>
+    When 20000 ms pass
+    Then the entry read at least 5 load reports of each other engine
+
+    Examples:
+      | fault              |
+      | drips              |
+      | is sent without end |
+
+  Scenario Outline: A response head that never ends is broken off
+    When an endpoint sends <bytes>
+    Then the call ends with the error EndpointLimitError
+    And the endpoint's connection is closed
+
+    Examples:
+      | bytes                             |
+      | interim responses without end     |
+      | a head that drips                 |
+
+  Scenario Outline: The end of a connection ends a response without length or chunks
+    When an endpoint sends a response of <size> bytes and ends its connection
+    Then the call returns these <size> bytes
+
+    Examples:
+      | size    |
+      | 0       |
+      | 1       |
+      | 100000  |
