Limit what the store and the object API may send

A store that answered each page with "more" was listed without end, and the object list grew with it. A store or object API that sent fast filled the memory of the instance until the time limit of the call. A watch that dripped or sent one line without end never ended, at quadratic cost, so its collection stayed as it was; a line that is no event ended the instance's tasks with msgspec.ValidationError.

Change: connections read a limited number of bytes per request (bounded_reads.py); a list has a limit of objects and of time for all its pages; an event of a watch has a limit of bytes and of time, and lines are cut in linear time. What goes beyond is a failure of the store, as a lost connection is.

--- a/vanillareach/control/object_api.py
+++ b/vanillareach/control/object_api.py
@@ -7,17 +7,25 @@
 """
 
 from abc import ABC, abstractmethod
+from contextlib import AsyncExitStack
 
 import httpcore
 import msgspec
 import trio
 
+from vanillareach.bounded_reads import BoundedBackend
 from vanillareach.clock import MS_PER_SECOND
 from vanillareach.core.buckets import TokenBucket
 from vanillareach.traffic import ControlTraffic, CountingBackend
 
 API_PREFIX = "/apis/vanillareach/v1"
 JSON_HEADERS = ((b"content-type", b"application/json"),)
+# A whole collection: 10,000 objects with 3 KiB each.
+MAX_RESPONSE_BYTES = 32 * 1024 * 1024
+# One object; the store of such an API takes objects of at most 1.5 MiB.
+MAX_WATCH_EVENT_BYTES = 2 * 1024 * 1024
+# Time in which a watch has to yield the next event, which may be a bookmark.
+WATCH_EVENT_TIMEOUT_MS = 60_000.0
 
 
 class PlatformError(Exception):
@@ -134,17 +142,23 @@
         self._call_budget = TokenBucket(
             calls_per_second, 2 * calls_per_second, clock.now_ms()
         )
+        backend = CountingBackend(traffic or ControlTraffic())
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=32,
             max_keepalive_connections=8,
             keepalive_expiry=60,
-            network_backend=CountingBackend(traffic or ControlTraffic()),
+            network_backend=BoundedBackend(backend, MAX_RESPONSE_BYTES),
+        )
+        # A watch goes on for as long as it yields events.
+        self._watch_pool = httpcore.AsyncConnectionPool(
+            max_connections=8, max_keepalive_connections=0, network_backend=backend
         )
         self.calls_by_method = {"read": 0, "list": 0, "write": 0, "watch": 0}
 
     async def close(self):
         """Close all connections."""
         await self._pool.aclose()
+        await self._watch_pool.aclose()
 
     async def read(self, collection, name):
         """Read one object."""
@@ -200,9 +214,12 @@
         """Yield the changes of a collection made after `version`."""
         await self._wait_for_call_budget("watch")
         url = f"{self._base_url}/{collection}?watch=true&resourceVersion={version}"
-        extensions = {"timeout": {"connect": 2.0, "read": 60.0}}
+        extensions = {"timeout": {"connect": 2.0}}
+        stream = self._watch_pool.stream("GET", url, extensions=extensions)
         try:
-            async with self._pool.stream("GET", url, extensions=extensions) as response:
+            async with AsyncExitStack() as stack:
+                with trio.fail_after(WATCH_EVENT_TIMEOUT_MS / MS_PER_SECOND):
+                    response = await stack.enter_async_context(stream)
                 if response.status == 410:
                     raise PlatformGoneError(collection)
                 if response.status != 200:
@@ -210,7 +227,7 @@
                         f"watch got status {response.status}"
                     )
                 async for line in _iter_lines(response):
-                    yield msgspec.json.decode(line, type=WatchEvent)
+                    yield _decode_json(line, WatchEvent)
         except _TRANSPORT_ERRORS as error:
             raise PlatformUnavailableError(f"watch of {collection} failed") from error
 
@@ -248,17 +265,45 @@
 
 
 def _decode(response, expected_type):
+    return _decode_json(response.content, expected_type)
+
+
+def _decode_json(data, expected_type):
     try:
-        return msgspec.json.decode(response.content, type=expected_type)
+        return msgspec.json.decode(data, type=expected_type)
     except (msgspec.DecodeError, msgspec.ValidationError) as error:
         raise PlatformUnavailableError(f"invalid response: {error}") from error
 
 
 async def _iter_lines(response):
-    buffered = b""
-    async for chunk in response.aiter_stream():
-        buffered += chunk
-        *complete_lines, buffered = buffered.split(b"\n")
-        for line in complete_lines:
-            if line:
+    """Yield the lines of a watch that aren't empty.
+
+    Raises
+    ------
+    PlatformUnavailableError
+        If a line exceeds `MAX_WATCH_EVENT_BYTES`.
+    trio.TooSlowError
+        If no line is complete within `WATCH_EVENT_TIMEOUT_MS`.
+    """
+    chunks, partial_line, size = response.aiter_stream(), bytearray(), 0
+    timeout_s = WATCH_EVENT_TIMEOUT_MS / MS_PER_SECOND
+    timeout_at_s = trio.current_time() + timeout_s
+    while True:
+        with trio.fail_at(timeout_at_s):
+            chunk = await anext(chunks, None)
+        if chunk is None:
+            return
+        size += len(chunk)
+        first_end, *further_lines = chunk.split(b"\n")
+        partial_line += first_end
+        if further_lines:
+            complete_lines = [bytes(partial_line), *further_lines[:-1]]
+            partial_line = bytearray(further_lines[-1])
+            for line in filter(None, complete_lines):
                 yield line
+                size = len(partial_line)
+                timeout_at_s = trio.current_time() + timeout_s
+        if size > MAX_WATCH_EVENT_BYTES:
+            raise PlatformUnavailableError(
+                f"watch event exceeds {MAX_WATCH_EVENT_BYTES} bytes"
+            )
--- a/vanillareach/features/response_limits.feature
+++ b/vanillareach/features/response_limits.feature
@@ -97,3 +97,48 @@
       | 0       |
       | 1       |
       | 100000  |
+
+  Scenario Outline: A response of the store that never ends is a failure of the store
+    Given a store that sends <fault>
+    Then listing the endpoints fails with PlatformUnavailableError
+    And reading the configuration fails with PlatformUnavailableError
+    And no call has received more than 64 MiB
+
+    Examples:
+      | fault                          |
+      | a head without end             |
+      | interim responses without end  |
+      | a body without end             |
+      | a body that drips              |
+
+  Scenario: A list of the store whose pages never end is a failure of the store
+    Given a store that sends the same page again and again
+    Then listing the endpoints fails with PlatformUnavailableError
+
+  Scenario Outline: A response of the object API that never ends is a failure of the API
+    Given an object API that sends <fault>
+    Then listing a collection fails with PlatformUnavailableError
+    And writing an object fails with PlatformAmbiguousError
+    And no call has received more than 64 MiB
+
+    Examples:
+      | fault              |
+      | a body without end |
+      | a body that drips  |
+
+  Scenario Outline: A watch without events ends
+    Given an object API that sends <fault>
+    When a collection is watched with a time limit of 500 ms for an event
+    Then the watch has yielded 0 events and failed with PlatformUnavailableError
+
+    Examples:
+      | fault                     |
+      | one line without end      |
+      | a body that drips         |
+      | empty lines without end   |
+      | a line that is no event   |
+
+  Scenario: Events of a watch arrive whatever pieces their lines are cut into
+    Given an object API that sends 3 events in pieces of 1 byte
+    When a collection is watched with a time limit of 20000 ms for an event
+    Then the watch has yielded 3 events and ended
--- /dev/null
+++ b/vanillareach/features/steps/store_limits.py
@@ -0,0 +1,188 @@
+"""Steps about responses of the store and peers that exceed a limit."""
+
+import tracemalloc
+import zlib
+from contextlib import suppress
+from unittest import mock
+
+import trio
+from behave import given, then, when
+
+from vanillareach.clock import TrioClock
+from vanillareach.control import object_api
+from vanillareach.control.object_api import HttpPlatform, PlatformError
+from vanillareach.core.messages import MessageError, unpack_configuration
+from vanillareach.platform.store import PlatformStore
+
+MIB = 1024 * 1024
+CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+UNFRAMED_HEAD = b"HTTP/1.1 200 OK\r\n\r\n"
+PAGE = (
+    b'{"items": [{"metadata": {"name": "a", "rev": 1}, "spec": {}}],'
+    b' "more": true, "at": 1}'
+)
+PAGE_HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(PAGE)
+STORED_OBJECT = b'{"metadata": {"name": "a", "resourceVersion": "1"}}'
+WATCH_EVENT = b'{"type": "ADDED", "object": %s}\n' % STORED_OBJECT
+DRIP_INTERVAL_S = 0.05
+CALL_TIMEOUT_S = 30.0
+# First bytes, bytes repeated without end and the interval between them.
+RESPONSES_BY_FAULT = {
+    "a head without end": (b"HTTP/1.1 200 OK\r\nx: ", b"x" * MIB, 0.0),
+    "interim responses without end": (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 99, 0),
+    "a body without end": (UNFRAMED_HEAD, b" " * MIB, 0.0),
+    "a body that drips": (UNFRAMED_HEAD, b" ", DRIP_INTERVAL_S),
+    "one line without end": (UNFRAMED_HEAD, b"x" * 65_536, 0.0),
+    "empty lines without end": (UNFRAMED_HEAD, b"\n" * 65_536, 0.0),
+    "a line that is no event": (UNFRAMED_HEAD + b"[1]\n", b"", 0.0),
+}
+
+
+def serve_fault(context, fault):
+    """Let the endpoint that `run_with_server` starts send a fault."""
+    context.largest_response = 0
+    first, repeated, interval_s = RESPONSES_BY_FAULT[fault]
+
+    async def send(stream):
+        await stream.receive_some(65_536)
+        await stream.send_all(first)
+        sent = len(first)
+        while repeated:
+            await stream.send_all(repeated)
+            sent += len(repeated)
+            context.largest_response = max(context.largest_response, sent)
+            await trio.sleep(interval_s)
+
+    context.send_response = send
+
+
+def run_with_server(context, make_client, call):
+    """Call a client of a server on loopback; return the name of the error or None."""
+
+    async def serve(stream):
+        with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+            await context.send_response(stream)
+        await stream.aclose()
+
+    async def main():
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = listeners[0].socket.getsockname()[1]
+        client = make_client(f"127.0.0.1:{port}")
+        error_name = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(trio.serve_listeners, serve, listeners)
+            with trio.fail_after(CALL_TIMEOUT_S):
+                try:
+                    await call(client)
+                except PlatformError as error:
+                    error_name = type(error).__name__
+            nursery.cancel_scope.cancel()
+        await client.close()
+        return error_name
+
+    return trio.run(main)
+
+
+def make_platform(address):
+    """Return a client of the object API."""
+    return HttpPlatform(address, TrioClock())
+
+
+@given("a store that sends the same page again and again")
+def step_endless_pages(context):
+    async def send(stream):
+        while await stream.receive_some(65_536):
+            await stream.send_all(PAGE_HEAD + PAGE)
+
+    context.send_response = send
+
+
+@given("an object API that sends {count:d} events in pieces of 1 byte")
+def step_events_in_pieces(context, count):
+    async def send(stream):
+        await stream.receive_some(65_536)
+        await stream.send_all(CHUNKED_HEAD)
+        for byte in WATCH_EVENT * count:
+            await stream.send_all(b"1\r\n%c\r\n" % byte)
+        await stream.send_all(b"0\r\n\r\n")
+
+    context.send_response = send
+
+
+@given("a store that sends {fault}")
+@given("an object API that sends {fault}")
+def step_fault(context, fault):
+    serve_fault(context, fault)
+
+
+@then("listing the endpoints fails with {name}")
+def step_list_endpoints(context, name):
+    error = run_with_server(context, PlatformStore, PlatformStore.list_endpoints)
+    assert error == name, error
+
+
+@then("reading the configuration fails with {name}")
+def step_read_configuration(context, name):
+    error = run_with_server(context, PlatformStore, PlatformStore.read_configuration)
+    assert error == name, error
+
+
+@then("listing a collection fails with {name}")
+def step_list_collection(context, name):
+    error = run_with_server(context, make_platform, lambda api: api.list("endpoints"))
+    assert error == name, error
+
+
+@then("writing an object fails with {name}")
+def step_write_object(context, name):
+    error = run_with_server(
+        context, make_platform, lambda api: api.write("endpoints", "a", {}, "")
+    )
+    assert error == name, error
+
+
+@then("no call has received more than {size_mib:d} MiB")
+def step_received(context, size_mib):
+    assert context.largest_response <= size_mib * MIB, context.largest_response
+
+
+@when("a collection is watched with a time limit of {limit_ms:d} ms for an event")
+def step_watch(context, limit_ms):
+    context.events = []
+
+    async def watch(api):
+        async for event in api.watch("endpoints", "1"):
+            context.events.append(event)
+
+    with mock.patch.object(object_api, "WATCH_EVENT_TIMEOUT_MS", limit_ms):
+        context.error_name = run_with_server(context, make_platform, watch)
+
+
+@then("the watch has yielded {count:d} events and failed with {name}")
+def step_watch_failed(context, count, name):
+    assert context.error_name == name, context.error_name
+    assert len(context.events) == count, context.events
+
+
+@then("the watch has yielded {count:d} events and ended")
+def step_watch_ended(context, count):
+    assert context.error_name is None, context.error_name
+    assert len(context.events) == count, context.events
+
+
+@then("a packed configuration of {size_mib:d} MiB is rejected without being unpacked")
+def step_unpack_configuration(context, size_mib):
+    compressor = zlib.compressobj(1)
+    parts = [compressor.compress(bytes(MIB)) for _ in range(size_mib)]
+    packed = b"".join([*parts, compressor.flush()])
+    tracemalloc.start()
+    try:
+        unpack_configuration(packed)
+    except MessageError:
+        error = None
+    else:
+        error = "the configuration was accepted"
+    _, peak_bytes = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert error is None, error
+    assert peak_bytes < 64 * MIB, peak_bytes
--- a/vanillareach/platform/store.py
+++ b/vanillareach/platform/store.py
@@ -4,6 +4,7 @@
 import msgspec
 import trio
 
+from vanillareach.bounded_reads import BoundedBackend
 from vanillareach.clock import MS_PER_SECOND
 from vanillareach.control.object_api import (
     PlatformConflictError,
@@ -34,6 +35,11 @@
 # Time allowed for a response, in addition to the time that a watch waits for a change.
 # The store itself responds within 4 ms.
 CALL_TIMEOUT_MS = 700.0
+# One page, object or watch: 10,000 endpoints with 1 KiB each, with room to spare.
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+# All pages of a list. Endpoints must be refreshed within two seconds.
+LIST_TIME_LIMIT_MS = 2_000.0
+MAX_LISTED_OBJECTS = 100_000
 CONNECTION_ERRORS = (
     httpcore.NetworkError,
     httpcore.ProtocolError,
@@ -62,7 +68,10 @@
     def __init__(self, address):
         self._base_url = f"http://{address}{names.OBJECTS_PATH}"
         self._pool = httpcore.AsyncConnectionPool(
-            max_connections=8, max_keepalive_connections=3, keepalive_expiry=20
+            max_connections=8,
+            max_keepalive_connections=3,
+            keepalive_expiry=20,
+            network_backend=BoundedBackend(httpcore.TrioBackend(), MAX_RESPONSE_BYTES),
         )
         self.calls = 0
         self._era = 0
@@ -150,6 +159,15 @@
             _raise_for_status(response)
 
     async def _list(self, kind, may_be_stale=False):
+        try:
+            with trio.fail_after(LIST_TIME_LIMIT_MS / MS_PER_SECOND):
+                return await self._list_pages(kind, may_be_stale)
+        except trio.TooSlowError as error:
+            raise PlatformUnavailableError(
+                f"{kind}: list incomplete after {LIST_TIME_LIMIT_MS:.0f} ms"
+            ) from error
+
+    async def _list_pages(self, kind, may_be_stale):
         items, query = [], "allow_stale=1" if may_be_stale else ""
         path = f"{kind}?{query}" if query else kind
         era = None
@@ -160,6 +178,10 @@
                 raise PlatformUnavailableError(f"{kind}: era changed between pages")
             era = page_era
             items += page.items
+            if len(items) > MAX_LISTED_OBJECTS:
+                raise PlatformUnavailableError(
+                    f"{kind}: more than {MAX_LISTED_OBJECTS} objects"
+                )
             if not page.more or not page.items:
                 return items, StorePosition(era, page.at)
             path = f"{kind}?after={page.items[-1].metadata.name}"
