Unpack a peer's configuration up to a limit

A packed configuration of less than the 4 MiB that a message may have could unpack to gigabytes. It is unpacked up to MAX_CONFIGURATION_BYTES now.

--- a/vanillareach/core/messages.py
+++ b/vanillareach/core/messages.py
@@ -17,6 +17,9 @@
 from vanillareach.core.placement_types import GenerationRequest, Placement
 from vanillareach.core.routing import RouteTable
 
+# An unpacked configuration; 10,000 routes with 1 KiB each, with room to spare.
+MAX_CONFIGURATION_BYTES = 16 * 1024 * 1024
+
 
 class MemberState(IntEnum):
     """State of an instance as its peers see it; higher values override lower ones."""
@@ -514,7 +517,13 @@
         If the bytes are not a packed `RouteTable`.
     """
     try:
-        return _table_decoder.decode(zlib.decompress(data))
+        decompressor = zlib.decompressobj()
+        unpacked = decompressor.decompress(data, MAX_CONFIGURATION_BYTES)
+        if not decompressor.eof:
+            raise MessageError(
+                f"configuration truncated or over {MAX_CONFIGURATION_BYTES} bytes"
+            )
+        return _table_decoder.decode(unpacked)
     except (zlib.error, msgspec.MsgspecError) as error:
         raise MessageError(str(error)) from error
 
--- a/vanillareach/features/response_limits.feature
+++ b/vanillareach/features/response_limits.feature
@@ -142,3 +142,16 @@
     Given an object API that sends 3 events in pieces of 1 byte
     When a collection is watched with a time limit of 20000 ms for an event
     Then the watch has yielded 3 events and ended
+
+  Scenario: A configuration from a peer is unpacked up to a limit
+    Then a packed configuration of 256 MiB is rejected without being unpacked
+
+  Scenario: A peer that announces a message beyond the limit is disconnected
+    Given an instance that serves its peers
+    When a peer announces a message of 4194305 bytes
+    Then the peer is disconnected
+    And a call of another peer gets a reply
+
+  Scenario: A peer's reply beyond the limit ends the call
+    Given a peer that announces a reply of 4194305 bytes
+    Then a call of this peer fails with PeerUnresponsiveError
