Let endpoints of the soak answer without end, or without framing

Callers saw requests end in 504 at an endpoint that sent a stream without a blank line, while other engines answered prompts as large. The soak had no endpoint that sends bytes without end, and none whose answers end by their connection.

New faults, drawn by a generator of their own: heads, plain bodies, streams without a blank line and 1xx responses without end, fast (8 MB/s for 8 s at most, four at once) or dripping; answers with neither a length nor chunks that end whole, within an event or by a reset.

New checks: HELD (a request stays with an endless answer 2 s longer than with a silent endpoint, or ends in 504 there, while two others as large are answered elsewhere) and MEMORY (64 MB, the target of a node, and room for eight answers that are held until complete: 96 MB).

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -31,7 +31,16 @@
 
 def resident_mb(pid):
     """Return the resident memory of a process in megabytes."""
+    return _status_mb(pid, "VmRSS:")
+
+
+def peak_mb(pid):
+    """Return the highest resident memory of a process so far in megabytes."""
+    return _status_mb(pid, "VmHWM:")
+
+
+def _status_mb(pid, name):
     for line in Path(f"/proc/{pid}/status").read_text().splitlines():
-        if line.startswith("VmRSS:"):
+        if line.startswith(name):
             return int(line.split()[1]) / KB_PER_MB
     raise LookupError(pid)
--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -13,6 +13,7 @@
 
 import trio
 
+from bench.soak.answer_faults import STEPS_BY_FAULT, AnswerFaultInjector
 from bench.soak.callers import (
     CALLER_COUNT,
     REQUEST_KINDS,
@@ -24,11 +25,15 @@
 from bench.soak.checks import find_leaked_reservations, find_violations
 from bench.soak.faults import FaultInjector
 from bench.soak.observations import record_stalls
+from bench.soak.processes import record_processes
 from bench.soak.signals import SignalSeries
 from bench.soak.withdrawals import WithdrawalInjector
 from bench.soak.world import open_environment
 from vanillareach.utils import split_address
 
+# Faults besides the usual ones, and those of them that are injected by default.
+EXTRA_FAULTS = tuple(STEPS_BY_FAULT)
+DEFAULT_EXTRA_FAULTS = ()
 READY_TIMEOUT_S = 60
 # Reservations that nobody releases expire within this time.
 RESERVATION_EXPIRY_S = 4.0
@@ -41,7 +46,7 @@
 METRICS_REQUEST = b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
 
 
-async def run_seed(layout, seed, duration_s, caller_count, seed_index):
+async def run_seed(layout, seed, duration_s, caller_count, extra_faults, seed_index):
     """Run one seed and return the violations found and a summary.
 
     `seed_index` is the number of seeds that the same gateways have served before.
@@ -53,7 +58,11 @@
             injector = FaultInjector(environment)
             series = SignalSeries(environment, seed)
             withdrawals = WithdrawalInjector(environment, seed)
+            answers = AnswerFaultInjector(environment, seed, extra_faults)
             nursery.start_soon(record_stalls, environment.observations)
+            nursery.start_soon(
+                record_processes, environment.gateways, environment.observations
+            )
             async with trio.open_nursery() as callers:
                 for _ in range(caller_count):
                     habits = draw_habits(environment.caller_random)
@@ -62,6 +71,7 @@
                     disturbances.start_soon(injector.run, duration_s)
                     disturbances.start_soon(series.run, duration_s)
                     disturbances.start_soon(withdrawals.run, duration_s)
+                    disturbances.start_soon(answers.run, duration_s)
                 callers.cancel_scope.cancel()
             for endpoint in environment.endpoints_by_name.values():
                 endpoint.script.clear()
@@ -73,8 +83,13 @@
             for fault in environment.observations.faults if violations else ():
                 print("   ", fault)
         nursery.cancel_scope.cancel()
+    observations = environment.observations
     answered = sum(attempt.status == 200 for attempt in environment.attempts)
-    return violations, f"{len(environment.attempts)} attempts, {answered} answered"
+    peak_mb = max(observations.peak_mb_by_process.values(), default=0)
+    return violations, (
+        f"{len(environment.attempts)} attempts, {answered} answered, "
+        f"peak {peak_mb:.0f} MB"
+    )
 
 
 async def wait_until_all_serve(environment, timeout_s):
@@ -148,12 +163,26 @@
     return None
 
 
+def parse_extra_faults(text):
+    """Return the faults of a comma-separated list; refuse unknown ones."""
+    faults = tuple(fault for fault in text.split(",") if fault)
+    if unknown := set(faults).difference(EXTRA_FAULTS):
+        raise argparse.ArgumentTypeError(f"unknown: {', '.join(sorted(unknown))}")
+    return faults
+
+
 def main():
     """Run the seeds and exit with 1 if violations were found."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", default="", help="comma-separated; else a fresh one")
     parser.add_argument("--callers", type=int, default=CALLER_COUNT)
     parser.add_argument("--seconds", type=float, default=12.0)
+    parser.add_argument(
+        "--extra",
+        type=parse_extra_faults,
+        default=DEFAULT_EXTRA_FAULTS,
+        help=f"comma-separated faults of {', '.join(EXTRA_FAULTS)}",
+    )
     arguments = parser.parse_args()
     seeds = [int(seed) for seed in arguments.seeds.split(",") if seed]
     failed_seeds = 0
@@ -164,6 +193,7 @@
             seed,
             arguments.seconds,
             arguments.callers,
+            arguments.extra,
             seed_index,
         )
         failed_seeds += bool(violations)
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -124,6 +124,7 @@
     if kind in STREAM_KINDS:
         tokens = environment.caller_random.choice((900, 30_000, 120_000))
         header_values["Vanillareach_Token_Usage"] = f"{tokens},100"
+        attempt.prompt_tokens = tokens
     # Also after a response that announced the end of the connection.
     caller._connection = h11.Connection(h11.CLIENT)
     response = None
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -2,15 +2,14 @@
 
 from collections import Counter
 
-from bench.soak.lost import find_lost
+from bench.soak.endless import find_held, find_high_peaks
+from bench.soak.lost import NOT_EXECUTED_STEPS, find_lost
 from bench.soak.unwanted import find_unwanted
 from bench.soak.world import STREAM_KINDS, event_ids, expected_body
 from vanillareach.platform import names
 
 # Statuses that tell the caller that its request was not executed.
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
-# Steps of an endpoint's script in which it does not execute the request.
-NOT_EXECUTED_STEPS = ("shed", "misdirect", "quiet")
 
 
 def find_violations(environment):
@@ -26,6 +25,8 @@
     - LOST: a request ended without an answer though nothing it met had failed.
     - DRAIN: a gateway sent to an endpoint that had told it that it leaves.
     - QUIET: a gateway sent to an endpoint that had asked it for quiet.
+    - HELD: a request stayed with an endless answer though others could have answered.
+    - MEMORY: a gateway's memory has exceeded its bound.
     """
     run_counts = Counter()
     known_ids = {attempt.id for attempt in environment.attempts}
@@ -39,7 +40,9 @@
                 run_counts[attempt_id] += 1
     for attempt in environment.attempts:
         found += _check_attempt(attempt, run_counts[attempt.id])
-    return [*found, *find_lost(environment), *find_unwanted(environment)]
+    for find in (find_lost, find_unwanted, find_held, find_high_peaks):
+        found += find(environment)
+    return found
 
 
 def _check_attempt(attempt, run_count):
--- a/bench/soak/endpoint.py
+++ b/bench/soak/endpoint.py
@@ -5,9 +5,11 @@
 import trio
 
 from bench.soak.observations import Arrival, SentNotice
+from bench.soak.raw_answers import RawAnswers
 from vanillareach.features.users_platform.endpoint import (
     ReceivedRequest,
     StandinEndpoint,
+    response_body,
 )
 from vanillareach.gateway.connections import ResponseAbortedError
 from vanillareach.platform import names
@@ -22,7 +24,17 @@
 LATE_ANSWER_TIME_S = (0.8, 1.9)
 
 
-class SoakEndpoint(StandinEndpoint):
+def event(number, padding=0):
+    """Return an event of a stream."""
+    return f"id: {number}\ndata: piece {number}{'x' * padding}\n\n".encode()
+
+
+def first_event_number(received):
+    """Return the number of the first event that a request asks for."""
+    return int(received.values_by_name.get(names.LAST_EVENT_ID, "0")) + 1
+
+
+class SoakEndpoint(RawAnswers, StandinEndpoint):
     """Endpoint whose answers and streams take time.
 
     A share of the streams falls silent once and goes on, and a share of the answers is
@@ -83,6 +95,15 @@
         await responder.answer(503, headers, b"")
         return True
 
+    def body_for(self, received):
+        """Return the body of a complete plain answer; see `RawAnswers`."""
+        return response_body(received.attempt_id).encode()
+
+    def events_for(self, received):
+        """Return the events of a complete stream; see `RawAnswers`."""
+        first = first_event_number(received)
+        return [event(number) for number in range(first, EVENT_COUNT + 1)]
+
     async def _answer(self, received, responder):
         is_late = self._random.random() < LATE_ANSWER_SHARE
         span_s = LATE_ANSWER_TIME_S if is_late else ANSWER_TIME_S
@@ -95,7 +116,7 @@
         self, received, responder, last=EVENT_COUNT, is_torn=False, padding=0
     ):
         """Send events up to `last`; if `is_torn`, then abort within a further one."""
-        first = int(received.values_by_name.get(names.LAST_EVENT_ID, "0")) + 1
+        first = first_event_number(received)
         silent_number = None
         if self._random.random() < self._silent_stream_share:
             silent_number = self._random.randint(first, max(first, last))
@@ -110,8 +131,7 @@
                 received.silence_s = self._random.uniform(*STREAM_SILENCE_S)
                 await trio.sleep(received.silence_s)
             await trio.sleep(EVENT_INTERVAL_S)
-            piece = f"piece {number}" + "x" * padding
-            await responder.send(f"id: {number}\ndata: {piece}\n\n".encode())
+            await responder.send(event(number, padding))
         if is_torn:
             await responder.send(b"id: 99\ndata: half")
             raise ResponseAbortedError("torn")
@@ -119,11 +139,11 @@
 
     async def _gap(self, received, responder):
         """Leave out the second event that is due; abort if there is none after it."""
-        first = int(received.values_by_name.get(names.LAST_EVENT_ID, "0")) + 1
+        first = first_event_number(received)
         if first + 2 > EVENT_COUNT:
             raise ResponseAbortedError("no event left to leave out")
         headers = self._response_headers(received)
         await responder.start(200, [*headers, (b"Transfer-Encoding", b"chunked")])
         for number in (first, first + 2):
-            await responder.send(f"id: {number}\ndata: piece {number}\n\n".encode())
+            await responder.send(event(number))
         await responder.finish()
--- a/bench/soak/lost.py
+++ b/bench/soak/lost.py
@@ -30,9 +30,16 @@
 # A fault of a link hits what is under way on it, which arrives up to this time later.
 LINK_SLACK_S = 0.2
 # Steps of an endpoint's script that end a response early or spoil it.
-BREAKING_STEPS = ("torn", "gap", "unsigned", "stale", "encoded", "cut", "reset")
-# Steps that answer in full, however late, or are silent until the deadline.
-SOUND_STEPS = ("answer", "stream", "mute")
+BREAKING_STEPS = (
+    *("torn", "gap", "unsigned", "stale", "encoded", "cut", "reset"),
+    *("unframed_reset", "unframed_stream_torn", "unframed_stream_reset"),
+)
+# Steps in which an endpoint does not execute the request.
+NOT_EXECUTED_STEPS = ("shed", "misdirect", "quiet")
+# Steps that answer in full, however late.
+ANSWERING_STEPS = ("answer", "stream", "unframed", "unframed_stream")
+# These, and those that are silent until the deadline.
+SOUND_STEPS = (*ANSWERING_STEPS, "mute")
 # Modes of a link that hold up or reset open connections, and those that prevent them.
 HOLDING_MODES = ("silent", "deaf")
 PREVENTING_MODES = (*HOLDING_MODES, "cut")
--- a/bench/soak/observations.py
+++ b/bench/soak/observations.py
@@ -26,6 +26,7 @@
         Time for which the connection had been idle.
     was_close_announced : bool
         Whether the response before it said that the connection would be closed.
+    prompt_tokens : int
     """
 
     id: str
@@ -39,6 +40,7 @@
     process: object = None
     idle_s: float = 0.0
     was_close_announced: bool = False
+    prompt_tokens: int = 0
 
 
 @dataclass(slots=True, frozen=True)
@@ -146,12 +148,16 @@
     signals : list of SentSignal
     timeouts_ms : list of (float, dict)
         When a configuration was written, and its timeouts by route.
+    first_seen_s_by_process, peak_mb_by_process : dict
+        When a process was first seen, and its highest resident memory.
     """
 
     attempts: list = field(default_factory=list)
     faults: list = field(default_factory=list)
     signals: list = field(default_factory=list)
     timeouts_ms: list = field(default_factory=list)
+    first_seen_s_by_process: dict = field(default_factory=dict)
+    peak_mb_by_process: dict = field(default_factory=dict)
 
 
 async def record_stalls(observations):
--- a/bench/soak/processes.py
+++ b/bench/soak/processes.py
@@ -6,9 +6,11 @@
 
 import trio
 
+from bench.processes import peak_mb
 from bench.soak.observations import Process, SentSignal
 
 PID_FOLDER = Path("build/entries")
+PROCESS_LOOK_INTERVAL_S = 0.2
 
 
 def process_of(gateway):
@@ -31,3 +33,20 @@
         return False
     observations.signals.append(SentSignal(process, name, trio.current_time()))
     return True
+
+
+async def record_processes(gateways, observations):
+    """Record the processes of gateways and their memory, until cancelled."""
+    while True:
+        for gateway in gateways:
+            process = process_of(gateway)
+            try:
+                peak = peak_mb(process.id) if process else None
+            except (OSError, LookupError):
+                continue
+            if peak is not None:
+                observations.first_seen_s_by_process.setdefault(
+                    process, trio.current_time()
+                )
+                observations.peak_mb_by_process[process] = peak
+        await trio.sleep(PROCESS_LOOK_INTERVAL_S)
--- a/bench/soak/unwanted.py
+++ b/bench/soak/unwanted.py
@@ -79,7 +79,7 @@
     an answer with the notice was passed on. Such a request is excused by a pause of the
     process alone, the others by a disturbance of the link as well.
     """
-    if arrival.at_s <= notice.at_s or _was_paused(
+    if arrival.at_s <= notice.at_s or was_paused(
         observations, process, notice.at_s, arrival.at_s
     ):
         return ""
@@ -96,7 +96,7 @@
     return "DRAIN" if is_leaving else "QUIET"
 
 
-def _was_paused(observations, process, started_s, ended_s):
+def was_paused(observations, process, started_s, ended_s):
     """Return whether a process was paused at some time of a span."""
     return any(
         signal.process == process
--- a/vanillareach/features/soak_checks.feature
+++ b/vanillareach/features/soak_checks.feature
@@ -171,3 +171,89 @@
       | quiet 2 | request after restart | 1     | the process     | nothing             |
       | quiet 2 | request               | 1     | the process     | STOP 10.5           |
       | quiet 2 | request               | 1     | the process     | link d0 delay 10-11 |
+
+  Scenario Outline: An answer that ended by its connection, and was taken for a whole one
+    Given a "<kind>" request sent at 10 s that ended at 12 s with <outcome>
+    And it was at <visits>
+    Then the checks report "<promise>"
+
+    Examples:
+      | kind | outcome            | visits                           | promise |
+      | read | half of its body   | d0 unframed_reset 10-12          | MIXED   |
+      | ask  | half of its body   | m0 unframed_stream_torn 10-12    | MIXED   |
+      | ask  | half of its body   | m0 unframed_stream_reset 10-12   | MIXED   |
+      | ask  | a part             | m0 unframed_stream 10-12         | LOST    |
+      | read | no answer          | d0 unframed 10-12                | LOST    |
+      | read | status 502         | d0 unframed 10-12                | LOST    |
+
+  Scenario Outline: An answer that ended by its connection, and was passed on as it was
+    Given a "<kind>" request sent at 10 s that ended at 12 s with <outcome>
+    And it was at <visits>
+    Then the checks report no violation
+
+    Examples:
+      | kind | outcome    | visits                           |
+      | ask  | a part     | m0 unframed_stream_torn 10-12    |
+      | ask  | a part     | m0 unframed_stream_reset 10-12   |
+      | read | status 502 | d0 unframed_reset 10-12          |
+      | ask  | its body   | m0 unframed_stream 10-12         |
+      | read | its body   | d0 unframed 10-12                |
+
+  Scenario Outline: A request that an endless answer holds is reported
+    Given a "<kind>" request sent at 10 s that ended at <end> s with <outcome>
+    And it was at <visits>
+    And others were answered at <others>
+    And there was <disturbance>
+    Then the checks report "HELD"
+
+    Examples:
+      | kind | end  | outcome    | visits                                              | others           | disturbance     |
+      | read | 15   | status 504 | d0 endless_body_dripping 10-15                      | d1 11.2, d1 14.9 | nothing         |
+      | read | 14   | status 502 | d0 endless_head_fast 10-13.2                        | d1 11.2, d1 13.1 | nothing         |
+      | read | 12.5 | status 504 | d0 endless_interim_fast 10-12.5                     | d1 11.2, d1 11.3 | nothing         |
+      | ask  | 14   | status 502 | m0 endless_stream_dripping 10-13.8                  | m1 12, m1 13     | nothing         |
+      | ask  | 14   | status 502 | m0 endless_head_dripping 10-13.8                    | m1 12, m1 13     | TERM 13.9       |
+      | read | 14   | status 502 | d0 endless_body_fast 10-20, d1 answer 13.2-14       | d1 11.2, d1 13.1 | nothing         |
+      | read | 14   | status 502 | d0 shed 10-10, d0 endless_body_dripping 10-13.2     | d1 11.2, d1 13.1 | nothing         |
+      | read | 14   | status 502 | d0 endless_body_dripping 10-13.2                    | d1 11.2, d1 13.1 | STOP 8, CONT 9  |
+      | read | 14   | status 502 | d0 endless_body_dripping 10-13.2                    | d1 11.2, d1 13.1 | STOP 11 other   |
+      | read | 14   | status 502 | d0 endless_body_dripping 10-13.2                    | d1 11.2, d1 13.1 | stall 11-11.05  |
+      | read | 14   | status 502 | d0 endless_body_dripping 10-13.2                    | d1 11.2, d1 13.1 | TERM 9          |
+
+  Scenario Outline: A request at an endless answer that may last is not reported
+    Given a "<kind>" request sent at 10 s that ended at <end> s with <outcome>
+    And it was at <visits>
+    And others were answered at <others>
+    And there was <disturbance>
+    Then the checks report no violation
+
+    Examples:
+      | kind | end | outcome    | visits                                                   | others           | disturbance    |
+      | book | 15  | status 504 | d0 endless_body_dripping 10-15                           | d1 11.2, d1 14.9 | nothing        |
+      | read | 14  | status 502 | d0 endless_body_dripping 10-13                           | d1 11.2, d1 12.9 | nothing        |
+      | ask  | 14  | status 502 | m0 endless_stream_dripping 10-13.6                       | m1 12, m1 13     | nothing        |
+      | read | 15  | status 504 | d0 endless_body_fast 10-11, d1 endless_body_fast 11-15   | d1 11.2, d1 14.9 | nothing        |
+      | read | 15  | status 504 | d0 endless_head_fast 10-10.1, d1 mute 10.2-15            | d2 11.2, d2 14.9 | nothing        |
+      | read | 15  | status 504 | d0 endless_body_fast 10-15                               | d1 11.2          | nothing        |
+      | read | 15  | status 504 | d0 endless_body_fast 10-15                               | d1 11, d1 15.1   | nothing        |
+      | read | 15  | status 504 | d0 endless_body_fast 10-15                               | d0 11.2, d0 14.9 | nothing        |
+      | read | 15  | status 504 | d0 mute 10-15                                            | d1 11.2, d1 14.9 | nothing        |
+      | read | 14  | status 502 | d0 endless_body_dripping 10-13.2                         | d1 11.2, d1 13.1 | STOP 12        |
+      | ask  | 14  | status 502 | m0 endless_head_dripping 10-13.8                         | m1 12, m1 13     | TERM 13.7      |
+      | read | 14  | status 502 | d0 endless_body_dripping 10-13.2                         | d1 11.2, d1 13.1 | stall 11-11.2  |
+
+  Scenario: A request at an endless answer whose gateway has no retry left
+    Given a "read" request sent at 10 s that ended at 15 s with status 504
+    And it was at d0 endless_body_dripping 10-15
+    And others were answered at d1 11.2, d1 14.9
+    When the gateway has made 75 retries at 12 s
+    Then the checks report no violation
+
+  Scenario Outline: The memory of a gateway
+    Given a gateway that had <memory> MB at its peak
+    Then the checks report <result>
+
+    Examples:
+      | memory | result       |
+      | 96     | no violation |
+      | 97     | "MEMORY"     |
--- a/vanillareach/features/steps/soak_checks.py
+++ b/vanillareach/features/steps/soak_checks.py
@@ -35,7 +35,7 @@
 
     def __init__(self):
         self.endpoints_by_name = {
-            name: SoakEndpoint(name, 1) for name in ("m0", "m1", "d0", "d1")
+            name: SoakEndpoint(name, 1) for name in ("m0", "m1", "d0", "d1", "d2")
         }
 
 
@@ -135,6 +135,10 @@
     attempt.process = PROCESS
     if outcome == "a part":
         attempt.status = 200
+    elif outcome.endswith("body"):
+        attempt.status, attempt.is_complete = 200, True
+        body = expected_body(attempt)
+        attempt.body = body[: len(body) // 2] if outcome.startswith("half") else body
     elif outcome != "no answer":
         attempt.status, attempt.is_complete = int(outcome.split()[1]), True
     context.attempt = attempt
@@ -207,6 +211,31 @@
     )
 
 
+@given("others were answered at {visits}")
+def step_others(context, visits):
+    for visit in visits.split(", "):
+        name, at_s = visit.split()
+        other = add_attempt(context, context.attempt.kind)
+        record_received(
+            context, name, other.id, "answer", float(at_s), float(at_s) + 0.1
+        )
+
+
+@when("the gateway has made {count:d} retries at {at_s:g} s")
+def step_retries(context, count, at_s):
+    for _ in range(count):
+        other = add_attempt(context, "read")
+        other.process = PROCESS
+        record_received(context, "d0", other.id, "shed", at_s, at_s)
+        record_received(context, "d1", other.id, "answer", at_s, at_s)
+
+
+@given("a gateway that had {memory_mb:g} MB at its peak")
+def step_peak(context, memory_mb):
+    observations = scenario_environment(context).observations
+    observations.peak_mb_by_process[PROCESS] = memory_mb
+
+
 @when("its caller left before the end")
 def step_caller_left(context):
     context.attempt.ended_s = None
