Let a prompt part crash engines in the soak

An engine that begins to write an answer on a prompt with one part crashes, and no two such requests are alike, so no digest of a request has more losses than one request makes. The soak had nothing of the kind.

The engine refuses connections, resets those it has, and comes back after 2 to 4 s as another incarnation. Engines that leave or ask for quiet don't crash. Each stream request has a body of its own then; with one body for all, their losses would count against each other.

New checks: BUDGET (more than three requests with the part reach engines later than 3 s after the fifth crash, from gateways that have run for 3 s without a pause, with no disturbance of the store's or the engine's link; stops and reloads excuse nothing) and LOST at sound requests with the same first part.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -27,12 +27,13 @@
 from bench.soak.observations import record_stalls
 from bench.soak.processes import record_processes
 from bench.soak.signals import SignalSeries
+from bench.soak.tainted import EngineCrasher, PromptParts
 from bench.soak.withdrawals import WithdrawalInjector
 from bench.soak.world import open_environment
 from vanillareach.utils import split_address
 
 # Faults besides the usual ones, and those of them that are injected by default.
-EXTRA_FAULTS = tuple(STEPS_BY_FAULT)
+EXTRA_FAULTS = (*STEPS_BY_FAULT, "tainted")
 DEFAULT_EXTRA_FAULTS = ()
 READY_TIMEOUT_S = 60
 # Reservations that nobody releases expire within this time.
@@ -59,6 +60,9 @@
             series = SignalSeries(environment, seed)
             withdrawals = WithdrawalInjector(environment, seed)
             answers = AnswerFaultInjector(environment, seed, extra_faults)
+            if "tainted" in extra_faults:
+                environment.prompts = PromptParts(seed)
+            crasher = EngineCrasher(environment, seed)
             nursery.start_soon(record_stalls, environment.observations)
             nursery.start_soon(
                 record_processes, environment.gateways, environment.observations
@@ -72,6 +76,7 @@
                     disturbances.start_soon(series.run, duration_s)
                     disturbances.start_soon(withdrawals.run, duration_s)
                     disturbances.start_soon(answers.run, duration_s)
+                    disturbances.start_soon(crasher.run, duration_s)
                 callers.cancel_scope.cancel()
             for endpoint in environment.endpoints_by_name.values():
                 endpoint.script.clear()
@@ -88,7 +93,7 @@
     peak_mb = max(observations.peak_mb_by_process.values(), default=0)
     return violations, (
         f"{len(environment.attempts)} attempts, {answered} answered, "
-        f"peak {peak_mb:.0f} MB"
+        f"peak {peak_mb:.0f} MB, {len(observations.crashes)} crashes"
     )
 
 
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -7,6 +7,7 @@
 
 from bench.soak.observations import Attempt
 from bench.soak.processes import process_of
+from bench.soak.tainted import prefix_header
 from bench.soak.world import SERVICES_BY_KIND, STREAM_KINDS
 from vanillareach.features.users_platform.stage import Caller
 from vanillareach.utils import split_address
@@ -125,12 +126,18 @@
         tokens = environment.caller_random.choice((900, 30_000, 120_000))
         header_values["Vanillareach_Token_Usage"] = f"{tokens},100"
         attempt.prompt_tokens = tokens
+    body = b"body"
+    if environment.prompts is not None and kind in STREAM_KINDS:
+        attempt.prompt_parts = environment.prompts.draw(kind)
+        header_values["Vanillareach_Prompt_Prefix"] = prefix_header(attempt)
+        # Requests with the same body are taken for one that is sent again.
+        body = attempt.id.encode()
     # Also after a response that announced the end of the connection.
     caller._connection = h11.Connection(h11.CLIENT)
     response = None
     with trio.move_on_after(CALL_TIMEOUT_S):
         try:
-            await caller.send(f"/{kind}/x", **header_values)
+            await caller.send(f"/{kind}/x", body=body, **header_values)
             attempt.sent_s = trio.current_time()
             response = await caller.receive()
         except (OSError, trio.BrokenResourceError, h11.ProtocolError):
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 
+from bench.soak.budget import find_tainted
 from bench.soak.endless import find_held, find_high_peaks
 from bench.soak.lost import NOT_EXECUTED_STEPS, find_lost
 from bench.soak.unwanted import find_unwanted
@@ -22,11 +23,13 @@
     - REFUSED: a "book" request was executed, but its response says that it wasn't.
     - MIXED: a complete response has another body than the expected one.
     - ORDER: the events of an aborted stream have gaps or aren't in order.
-    - LOST: a request ended without an answer though nothing it met had failed.
+    - LOST: a request ended without an answer though nothing it met had failed; or
+      sound requests are no longer answered after others have crashed engines.
     - DRAIN: a gateway sent to an endpoint that had told it that it leaves.
     - QUIET: a gateway sent to an endpoint that had asked it for quiet.
     - HELD: a request stayed with an endless answer though others could have answered.
     - MEMORY: a gateway's memory has exceeded its bound.
+    - BUDGET: too many requests with a part that crashes engines reached engines.
     """
     run_counts = Counter()
     known_ids = {attempt.id for attempt in environment.attempts}
@@ -40,7 +43,7 @@
                 run_counts[attempt_id] += 1
     for attempt in environment.attempts:
         found += _check_attempt(attempt, run_counts[attempt.id])
-    for find in (find_lost, find_unwanted, find_held, find_high_peaks):
+    for find in (find_lost, find_unwanted, find_held, find_high_peaks, find_tainted):
         found += find(environment)
     return found
 
--- a/bench/soak/endpoint.py
+++ b/bench/soak/endpoint.py
@@ -51,6 +51,8 @@
     ----------
     arrivals : list of Arrival
     notices : list of SentNotice
+    crasher : EngineCrasher or None
+        What lets it crash at prompts with the deadly part.
     """
 
     def __init__(self, name, seed, incarnation=1):
@@ -58,6 +60,7 @@
         self.incarnation = incarnation
         self.arrivals = []
         self.notices = []
+        self.crasher = None
         self._random = random.Random(f"{name} {seed}")
         index = (seed - 1) % len(SILENT_STREAM_SHARES)
         self._silent_stream_share = SILENT_STREAM_SHARES[index]
@@ -116,6 +119,12 @@
         self, received, responder, last=EVENT_COUNT, is_torn=False, padding=0
     ):
         """Send events up to `last`; if `is_torn`, then abort within a further one."""
+        crasher = self.crasher
+        if crasher is not None and crasher.is_deadly(received):
+            await trio.sleep(EVENT_INTERVAL_S)
+            if crasher.crash(self, received):
+                # Cancelled, since the crash ends the connection.
+                await trio.sleep_forever()
         first = first_event_number(received)
         silent_number = None
         if self._random.random() < self._silent_stream_share:
--- a/bench/soak/observations.py
+++ b/bench/soak/observations.py
@@ -27,6 +27,8 @@
     was_close_announced : bool
         Whether the response before it said that the connection would be closed.
     prompt_tokens : int
+    prompt_parts : tuple of str
+        Ids of the parts of the prompt that it shares with others.
     """
 
     id: str
@@ -41,6 +43,7 @@
     idle_s: float = 0.0
     was_close_announced: bool = False
     prompt_tokens: int = 0
+    prompt_parts: tuple = ()
 
 
 @dataclass(slots=True, frozen=True)
@@ -137,6 +140,15 @@
     incarnation: int
 
 
+@dataclass(slots=True, frozen=True)
+class Crash:
+    """Crash of an engine at a prompt with the deadly part."""
+
+    endpoint: str
+    attempt_id: str
+    at_s: float
+
+
 @dataclass(slots=True)
 class Observations:
     """Everything recorded in one seed besides what the endpoints received.
@@ -148,6 +160,7 @@
     signals : list of SentSignal
     timeouts_ms : list of (float, dict)
         When a configuration was written, and its timeouts by route.
+    crashes : list of Crash
     first_seen_s_by_process, peak_mb_by_process : dict
         When a process was first seen, and its highest resident memory.
     """
@@ -156,6 +169,7 @@
     faults: list = field(default_factory=list)
     signals: list = field(default_factory=list)
     timeouts_ms: list = field(default_factory=list)
+    crashes: list = field(default_factory=list)
     first_seen_s_by_process: dict = field(default_factory=dict)
     peak_mb_by_process: dict = field(default_factory=dict)
 
--- a/bench/soak/withdrawals.py
+++ b/bench/soak/withdrawals.py
@@ -36,7 +36,7 @@
     def __init__(self, environment, seed):
         self._environment = environment
         self._random = random.Random(f"withdrawals {seed}")
-        self._busy_names = set()
+        self._busy_names = environment.withdrawn_names
 
     async def run(self, duration_s):
         """Start withdrawals for `duration_s`; return when the last one is over."""
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -58,6 +58,10 @@
         Version of the newest configuration that the operator has written.
     variant : ConfigurationVariant
         What that configuration says.
+    prompts : PromptParts or None
+        Draws the parts of prompts; None if prompts are sent without parts.
+    withdrawn_names : set of str
+        Endpoints that leave, ask for quiet or have crashed.
     lost_entries, restored_entries : dict
         Entries of endpoints before and after the last restore, by name.
     """
@@ -72,6 +76,8 @@
     endpoint_proxies: dict = field(default_factory=dict)
     version: int = 1
     variant: ConfigurationVariant = ConfigurationVariant()
+    prompts: object = None
+    withdrawn_names: set = field(default_factory=set)
     lost_entries: dict = field(default_factory=dict)
     restored_entries: dict = field(default_factory=dict)
 
--- a/vanillareach/features/soak_checks.feature
+++ b/vanillareach/features/soak_checks.feature
@@ -257,3 +257,52 @@
       | memory | result       |
       | 96     | no violation |
       | 97     | "MEMORY"     |
+
+  Scenario Outline: Requests with a part that crashes engines are reported
+    Given engines that crashed at 1, 2, 3, 4, 5 s
+    And <count> requests with the part reached m0 at <at> s
+    And there was <disturbance>
+    Then the checks report "BUDGET"
+
+    Examples:
+      | count | at  | disturbance                |
+      | 4     | 8.1 | nothing                    |
+      | 4     | 12  | STOP 6, CONT 8             |
+      | 4     | 12  | TERM 11                    |
+      | 4     | 12  | HUP 11                     |
+      | 4     | 12  | STOP 10 other              |
+      | 4     | 12  | link m1 silent 8-12        |
+      | 4     | 12  | link m0 silent 8-8.9       |
+      | 4     | 12  | store_link m1 silent 8-8.9 |
+
+  Scenario Outline: Requests with a part that crashes engines, and a reason
+    Given engines that crashed at <crashes> s
+    And <count> requests with the part reached m0 at <at> s
+    And there was <disturbance>
+    Then the checks report no violation
+
+    Examples:
+      | crashes       | count | at  | disturbance          |
+      | 1, 2, 3, 4, 5 | 3     | 8.1 | nothing              |
+      | 1, 2, 3, 4, 5 | 4     | 8   | nothing              |
+      | 1, 2, 3, 4    | 4     | 8.1 | nothing              |
+      | 1, 2, 3, 4, 5 | 4     | 12  | STOP 6, CONT 10      |
+      | 1, 2, 3, 4, 5 | 4     | 12  | STOP 6               |
+      | 1, 2, 3, 4, 5 | 4     | 12  | link m0 silent 9-9.1 |
+      | 1, 2, 3, 4, 5 | 4     | 12  | reset m0 10          |
+      | 1, 2, 3, 4, 5 | 4     | 12  | started 9.1          |
+
+  Scenario Outline: Sound requests after the crashes
+    Given engines that crashed at 1, 2, 3, 4, 5 s
+    And 20 sound requests at 4.9 s of which 16 begin at their first attempt
+    And <count> <kind> requests at <at> s of which <begun> begin at their <attempt> attempt
+    Then the checks report <result>
+
+    Examples:
+      | count | kind  | at   | begun | attempt | result       |
+      | 20    | sound | 11   | 7     | first   | "LOST"       |
+      | 20    | sound | 11   | 20    | second  | "LOST"       |
+      | 20    | sound | 11   | 8     | first   | no violation |
+      | 19    | sound | 11   | 0     | first   | no violation |
+      | 20    | sound | 10.9 | 0     | first   | no violation |
+      | 20    | other | 11   | 0     | first   | no violation |
--- a/vanillareach/features/steps/soak_checks.py
+++ b/vanillareach/features/steps/soak_checks.py
@@ -14,11 +14,13 @@
 from bench.soak.observations import (
     Arrival,
     Attempt,
+    Crash,
     Fault,
     Process,
     SentNotice,
     SentSignal,
 )
+from bench.soak.tainted import PromptParts
 from bench.soak.world import SoakEnvironment, expected_body
 from vanillareach.features.users_platform.endpoint import ReceivedRequest
 from vanillareach.platform import names
@@ -170,6 +172,8 @@
             context.attempt.idle_s = float(details[0])
         elif name == "close_announced":
             context.attempt.was_close_announced = True
+        elif name == "started":
+            observations.first_seen_s_by_process[PROCESS] = float(details[0])
         elif name != "nothing":
             observations.faults.append(fault(name, *details))
 
@@ -236,6 +240,42 @@
     observations.peak_mb_by_process[PROCESS] = memory_mb
 
 
+@given("engines that crashed at {crashes} s")
+def step_crashes(context, crashes):
+    environment = scenario_environment(context)
+    environment.prompts = PromptParts(1)
+    environment.observations.first_seen_s_by_process[PROCESS] = 0.0
+    for at_s in crashes.split(", "):
+        environment.observations.crashes.append(Crash("m0", "", float(at_s)))
+
+
+@given("{count:d} requests with the part reached m0 at {at_s:g} s")
+def step_with_part(context, count, at_s):
+    prompts = scenario_environment(context).prompts
+    for _ in range(count):
+        attempt = add_attempt(context, "ask", 503)
+        attempt.process = PROCESS
+        attempt.prompt_parts = prompts.first_part, prompts.deadly_part
+        record_received(context, "m0", attempt.id, "stream", at_s, at_s)
+        record_received(context, "m0", attempt.id, "stream", at_s, at_s)
+
+
+@given(
+    "{count:d} {kind} requests at {at_s:g} s of which {begun:d} begin at their "
+    "{ordinal} attempt"
+)
+def step_sound(context, count, kind, at_s, begun, ordinal):
+    first_part = scenario_environment(context).prompts.first_part
+    for number in range(count):
+        attempt = add_attempt(context, "ask", 200 if number < begun else 503)
+        attempt.started_s, attempt.ended_s = at_s, at_s + 1
+        attempt.prompt_parts = (first_part if kind == "sound" else "other", "part")
+        if number < begun and ordinal == "second":
+            record_received(context, "m1", attempt.id, "shed", at_s, at_s)
+        if number < begun:
+            record_received(context, "m0", attempt.id, "stream", at_s, at_s)
+
+
 @when("its caller left before the end")
 def step_caller_left(context):
     context.attempt.ended_s = None
