--- a/vanillareach/features/steps/soak_checks.py
+++ b/vanillareach/features/steps/soak_checks.py
@@ -14,11 +14,13 @@
 from bench.soak.observations import (
     Arrival,
     Attempt,
+    Crash,
     Fault,
     Process,
     SentNotice,
     SentSignal,
 )
+from bench.soak.tainted import PromptParts
 from bench.soak.world import SoakEnvironment, expected_body
 from vanillareach.features.users_platform.endpoint import ReceivedRequest
 from vanillareach.platform import names
@@ -35,7 +37,7 @@
 
     def __init__(self):
         self.endpoints_by_name = {
-            name: SoakEndpoint(name, 1) for name in ("m0", "m1", "d0", "d1")
+            name: SoakEndpoint(name, 1) for name in ("m0", "m1", "d0", "d1", "d2")
         }
 
 
@@ -135,6 +137,10 @@
     attempt.process = PROCESS
     if outcome == "a part":
         attempt.status = 200
+    elif outcome.endswith("body"):
+        attempt.status, attempt.is_complete = 200, True
+        body = expected_body(attempt)
+        attempt.body = body[: len(body) // 2] if outcome.startswith("half") else body
     elif outcome != "no answer":
         attempt.status, attempt.is_complete = int(outcome.split()[1]), True
     context.attempt = attempt
@@ -166,6 +172,8 @@
             context.attempt.idle_s = float(details[0])
         elif name == "close_announced":
             context.attempt.was_close_announced = True
+        elif name == "started":
+            observations.first_seen_s_by_process[PROCESS] = float(details[0])
         elif name != "nothing":
             observations.faults.append(fault(name, *details))
 
@@ -207,6 +215,72 @@
     )
 
 
+@given("others were answered at {visits}")
+def step_others(context, visits):
+    for visit in visits.split(", "):
+        name, at_s, *process = visit.split()
+        other = add_attempt(context, context.attempt.kind)
+        other.process = OTHER_PROCESS if process else PROCESS
+        record_received(
+            context, name, other.id, "answer", float(at_s), float(at_s) + 0.1
+        )
+
+
+@when("the gateway has made {count:d} retries at {at_s:g} s")
+def step_retries(context, count, at_s):
+    for _ in range(count):
+        other = add_attempt(context, "read")
+        other.process = PROCESS
+        record_received(context, "d0", other.id, "shed", at_s, at_s)
+        record_received(context, "d1", other.id, "answer", at_s, at_s)
+
+
+@given(
+    "a gateway that had {memory_mb:g} MB at its peak, and {earlier_mb:g} MB before the "
+    "seed"
+)
+def step_peak(context, memory_mb, earlier_mb):
+    observations = scenario_environment(context).observations
+    observations.first_peak_mb_by_process[PROCESS] = earlier_mb
+    observations.peak_mb_by_process[PROCESS] = memory_mb
+
+
+@given("engines that crashed at {crashes} s")
+def step_crashes(context, crashes):
+    environment = scenario_environment(context)
+    environment.prompts = PromptParts(1)
+    environment.observations.first_seen_s_by_process[PROCESS] = 0.0
+    for at_s in crashes.split(", "):
+        environment.observations.crashes.append(Crash("m0", "", float(at_s)))
+
+
+@given("{count:d} requests with the part reached m0 at {at_s:g} s")
+def step_with_part(context, count, at_s):
+    prompts = scenario_environment(context).prompts
+    for _ in range(count):
+        attempt = add_attempt(context, "ask", 503)
+        attempt.process = PROCESS
+        attempt.prompt_parts = prompts.first_part, prompts.deadly_part
+        record_received(context, "m0", attempt.id, "stream", at_s, at_s)
+        record_received(context, "m0", attempt.id, "stream", at_s, at_s)
+
+
+@given(
+    "{count:d} {kind} requests at {at_s:g} s of which {begun:d} begin at their "
+    "{ordinal} attempt"
+)
+def step_sound(context, count, kind, at_s, begun, ordinal):
+    first_part = scenario_environment(context).prompts.first_part
+    for number in range(count):
+        attempt = add_attempt(context, "ask", 200 if number < begun else 503)
+        attempt.started_s, attempt.ended_s = at_s, at_s + 1
+        attempt.prompt_parts = (first_part if kind == "sound" else "other", "part")
+        if number < begun and ordinal == "second":
+            record_received(context, "m1", attempt.id, "shed", at_s, at_s)
+        if number < begun:
+            record_received(context, "m0", attempt.id, "stream", at_s, at_s)
+
+
 @when("its caller left before the end")
 def step_caller_left(context):
     context.attempt.ended_s = None
