Read the parts of a prompt from all lines of their header

A header may come in several lines. Only the first was read, and its last entry dropped, so a deadly part in a further line was never seen.

--- a/vanillareach/platform/calls.py
+++ b/vanillareach/platform/calls.py
@@ -33,7 +33,7 @@
             answer_tokens=answer,
             last_event_id=_parse_integer(first_values.get(names.LAST_EVENT_ID)),
             prompt_parts=_parse_shared_parts(
-                first_values.get(names.PROMPT_PREFIX, b"")
+                b",".join(v for n, v in headers if n.lower() == names.PROMPT_PREFIX)
             ),
         )
 
