--- a/vanillareach/gateway/loss_checks.py
+++ b/vanillareach/gateway/loss_checks.py
@@ -45,8 +45,9 @@
 
     async def check(self, attempt):
         """Record a loss if the endpoint of a broken attempt accepts no connection."""
+        # Also if the caller leaves during the check.
+        self._state.quarantine.record_abandoned(attempt)
         if not await self._is_lost(attempt):
-            self._state.quarantine.record_abandoned(attempt)
             self._send_channel.send_nowait(attempt)
 
     def record_unreachable(self, endpoint, cause):
