Let a part refused by mistake heal, and keep the evidence that tells most

- Sound parts stayed refused after whole-fleet kills for other reasons: without end if two parts always came together, else for ten minutes.
A trial was never made if another part was suspected, or if the part was the only suspect, and was spent although it wasn't sent.
Now parts refused together are tried together, trials have pauses that grow eightfold, and count as they are sent.
Of 64 places, a report that says nothing new gives way; messages tell first what is suspected most.
Only engines speak for parts.
- News is told for 6 s instead of 3, longer than a peer goes unheard before it counts as silent.

--- a/vanillareach/core/crash_evidence.py
+++ b/vanillareach/core/crash_evidence.py
@@ -9,13 +9,14 @@
 """
 
 import math
+from collections import Counter
 
 from vanillareach.core.crash_trials import TrialRecord
 from vanillareach.core.hashing import hash64
 
 # Reports kept; the one least needed is dropped first.
-MAX_CRASHES = 256
-MAX_SUSPECTS_PER_CRASH = 16
+MAX_CRASHES = 128
+MAX_SUSPECTS_PER_CRASH = 64
 MAX_PARTS_PER_SUSPECT = 32
 # A crash counts for this long after it, or after the last refusal because of it.
 RETENTION_MS = 600_000.0
@@ -41,11 +42,17 @@
     ----------
     fingerprint : int
     parts : tuple of int
+    guilty_trait : int or None
+        The last verdict on it; see `crash_verdicts`.
+    judged_revision : int
+        Revision of the evidence for that verdict; -1 before the first.
     """
 
-    __slots__ = ("fingerprint", "parts")
+    __slots__ = ("fingerprint", "guilty_trait", "judged_revision", "parts")
 
     def __init__(self, fingerprint, part_ids=()):
+        self.guilty_trait = None
+        self.judged_revision = -1
         self.fingerprint = hash64(fingerprint)
         self.parts = tuple(dict.fromkeys(hash64("part " + part) for part in part_ids))
 
@@ -149,6 +156,8 @@
         By id and incarnation of the endpoint, the oldest first.
     marks_by_trait : dict of int to dict of tuple to Mark
         For each suspected part or fingerprint the crashes that speak against it.
+    revision : int
+        Changes with the evidence.
     trials : TrialRecord
     """
 
@@ -158,12 +167,14 @@
         "_sound_ms_by_trait",
         "crashes_by_key",
         "marks_by_trait",
+        "revision",
         "trials",
     )
 
     def __init__(self):
         self.crashes_by_key = {}
         self.marks_by_trait = {}
+        self.revision = 0
         self.trials = TrialRecord()
         self._sound_ms_by_trait = {}
         self._cleared_ms_by_trait = {}
@@ -186,11 +197,12 @@
             self.crashes_by_key[report.endpoint_key] = crash
             self._limit_crashes()
         known = crash.reports_by_fingerprint
-        if report.fingerprint in known or len(known) >= MAX_SUSPECTS_PER_CRASH:
+        report.rounds_by_part = self._unrefuted_parts(report)
+        if report.fingerprint in known or not self._make_room(known, report):
             return False
         report.learned_ms = now_ms
-        report.rounds_by_part = self._unrefuted_parts(report)
         known[report.fingerprint] = report
+        self.revision += 1
         suspected = [
             t for t in report.traits if not self._is_refuted(t, report.sent_ms)
         ]
@@ -230,7 +242,7 @@
     def recent_reports(self, since_ms):
         """Return the reports learned since a time that still speak against anything.
 
-        Those of the crashes that resemble most others come first.
+        Those with the traits of which most is known come first.
         """
         recent = [
             report
@@ -239,10 +251,8 @@
             if report.learned_ms >= since_ms
             and any(key in self.crash_keys(trait) for trait in report.traits)
         ]
-        counts = {
-            r.endpoint_key: self._similar_crash_count(r.endpoint_key) for r in recent
-        }
-        recent.sort(key=lambda r: (-counts[r.endpoint_key], -r.learned_ms))
+        counts = {report: self._crash_count(report) for report in recent}
+        recent.sort(key=lambda r: (-counts[r], -r.learned_ms))
         return recent
 
     def recently_cleared(self, since_ms):
@@ -305,6 +315,31 @@
         parts.sort(key=self._sound_ms_by_trait.__contains__)
         return {part: rounds_by_part[part] for part in parts[:MAX_PARTS_PER_SUSPECT]}
 
+    def _make_room(self, reports_by_fingerprint, report):
+        """Return whether a report is kept; it may replace one that says less."""
+        if len(reports_by_fingerprint) < MAX_SUSPECTS_PER_CRASH:
+            return True
+        reports = reports_by_fingerprint.values()
+        counts = Counter(part for known in reports for part in known.rounds_by_part)
+        is_new = any(part not in counts for part in report.rounds_by_part)
+
+        def value(known):
+            has_only_here = any(counts[part] == 1 for part in known.rounds_by_part)
+            return self._crash_count(known), has_only_here
+
+        least = min(reports, key=value)
+        if value(least) >= (self._crash_count(report), is_new):
+            return False
+        del reports_by_fingerprint[least.fingerprint]
+        kept = {trait for known in reports for trait in known.traits}
+        self._remove_marks(least.endpoint_key, set(least.traits) - kept)
+        return True
+
+    def _crash_count(self, report):
+        """Return how many other crashes speak against its most suspected trait."""
+        key = {report.endpoint_key}
+        return max(len(self.crash_keys(trait) - key) for trait in report.traits)
+
     def _is_refuted(self, trait, sent_ms):
         return self._sound_ms_by_trait.get(trait, -math.inf) >= sent_ms
 
@@ -316,6 +351,7 @@
         refuted = [key for key, mark in marks.items() if mark.sent_ms <= sound_ms]
         for key in refuted:
             del marks[key]
+        self.revision += 1
         self.trials.forget(trait)
         if not marks:
             del self.marks_by_trait[trait]
@@ -351,8 +387,12 @@
 
     def _remove(self, key):
         crash = self.crashes_by_key.pop(key)
+        self.revision += 1
         for report in crash.reports_by_fingerprint.values():
-            for trait in report.traits:
-                marks = self.marks_by_trait.get(trait, {})
-                if marks.pop(key, None) is not None and not marks:
-                    del self.marks_by_trait[trait]
+            self._remove_marks(key, report.traits)
+
+    def _remove_marks(self, key, traits):
+        for trait in traits:
+            marks = self.marks_by_trait.get(trait, {})
+            if marks.pop(key, None) is not None and not marks:
+                del self.marks_by_trait[trait]
--- a/vanillareach/core/crash_news.py
+++ b/vanillareach/core/crash_news.py
@@ -9,8 +9,8 @@
 from vanillareach.core.crash_evidence import CrashReport
 
 # News is told in each message about the whole state for this time.
-TELL_MS = 3_000.0
-MAX_REPORTS_IN_MESSAGE = 24
+TELL_MS = 6_000.0
+MAX_REPORTS_IN_MESSAGE = 48
 MAX_TRAITS_IN_MESSAGE = 64
 
 
--- a/vanillareach/core/crash_trials.py
+++ b/vanillareach/core/crash_trials.py
@@ -1,21 +1,24 @@
 """Trials of refused prompt parts: one request is run all the same, to be sure.
 
-A part that is refused gets no output any more that could clear it. Unless it was the
-only suspected part in several crashes, one request with it is tried after a while:
-output clears the part, a crash confirms it. Instances tell each other of trials, and
-wait unequally long for one, so that one of them tries for all.
+A part that is refused gets no output any more that could clear it. So one request with
+it is tried after a while, and others after growing pauses: output clears the part, a
+crash confirms it. The first pause is longer if the part was the only suspected one in
+several crashes. Instances tell each other of trials, and wait unequally long for one,
+so that one of them tries for all.
 """
 
-from vanillareach.core.crash_verdicts import is_certain
+from vanillareach.core.crash_verdicts import is_certain, is_convicted
 from vanillareach.core.rendezvous import MAX_PREFERENCE, preference
 
-# A trial may end without a result, as its caller leaves.
-MAX_TRIALS = 2
-# Time after the last crash or trial; instances wait for up to the second one longer.
+# Pause before the first trial; instances wait for up to the second time longer.
 MIN_TRIAL_DELAY_MS = 3_000.0
 TRIAL_DELAY_SPREAD_MS = 2_000.0
-# Trials are forgotten after this time, and if there are more, the oldest.
-TRIAL_RETENTION_MS = 600_000.0
+# Both grow by this factor with each trial, up to this exponent.
+TRIAL_DELAY_GROWTH = 8.0
+MAX_TRIAL_DELAY_EXPONENT = 3
+# A trial that was allowed but not sent by then may be made by another request.
+SENDING_TIMEOUT_MS = 1_000.0
+# If there are more, the oldest are forgotten.
 MAX_TRIED_PARTS = 256
 
 
@@ -43,17 +46,30 @@
 class TrialRecord:
     """Trials that were made by any instance, as far as this one knows."""
 
-    __slots__ = ("_trials_by_part",)
+    __slots__ = ("_allowed_ms_by_part", "_trials_by_part")
 
     def __init__(self):
         self._trials_by_part = {}
+        self._allowed_ms_by_part = {}
 
-    def count(self, part, now_ms):
-        """Return how many trials of a part were made lately."""
+    def count(self, part):
+        """Return how many trials of a part were made since it was last cleared."""
         trial = self._trials_by_part.get(part)
-        if trial is None or now_ms - trial.last_ms > TRIAL_RETENTION_MS:
-            return 0
-        return trial.count
+        return 0 if trial is None else trial.count
+
+    def allow(self, part, now_ms):
+        """Record that a request of this instance may be sent as a trial."""
+        self._allowed_ms_by_part = {
+            other: allowed_ms
+            for other, allowed_ms in self._allowed_ms_by_part.items()
+            if now_ms - allowed_ms < SENDING_TIMEOUT_MS
+        }
+        self._allowed_ms_by_part[part] = now_ms
+
+    def is_allowed(self, part, now_ms):
+        """Return whether a trial was allowed and may yet be sent."""
+        allowed_ms = self._allowed_ms_by_part.get(part)
+        return allowed_ms is not None and now_ms - allowed_ms < SENDING_TIMEOUT_MS
 
     def last_ms(self, part):
         """Return when a part was tried last; 0 if it never was."""
@@ -61,12 +77,13 @@
         return 0.0 if trial is None else trial.last_ms
 
     def record(self, part, now_ms):
-        """Record a trial that this instance begins."""
-        self._put(Trial(part, self.count(part, now_ms) + 1, now_ms, now_ms))
+        """Record a trial that this instance sends."""
+        self._allowed_ms_by_part.pop(part, None)
+        self._put(Trial(part, self.count(part) + 1, now_ms, now_ms))
 
     def record_told(self, part, count, last_ms, now_ms):
         """Record what a peer tells; return whether it was unknown."""
-        if count <= self.count(part, now_ms):
+        if count <= self.count(part):
             return False
         self._put(Trial(part, count, last_ms, now_ms))
         return True
@@ -94,22 +111,24 @@
     evidence : CrashEvidence
     part : int
     suspect : Suspect
-        The request; it is tried only if none of its other parts is suspected.
+        The request; it is tried only if its other suspected parts are refused, too.
     instance_name : str
     now_ms : float
     """
     trials = evidence.trials
-    if any(evidence.crash_keys(other) for other in suspect.parts if other != part):
+    suspected = [other for other in suspect.parts if evidence.crash_keys(other)]
+    if not all(is_convicted(evidence, other) for other in suspected):
         return False
-    if is_certain(evidence, part):
-        return False
-    if trials.count(part, now_ms) >= MAX_TRIALS:
+    if any(trials.is_allowed(other, now_ms) for other in suspected):
         return False
+    exponent = max(map(trials.count, suspected)) + is_certain(evidence, part)
+    growth = TRIAL_DELAY_GROWTH ** min(exponent, MAX_TRIAL_DELAY_EXPONENT)
     crashes_by_key = evidence.crashes_by_key
     last_crash_ms = max(
         (crashes_by_key[key].learned_ms for key in evidence.crash_keys(part)),
         default=0.0,
     )
     share = preference(f"trial {part}", instance_name) / MAX_PREFERENCE
-    delay_ms = MIN_TRIAL_DELAY_MS + TRIAL_DELAY_SPREAD_MS * share
-    return now_ms - max(last_crash_ms, trials.last_ms(part)) >= delay_ms
+    delay_ms = growth * (MIN_TRIAL_DELAY_MS + TRIAL_DELAY_SPREAD_MS * share)
+    last_ms = max(last_crash_ms, *map(trials.last_ms, suspected))
+    return now_ms - last_ms >= delay_ms
--- a/vanillareach/core/crash_verdicts.py
+++ b/vanillareach/core/crash_verdicts.py
@@ -24,6 +24,8 @@
 # Crashes that a part needs to be such an other cause.
 MIN_CRASHES_OF_OTHER_CAUSE = 2
 MAX_COMPARED_CAUSES = 32
+# The newest crashes of a part that another cause has to explain.
+MAX_EXPLAINED_CRASHES = 16
 
 
 def guilty_trait(evidence, suspect):
@@ -78,7 +80,7 @@
 
 def _has_other_cause(evidence, part, suspect):
     """Return whether what the request doesn't have explains all crashes of a part."""
-    keys = frozenset(evidence.crash_keys(part))
+    keys = frozenset(list(evidence.crash_keys(part))[-MAX_EXPLAINED_CRASHES:])
     explained = _explained_keys_by_trait(evidence, part, keys, set(suspect.traits))
     part_causes = {
         frozenset(explained_keys)
@@ -107,6 +109,7 @@
         By whether the trait is a part, and the trait.
     """
     explained = {}
+    crash_count = len(evidence.crash_keys(part))
     for key in keys:
         for report in evidence.crashes_by_key[key].reports_by_fingerprint.values():
             is_same_request = part in report.rounds_by_part
@@ -114,7 +117,7 @@
                 crash_keys = evidence.crash_keys(trait)
                 if trait in own_traits or key not in crash_keys:
                     continue
-                if is_same_request or len(crash_keys) > len(keys):
+                if is_same_request or len(crash_keys) > crash_count:
                     cause = (trait != report.fingerprint, trait)
                     explained.setdefault(cause, set()).add(key)
     return explained
--- a/vanillareach/features/crash_world.py
+++ b/vanillareach/features/crash_world.py
@@ -172,8 +172,9 @@
         ):
             return True
         request.is_trial = True
-        evidence.trials.record(trait, self._now_ms)
-        self._tell(instance)
+        for part in request.suspect.parts:
+            if evidence.crash_keys(part):
+                evidence.trials.allow(part, self._now_ms)
         return False
 
     def _send(self, request, instance):
@@ -190,6 +191,12 @@
             self.sent_ms_by_part.setdefault(part, []).append(self._now_ms)
         evidence = self._evidence[instance]
         rounds = {p: evidence.count_rounds(p) + 1 for p in request.suspect.parts}
+        if request.is_trial:
+            request.is_trial = False
+            for part in request.suspect.parts:
+                if evidence.crash_keys(part):
+                    evidence.trials.record(part, self._now_ms)
+            self._tell(instance)
         run = SimulatedRun(request, instance, self._now_ms, rounds)
         self._runs_by_engine[engine].append(run)
         self._at(request.read_ms, self._write, run, engine)
@@ -231,7 +238,6 @@
 
     def _detect(self, run, key):
         request = run.request
-        request.is_trial = False
         if not run.has_written:
             report = CrashReport(
                 key, request.suspect.fingerprint, run.rounds_by_part, run.sent_ms
--- a/vanillareach/features/quarantine.feature
+++ b/vanillareach/features/quarantine.feature
@@ -69,20 +69,54 @@
     Then a request with "season" is not refused
     And a request with "first dead" is refused
 
-  Scenario: A part refused by mistake is tried again soon, by one instance
+  Scenario Outline: What was refused by mistake is tried again soon, by one instance
     Given a fleet of 9 instances in domains "abc"
-    When an instance has seen a sound part in three crashes in turn
-    And each instance in turn gets a request with that part every 100 ms for 6000 ms
+    When an instance has seen requests with "<parts>" in three crashes in turn
+    And each instance in turn gets a request with "<parts>" every 100 ms for 6000 ms
     Then exactly one request was sent as a trial
     When the trial gets output
-    Then no instance refuses the part any more
+    Then no instance refuses "<parts>" any more
+
+    Examples:
+      | parts        |
+      | sound        |
+      | system tools |
+
+  Scenario: A part that is certainly guilty is tried once in a minute
+    Given a fleet of 9 instances in domains "abc"
+    When an instance has seen only requests with "dead" in four crashes in turn
+    And each instance in turn gets a request with "dead" every 500 ms for 60000 ms
+    Then exactly one request was sent as a trial
+
+  Scenario: A part is convicted though many requests ran at each crashing engine
+    Given the evidence of an instance
+    When 5 engines crash in turn while 150 sound requests and one with "dead" run there
+    Then a request with "dead" is refused
+
+  Scenario: A request is suspected though its caller left just before the crash
+    Given a quarantine
+    When the caller of a request with "dead" leaves, and 5 ms later "e1" is lost
+    And the caller of a request with "dead" leaves, and 5 ms later "e2" is lost
+    And the caller of a request with "dead" leaves, and 5 ms later "e3" is lost
+    Then the quarantine refuses a request with "dead"
+
+  Scenario Outline: Only the output of an engine speaks for the parts of a prompt
+    Given a quarantine
+    When the caller of a request with "part" leaves, and 5 ms later "e1" is lost
+    And a request with "part" gets output of the service "<service>"
+    Then <count> crashes speak against "part"
+
+    Examples:
+      | service | count |
+      | model   | 0     |
+      | desk    | 1     |
 
   Scenario: Made-up parts don't fill the memory
     Given the evidence of an instance
     When 2000 engines crash in turn, each by a request of 100 made-up parts
     And "x1, x2, x3" crash in turn while only "dead" runs there
     And 2000 engines crash in turn, each by a request of 100 made-up parts
-    Then at most 256 crashes and 200000 suspected parts are kept
+    Then at most 128 crashes and 10000 suspected parts are kept
     And a request with "dead" is refused
 
   Scenario: The evidence is forgotten ten minutes after it was last needed
--- a/vanillareach/features/steps/quarantine.py
+++ b/vanillareach/features/steps/quarantine.py
@@ -2,6 +2,7 @@
 
 import random
 from dataclasses import replace
+from types import SimpleNamespace
 
 import trio
 from behave import given, then, when
@@ -10,9 +11,11 @@
 from vanillareach.core.crash_verdicts import guilty_trait
 from vanillareach.features.crash_world import CrashWorld, WorldSettings
 from vanillareach.features.fleet_script import action, check
+from vanillareach.features.steps.signal_properties import FixedClock
 from vanillareach.features.support import endpoints, received
 from vanillareach.features.users_platform.crashing_endpoint import CrashingEndpoint
-from vanillareach.gateway.exchange import GatewayExchange
+from vanillareach.gateway.settings import GatewaySettings
+from vanillareach.gateway.state import GatewayState
 
 STEP_MS = 100.0
 DEADLY = "dead"
@@ -163,6 +166,74 @@
         crash(context, name, [Suspect(name, [f"{name} {n}" for n in range(parts)])])
 
 
+@when(
+    "{count:d} engines crash in turn while {beside:d} sound requests and one with "
+    '"{parts}" run there'
+)
+def step_crash_crowded(context, count, beside, parts):
+    for number in range(count):
+        sound = [suspect_with(context, f"group-{n % 10}") for n in range(beside)]
+        crash(context, f"crowded {number}", [*sound, suspect_with(context, parts)])
+
+
+@given("a quarantine")
+def step_quarantine(context):
+    context.clock = FixedClock()
+    state = GatewayState(GatewaySettings(name="g", domain="a"), context.clock)
+    context.quarantine, context.request_count = state.quarantine, 0
+
+
+def attempt_with(context, parts, engine="e1", service="model"):
+    """Return an attempt of a new request with parts, sent to an engine."""
+    figures = object() if service == "model" else None
+    exchange = SimpleNamespace(
+        id="id",
+        suspect=suspect_with(context, parts),
+        service=SimpleNamespace(engine=figures),
+        fields=SimpleNamespace(prompt_parts=tuple(parts.split())),
+        is_trial=False,
+    )
+    endpoint = SimpleNamespace(id=engine, key=(engine, 1))
+    attempt = SimpleNamespace(
+        exchange=exchange,
+        placement=SimpleNamespace(endpoint=endpoint),
+        sent_ms=context.clock.now_ms(),
+        has_written=False,
+    )
+    context.quarantine.record_sent(attempt)
+    return attempt
+
+
+@when(
+    'the caller of a request with "{parts}" leaves, and {delay_ms:d} ms later '
+    '"{engine}" is lost'
+)
+def step_leave(context, parts, delay_ms, engine):
+    beside = attempt_with(context, "other", engine)
+    beside.has_written = True
+    context.quarantine.record_abandoned(attempt_with(context, parts, engine))
+    context.clock.time_ms += delay_ms
+    context.quarantine.record_loss(beside)
+
+
+@when('a request with "{parts}" gets output of the service "{service}"')
+def step_service_output(context, parts, service):
+    attempt = attempt_with(context, parts, service=service)
+    context.clock.time_ms += STEP_MS
+    context.quarantine.record_output(attempt.exchange)
+
+
+@then('the quarantine refuses a request with "{parts}"')
+def step_quarantine_refuses(context, parts):
+    assert context.quarantine.refuses(attempt_with(context, parts).exchange)
+
+
+@then('{count:d} crashes speak against "{part}"')
+def step_count_against(context, count, part):
+    (trait,) = suspect_with(context, part).parts
+    assert len(context.quarantine.evidence.crash_keys(trait)) == count
+
+
 @when('output of a request with "{parts}" is seen')
 def step_output(context, parts):
     traits = suspect_with(context, parts).traits
@@ -204,12 +275,11 @@
     assert len(evidence.marks_by_trait) <= parts, len(evidence.marks_by_trait)
 
 
-def exchange_with(gateway, name, part):
-    """Return an exchange of an instance whose prompt has a part."""
+def exchange_with(gateway, name, parts):
+    """Return an exchange of an instance whose prompt has parts."""
     exchange = gateway.exchange()
-    assert isinstance(exchange, GatewayExchange)
-    exchange.fields = replace(exchange.fields, prompt_parts=(part,))
-    exchange.suspect = Suspect(name, [part])
+    exchange.fields = replace(exchange.fields, prompt_parts=tuple(parts.split()))
+    exchange.suspect = Suspect(name, parts.split())
     return exchange
 
 
@@ -263,43 +333,55 @@
         assert not unaware, unaware
 
 
-@when("an instance has seen a sound part in three crashes in turn")
-def step_mistake(context):
+@when('an instance has seen requests with "{parts}" in three crashes in turn')
+def step_mistake(context, parts):
     @action(context)
     async def see(fleet):
         await trio.sleep(2.0)
-        gateway = next(iter(fleet.gateways_by_name.values()))
-        evidence = gateway.state.quarantine.evidence
-        now_ms = gateway.clock.now_ms()
         for name in ("e1", "e2", "e3"):
-            suspects = [
-                Suspect(f"a {name}", ["sound"]),
-                Suspect(f"b {name}", ["other"]),
-            ]
-            rounds_by_part = [
-                {p: evidence.count_rounds(p) + 1 for p in suspect.parts}
-                for suspect in suspects
-            ]
-            for suspect, rounds in zip(suspects, rounds_by_part, strict=True):
-                report = CrashReport((name, 1), suspect.fingerprint, rounds, now_ms)
-                report.is_own = True
-                evidence.record_report(report, now_ms)
-        gateway.state.publish()
+            see_crash(fleet, name, [parts, "other"])
+
+
+@when('an instance has seen only requests with "{parts}" in four crashes in turn')
+def step_certain(context, parts):
+    @action(context)
+    async def see(fleet):
+        await trio.sleep(2.0)
+        for name in ("e1", "e2", "e3", "e4"):
+            see_crash(fleet, name, [parts])
+
+
+def see_crash(fleet, name, requests):
+    """Let the first instance see an engine crash while requests with parts run."""
+    gateway = next(iter(fleet.gateways_by_name.values()))
+    evidence, now_ms = gateway.state.quarantine.evidence, gateway.clock.now_ms()
+    reports = []
+    for number, parts in enumerate(requests):
+        suspect = Suspect(f"{number} at {name}", parts.split())
+        rounds = {p: evidence.count_rounds(p) + 1 for p in suspect.parts}
+        reports.append(CrashReport((name, 1), suspect.fingerprint, rounds, now_ms))
+    for report in reports:
+        report.is_own = True
+        evidence.record_report(report, now_ms)
+    gateway.state.publish()
 
 
 @when(
-    "each instance in turn gets a request with that part every {interval_ms:d} ms for "
+    'each instance in turn gets a request with "{parts}" every {interval_ms:d} ms for '
     "{duration_ms:d} ms"
 )
-def step_keep_sending(context, interval_ms, duration_ms):
+def step_keep_sending(context, parts, interval_ms, duration_ms):
     @action(context)
     async def send(fleet):
         fleet.memory["trials"] = trials = []
         for number in range(duration_ms // interval_ms):
             for name, gateway in fleet.gateways_by_name.items():
                 await trio.sleep(interval_ms / len(fleet.gateways_by_name) / 1_000)
-                exchange = exchange_with(gateway, f"{name} {number}", "sound")
+                exchange = exchange_with(gateway, f"{name} {number}", parts)
                 if number and not gateway.state.quarantine.refuses(exchange):
+                    assert exchange.is_trial
+                    attempt = SimpleNamespace(exchange=exchange, rounds_by_part={})
+                    gateway.state.quarantine.record_sent(attempt)
                     trials.append((gateway, exchange))
 
 
@@ -307,8 +389,7 @@
 def step_one_trial(context):
     @check(context)
     async def verify(fleet):
-        trials = fleet.memory["trials"]
-        assert len(trials) == 1 and trials[0][1].is_trial, trials
+        assert len(fleet.memory["trials"]) == 1, fleet.memory["trials"]
 
 
 @when("the trial gets output")
@@ -320,12 +401,12 @@
         await trio.sleep(1.0)
 
 
-@then("no instance refuses the part any more")
-def step_cleared(context):
+@then('no instance refuses "{parts}" any more')
+def step_cleared(context, parts):
     @check(context)
     async def verify(fleet):
         for name, gateway in fleet.gateways_by_name.items():
-            exchange = exchange_with(gateway, "another", "sound")
+            exchange = exchange_with(gateway, "another", parts)
             assert not gateway.state.quarantine.refuses(exchange), name
 
 
--- a/vanillareach/gateway/quarantine.py
+++ b/vanillareach/gateway/quarantine.py
@@ -38,7 +38,7 @@
         evidence, suspect = self.evidence, exchange.suspect
         if exchange.is_trial or not evidence.marks_by_trait:
             return False
-        trait = guilty_trait(evidence, suspect)
+        trait = self._verdict(suspect)
         if trait is None:
             return False
         now_ms = self._clock.now_ms()
@@ -47,7 +47,7 @@
         if is_part and is_trial_due(
             evidence, trait, suspect, self._instance_name, now_ms
         ):
-            self._begin_trial(exchange, trait, now_ms)
+            self._allow_trial(exchange, trait, now_ms)
             return False
         log.info(
             "Crashes endpoints.",
@@ -59,27 +59,52 @@
         )
         return True
 
-    def _begin_trial(self, exchange, part, now_ms):
+    def _verdict(self, suspect):
+        """Return the guilty trait of a request; judged anew if the evidence changes."""
+        revision = self.evidence.revision
+        if suspect.judged_revision != revision:
+            suspect.judged_revision = revision
+            suspect.guilty_trait = guilty_trait(self.evidence, suspect)
+        return suspect.guilty_trait
+
+    def _allow_trial(self, exchange, part, now_ms):
         exchange.is_trial = True
-        self.evidence.trials.record(part, now_ms)
+        for suspected in exchange.suspect.parts:
+            if self.evidence.crash_keys(suspected):
+                self.evidence.trials.allow(suspected, now_ms)
+
+    def record_sent(self, attempt):
+        """Record that a request is sent, and which crashes are known then."""
+        attempt.rounds_by_part = {
+            part: self.evidence.count_rounds(part) + 1
+            for part in attempt.exchange.suspect.parts
+        }
+        if attempt.exchange.is_trial:
+            self._record_trial(attempt.exchange)
+
+    def _record_trial(self, exchange):
+        # Only its first attempt is a trial.
+        exchange.is_trial = False
+        evidence, now_ms = self.evidence, self._clock.now_ms()
+        for part in exchange.suspect.parts:
+            if evidence.crash_keys(part):
+                evidence.trials.record(part, now_ms)
         log.info("Trial of a refused part.", id=exchange.id)
         self._state.publish()
 
     def record_output(self, exchange):
-        """Record that an endpoint has written output for a request."""
+        """Record that an endpoint has written output for a request.
+
+        A plain service doesn't read prompts, so its output says nothing of their parts.
+        """
         now_ms = self._clock.now_ms()
-        traits = exchange.suspect.traits
+        suspect = exchange.suspect
+        is_engine = exchange.service.engine is not None
+        traits = suspect.traits if is_engine else (suspect.fingerprint,)
         if self.evidence.record_sound(traits, now_ms, now_ms):
             log.info("Parts cleared.", id=exchange.id)
             self._state.publish()
 
-    def record_sent(self, attempt):
-        """Record which crashes are known as a request is sent."""
-        attempt.rounds_by_part = {
-            part: self.evidence.count_rounds(part) + 1
-            for part in attempt.exchange.suspect.parts
-        }
-
     def record_loss(self, attempt):
         """Record that an endpoint was lost while it ran a request."""
         now_ms = self._clock.now_ms()
@@ -92,7 +117,6 @@
             ran_ms=round(now_ms - attempt.sent_ms),
             prompt_parts=exchange.fields.prompt_parts[:MAX_LOGGED_PARTS],
         )
-        exchange.is_trial = False
         reports = self.evidence.abandoned_reports(endpoint.key, now_ms)
         if not attempt.has_written:
             reports.append(report_of(attempt))
