--- a/vanillareach/core/crash_verdicts.py
+++ b/vanillareach/core/crash_verdicts.py
@@ -17,7 +17,7 @@
 ROUNDS_TO_REFUSE_PART = 3
 # The same for crashes after those of the first round, which may be a mass failure.
 REPEATED_CRASHES_TO_REFUSE_PART = 3
-# Rounds in which nothing else was suspected, so that no trial is needed.
+# Rounds in which nothing else was suspected, so that a trial is less urgent.
 ROUNDS_TO_BE_CERTAIN = 3
 # Parts that may be guilty together in place of the one in question.
 MAX_OTHER_CAUSES = 2
