Pass on the comments after the last event of a stream

What follows the last event was dropped since comments are no events, so the caller didn't get the whole body of the endpoint. Found by reading; the scenario fails on the code before, without the last comment.

--- a/vanillareach/core/event_stream.py
+++ b/vanillareach/core/event_stream.py
@@ -129,6 +129,11 @@
             return False
         return CONTENT.search(self._partial_event) is None
 
+    @property
+    def remainder(self):
+        """What has come after the last event, as bytes."""
+        return bytes(self._partial_event)
+
     @property
     def buffered_bytes(self):
         """Number of bytes of the incomplete event."""
--- a/vanillareach/features/steps/upstream.py
+++ b/vanillareach/features/steps/upstream.py
@@ -8,7 +8,10 @@
 
 from vanillareach.features.steps.gateway import SharedScript
 from vanillareach.features.support import endpoints, received
-from vanillareach.features.users_platform.endpoint_faults import encode_events
+from vanillareach.features.users_platform.endpoint_faults import (
+    STREAM_WITH_COMMENTS,
+    encode_events,
+)
 
 ANSWER = b"an answer of a length that nobody told"
 # For what an endpoint has sent to reach the gateway.
@@ -87,6 +90,11 @@
     assert context.response.body == ANSWER, context.response.body
 
 
+@then("its body has the events and all comments")
+def step_check_comments(context):
+    assert context.response.body == STREAM_WITH_COMMENTS, context.response.body
+
+
 @when(
     'a stream without length or chunks is cut at each offset by "{end}" after "{step}"'
 )
--- a/vanillareach/features/upstream.feature
+++ b/vanillareach/features/upstream.feature
@@ -77,6 +77,12 @@
       | drip_after_events |
       | drip_comments     |
 
+  Scenario: Comments before, between and after events are passed on
+    Given all endpoints will "stream_with_comments"
+    When a caller sends "/ask/a" with a prompt of 1000 tokens
+    Then the response is 200, complete and signed
+    And its body has the events and all comments
+
   Scenario Outline: Bytes without a chance to complete an answer don't hold a call
     Given the first endpoint called will "<fault>"
     And later ones will "answer"
--- a/vanillareach/features/users_platform/endpoint_faults.py
+++ b/vanillareach/features/users_platform/endpoint_faults.py
@@ -30,6 +30,12 @@
     )
 
 
+STREAM_WITH_COMMENTS = b": a\n\n%s: b\n\n%s: c\n\n" % (
+    encode_events(1, 2),
+    encode_events(3),
+)
+
+
 class FaultyEndpoint(SignallingEndpoint):
     """Steps of a stand-in that write bytes of a response themselves.
 
@@ -157,6 +163,11 @@
         part = encode_chunk(b"x")
         await self._send_endless(responder, head, part, DRIP_INTERVAL_S)
 
+    async def _stream_with_comments(self, received, responder):
+        head = self._encode_head(received, CHUNKED)
+        body = encode_chunk(STREAM_WITH_COMMENTS) + b"0\r\n\r\n"
+        await self._send_raw(responder, head + body)
+
     async def _drip_comments(self, received, responder):
         head = self._encode_head(received, CHUNKED)
         part = encode_chunk(b": x\n\n")
--- a/vanillareach/gateway/relay.py
+++ b/vanillareach/gateway/relay.py
@@ -81,6 +81,9 @@
         raise EndpointBrokenError("the connection ended before the first event")
     observer.on_end()
     await _ensure_started(response, responder)
+    if events.remainder:
+        # Comments after the last event.
+        await responder.send(events.remainder)
     await responder.finish()
 
 
