Let no idle timeout end the attempts that limits must end

That is what a gateway should do, but the scenario's verdict hung on the speed of the machine. Idle timeouts are off in the two outlines now: only the limit can end the attempt before the deadline, at which the request would get 504.

--- a/vanillareach/features/steps/upstream.py
+++ b/vanillareach/features/steps/upstream.py
@@ -1,5 +1,6 @@
 """Steps about endpoints whose responses are malformed, endless or cut."""
 
+import math
 import re
 from collections import Counter
 
@@ -19,6 +20,13 @@
 STREAM = encode_events(1, 3)
 
 
+@given("no endpoint is taken for silent before the deadline")
+def step_disable_idle_timeouts(context):
+    dispatcher = context.platform.gateways[0].forwarder._dispatcher
+    dispatcher.first_byte_timeout_ms = lambda exchange, placement, now_ms: math.inf
+    dispatcher.event_gap_timeout_ms = lambda exchange: math.inf
+
+
 @then('the attempts at "{service}" ended "{results}"')
 def step_check_attempt_results(context, service, results):
     attempts = context.platform.gateways[0].metrics.attempts
--- a/vanillareach/features/upstream.feature
+++ b/vanillareach/features/upstream.feature
@@ -5,7 +5,8 @@
     Given a gateway in front of engines "m1,m2" and services "d1,d2"
 
   Scenario Outline: A stream that has no chance to be an answer is closed at once
-    Given the first endpoint called will "<fault>"
+    Given no endpoint is taken for silent before the deadline
+    And the first endpoint called will "<fault>"
     And later ones will "stream"
     When a caller sends "/ask/a" with a prompt of 1000 tokens
     Then the response is 200, complete and signed
@@ -29,7 +30,8 @@
       | long_length           |
 
   Scenario Outline: An answer that has no chance to be one is closed at once
-    Given the first endpoint called will "<fault>"
+    Given no endpoint is taken for silent before the deadline
+    And the first endpoint called will "<fault>"
     And later ones will "answer"
     When a caller sends "/read/a"
     Then the response is 200, complete and signed
