Log the request limits that endpoints name

Cause: logs couldn't tell whether an instance had heard of an endpoint's limit, so the hypotheses on the exceeded limit couldn't be told apart. Change: the limit is read from answers of any kind into EndpointSignals; a change is one line, [state] Endpoint limit. Nothing is decided by it yet.

--- a/vanillareach/gateway/ports.py
+++ b/vanillareach/gateway/ports.py
@@ -78,11 +78,15 @@
         Time for which it wants no request from this instance; 0 without one.
     ignored_retry_after : str
         Text of a time that can't be used; empty without one.
+    limit_per_s : float or None
+        Requests a second that it takes from all instances together; None if it names
+        no limit.
     """
 
     is_leaving: bool = False
     quiet_ms: float = 0.0
     ignored_retry_after: str = ""
+    limit_per_s: float | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/vanillareach/gateway/state.py
+++ b/vanillareach/gateway/state.py
@@ -93,6 +93,7 @@
         self.paces = EnginePaces()
         extension = preference("readmission", settings.name) / MAX_PREFERENCE
         self.quiet_periods = QuietPeriods(extension)
+        self._named_limits_by_key = {}
         self.ignored_retry_after_count = 0
         self.instance_count = 1
         self.is_placer = False
@@ -159,6 +160,17 @@
                 endpoint=endpoint.id,
                 for_ms=round(signals.quiet_ms),
             )
+        if signals.limit_per_s != self._named_limits_by_key.get(endpoint.key):
+            before = self._named_limits_by_key.pop(endpoint.key, None)
+            if signals.limit_per_s is not None:
+                self._named_limits_by_key[endpoint.key] = signals.limit_per_s
+            log.info(
+                "Endpoint limit.",
+                endpoint=endpoint.id,
+                per_s=signals.limit_per_s,
+                before=before,
+                source="answer",
+            )
         if signals.ignored_retry_after:
             self.ignored_retry_after_count += 1
             log.info(
--- a/vanillareach/platform/names.py
+++ b/vanillareach/platform/names.py
@@ -21,6 +21,7 @@
 AUTHORIZATION = b"authorization"
 RETRY_AFTER = b"retry-after"
 SERVER_LEAVING = b"server-leaving"
+SERVER_LIMIT = b"server-limit"
 STORE_ERA_HEADER = b"store-era"
 
 BEARER_SCHEME = b"bearer"
--- a/vanillareach/platform/signals.py
+++ b/vanillareach/platform/signals.py
@@ -11,7 +11,7 @@
 MISDIRECTED_STATUS = 421
 # A longer time is taken for a mistake.
 MAX_RETRY_AFTER_S = 3_600.0
-SECONDS_PATTERN = re.compile(rb"\d{1,9}(\.\d{0,9})?|\.\d{1,9}")
+DECIMAL_PATTERN = re.compile(rb"\d{1,9}(\.\d{0,9})?|\.\d{1,9}")
 
 
 def read_signals(status, headers):
@@ -26,19 +26,22 @@
     """
     if is_misdirected(status, headers):
         return EndpointSignals()
-    is_leaving, retry_after = False, None
+    is_leaving, retry_after, limit_per_s = False, None, None
     for name, value in headers:
         lower_name = name.lower()
         if lower_name == names.SERVER_LEAVING:
             is_leaving |= value.strip() == LEAVING_VALUE
+        elif lower_name == names.SERVER_LIMIT and limit_per_s is None:
+            limit_per_s = _parse_decimal(value.strip())
         elif lower_name == names.RETRY_AFTER and retry_after is None:
             retry_after = value.strip()
     if status != QUIET_STATUS or retry_after is None:
-        return EndpointSignals(is_leaving)
+        return EndpointSignals(is_leaving, limit_per_s=limit_per_s)
     quiet_ms = _parse_seconds(retry_after)
     if quiet_ms is None:
-        return EndpointSignals(is_leaving, 0.0, retry_after.decode("latin-1"))
-    return EndpointSignals(is_leaving, quiet_ms)
+        ignored = retry_after.decode("latin-1")
+        return EndpointSignals(is_leaving, 0.0, ignored, limit_per_s)
+    return EndpointSignals(is_leaving, quiet_ms, limit_per_s=limit_per_s)
 
 
 def is_misdirected(status, headers):
@@ -50,7 +53,12 @@
 
 def _parse_seconds(value):
     """Return a number of seconds in ms; None for a date or any other value."""
-    if SECONDS_PATTERN.fullmatch(value) is None:
+    seconds = _parse_decimal(value)
+    if seconds is None or seconds > MAX_RETRY_AFTER_S:
         return None
-    seconds = float(value)
-    return MS_PER_SECOND * seconds if seconds <= MAX_RETRY_AFTER_S else None
+    return MS_PER_SECOND * seconds
+
+
+def _parse_decimal(value):
+    """Return a decimal number without a sign; None for any other value."""
+    return float(value) if DECIMAL_PATTERN.fullmatch(value) else None
