Add a failing test of a request limit shared by all instances

Change: three gateways, callers at each in turn, one endpoint that names its limit in each answer; at most one and a half times the limit and 5 may reach it, and at least 2.

--- a/vanillareach/features/users_platform/endpoint_signals.py
+++ b/vanillareach/features/users_platform/endpoint_signals.py
@@ -1,4 +1,4 @@
-"""Script steps of a stand-in that says it leaves, or asks for quiet."""
+"""Script steps of a stand-in that says it leaves, asks for quiet, or names a limit."""
 
 import math
 
@@ -33,7 +33,7 @@
 
 
 class SignallingEndpoint:
-    """Part of a stand-in that sends `Server-Leaving` and `Retry-After`.
+    """Part of a stand-in that sends `Server-Leaving`, `Retry-After`, `Server-Limit`.
 
     Attributes
     ----------
@@ -43,6 +43,10 @@
         Number of its start, which its entry has as `born`.
     is_leaving : bool
         Whether all answers say that the endpoint leaves.
+    limit : bytes
+        Requests a second that all its answers name; empty for none.
+    limited_since_s : float
+        When the first answer named a limit; infinite before.
     quiet_count : int
         Number of answers that asked for quiet.
     unwanted : list of UnwantedRequest
@@ -53,6 +57,8 @@
         self.incarnation = 1
         self.retry_after = b"1.5"
         self.is_leaving = False
+        self.limit = b""
+        self.limited_since_s = math.inf
         self.quiet_count = 0
         self.unwanted = []
         # Cause, attempt id, time of the answer and end of each signal.
@@ -62,6 +68,8 @@
         """Forget what was said, as another incarnation."""
         self.incarnation += 1
         self.is_leaving = False
+        self.limit = b""
+        self.limited_since_s = math.inf
         self._signals.clear()
 
     def record_arrival(self, attempt_id):
@@ -75,10 +83,14 @@
 
     def signal_headers(self, attempt_id):
         """Return the headers that each answer has."""
-        if not self.is_leaving:
-            return []
-        self._record_signal("leaving", attempt_id, math.inf)
-        return [(b"Server-Leaving", b"1")]
+        headers = []
+        if self.limit:
+            self.limited_since_s = min(self.limited_since_s, trio.current_time())
+            headers.append((b"Server-Limit", self.limit))
+        if self.is_leaving:
+            self._record_signal("leaving", attempt_id, math.inf)
+            headers.append((b"Server-Leaving", b"1"))
+        return headers
 
     def _record_signal(self, cause, attempt_id, duration_s):
         said_s = trio.current_time()
