Keep to endpoints' request limits over all instances

Cause: nobody read the limit. Class: a bound on the sum over all instances that each of them would have to keep alone, with a picture of the others that is milliseconds old. Change: each instance takes the requests of all from a token bucket for each limited endpoint; a coordinator, found by rendezvous hashing, grants each request; members of large fleets ask through a placer. A part of the fleet uses that part of the limit. A request without a permit goes to another endpoint at once, or is refused with the time. Limits and their end are told in beacons, ordered by versions. Limited engines get no memory orders but renewals.

--- a/vanillareach/core/dispatching.py
+++ b/vanillareach/core/dispatching.py
@@ -57,8 +57,9 @@
 MIN_RETRY_AFTER_MS = 300.0
 MAX_RETRY_AFTER_MS = 3_000.0
 RETRY_AFTER_JITTER = 0.5
-# Maximum time after the end of an endpoint's quiet at which refused callers return.
-QUIET_RETRY_JITTER_MS = 400.0
+# Maximum time by which refused callers return later than the first endpoint takes
+# requests again.
+UNAVAILABLE_RETRY_JITTER_MS = 400.0
 # Pending prefill of an engine above which it explains why an event is overdue.
 BUSY_PREFILL_MS = 60.0
 # Worth of an answer token in prompt tokens, and prompt tokens per unit of worth.
@@ -89,12 +90,21 @@
         self._policy = policy
         self._last_flight_id = 0
 
-    def choose(self, exchange, now_ms):
-        """Return the `Placement` of the next attempt, or None; see `place`."""
+    def choose(self, exchange, now_ms, denied=frozenset()):
+        """Return the `Placement` of the next attempt, or None; see `place`.
+
+        Parameters
+        ----------
+        exchange : GatewayExchange
+        now_ms : float
+        denied : frozenset or set of str
+            Ids of endpoints that take no further request now.
+        """
+        withheld = self._state.withheld_endpoints().keys()
         return self.place(
             exchange.service,
             self.generation_request(exchange, now_ms),
-            exchange.excluded_endpoints | self._state.quiet_endpoints(),
+            exchange.excluded_endpoints | denied | withheld,
             exchange.first_event_ms is None,
             now_ms,
         )
@@ -159,14 +169,13 @@
             return None
         return placement
 
-    def unavailability(self, exchange, now_ms):
+    def unavailability(self, exchange):
         """Return the `Unavailability` of a request's service, or None."""
         return find_unavailability(
             self._state.endpoints,
-            self._state.quiet_periods,
+            self._state.withheld_endpoints(),
             exchange.service.name,
             exchange.excluded_endpoints,
-            now_ms,
         )
 
     def _choose_plain(self, candidates, loads, now_ms):
@@ -205,6 +214,7 @@
                 health.failure_share(endpoint.key, now_ms),
                 paces.pace(endpoint.id, now_ms),
                 jitter=jitter * self._random.random(),
+                is_limited=self._state.limits.is_limited(endpoint.key),
             )
             for endpoint in candidates
         ]
@@ -263,7 +273,7 @@
         """
         if exchange.service.engine is None or self._state.is_stopping:
             return False
-        if self.unavailability(exchange, now_ms) is not None:
+        if self.unavailability(exchange) is not None:
             return False
         waited_ms = now_ms - exchange.request.received_ms
         return waited_ms < MAX_WAIT_OBJECTIVE_SHARE * exchange.route.objective_ms
@@ -273,8 +283,10 @@
         flight = placed_flight(
             self.unplaced_flight(exchange, placement.flight_id), placement
         )
-        self._state.load_state.add(flight, now_ms)
-        self._state.publish(ChangeKind.FLIGHTS)
+        state = self._state
+        state.load_state.add(flight, now_ms)
+        state.record_dispatches(state.name, (flight,))
+        state.publish(ChangeKind.FLIGHTS)
         return flight
 
     def unplaced_flight(self, exchange, flight_id=0):
@@ -389,13 +401,14 @@
     def refusal_retry_after_ms(self, exchange, now_ms):
         """Return the delay after which the caller of a refused request may try again.
 
-        Unlike `retry_after_ms` it counts the endpoints that want quiet from this
-        instance.
+        Unlike `retry_after_ms` it counts the endpoints that take no request now.
         """
-        unavailability = self.unavailability(exchange, now_ms)
+        unavailability = self.unavailability(exchange)
         if unavailability is None or unavailability.wait_ms is None:
             return self.retry_after_ms(exchange.service.name, now_ms)
-        return unavailability.wait_ms + QUIET_RETRY_JITTER_MS * self._random.random()
+        return (
+            unavailability.wait_ms + UNAVAILABLE_RETRY_JITTER_MS * self._random.random()
+        )
 
     def retry_after_ms(self, service, now_ms):
         """Return the delay after which a refused caller should try again.
--- a/vanillareach/core/messages.py
+++ b/vanillareach/core/messages.py
@@ -4,6 +4,7 @@
 may be received twice without harm.
 """
 
+import math
 import zlib
 from enum import IntEnum
 
@@ -268,6 +269,40 @@
     fraction: float
 
 
+class RequestLimit(Wire, frozen=True):
+    """Limit of the requests that an endpoint takes from all instances together.
+
+    Attributes
+    ----------
+    endpoint : str
+    incarnation : int
+    version : int
+        Raised by each instance that learns of a change from an answer.
+    per_s : float or None
+        Requests a second; None if the endpoint names no limit any more.
+    """
+
+    endpoint: str
+    incarnation: int
+    version: int
+    per_s: float | None
+
+    @property
+    def key(self):
+        """Id and incarnation of the endpoint."""
+        return (self.endpoint, self.incarnation)
+
+    @property
+    def effective_per_s(self):
+        """Limit in requests a second, infinite without one."""
+        return math.inf if self.per_s is None else self.per_s
+
+    @property
+    def order(self):
+        """Order by age; of two changes learned at once the lower limit is later."""
+        return (self.version, -self.effective_per_s)
+
+
 class Beacon(Wire, tag=19, frozen=True):
     """Full state of a gateway instance in one datagram.
 
@@ -303,6 +338,8 @@
         Id and incarnation of endpoints that are leaving unlike their entries in the
         sender's list.
     crash_news : CrashNews
+    limits : tuple of RequestLimit
+        Limits of listed endpoints, also of those that name none any more.
     """
 
     name: str
@@ -327,6 +364,7 @@
     endpoints_era: int = 0
     leaving: tuple[tuple[str, int], ...] = ()
     crash_news: CrashNews = CrashNews()
+    limits: tuple[RequestLimit, ...] = ()
 
 
 class RelayedDatagram(Wire, tag=23, frozen=True):
@@ -449,6 +487,36 @@
     loads: tuple[LoadSummary, ...]
 
 
+class PermitQuery(Wire, tag=28, frozen=True):
+    """Asks whether the sender may send a request to an endpoint that names a limit.
+
+    Attributes
+    ----------
+    id : int
+        Unique among the queries of the sender.
+    sender, address : str
+        Name of the instance that sends the request, and the address for the reply.
+    endpoint, incarnation : str, int
+    is_forwarded : bool
+        Whether a placer has passed the query on to the endpoint's coordinator.
+    """
+
+    id: int
+    sender: str
+    address: str
+    endpoint: str
+    incarnation: int
+    is_forwarded: bool = False
+
+
+class PermitReply(Wire, tag=29, frozen=True):
+    """Answer to a `PermitQuery`, with the time until the next request is taken."""
+
+    id: int
+    is_granted: bool
+    wait_ms: float
+
+
 class StateQuery(Wire, tag=20, frozen=True):
     """Asks a peer for its configuration, its list of endpoints, or both."""
 
@@ -503,6 +571,8 @@
     | PlacementReply
     | LoadQuery
     | LoadReply
+    | PermitQuery
+    | PermitReply
 )
 
 
--- a/vanillareach/core/peer.py
+++ b/vanillareach/core/peer.py
@@ -17,12 +17,15 @@
         Incarnation and sequence number of that message.
     is_placer : bool
         Whether its last beacon said that it places requests for its domain.
+    is_leaving : bool
+        Whether its last beacon said that it is stopping.
     """
 
     __slots__ = (
         "added_ms",
         "address",
         "domain",
+        "is_leaving",
         "is_placer",
         "last_heard_ms",
         "last_message_order",
@@ -34,6 +37,7 @@
         self.address = address
         self.domain = ""
         self.is_placer = False
+        self.is_leaving = False
         self.last_heard_ms = None
         self.added_ms = added_ms
         self.last_message_order = (0, 0)
--- a/vanillareach/core/placement_types.py
+++ b/vanillareach/core/placement_types.py
@@ -57,6 +57,8 @@
     jitter : float
         Random cost, in worth, by which instances with the same load state choose
         different engines.
+    is_limited : bool
+        Whether it names a limit of requests, so that it doesn't help others.
     """
 
     endpoint: object
@@ -64,6 +66,7 @@
     failure_share: float = 0.0
     pace: float = 1.0
     jitter: float = 0.0
+    is_limited: bool = False
 
 
 class Placement(msgspec.Struct, array_like=True, frozen=True):
@@ -88,6 +91,8 @@
         room for the whole prompt.
     flight_id : int
         Id under which a placer counts the request already; 0 for none.
+    has_permit : bool
+        Whether the request may be sent to an endpoint that names a limit.
     """
 
     endpoint: ListedEndpoint
@@ -98,6 +103,7 @@
     gain: float = 0.0
     reserved_tokens: tuple[int, ...] = ()
     flight_id: int = 0
+    has_permit: bool = False
 
     @property
     def reserved_tokens_by_helper(self):
--- a/vanillareach/core/span_placement.py
+++ b/vanillareach/core/span_placement.py
@@ -185,11 +185,16 @@
 
 
 def _helpers(figures, host, views, width, part_prefill_ms):
-    """Return the `width` - 1 engines with the least helper cost, or None."""
+    """Return the `width` - 1 engines with the least helper cost, or None.
+
+    Orders about the memory of a part would use up what a limited engine takes.
+    """
     others = [
         view
         for view in views
-        if view is not host and view.load.helper_part_count < figures.slots
+        if view is not host
+        and not view.is_limited
+        and view.load.helper_part_count < figures.slots
     ]
     if len(others) < width - 1:
         return None
--- a/vanillareach/core/unavailability.py
+++ b/vanillareach/core/unavailability.py
@@ -10,7 +10,7 @@
     Attributes
     ----------
     reason : str
-        "leaving" or "quiet".
+        "leaving", "quiet" or "limited".
     endpoints : tuple of str
         Ids of the endpoints for which it holds.
     wait_ms : float or None
@@ -22,30 +22,31 @@
     wait_ms: float | None
 
 
-def find_unavailability(listed, quiet_periods, service, excluded, now_ms):
+def find_unavailability(listed, causes_by_id, service, excluded):
     """Return the `Unavailability` of a service; None if an endpoint may be asked.
 
     Parameters
     ----------
     listed : EndpointList
-    quiet_periods : QuietPeriods
+    causes_by_id : dict of str to (str, float)
+        Why an endpoint may not be asked now, and for how many ms.
     service : str
     excluded : collection of str
         Ids of endpoints that the request has met already and doesn't use again.
-    now_ms : float
     """
     usable = listed.usable(service)
     if not usable:
         leaving = tuple(e.id for e in listed.by_id.values() if e.service == service)
         return Unavailability("leaving", leaving, None) if leaving else None
-    wait_ms_by_id = {
-        endpoint.id: quiet_periods.remaining_ms(endpoint.key, now_ms)
-        for endpoint in usable
-    }
-    quiet = tuple(name for name, wait_ms in wait_ms_by_id.items() if wait_ms > 0)
-    if not quiet or any(
-        name not in excluded and not wait_ms for name, wait_ms in wait_ms_by_id.items()
+    ids = [endpoint.id for endpoint in usable]
+    withheld = tuple(name for name in ids if name in causes_by_id)
+    if not withheld or any(
+        name not in excluded and name not in causes_by_id for name in ids
     ):
         return None
-    first_wait_ms = min(wait_ms_by_id.values())
-    return Unavailability("quiet", quiet, first_wait_ms or None)
+    if len(withheld) < len(ids):
+        return Unavailability(causes_by_id[withheld[0]][0], withheld, None)
+    reason, wait_ms = min(
+        (causes_by_id[name] for name in withheld), key=lambda cause: cause[1]
+    )
+    return Unavailability(reason, withheld, wait_ms)
--- a/vanillareach/features/gateway_network.py
+++ b/vanillareach/features/gateway_network.py
@@ -268,12 +268,13 @@
         self.client = PlacementClient(
             self.state, self.dispatcher, self.gossip, self.clock
         )
-        server = PlacementServer(self.state, self.dispatcher, self.clock)
+        server = PlacementServer(self.state, self.dispatcher, self.gossip, self.clock)
         self.gossip.answer_query = server.answer
         self.follower = StoreFollower(
             MemoryStore(store), self.state, self.gossip, self.clock
         )
         self.scope = trio.CancelScope()
+        self.engines = None
 
     async def run(self):
         """Follow the store and exchange messages until the instance is killed."""
@@ -314,9 +315,13 @@
         decision = await self.client.choose(exchange)
         if decision.placement is None:
             return None
-        flight = self.dispatcher.record_dispatch(
-            exchange, decision.placement, self.clock.now_ms()
-        )
+        sent_ms = self.clock.now_ms()
+        flight = self.dispatcher.record_dispatch(exchange, decision.placement, sent_ms)
+        await self.clock.sleep_ms(LATENCY_MS)
+        endpoint = decision.placement.endpoint
+        limit_per_s = self.engines.answer(endpoint.id)
+        await self.clock.sleep_ms(LATENCY_MS)
+        self.state.record_limit(endpoint, limit_per_s, sent_ms)
         await self.clock.sleep_ms(duration_ms / 2)
         self.dispatcher.record_first_event(flight)
         await self.clock.sleep_ms(duration_ms / 2)
@@ -324,6 +329,27 @@
         return decision.placement
 
 
+class LimitedEngines:
+    """The engines of a fleet as far as they name limits.
+
+    Attributes
+    ----------
+    limits_by_id : dict of str to float
+        Requests a second that an engine names in its answers.
+    arrivals_by_id : dict of str to list of float
+        Times of the requests that each engine got, in s.
+    """
+
+    def __init__(self):
+        self.limits_by_id = {}
+        self.arrivals_by_id = {}
+
+    def answer(self, engine):
+        """Record a request; return the limit in the head of its answer, or None."""
+        self.arrivals_by_id.setdefault(engine, []).append(trio.current_time())
+        return self.limits_by_id.get(engine)
+
+
 def endpoints_of(domains):
     """Return the engines of a fleet, as listed endpoints."""
     return [
@@ -347,6 +373,7 @@
     def __init__(self, nursery, instance_count, domains):
         self.network = MemoryNetwork()
         self.store = SharedStore(endpoints_of(domains))
+        self.engines = LimitedEngines()
         self.gateways_by_name = {}
         self._nursery = nursery
         nursery.start_soon(self.network.run)
@@ -359,9 +386,9 @@
             self._start(gateway)
 
     def _build(self, name, domain, cores, seed):
-        self.gateways_by_name[name] = MemoryGateway(
-            name, domain, cores, self.network, self.store, seed
-        )
+        gateway = MemoryGateway(name, domain, cores, self.network, self.store, seed)
+        gateway.engines = self.engines
+        self.gateways_by_name[name] = gateway
 
     def _start(self, gateway):
         self._nursery.start_soon(gateway.run)
--- a/vanillareach/features/steps/attempts.py
+++ b/vanillareach/features/steps/attempts.py
@@ -12,6 +12,7 @@
 from hypothesis import strategies as st
 
 from vanillareach.clock import TrioClock
+from vanillareach.core.endpoint_limits import EndpointLimits
 from vanillareach.core.endpoint_list import ListedEndpoint
 from vanillareach.features.attempt_cases import (
     INCOMPLETE_EVENT,
@@ -205,7 +206,8 @@
             release_request=lambda *arguments: None,
             is_granted=lambda status: status == 200,
         )
-        super().__init__(protocol, None, TrioClock())
+        state = SimpleNamespace(limits=EndpointLimits())
+        super().__init__(protocol, state, TrioClock())
         self._silent_from_s = silent_from_s
         self._silent_until_s = silent_from_s + duration_s
         self.expiry_s = math.inf
--- a/vanillareach/features/steps/placers.py
+++ b/vanillareach/features/steps/placers.py
@@ -322,6 +322,7 @@
             "endpoints_era",
             "leaving",
             "crash_news",
+            "limits",
         )
         beacon = decode_message(
             msgspec.msgpack.encode(values[: len(values) - len(newer_fields)])
@@ -329,6 +330,7 @@
         assert isinstance(beacon, Beacon)
         assert (beacon.capacity, beacon.is_placer) == (0.0, False)
         assert beacon.crash_news == CrashNews()
+        assert beacon.limits == ()
 
 
 @then("a message of an unknown kind is rejected")
--- a/vanillareach/gateway/announcements.py
+++ b/vanillareach/gateway/announcements.py
@@ -72,4 +72,5 @@
             endpoints_era=state.endpoints.era,
             leaving=tuple(endpoint.key for endpoint in leaving),
             crash_news=build_news(state.quarantine.evidence, now_ms, is_own_only),
+            limits=state.limit_news(),
         )
--- a/vanillareach/gateway/app.py
+++ b/vanillareach/gateway/app.py
@@ -102,7 +102,7 @@
         policy = POLICIES_BY_NAME[settings.placement]()
         dispatcher = Dispatcher(self.state, settings.domain, random.Random(), policy)
         placement_client = PlacementClient(self.state, dispatcher, self.gossip, clock)
-        placement_server = PlacementServer(self.state, dispatcher, clock)
+        placement_server = PlacementServer(self.state, dispatcher, self.gossip, clock)
         self.gossip.answer_query = placement_server.answer
         self.forwarder = Forwarder(
             self.state,
@@ -162,6 +162,11 @@
             "Answers of endpoints with a Retry-After that can't be used.",
             lambda: state.ignored_retry_after_count,
         )
+        add(
+            "endpoints_limited",
+            "Endpoints that name a limit of requests.",
+            lambda: len(state.limits.limited_keys()),
+        )
         add("slow_engines", "Engines seen slow.", lambda: len(state.paces.own_paces))
         add(
             "flights",
--- a/vanillareach/gateway/attempts.py
+++ b/vanillareach/gateway/attempts.py
@@ -195,9 +195,19 @@
             cause = self._state.unusable_cause(endpoint)
             if cause:
                 raise EndpointWithdrawnError(f"{endpoint.id}: {cause}")
+        self._check_limits(placement)
         if self._state.quarantine.refuses(attempt.exchange):
             raise EndpointWithdrawnError("quarantined")
 
+    def _check_limits(self, placement):
+        """Check that no endpoint has named a limit since the placement was chosen."""
+        limits = self._state.limits
+        limited = [h for h in placement.helpers if limits.is_limited(h.key)]
+        if not placement.has_permit and limits.is_limited(placement.endpoint.key):
+            limited.append(placement.endpoint)
+        if limited:
+            raise EndpointWithdrawnError(f"{limited[0].id}: limited")
+
     async def _relay_response(self, attempt, response, responder):
         exchange = attempt.exchange
         fields = self._protocol.read_response(response.status, response.headers)
@@ -264,8 +274,13 @@
 
     def _record_signals(self, attempt, fields):
         """Record what the endpoint says, unless it answers another request."""
-        if fields.attempt_id in ("", attempt.exchange.id):
-            self._state.record_signals(attempt.placement.endpoint, fields.signals)
+        endpoint, limit_per_s = attempt.placement.endpoint, fields.signals.limit_per_s
+        if fields.attempt_id not in ("", attempt.exchange.id):
+            return
+        self._state.record_signals(endpoint, fields.signals)
+        # Only the endpoint's own answer shows that it names no limit any more.
+        if limit_per_s is not None or (fields.is_signed and not fields.is_misdirected):
+            self._state.record_limit(endpoint, limit_per_s, attempt.sent_ms)
 
     def _record_refusal(self, attempt, fields):
         """Record which endpoint or helper refused a request that was not run."""
--- a/vanillareach/gateway/gossip.py
+++ b/vanillareach/gateway/gossip.py
@@ -20,12 +20,15 @@
     LoadQuery,
     LoadReply,
     MessageError,
+    PermitQuery,
+    PermitReply,
     PlacementQuery,
     PlacementReply,
     RelayedDatagram,
     StateQuery,
 )
 from vanillareach.core.placers import PLACER_SILENCE_MS
+from vanillareach.core.rendezvous import owner_of
 from vanillareach.core.state_change import ChangeKind
 from vanillareach.gateway.announcements import AnnouncementBuilder
 from vanillareach.gateway.datagrams import MAX_DATAGRAM_BYTES, DatagramSocket
@@ -72,7 +75,8 @@
     peers : PeerTable
     announcements : AnnouncementBuilder
     answer_query : callable
-        Returns the reply to a `PlacementQuery` or `LoadQuery`.
+        Returns the reply to a `PlacementQuery`, `LoadQuery` or `PermitQuery`; None if
+        the query was forwarded.
     """
 
     def __init__(self, settings, state, link, clock, open_socket=DatagramSocket):
@@ -216,6 +220,7 @@
             self._update_role()
             now_ms, peer_count = self._clock.now_ms(), len(self.peers.by_name)
             self._state.placing_instance_count = self._placing_instance_count()
+            self._state.limits.share = self._heard_share()
             change, self._change, self._change_event = self._change, None, trio.Event()
             kind = self.audience.next_message(change, peer_count, now_ms)
             if kind is not None:
@@ -231,6 +236,42 @@
             return len(self.audience.election.domains())
         return self._state.instance_count
 
+    def _heard_share(self):
+        """Return the share of the fleet that this instance hears, itself included.
+
+        In a large fleet a domain is heard if one of its placers is.
+        """
+        peers, audience = self.peers, self.audience
+        if audience.is_direct:
+            return (1 + len(peers.alive_names())) / self._state.instance_count
+        heard = {self._domain, *peers.domains_of_heard_placers(PLACER_SILENCE_MS)}
+        election = audience.election
+        counts_by_domain = {d: len(election.members(d)) for d in election.domains()}
+        heard_count = sum(counts_by_domain.get(domain, 0) for domain in heard)
+        return heard_count / max(1, sum(counts_by_domain.values()))
+
+    def forward(self, query, peer):
+        """Pass a query of another instance on to a peer, which replies to that one."""
+        self._send_to(self._authenticator.encode(query), [peer])
+
+    def coordinator_name(self, key):
+        """Return the name of the instance that coordinates an endpoint's limit.
+
+        Only instances that are told of all requests know it.
+
+        Parameters
+        ----------
+        key : tuple of (str, int)
+            Id and incarnation of the endpoint.
+        """
+        if self.audience.is_direct:
+            names = {peer.name for peer in self.peers.available()}
+        else:
+            names = set(self.store_followers())
+        if not self._state.is_stopping or not names:
+            names.add(self.name)
+        return owner_of(f"limit {key[0]} {key[1]}", names)
+
     def _coalescing_ms(self):
         if not self.audience.is_direct:
             return CHANGE_COALESCING_MS
@@ -290,9 +331,9 @@
         elif isinstance(message, FlightUpdate):
             self._forward_to_other_domains(data, message.name)
             self._apply_flight_update(message)
-        elif isinstance(message, PlacementQuery | LoadQuery):
+        elif isinstance(message, PlacementQuery | LoadQuery | PermitQuery):
             self._answer(message)
-        elif isinstance(message, PlacementReply | LoadReply):
+        elif isinstance(message, PlacementReply | LoadReply | PermitReply):
             pending = self._queries_by_id.get(message.id)
             if pending is not None:
                 pending.reply = message
@@ -356,6 +397,7 @@
         peer.last_heard_ms = now_ms
         if not self.audience.is_direct:
             self._apply_outcomes(update, now_ms)
+        self._state.record_dispatches(update.name, update.begun)
         load_state.apply_peer_changes(
             update.name, update.begun, update.decoding, update.ended, now_ms
         )
@@ -394,6 +436,7 @@
         peer.address = beacon.address
         peer.domain = beacon.domain
         peer.is_placer = beacon.is_placer
+        peer.is_leaving = beacon.is_leaving
         peer.last_heard_ms = now_ms
         election = self.audience.election
         election.add(beacon.name, beacon.domain, beacon.capacity)
@@ -407,6 +450,8 @@
         self._apply_crash_news(beacon, is_unaware, now_ms)
         for key in beacon.leaving:
             self._state.record_reported_leaving(*key)
+        for limit in beacon.limits:
+            self._state.record_reported_limit(limit)
         self._fetcher.reconcile(
             peer.address, beacon, self._max_fetch_delay_ms(), self._random, nursery
         )
--- a/vanillareach/gateway/peer_table.py
+++ b/vanillareach/gateway/peer_table.py
@@ -85,6 +85,23 @@
         """Return the names of the peers that count as alive."""
         return [peer.name for peer in self.by_name.values() if self.is_alive(peer)]
 
+    def available(self):
+        """Return the peers that count as alive and aren't stopping."""
+        return [
+            peer
+            for peer in self.by_name.values()
+            if self.is_alive(peer) and not peer.is_leaving
+        ]
+
+    def domains_of_heard_placers(self, duration_ms):
+        """Return the domains of the placers heard in the last `duration_ms`."""
+        now_ms = self._clock.now_ms()
+        return {
+            peer.domain
+            for peer in self.by_name.values()
+            if peer.is_placer and peer.was_heard_within(duration_ms, now_ms)
+        }
+
     def time_since_heard(self):
         """Return (name, domain, ms since last heard) of each peer; -1 for never."""
         now_ms = self._clock.now_ms()
--- a/vanillareach/gateway/placing.py
+++ b/vanillareach/gateway/placing.py
@@ -14,6 +14,8 @@
     LoadQuery,
     LoadReply,
     LoadSummary,
+    PermitQuery,
+    PermitReply,
     PlacementQuery,
     PlacementReply,
 )
@@ -26,6 +28,12 @@
 # An endpoint that this instance could not reach is left out for this time.
 UNREACHABLE_TTL_MS = 3_000.0
 MAX_LOGGED_ENDPOINTS = 20
+# An endpoint whose coordinator doesn't answer gets no request for this time.
+UNANSWERED_PERMIT_TTL_MS = 250.0
+# An endpoint whose coordinator denies a request gets none for this time at least.
+MIN_DENIAL_MS = 20.0
+# After this time it is asked again, since more may be taken than was foreseen.
+MAX_DENIAL_MS = 1_000.0
 
 log = get_logger("placing")
 
@@ -71,10 +79,21 @@
 
     async def choose(self, exchange):
         """Return the `PlacementDecision` for the next attempt of a request."""
-        decision = await self._decide(exchange)
-        if decision.placement is not None:
-            return decision
-        unavailability = self._dispatcher.unavailability(exchange, self._clock.now_ms())
+        denied = set()
+        while True:
+            decision = await self._decide(exchange, denied)
+            if decision.placement is None:
+                break
+            endpoint = decision.placement.endpoint
+            if not self._state.limits.is_limited(endpoint.key):
+                return decision
+            if await self._acquire_permit(endpoint):
+                placement = decision.placement
+                return PlacementDecision(
+                    msgspec.structs.replace(placement, has_permit=True)
+                )
+            denied.add(endpoint.id)
+        unavailability = self._dispatcher.unavailability(exchange)
         if unavailability is None:
             return decision
         log.info(
@@ -85,16 +104,49 @@
         )
         return PlacementDecision(None, reason=unavailability.reason)
 
-    async def _decide(self, exchange):
+    async def _decide(self, exchange, denied):
         if not self.knows_all_loads:
-            decision = await self._choose_at_placer(exchange)
+            decision = await self._choose_at_placer(exchange, denied)
             if decision is not None:
                 return decision
             log.info("Placed without a placer.", id=exchange.id)
         return PlacementDecision(
-            self._dispatcher.choose(exchange, self._clock.now_ms())
+            self._dispatcher.choose(exchange, self._clock.now_ms(), denied)
         )
 
+    async def _acquire_permit(self, endpoint):
+        """Return whether a request may be sent to an endpoint that names a limit."""
+        key, gossip, limits = endpoint.key, self._gossip, self._state.limits
+        if not self.knows_all_loads:
+            reply = await self._ask_placers(
+                partial(self._permit_query, key), PermitReply
+            )
+        elif (coordinator := gossip.coordinator_name(key)) == gossip.name:
+            return limits.grant(key, gossip.name, self._clock.now_ms())
+        else:
+            reply = await self._ask_coordinator(coordinator, key)
+        if reply is not None and reply.is_granted:
+            return True
+        closed_ms = UNANSWERED_PERMIT_TTL_MS
+        if reply is not None:
+            closed_ms = max(MIN_DENIAL_MS, min(MAX_DENIAL_MS, reply.wait_ms))
+        limits.close(key, closed_ms, self._clock.now_ms())
+        return False
+
+    async def _ask_coordinator(self, name, key):
+        peer = self._gossip.peers.by_name.get(name)
+        reply = None
+        if peer is not None:
+            query = partial(self._permit_query, key)
+            reply = await self._gossip.ask(peer, query, QUERY_TIMEOUT_MS)
+        if not isinstance(reply, PermitReply):
+            log.info("Coordinator did not answer.", peer=name, endpoint=key[0])
+            return None
+        return reply
+
+    def _permit_query(self, key, query_id):
+        return PermitQuery(query_id, self._gossip.name, self._gossip.address, *key)
+
     def record_unreachable(self, endpoint):
         """Leave out an endpoint that this instance could not reach, for a while."""
         until_ms = self._clock.now_ms() + UNREACHABLE_TTL_MS
@@ -129,22 +181,22 @@
         )
         return None if reply is None else reply.loads
 
-    async def _choose_at_placer(self, exchange):
+    async def _choose_at_placer(self, exchange, denied):
         """Return a placer's `PlacementDecision`, or None if no placer has answered.
 
         Endpoints that this instance could not reach are used if no other is left.
         """
         unreachable = self._unreachable_ids()
-        decision = await self._ask_for_placement(exchange, unreachable)
+        decision = await self._ask_for_placement(exchange, {*denied, *unreachable})
         is_refused = decision is not None and decision.placement is None
         if is_refused and unreachable:
-            decision = await self._ask_for_placement(exchange, ())
+            decision = await self._ask_for_placement(exchange, denied)
         return decision
 
-    async def _ask_for_placement(self, exchange, unreachable):
-        excluded = {*exchange.excluded_endpoints, *unreachable}
+    async def _ask_for_placement(self, exchange, left_out):
+        excluded = {*exchange.excluded_endpoints, *left_out}
         # Nobody else knows which endpoints want quiet from this instance.
-        excluded |= self._state.quiet_endpoints()
+        excluded |= self._state.withheld_endpoints().keys()
         flight = self._dispatcher.unplaced_flight(exchange)
         for _ in range(2):
             reply = await self._ask_placers(
@@ -178,11 +230,12 @@
 
     def _unusable_ids(self, placement):
         """Return the chosen endpoints that must get no request of this instance."""
-        unusable_cause = self._state.unusable_cause
-        return {
-            endpoint.id
-            for endpoint in (placement.endpoint, *placement.helpers)
-            if unusable_cause(endpoint)
+        state, endpoints = self._state, (placement.endpoint, *placement.helpers)
+        unusable = {e.id for e in endpoints if state.unusable_cause(e)}
+        return unusable | {
+            helper.id
+            for helper in placement.helpers
+            if state.limits.is_limited(helper.key)
         }
 
     def _unreachable_ids(self):
@@ -210,26 +263,45 @@
 
 
 class PlacementServer:
-    """Answers the queries of other instances of the failure domain.
+    """Answers the queries of other instances.
 
     Parameters
     ----------
     state : GatewayState
     dispatcher : Dispatcher
+    gossip : Gossip
     clock : Clock
     """
 
-    def __init__(self, state, dispatcher, clock):
+    def __init__(self, state, dispatcher, gossip, clock):
         self._state = state
         self._dispatcher = dispatcher
+        self._gossip = gossip
         self._clock = clock
 
     def answer(self, query):
-        """Return the reply to a `PlacementQuery` or `LoadQuery`."""
+        """Return the reply to a query; None if it was forwarded."""
         if isinstance(query, LoadQuery):
             return self._answer_load(query)
+        if isinstance(query, PermitQuery):
+            return self._answer_permit(query)
         return self._answer_placement(query)
 
+    def _answer_permit(self, query):
+        """Grant or deny a request, or let the endpoint's coordinator do so."""
+        key = (query.endpoint, query.incarnation)
+        gossip, limits, now_ms = self._gossip, self._state.limits, self._clock.now_ms()
+        if not query.is_forwarded:
+            coordinator = gossip.coordinator_name(key)
+            peer = gossip.peers.by_name.get(coordinator)
+            if peer is not None and peer.name != query.sender:
+                forwarded = msgspec.structs.replace(query, is_forwarded=True)
+                gossip.forward(forwarded, peer)
+                return None
+        is_granted = limits.grant(key, query.sender, now_ms)
+        wait_ms = 0.0 if is_granted else limits.wait_ms(key, now_ms)
+        return PermitReply(query.id, is_granted, wait_ms)
+
     def _answer_placement(self, query):
         state, now_ms = self._state, self._clock.now_ms()
         configuration = state.configuration
@@ -242,7 +314,7 @@
         placement = self._dispatcher.place(
             service,
             query.generation,
-            query.excluded,
+            {*query.excluded, *state.closed_endpoints()},
             query.may_be_refused,
             now_ms,
         )
--- a/vanillareach/gateway/report.py
+++ b/vanillareach/gateway/report.py
@@ -22,7 +22,7 @@
     id, service, domain, address : str
     standing : str
         "usable", "leaving", "leaving (said by an answer)", "quiet for N s",
-        "unreachable" or "shunned".
+        "unreachable", "shunned" or "limited to N/s".
     failure_share : float
         Share of the recent attempts that failed, 0 to 1.
     pace : float
@@ -144,6 +144,8 @@
         standing = "unreachable"
     elif health.is_outlier(endpoint.key, now_ms):
         standing = "shunned"
+    elif state.limits.is_limited(endpoint.key):
+        standing = f"limited to {state.limits.limit_per_s(endpoint.key):g}/s"
     return EndpointReport(
         id=endpoint.id,
         service=endpoint.service,
--- a/vanillareach/gateway/reservations.py
+++ b/vanillareach/gateway/reservations.py
@@ -6,6 +6,7 @@
 let it wait. So two prompts can't deadlock with half of their memory each.
 """
 
+import math
 from contextlib import asynccontextmanager
 
 import trio
@@ -22,10 +23,14 @@
 RENEWAL_INTERVAL_MS = 700.0
 RESERVATION_REQUEST_TIMEOUT_MS = 500.0
 MAX_RESPONSE_BYTES = 65_536
+# An engine that names a limit of requests gets each of this many renewals only.
+LIMITED_RENEWAL_INTERVALS = 3
 # States of an engine in which it gets no reservation, renewal or release. What runs at
-# a leaving engine ends there; a reservation ends by itself at one that wants quiet.
-RESERVATION_STOPS = ("leaving", "quiet")
-RENEWAL_STOPS = RELEASE_STOPS = ("quiet",)
+# a leaving engine ends there; a reservation ends by itself at one that wants quiet or
+# takes few requests.
+RESERVATION_STOPS = ("leaving", "quiet", "limited")
+RENEWAL_STOPS = ("quiet",)
+RELEASE_STOPS = ("quiet", "limited")
 
 log = get_logger("reservations")
 
@@ -43,9 +48,17 @@
         Memory to reserve at each engine, in tokens.
     is_granted : bool
         Whether all parts were granted.
+    renewal_count : int
+        Renewals that were due.
     """
 
-    __slots__ = ("id", "ids_by_engine", "is_granted", "tokens_by_engine")
+    __slots__ = (
+        "id",
+        "ids_by_engine",
+        "is_granted",
+        "renewal_count",
+        "tokens_by_engine",
+    )
 
     def __init__(self, id_prefix, tokens_by_engine):
         self.id = id_prefix
@@ -55,6 +68,7 @@
             for number, engine in enumerate(tokens_by_engine)
         }
         self.is_granted = False
+        self.renewal_count = 0
 
 
 class ReservationManager:
@@ -91,6 +105,7 @@
                     await self._active_event.wait()
                 await self._clock.sleep_ms(RENEWAL_INTERVAL_MS)
                 for reservation in self._active_by_id.values():
+                    reservation.renewal_count += 1
                     nursery.start_soon(self._reserve_all, reservation, True)
 
     @asynccontextmanager
@@ -122,6 +137,11 @@
         granted = []
 
         async def reserve_part(engine, tokens):
+            is_limited = self._state.limits.is_limited(engine.key)
+            turn = reservation.renewal_count % LIMITED_RENEWAL_INTERVALS
+            if is_renewal and is_limited and turn:
+                granted.append(True)
+                return
             reservation_id = reservation.ids_by_engine[engine.id]
             request = self._reservation_protocol.reserve_request(
                 engine, reservation_id, tokens, RESERVATION_TTL_MS
@@ -161,9 +181,14 @@
         Return the status of the response, or None without one. Nothing is sent if the
         state of the engine is one of `stops`.
         """
+        sent_ms = math.inf
 
         def check():
+            nonlocal sent_ms
+            sent_ms = self._clock.now_ms()
             cause = self._state.unusable_cause(engine)
+            if not cause and self._state.limits.is_limited(engine.key):
+                cause = "limited"
             if cause in stops:
                 raise EndpointWithdrawnError(f"{engine.id}: {cause}")
 
@@ -171,10 +196,13 @@
             try:
                 check()
                 async with open_upstream(request, check) as response:
+                    self._state.limits.count_order(engine.key, sent_ms)
                     signals = self._reservation_protocol.read_signals(
                         response.status, response.headers
                     )
                     self._state.record_signals(engine, signals)
+                    if signals.limit_per_s is not None:
+                        self._state.record_limit(engine, signals.limit_per_s, sent_ms)
                     await response.read(MAX_RESPONSE_BYTES)
                     return response.status
             except EndpointError as error:
--- a/vanillareach/gateway/state.py
+++ b/vanillareach/gateway/state.py
@@ -6,6 +6,7 @@
 import trio
 
 from vanillareach.core.endpoint_health import EndpointHealth
+from vanillareach.core.endpoint_limits import EndpointLimits
 from vanillareach.core.endpoint_list import EndpointList
 from vanillareach.core.engine_pace import EnginePaces
 from vanillareach.core.freshness import Freshness
@@ -53,6 +54,8 @@
 
     Attributes
     ----------
+    name : str
+        Name of the instance.
     configuration : RouteTable or None
         Newest configuration received; never replaced by an older version.
     configuration_freshness, endpoints_freshness : Freshness
@@ -64,6 +67,8 @@
     paces : EnginePaces
     quiet_periods : QuietPeriods
         Endpoints that want no request from this instance for a time.
+    limits : EndpointLimits
+        Requests that endpoints take from all instances together.
     ignored_retry_after_count : int
         Answers of endpoints whose Retry-After could not be used.
     instance_count : int
@@ -81,6 +86,7 @@
     """
 
     def __init__(self, settings, clock):
+        self.name = settings.name
         self._settings = settings
         self._clock = clock
         self.configuration = None
@@ -93,7 +99,7 @@
         self.paces = EnginePaces()
         extension = preference("readmission", settings.name) / MAX_PREFERENCE
         self.quiet_periods = QuietPeriods(extension)
-        self._named_limits_by_key = {}
+        self.limits = EndpointLimits()
         self.ignored_retry_after_count = 0
         self.instance_count = 1
         self.is_placer = False
@@ -160,17 +166,6 @@
                 endpoint=endpoint.id,
                 for_ms=round(signals.quiet_ms),
             )
-        if signals.limit_per_s != self._named_limits_by_key.get(endpoint.key):
-            before = self._named_limits_by_key.pop(endpoint.key, None)
-            if signals.limit_per_s is not None:
-                self._named_limits_by_key[endpoint.key] = signals.limit_per_s
-            log.info(
-                "Endpoint limit.",
-                endpoint=endpoint.id,
-                per_s=signals.limit_per_s,
-                before=before,
-                source="answer",
-            )
         if signals.ignored_retry_after:
             self.ignored_retry_after_count += 1
             log.info(
@@ -179,6 +174,86 @@
                 value=signals.ignored_retry_after[:MAX_LOGGED_VALUE_LENGTH],
             )
 
+    def record_limit(self, endpoint, per_s, sent_ms):
+        """Record the limit of requests that an endpoint's answer names, and tell peers.
+
+        Parameters
+        ----------
+        endpoint : ListedEndpoint
+        per_s : float or None
+            None if the answer names none.
+        sent_ms : float
+            When the request was sent.
+        """
+        before = self.limits.limit_per_s(endpoint.key)
+        limit = self.limits.record_answer(
+            endpoint.key, per_s, sent_ms, self._clock.now_ms()
+        )
+        if limit is not None:
+            self._log_limit(limit, before, "answer")
+            self.publish()
+
+    def record_reported_limit(self, limit):
+        """Take over a `RequestLimit` that a peer tells."""
+        before = self.limits.limit_per_s(limit.key)
+        if self.limits.merge(limit, self._clock.now_ms()):
+            self._log_limit(limit, before, "peer")
+            if self.is_placer:
+                # The instances of its domain hear of it from here.
+                self.publish()
+
+    def _log_limit(self, limit, before, source):
+        log.info(
+            "Endpoint limit.",
+            endpoint=limit.endpoint,
+            per_s=limit.per_s,
+            before=before,
+            source=source,
+        )
+
+    def record_dispatches(self, instance, flights):
+        """Count the requests that an instance has sent against endpoints' limits."""
+        now_ms, by_id = self._clock.now_ms(), self.endpoints.by_id
+        for flight in flights:
+            endpoint = by_id.get(flight.engine)
+            if endpoint is not None:
+                sent_ms = now_ms - flight.age_ms
+                self.limits.count_dispatch(endpoint.key, instance, sent_ms, now_ms)
+
+    def limit_news(self):
+        """Return the `RequestLimit` records that peers are told."""
+        return self.limits.news(self.endpoints.by_id)
+
+    def closed_endpoints(self):
+        """Return for how many ms listed endpoints take no request by their limit."""
+        now_ms, limits = self._clock.now_ms(), self.limits
+        return {
+            endpoint.id: limits.wait_ms(endpoint.key, now_ms)
+            for endpoint in self._listed(limits.closed_keys(now_ms))
+        }
+
+    def withheld_endpoints(self):
+        """Return why listed endpoints get no request of this instance now, by id.
+
+        Each value is a cause, "quiet" or "limited", and the time in ms that it lasts.
+        """
+        closed = self.closed_endpoints()
+        causes_by_id = {name: ("limited", wait) for name, wait in closed.items()}
+        now_ms, quiet_periods = self._clock.now_ms(), self.quiet_periods
+        for endpoint in self._listed(quiet_periods.keys(now_ms)):
+            wait_ms = quiet_periods.remaining_ms(endpoint.key, now_ms)
+            causes_by_id[endpoint.id] = ("quiet", wait_ms)
+        return causes_by_id
+
+    def _listed(self, keys):
+        """Return the listed endpoints among incarnations."""
+        by_id = self.endpoints.by_id
+        return [
+            by_id[name]
+            for name, incarnation in keys
+            if name in by_id and by_id[name].incarnation == incarnation
+        ]
+
     def unusable_cause(self, endpoint):
         """Return why an endpoint must get no request now: "quiet", "leaving" or ""."""
         if self.quiet_periods.remaining_ms(endpoint.key, self._clock.now_ms()) > 0:
@@ -187,12 +262,8 @@
 
     def quiet_endpoints(self):
         """Return the ids of the listed endpoints that want quiet from this instance."""
-        by_id = self.endpoints.by_id
-        return {
-            name
-            for name, incarnation in self.quiet_periods.keys(self._clock.now_ms())
-            if name in by_id and by_id[name].incarnation == incarnation
-        }
+        keys = self.quiet_periods.keys(self._clock.now_ms())
+        return {endpoint.id for endpoint in self._listed(keys)}
 
     def record_reported_leaving(self, endpoint_id, incarnation):
         """Record that an endpoint has said it leaves, as a peer tells."""
