--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 PYTHON ?= python3
 VENV := .venv
 SETUP := $(VENV)/.installed
+TEST_PARTS := 4
 export PYTHONHASHSEED := 0
 export PATH := $(CURDIR)/$(VENV)/bin:$(PATH)
 
@@ -11,8 +12,9 @@
 	bash bench/fleet.sh demo python -m bench.demo
 	KEEP_ENTRIES=1 bash bench/fleet.sh soak python -m bench.demo_gateway
 
+# Runs the features in as many processes as TEST_PARTS says.
 test: $(SETUP)
-	KEEP_ENTRIES=1 bash bench/fleet.sh nine python -m vanillareach.features
+	KEEP_ENTRIES=1 bash bench/fleet.sh nine bash bench/features.sh $(TEST_PARTS)
 
 # Runs the seeds listed in SEEDS, such as 1,2; one random seed if it is empty.
 soak: $(SETUP)
