Keep to parts of limits in partitions that last long

Cause: peers that aren't heard for 30 s are forgotten. If the store is away too, both sides of a partition then take their part of the fleet for the whole, and use a limit twice. Change: peers that were removed without having said that they leave count for 10 minutes.

--- a/vanillareach/features/endpoint_limits.feature
+++ b/vanillareach/features/endpoint_limits.feature
@@ -68,3 +68,11 @@
       | instances |
       | 9         |
       | 30        |
+
+  Scenario: A part of a fleet that is cut off for long goes on using its part of a limit
+    Given a fleet of 9 instances in domains "abc"
+    When the fleet runs for 2000 ms
+    And the store is down, and domain "a" is cut off for 40000 ms
+    Then an instance of domain "a" used 3 of 9 parts of limits, one of domain "b" 6 of 9
+    When the fleet runs for 12000 ms
+    Then all instances use limits whole
--- a/vanillareach/features/steps/endpoint_limits.py
+++ b/vanillareach/features/steps/endpoint_limits.py
@@ -221,3 +221,37 @@
         assert now_ms - start_ms <= most_ms, now_ms - start_ms
         retry_after_ms = gateway.dispatcher.refusal_retry_after_ms(exchange, now_ms)
         assert 0 < retry_after_ms <= 20_000, retry_after_ms
+
+
+@then(
+    'an instance of domain "{first}" used {own:d} of {count:d} parts of limits, one of '
+    'domain "{second}" {other:d} of {total:d}'
+)
+def step_shares(context, first, own, count, second, other, total):
+    @check(context)
+    async def verify(fleet):
+        # The cut has just ended; nothing was heard yet.
+        for domain, parts in ((first, own), (second, other)):
+            share = fleet.gateways_by_name[f"{domain}0"].state.limits.share
+            assert abs(share - parts / count) < 1e-6, (domain, share)
+
+
+@then("all instances use limits whole")
+def step_whole_shares(context):
+    @check(context)
+    async def verify(fleet):
+        shares = {g.state.limits.share for g in fleet.gateways_by_name.values()}
+        assert shares == {1.0}, shares
+
+
+@when('the store is down, and domain "{domain}" is cut off for {duration_ms:d} ms')
+def step_cut_without_store(context, domain, duration_ms):
+    @action(context)
+    async def cut(fleet):
+        fleet.store.is_down = True
+        fleet.network.is_cut = lambda sender, receiver: (
+            (sender[0] == domain) != (receiver[0] == domain)
+        )
+        await trio.sleep(duration_ms / 1000)
+        fleet.network.is_cut = lambda sender, receiver: False
+        fleet.store.is_down = False
--- a/vanillareach/gateway/gossip.py
+++ b/vanillareach/gateway/gossip.py
@@ -243,7 +243,7 @@
         """
         peers, audience = self.peers, self.audience
         if audience.is_direct:
-            return (1 + len(peers.alive_names())) / self._state.instance_count
+            return (1 + len(peers.alive_names())) / (1 + peers.possible_count())
         heard = {self._domain, *peers.domains_of_heard_placers(PLACER_SILENCE_MS)}
         election = audience.election
         counts_by_domain = {d: len(election.members(d)) for d in election.domains()}
--- a/vanillareach/gateway/peer_table.py
+++ b/vanillareach/gateway/peer_table.py
@@ -10,6 +10,9 @@
 # A peer that isn't heard is removed after this time. Until then, beacons are still sent
 # to it and it is still counted in shared budgets.
 PEER_EXPIRY_MS = 30_000.0
+# One that was removed without having said that it leaves may be cut off. Its part of
+# what all share isn't used for this time.
+REMOVED_PEER_TTL_MS = 600_000.0
 
 
 class PeerTable:
@@ -31,6 +34,7 @@
 
     def __init__(self, state, audience, domain, clock):
         self.by_name = {}
+        self._removed_ms_by_name = {}
         self._state = state
         self._audience = audience
         self._domain = domain
@@ -40,6 +44,7 @@
     def add(self, name, address):
         """Add and return a new peer."""
         peer = Peer(name, address, self._clock.now_ms())
+        self._removed_ms_by_name.pop(name, None)
         self.by_name[name] = peer
         self._count()
         return peer
@@ -156,9 +161,21 @@
                 self._audience.is_direct or not is_registered
             ):
                 del self.by_name[peer.name]
+                if peer.last_heard_ms is not None and not peer.is_leaving:
+                    self._removed_ms_by_name[peer.name] = self._clock.now_ms()
                 self._audience.election.remove(peer.name)
                 self._count()
 
+    def possible_count(self):
+        """Return the number of peers, with those that may be cut off for long."""
+        now_ms = self._clock.now_ms()
+        self._removed_ms_by_name = {
+            name: removed_ms
+            for name, removed_ms in self._removed_ms_by_name.items()
+            if now_ms - removed_ms <= REMOVED_PEER_TTL_MS
+        }
+        return len(self.by_name) + len(self._removed_ms_by_name)
+
     def _count(self):
         self._state.instance_count = 1 + len(self.by_name)
 
