--- a/vanillareach/features/users_platform/stage.py
+++ b/vanillareach/features/users_platform/stage.py
@@ -11,6 +11,10 @@
 from vanillareach.clock import TrioClock
 from vanillareach.core.routing import CallerLimits
 from vanillareach.features.users_platform.endpoint import StandinEndpoint
+from vanillareach.features.users_platform.endpoint_links import (
+    EndpointLinks,
+    current_gateway,
+)
 from vanillareach.gateway.app import GatewayApplication
 from vanillareach.gateway.listener import CallerListener
 from vanillareach.gateway.settings import GatewaySettings
@@ -155,6 +159,7 @@
         self.store = StandinStore()
         self.store_address = free_address()
         self.endpoints_by_name = {}
+        self.links = EndpointLinks(self.endpoints_by_name)
         self.gateways = []
         self._last_attempt_number = 0
         self._sockets = []
@@ -228,7 +233,9 @@
             BoundedWriter(os.open(os.devnull, os.O_WRONLY)),
         )
         gateway.build()
+        token = current_gateway.set(name)
         await gateway.start(self._nursery)
+        current_gateway.reset(token)
         self.gateways.append(gateway)
         await self.until(lambda: gateway.state.is_ready)
         return gateway
