Log when an instance loses its links to the endpoints

Cause: no log line told that an instance reached no endpoint at all, or since when. Change: a failed connection lets a monitor connect to three other endpoints at once; three failures in a row without a connection count as lost links. One log line each when they are lost and regained, and a gauge. Nothing else is decided by it yet, but endpoints set aside meanwhile are used again once the links are back.

--- a/vanillareach/gateway/app.py
+++ b/vanillareach/gateway/app.py
@@ -167,6 +167,11 @@
             "Endpoints that name a limit of requests.",
             lambda: len(state.limits.limited_keys()),
         )
+        add(
+            "links_lost",
+            "Whether no connection to an endpoint can be made.",
+            lambda: int(state.reach.is_lost),
+        )
         add("slow_engines", "Engines seen slow.", lambda: len(state.paces.own_paces))
         add(
             "flights",
@@ -194,6 +199,11 @@
             lambda: self.caller_listener.open_connections,
         )
 
+    def _make_prober(self):
+        return ReachabilityProber(
+            self.state, self.gossip, self.forwarder.link_monitor, self.clock
+        )
+
     async def start(self, nursery):
         """Start all tasks; return once callers can connect."""
         for run in (
@@ -205,7 +215,8 @@
             self.forwarder.idle_timeouts.run,
             self.forwarder.loss_checker.run,
             self.forwarder.pace_estimator.run,
-            ReachabilityProber(self.state, self.gossip, self.clock).run,
+            self.forwarder.link_monitor.run,
+            self._make_prober().run,
         ):
             nursery.start_soon(self.supervisor.keep_running, run)
         for listener in (
--- a/vanillareach/gateway/forwarder.py
+++ b/vanillareach/gateway/forwarder.py
@@ -16,6 +16,7 @@
     fingerprint_of,
 )
 from vanillareach.gateway.idle_timeouts import IdleTimeoutMonitor
+from vanillareach.gateway.link_monitor import LinkMonitor
 from vanillareach.gateway.loss_checks import EndpointLossChecker
 from vanillareach.gateway.pacing import EnginePaceEstimator
 from vanillareach.gateway.placing import PlacementDecision
@@ -91,11 +92,15 @@
         self.pace_estimator = EnginePaceEstimator(
             state, dispatcher, placement_client, clock
         )
-        self.loss_checker = EndpointLossChecker(state, placement_client, clock)
+        self.link_monitor = LinkMonitor(state, clock)
+        self.loss_checker = EndpointLossChecker(
+            state, placement_client, self.link_monitor, clock
+        )
         self._attempt_runner = AttemptRunner(
             state,
             dispatcher,
             self.loss_checker,
+            self.link_monitor,
             self.idle_timeouts,
             protocol,
             reservation_protocol,
--- a/vanillareach/gateway/loss_checks.py
+++ b/vanillareach/gateway/loss_checks.py
@@ -27,11 +27,13 @@
     ----------
     state : GatewayState
     placement_client : PlacementClient
+    link_monitor : LinkMonitor
     clock : Clock
     """
 
-    def __init__(self, state, placement_client, clock):
+    def __init__(self, state, placement_client, link_monitor, clock):
         self._state = state
+        self._link_monitor = link_monitor
         self._placement_client = placement_client
         self._clock = clock
         self._limiter = trio.CapacityLimiter(MAX_SECOND_CHECKS)
@@ -53,6 +55,7 @@
     def record_unreachable(self, endpoint, cause):
         """Record that an endpoint accepts no connection."""
         state = self._state
+        self._link_monitor.record_failed(endpoint)
         state.record_fault(endpoint, EndpointFault.UNREACHABLE, self._clock.now_ms())
         self._placement_client.record_unreachable(endpoint)
         log.warning(
--- a/vanillareach/gateway/state.py
+++ b/vanillareach/gateway/state.py
@@ -8,6 +8,7 @@
 from vanillareach.core.endpoint_health import EndpointHealth
 from vanillareach.core.endpoint_limits import EndpointLimits
 from vanillareach.core.endpoint_list import EndpointList
+from vanillareach.core.endpoint_reach import EndpointReach
 from vanillareach.core.engine_pace import EnginePaces
 from vanillareach.core.freshness import Freshness
 from vanillareach.core.load_state import LoadState
@@ -67,6 +68,8 @@
     paces : EnginePaces
     quiet_periods : QuietPeriods
         Endpoints that want no request from this instance for a time.
+    reach : EndpointReach
+        Whether this instance has lost its links to the endpoints.
     limits : EndpointLimits
         Requests that endpoints take from all instances together.
     ignored_retry_after_count : int
@@ -99,6 +102,7 @@
         self.paces = EnginePaces()
         extension = preference("readmission", settings.name) / MAX_PREFERENCE
         self.quiet_periods = QuietPeriods(extension)
+        self.reach = EndpointReach()
         self.limits = EndpointLimits()
         self.ignored_retry_after_count = 0
         self.instance_count = 1
