--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -24,6 +24,7 @@
 )
 from bench.soak.checks import find_leaked_reservations, find_violations
 from bench.soak.faults import FaultInjector
+from bench.soak.limits import LimitInjector
 from bench.soak.observations import record_stalls
 from bench.soak.processes import record_processes
 from bench.soak.signals import SignalSeries
@@ -33,8 +34,8 @@
 from vanillareach.utils import split_address
 
 # Faults besides the usual ones, and those of them that are injected by default.
-EXTRA_FAULTS = (*STEPS_BY_FAULT, "tainted")
-DEFAULT_EXTRA_FAULTS = ("unframed",)
+EXTRA_FAULTS = (*STEPS_BY_FAULT, "tainted", "limited")
+DEFAULT_EXTRA_FAULTS = ("unframed", "limited")
 READY_TIMEOUT_S = 60
 # Reservations that nobody releases expire within this time.
 RESERVATION_EXPIRY_S = 4.0
@@ -77,6 +78,9 @@
                     disturbances.start_soon(withdrawals.run, duration_s)
                     disturbances.start_soon(answers.run, duration_s)
                     disturbances.start_soon(crasher.run, duration_s)
+                    if "limited" in extra_faults:
+                        limits = LimitInjector(environment, seed)
+                        disturbances.start_soon(limits.run, duration_s)
                 callers.cancel_scope.cancel()
             for endpoint in environment.endpoints_by_name.values():
                 endpoint.script.clear()
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -4,6 +4,7 @@
 
 from bench.soak.budget import find_tainted
 from bench.soak.endless import find_held, find_high_peaks
+from bench.soak.limits import find_exceeded
 from bench.soak.lost import NOT_EXECUTED_STEPS, find_lost
 from bench.soak.unwanted import find_unwanted
 from bench.soak.world import STREAM_KINDS, event_ids, expected_body
@@ -27,6 +28,7 @@
       sound requests are no longer answered after others have crashed engines.
     - DRAIN: a gateway sent to an endpoint that had told it that it leaves.
     - QUIET: a gateway sent to an endpoint that had asked it for quiet.
+    - LIMIT: an endpoint got more requests than the limit it named allows.
     - HELD: a request stayed with an endless answer though others could have answered.
     - MEMORY: a gateway's memory has exceeded its bound.
     - BUDGET: too many requests with a part that crashes engines reached engines.
@@ -43,7 +45,8 @@
                 run_counts[attempt_id] += 1
     for attempt in environment.attempts:
         found += _check_attempt(attempt, run_counts[attempt.id])
-    for find in (find_lost, find_unwanted, find_held, find_high_peaks, find_tainted):
+    finders = (find_lost, find_unwanted, find_exceeded, find_held)
+    for find in (*finders, find_high_peaks, find_tainted):
         found += find(environment)
     return found
 
--- a/bench/soak/unwanted.py
+++ b/bench/soak/unwanted.py
@@ -29,12 +29,12 @@
     for endpoint in environment.endpoints_by_name.values():
         notices_by_pair = defaultdict(list)
         for notice in endpoint.notices:
-            if told := _attempt_of(attempts_by_id, notice.sender_id):
+            if told := attempt_of(attempts_by_id, notice.sender_id):
                 passed_on_s = _passed_on_s(endpoint, told, visits_by_id[told.id])
                 pair = notice.incarnation, told.process
                 notices_by_pair[pair].append((notice, passed_on_s))
         for arrival in endpoint.arrivals:
-            attempt = _attempt_of(attempts_by_id, arrival.sender_id)
+            attempt = attempt_of(attempts_by_id, arrival.sender_id)
             if attempt is None:
                 continue
             pair = arrival.incarnation, attempt.process
@@ -53,7 +53,7 @@
                     break
 
 
-def _attempt_of(attempts_by_id, sender_id):
+def attempt_of(attempts_by_id, sender_id):
     """Return the attempt that a request or reservation belongs to, or None."""
     while sender_id and sender_id not in attempts_by_id:
         sender_id = sender_id.rpartition("-")[0]
--- a/vanillareach/features/soak_checks.feature
+++ b/vanillareach/features/soak_checks.feature
@@ -310,3 +310,19 @@
       | 19    | sound | 11   | 0     | first   | no violation |
       | 20    | sound | 10.9 | 0     | first   | no violation |
       | 20    | other | 11   | 0     | first   | no violation |
+
+  Scenario Outline: Requests beyond the limit that an endpoint named
+    Given d0 named a limit of 1 a second from 10 s to 20 s
+    And <count> requests reached d0 within <seconds> s from <at> s on
+    And there was <disturbance>
+    Then the checks report <result>
+
+    Examples:
+      | count | seconds | at   | disturbance      | result       |
+      | 12    | 3       | 11   | nothing          | "LIMIT"      |
+      | 12    | 3       | 11   | TERM 7           | "LIMIT"      |
+      | 12    | 3       | 11   | link d0 cut 9-12 | "LIMIT"      |
+      | 11    | 3       | 11   | nothing          | no violation |
+      | 12    | 6       | 11   | nothing          | no violation |
+      | 12    | 0.3     | 10.1 | nothing          | no violation |
+      | 12    | 3       | 11   | TERM 10.9        | no violation |
--- a/vanillareach/features/steps/soak_checks.py
+++ b/vanillareach/features/steps/soak_checks.py
@@ -310,3 +310,21 @@
 @then('the checks report "{violation}"')
 def step_found(context, violation):
     assert violation_names(context) == {violation}, violation_names(context)
+
+
+@given("d0 named a limit of {per_s:d} a second from {start_s:g} s to {end_s:g} s")
+def step_named_limit(context, per_s, start_s, end_s):
+    limit = Fault("endpoint_limit", start_s, end_s, endpoint="d0", detail=str(per_s))
+    scenario_environment(context).observations.faults.append(limit)
+
+
+@given("{count:d} requests reached d0 within {duration_s:g} s from {start_s:g} s on")
+def step_reached_limited(context, count, duration_s, start_s):
+    for number in range(count):
+        attempt = add_attempt(context, "read")
+        attempt.process = PROCESS
+        at_s = start_s + duration_s * number / count
+        attempt.started_s, attempt.ended_s = at_s, at_s + 0.1
+        record_received(context, "d0", attempt.id, "answer", at_s, at_s + 0.1)
+        endpoint = scenario_environment(context).endpoints_by_name["d0"]
+        endpoint.arrivals.append(Arrival(attempt.id, at_s, endpoint.incarnation))
--- a/vanillareach/features/users_platform/endpoint_signals.py
+++ b/vanillareach/features/users_platform/endpoint_signals.py
@@ -72,6 +72,11 @@
         self.limited_since_s = math.inf
         self._signals.clear()
 
+    def name_limit(self, limit):
+        """Name a limit in all answers from now on, or none if it is empty."""
+        self.limit = limit
+        self.limited_since_s = math.inf
+
     def record_arrival(self, attempt_id):
         """Record a request that should not have come."""
         now_s = trio.current_time()
