Count error bodies that are kept in the budget of buffered bytes

Change: a kept body takes its part of the budget and is dropped, the oldest first, if it must make room; its caller gets the gateway's own 502 or 504 then.

--- a/vanillareach/features/steps/upstream.py
+++ b/vanillareach/features/steps/upstream.py
@@ -70,6 +70,33 @@
     context.responses = responses
 
 
+@when(
+    "{count:d} callers get an error of {size:d} bytes and then wait for a second "
+    "endpoint"
+)
+def step_keep_errors(context, count, size):
+    stage = context.platform
+    script = SharedScript(["fail_large", "mute"] * count)
+    for endpoint in endpoints(context):
+        endpoint.script, endpoint.large_bytes = script, size
+    responses = [None] * count
+
+    async def receive(number):
+        deadline = {"Vanillareach-Deadline-Ms": "2500"}
+        responses[number] = await stage.call("/read/a", **deadline)
+
+    async def call():
+        async with trio.open_nursery() as nursery:
+            for number in range(count):
+                nursery.start_soon(receive, number)
+                await stage.until(
+                    lambda sent=2 * number + 2: len(received(context)) == sent
+                )
+
+    context.run(call)
+    context.responses = responses
+
+
 @then(
     "the first {broken:d} are refused with {first:d} "
     "and the last {held:d} with {last:d}"
--- a/vanillareach/features/upstream.feature
+++ b/vanillareach/features/upstream.feature
@@ -114,6 +114,11 @@
       | /once/a |
       | /book/a |
 
+  Scenario: Error bodies kept during a second attempt don't take an instance's memory
+    Given the gateway may hold 700000 bytes of incomplete events and answers
+    When 5 callers get an error of 300000 bytes and then wait for a second endpoint
+    Then the first 3 are refused with 504 and the last 2 with 500
+
   Scenario Outline: A stream that ends with its connection is whole or goes on elsewhere
     When a stream without length or chunks is cut at each offset by "<end>" after "<head>"
     Then each stream is whole, and resumed wherever the cut was inside an event
--- a/vanillareach/features/users_platform/endpoint.py
+++ b/vanillareach/features/users_platform/endpoint.py
@@ -66,6 +66,8 @@
         Time at which each reservation expires.
     reservation_count : int
         Granted reservation requests, renewals included.
+    large_bytes : int
+        Size of a large error body.
     """
 
     def __init__(self, name):
@@ -76,6 +78,7 @@
         self.received = []
         self.expiry_s_by_reservation = {}
         self.reservation_count = 0
+        self.large_bytes = LARGE_BODY_BYTES
 
     async def handle(self, request, responder):
         """Handle one request."""
@@ -125,6 +128,11 @@
     async def _fail(self, received, responder):
         await responder.answer(500, self._response_headers(received), b"failed")
 
+    async def _fail_large(self, received, responder):
+        """Answer with an error of `large_bytes`."""
+        body = b"x" * self.large_bytes
+        await responder.answer(500, self._response_headers(received), body)
+
     async def _shed(self, received, responder):
         """Refuse the request as not run."""
         headers = [(b"Vanillareach-Not-Executed", b"1")]
--- a/vanillareach/gateway/attempts.py
+++ b/vanillareach/gateway/attempts.py
@@ -221,7 +221,8 @@
             raise EndpointBrokenError(f"unsigned answer {response.status}")
         if response.status >= 300:
             body = await self._read_answer(attempt, response)
-            exchange.failure_response = FailureResponse(response, body)
+            failure = FailureResponse(response, body)
+            exchange.keep_failure(failure, self.buffer_budget)
             return AttemptResult.FAILED
         if exchange.route.kind is RequestKind.STREAM:
             attempt.weights_version = fields.weights_version
--- a/vanillareach/gateway/buffer_budget.py
+++ b/vanillareach/gateway/buffer_budget.py
@@ -1,4 +1,7 @@
-"""Limits what all attempts of an instance hold of incomplete events and answers."""
+"""Limits what all attempts of an instance hold of events and answers.
+
+Incomplete ones count, and error responses that are kept while another attempt runs.
+"""
 
 import itertools
 
@@ -97,3 +100,38 @@
     def revoke(self):
         """End the wait for the next bytes."""
         self._scope.cancel()
+
+
+class KeptBody:
+    """A body that is kept while another attempt runs.
+
+    Parameters
+    ----------
+    budget : BufferBudget
+    size : int
+        In bytes.
+    on_revoked : callable
+        Called if the body must make room for others.
+
+    Attributes
+    ----------
+    number : int
+        See `BufferShare`.
+    """
+
+    __slots__ = ("_budget", "_on_revoked", "number")
+
+    def __init__(self, budget, size, on_revoked):
+        self._budget = budget
+        self._on_revoked = on_revoked
+        self.number = budget.next_number()
+        if size >= MIN_COUNTED_BYTES:
+            budget.add(self, size)
+
+    def release(self):
+        """Cease to count the body."""
+        self._budget.remove(self)
+
+    def revoke(self):
+        """Let the body be dropped."""
+        self._on_revoked()
--- a/vanillareach/gateway/exchange.py
+++ b/vanillareach/gateway/exchange.py
@@ -6,6 +6,7 @@
 from vanillareach.clock import MS_PER_SECOND
 from vanillareach.core.hashing import hash128_hex
 from vanillareach.endpoints.base import EndpointError
+from vanillareach.gateway.buffer_budget import KeptBody
 
 # Reserved before a deadline so that the response reaches the caller in time.
 ANSWER_MARGIN_MS = 20.0
@@ -117,6 +118,7 @@
         "first_event_ms",
         "is_forwarded",
         "is_trial",
+        "_kept_body",
         "_runs_before",
         "last_event_id",
         "last_event_ms",
@@ -151,6 +153,7 @@
         self.retry_count = 0
         self.excluded_endpoints = set()
         self.failure_response = None
+        self._kept_body = None
         self.weights_version = None
         self.suspect = None
         self.is_forwarded = False
@@ -193,6 +196,26 @@
         self._runs_before = message.possible_runs
         self.last_event_id = message.last_event_id
 
+    def keep_failure(self, response, budget):
+        """Keep an endpoint's error response while another endpoint is tried.
+
+        Parameters
+        ----------
+        response : FailureResponse
+        budget : BufferBudget
+            May let it be dropped to make room for others.
+        """
+        self.drop_failure()
+        self.failure_response = response
+        self._kept_body = KeptBody(budget, len(response.body), self.drop_failure)
+
+    def drop_failure(self):
+        """Forget the error response that is kept."""
+        self.failure_response = None
+        if self._kept_body is not None:
+            self._kept_body.release()
+            self._kept_body = None
+
     def cap_deadline(self, latest_ms):
         """Bring the deadline forward to `latest_ms`, if it is later."""
         self._latest_ms = min(self._latest_ms, latest_ms)
--- a/vanillareach/gateway/forwarder.py
+++ b/vanillareach/gateway/forwarder.py
@@ -187,6 +187,7 @@
             # Ends the reference cycle that would keep the request's body in memory
             # until a garbage collection.
             exchange.attempts.clear()
+            exchange.drop_failure()
 
     def set_final_deadline(self, deadline_ms):
         """Cap the deadlines of current and future requests at `deadline_ms`."""
