Test to which peers an instance without links hands requests

Cause: in a large fleet most peers are known by their entry in the store only. Change: fleets of 9 and 30 instances in memory; own domain first, not to peers that have lost their links, other domains once two of the own could not help.

--- a/vanillareach/features/placers.feature
+++ b/vanillareach/features/placers.feature
@@ -172,3 +172,16 @@
     When the fleet runs for 1500 ms
     And 72 prompts of 1000 tokens arrive within 20 ms, spread over all instances
     Then no engine has more than 8 requests that decode or wait
+
+  Scenario Outline: An instance without links hands requests to its own domain first
+    Given a fleet of <instances> instances in domains "abc"
+    When the fleet runs for 4000 ms
+    And an instance of domain "b" has lost its links to all endpoints
+    Then it hands requests to peers of domain "b", and not to one that has lost its links
+    When 2 peers of domain "b" could not help it
+    Then it hands requests to peers of other domains
+
+    Examples:
+      | instances |
+      | 9         |
+      | 30        |
--- a/vanillareach/features/steps/placers.py
+++ b/vanillareach/features/steps/placers.py
@@ -15,6 +15,7 @@
     encode_message,
 )
 from vanillareach.features.fleet_script import FleetScript, action, check
+from vanillareach.gateway.peer_forwarding import PeerChooser
 
 
 @given('a fleet of {count:d} instances in domains "{domains}"')
@@ -361,3 +362,70 @@
         member = fleet.memory["member"]
         decision = await member.client.choose(member.exchange())
         assert decision.placement is not None and decision.placement.flight_id
+
+
+def peer_chooser(fleet):
+    """Return the `PeerChooser` of the instance that has lost its links."""
+    gateway = fleet.memory["cut_off"]
+    if "chooser" not in fleet.memory:
+        chooser = PeerChooser(gateway.state, gateway.gossip, gateway.clock)
+        fleet.memory["chooser"] = chooser
+    return fleet.memory["chooser"]
+
+
+def chosen_peers(fleet):
+    """Return the names of the peers that the instance chooses for 30 requests."""
+    chooser, gateway = peer_chooser(fleet), fleet.memory["cut_off"]
+    chosen = set()
+    for _ in range(30):
+        exchange = gateway.exchange()
+        exchange.request.method = b"POST"
+        chosen.add(chooser.choose(exchange).endpoint.peer.name)
+    return chosen
+
+
+@when('an instance of domain "{domain}" has lost its links to all endpoints')
+def step_lose_links(context, domain):
+    @action(context)
+    async def lose(fleet):
+        names = sorted(n for n in fleet.gateways_by_name if n[0] == domain)
+        gateway = fleet.memory["cut_off"] = fleet.gateways_by_name[names[-1]]
+        # The placers' beacons reach all instances of their domain.
+        other = fleet.gateways_by_name[(fleet.placer_names(domain) or names)[0]]
+        fleet.memory["also_cut_off"] = other.settings.name
+        for lost in (gateway, other):
+            lost.state.reach.is_lost = True
+            lost.state.publish()
+        await trio.sleep(0.1)
+
+
+@then(
+    'it hands requests to peers of domain "{domain}", and not to one that has lost '
+    "its links"
+)
+def step_near_peers(context, domain):
+    @check(context)
+    async def verify(fleet):
+        chosen = chosen_peers(fleet)
+        assert chosen and {name[0] for name in chosen} == {domain}, chosen
+        assert fleet.memory["also_cut_off"] not in chosen, chosen
+
+
+@when('{count:d} peers of domain "{domain}" could not help it')
+def step_unable_peers(context, count, domain):
+    @action(context)
+    async def record(fleet):
+        chooser, gateway = peer_chooser(fleet), fleet.memory["cut_off"]
+        peers = gateway.gossip.peers.by_name.values()
+        near = [peer for peer in peers if peer.name[0] == domain]
+        for peer in near[:count]:
+            chooser.record_unable(peer)
+
+
+@then("it hands requests to peers of other domains")
+def step_far_peers(context):
+    @check(context)
+    async def verify(fleet):
+        own_domain = fleet.memory["cut_off"].settings.domain
+        chosen = chosen_peers(fleet)
+        assert chosen and own_domain not in {name[0] for name in chosen}, chosen
