Let a coordinator learn a limit from the one that asks for a permit

Cause: an instance that has just started, or hasn't heard the news yet, knows no limit, and granted all that it was asked for as the endpoint's coordinator. Change: the query for a permit carries the limit as the sender knows it. Orders about memory are counted at the time they are counted, not at the earlier one they were sent.

--- a/vanillareach/core/endpoint_limits.py
+++ b/vanillareach/core/endpoint_limits.py
@@ -181,6 +181,10 @@
         self._put(limit, now_ms)
         return True
 
+    def limit(self, key):
+        """Return the `RequestLimit` of an endpoint, or None if none is known."""
+        return self._limits_by_key.get(key)
+
     def limit_per_s(self, key):
         """Return the limit of an endpoint in requests a second, or None."""
         limit = self._limits_by_key.get(key)
--- a/vanillareach/core/messages.py
+++ b/vanillareach/core/messages.py
@@ -502,7 +502,8 @@
         Unique among the queries of the sender.
     sender, address : str
         Name of the instance that sends the request, and the address for the reply.
-    endpoint, incarnation : str, int
+    limit : RequestLimit
+        Limit of the endpoint as the sender knows it.
     is_forwarded : bool
         Whether a placer has passed the query on to the endpoint's coordinator.
     """
@@ -510,8 +511,7 @@
     id: int
     sender: str
     address: str
-    endpoint: str
-    incarnation: int
+    limit: RequestLimit
     is_forwarded: bool = False
 
 
--- a/vanillareach/features/endpoint_limits.feature
+++ b/vanillareach/features/endpoint_limits.feature
@@ -76,3 +76,9 @@
     Then an instance of domain "a" used 3 of 9 parts of limits, one of domain "b" 6 of 9
     When the fleet runs for 12000 ms
     Then all instances use limits whole
+
+  Scenario: A coordinator that knows no limit yet learns it from the one that asks
+    Given a fleet of 9 instances in domains "abc"
+    When the fleet runs for 2000 ms
+    And one instance alone knows that engine "m-a1" takes 1 request a second
+    Then it is granted at most 2 of 20 requests that it asks for at once
--- a/vanillareach/features/steps/endpoint_limits.py
+++ b/vanillareach/features/steps/endpoint_limits.py
@@ -255,3 +255,27 @@
         await trio.sleep(duration_ms / 1000)
         fleet.network.is_cut = lambda sender, receiver: False
         fleet.store.is_down = False
+
+
+@when(
+    'one instance alone knows that engine "{engine}" takes {limit:d} request a second'
+)
+def step_one_knows(context, engine, limit):
+    @action(context)
+    async def name(fleet):
+        coordinator = coordinator_name(fleet)
+        other = next(n for n in fleet.gateways_by_name if n != coordinator)
+        gateway = fleet.memory["asking"] = fleet.gateways_by_name[other]
+        # Not told to peers.
+        key, now_ms = (engine, 1), gateway.clock.now_ms()
+        gateway.state.limits.record_answer(key, limit, now_ms, now_ms)
+
+
+@then("it is granted at most {most:d} of {count:d} requests that it asks for at once")
+def step_few_granted(context, most, count):
+    @check(context)
+    async def verify(fleet):
+        gateway = fleet.memory["asking"]
+        endpoint = gateway.state.endpoints.by_id[LIMITED_ENGINE]
+        granted = [await gateway.client._acquire_permit(endpoint) for _ in range(count)]
+        assert sum(granted) <= most, granted
--- a/vanillareach/gateway/placing.py
+++ b/vanillareach/gateway/placing.py
@@ -145,7 +145,8 @@
         return reply
 
     def _permit_query(self, key, query_id):
-        return PermitQuery(query_id, self._gossip.name, self._gossip.address, *key)
+        limit = self._state.limits.limit(key)
+        return PermitQuery(query_id, self._gossip.name, self._gossip.address, limit)
 
     def record_unreachable(self, endpoint):
         """Leave out an endpoint that this instance could not reach, for a while."""
@@ -289,7 +290,9 @@
 
     def _answer_permit(self, query):
         """Grant or deny a request, or let the endpoint's coordinator do so."""
-        key = (query.endpoint, query.incarnation)
+        key = query.limit.key
+        # This instance may have started just now and know of no limit.
+        self._state.record_reported_limit(query.limit)
         gossip, limits, now_ms = self._gossip, self._state.limits, self._clock.now_ms()
         if not query.is_forwarded:
             coordinator = gossip.coordinator_name(key)
--- a/vanillareach/gateway/reservations.py
+++ b/vanillareach/gateway/reservations.py
@@ -196,7 +196,8 @@
             try:
                 check()
                 async with open_upstream(request, check) as response:
-                    self._state.limits.count_order(engine.key, sent_ms)
+                    now_ms = self._clock.now_ms()
+                    self._state.limits.count_order(engine.key, now_ms)
                     signals = self._reservation_protocol.read_signals(
                         response.status, response.headers
                     )
