--- a/vanillareach/gateway/link_monitor.py
+++ b/vanillareach/gateway/link_monitor.py
@@ -15,8 +15,9 @@
 from vanillareach.log import get_logger
 
 CHECK_TIMEOUT_MS = 300.0
-# Pause between two checks.
-CHECK_INTERVAL_MS = 250.0
+# Pause between two checks while links are lost, and while they aren't.
+LOST_CHECK_INTERVAL_MS = 250.0
+CHECK_INTERVAL_MS = 100.0
 
 log = get_logger("probing")
 
@@ -57,9 +58,11 @@
                 await self._suspect_event.wait()
             self._suspect_event = trio.Event()
             suspects, self._suspects = self._suspects, []
-            if not await self.check():
-                for endpoint in suspects:
-                    self._state.tell_fault(endpoint, EndpointFault.UNREACHABLE)
+            if await self.check():
+                await self._clock.sleep_ms(LOST_CHECK_INTERVAL_MS)
+                continue
+            for endpoint in suspects:
+                self._state.tell_fault(endpoint, EndpointFault.UNREACHABLE)
             await self._clock.sleep_ms(CHECK_INTERVAL_MS)
 
     async def check(self):
