Let no refusal of a peer follow a stream that has begun

Cause: if a peer died in the middle of a stream and the next one refused to go on, the refusal was sent as a second response, which ended in an unhandled error; the caller's stream was cut as it should be. Found by reading. An unsigned success of a peer would have been passed on, and the version of a stream's weights got lost on the way. Change: such a refusal ends the attempt; unsigned answers that are no error of a gateway do too; the message carries the weights' version.

--- a/vanillareach/core/messages.py
+++ b/vanillareach/core/messages.py
@@ -536,6 +536,8 @@
         Time since the request arrived at the sender.
     last_event_id : int or None
         Event after which a stream is to be resumed.
+    weights_version : int or None
+        Version of the weights that made the first event.
     possible_runs : int
         Attempts of the sender that may have run the request.
     configuration_version : int
@@ -548,6 +550,7 @@
     body: bytes | None
     waited_ms: float
     last_event_id: int | None
+    weights_version: int | None
     possible_runs: int
     configuration_version: int
 
--- a/vanillareach/features/peer_forwarding.feature
+++ b/vanillareach/features/peer_forwarding.feature
@@ -52,6 +52,13 @@
       | /read/a | late   | 200, complete and signed | 2    |
       | /ask/a  | pause  | a whole stream           | 2    |
 
+  Scenario: A stream that has begun isn't followed by the refusal of another peer
+    Given the first gateway has lost its links to all endpoints
+    And the first endpoint called will "pause"
+    When the peer of a stream "/ask/a" is killed, and all endpoints leave for the others
+    Then the response is 200 but incomplete
+    And no gateway had an unhandled error
+
   Scenario: A caller that leaves ends the work on a request that was handed on
     Given the first gateway has lost its links to all endpoints
     And the first endpoint called will "mute"
--- a/vanillareach/features/steps/peer_forwarding.py
+++ b/vanillareach/features/steps/peer_forwarding.py
@@ -8,7 +8,13 @@
 from vanillareach.features.support import received
 from vanillareach.features.users_platform.endpoint import EVENTS
 from vanillareach.features.users_platform.stage import CallerResponse
-from vanillareach.gateway import link_monitor, loss_checks, probing, upstream
+from vanillareach.gateway import (
+    connections,
+    link_monitor,
+    loss_checks,
+    probing,
+    upstream,
+)
 from vanillareach.gateway.upstream import UpstreamRequest
 
 MAX_BODY_BYTES = 1_000
@@ -234,3 +240,27 @@
         f"id: {number}\ndata: piece {number}\n\n" for number in range(1, EVENTS + 1)
     )
     assert response.body.decode() == expected, response.body
+
+
+@when('the peer of a stream "{path}" is killed, and all endpoints leave for the others')
+def step_kill_and_leave(context, path):
+    platform = context.platform
+
+    async def disturb():
+        await trio.sleep(0.3)
+        helper = helping_gateway(platform)
+        for gateway in platform.gateways[1:]:
+            for endpoint in gateway.state.endpoints.by_id.values():
+                gateway.state.record_reported_leaving(*endpoint.key)
+        platform.kill_gateway(helper.settings.name)
+
+    context.errors = []
+    patch = mock.patch.object(connections.log, "exception", context.errors.append)
+    patch.start()
+    context.add_cleanup(patch.stop)
+    call_first(context, path, disturb)
+
+
+@then("no gateway had an unhandled error")
+def step_no_errors(context):
+    assert not context.errors, context.errors
--- a/vanillareach/gateway/exchange.py
+++ b/vanillareach/gateway/exchange.py
@@ -195,6 +195,7 @@
         self.is_forwarded = True
         self._runs_before = message.possible_runs
         self.last_event_id = message.last_event_id
+        self.weights_version = message.weights_version
 
     def keep_failure(self, response, budget):
         """Keep an endpoint's error response while another endpoint is tried.
--- a/vanillareach/gateway/peer_forwarding.py
+++ b/vanillareach/gateway/peer_forwarding.py
@@ -164,8 +164,10 @@
         attempt.idle_timeout.pause()
         attempt.take_over()
         attempt.has_written = True
-        if attempt.exchange.record_event(self._clock.now_ms()) is None:
-            attempt.exchange.drop_answer_margin()
+        exchange = attempt.exchange
+        if exchange.record_event(self._clock.now_ms()) is None:
+            exchange.weights_version = attempt.weights_version
+            exchange.drop_answer_margin()
 
     def on_delivered(self):
         """Restart the idle timeout; see `RelayObserver`."""
@@ -242,7 +244,7 @@
             attempt.result = (
                 AttemptResult.SUPERSEDED
                 if attempt.is_superseded
-                else AttemptResult.NOT_RUN
+                else AttemptResult.BROKEN
             )
         if attempt.result in (AttemptResult.NOT_RUN, AttemptResult.BROKEN):
             self._chooser.record_unable(peer)
@@ -269,6 +271,7 @@
             fields = self._protocol.read_response(response.status, response.headers)
             if fields.attempt_id not in ("", exchange.id):
                 raise EndpointBrokenError("answer to another request")
+            attempt.weights_version = fields.weights_version
             is_stream = exchange.route.kind is RequestKind.STREAM
             if is_stream and fields.is_signed and response.status < 300:
                 await self._relay_events(attempt, response, responder)
@@ -284,6 +287,7 @@
             body=request.body,
             waited_ms=self._clock.now_ms() - request.received_ms,
             last_event_id=exchange.last_event_id,
+            weights_version=exchange.weights_version,
             possible_runs=exchange.possible_runs,
             configuration_version=exchange.configuration.version,
         )
@@ -301,19 +305,24 @@
         exchange = attempt.exchange
         progress = AnswerProgress(attempt, self._silence_ms(exchange), self._clock)
         body = await read_answer(response, self._buffer_budget.share(), progress)
-        if not fields.is_signed:
-            refusal = decode_refusal(body)
-            if refusal.outcome == "not_run" and refusal.reason in UNABLE_REASONS:
+        if fields.is_signed:
+            outcome = RequestOutcome()
+            if response.status >= 300:
+                outcome = RequestOutcome("failed", "peer")
+        else:
+            outcome = decode_refusal(response.status, body)
+            if outcome.name == "not_run" and outcome.reason in UNABLE_REASONS:
                 # Nothing of it has reached an endpoint, so the next attempt needs no
                 # retry.
                 attempt.may_have_been_sent = False
                 return AttemptResult.NOT_RUN
-            if exchange.may_have_run_before(attempt) and refusal.outcome == "not_run":
+            if outcome.name == "not_run" and exchange.may_have_run_before(attempt):
                 # An earlier attempt may have run, so the promise doesn't hold.
-                raise EndpointBrokenError(refusal.reason)
-            responder.outcome = RequestOutcome(refusal.outcome, refusal.reason)
-        elif response.status >= 300:
-            responder.outcome = RequestOutcome("failed", "peer")
+                raise EndpointBrokenError(outcome.reason)
+        if responder.is_started:
+            # A stream can't be followed by another response.
+            raise EndpointBrokenError(f"status {response.status}: {outcome.reason}")
+        responder.outcome = outcome
         attempt.idle_timeout.pause()
         attempt.take_over()
         attempt.has_written = True
@@ -338,16 +347,25 @@
 class RefusalText(msgspec.Struct):
     """Body of an error response of a gateway, as far as it is read."""
 
-    outcome: str = "unknown"
-    reason: str = "peer"
+    outcome: str
+    reason: str
+
 
+def decode_refusal(status, body):
+    """Return the `RequestOutcome` that an error response of a gateway tells.
 
-def decode_refusal(body):
-    """Return the `RefusalText` in a body; the defaults for any other body."""
+    Raises
+    ------
+    EndpointBrokenError
+        If it is no error response of a gateway.
+    """
     try:
-        return msgspec.json.decode(body, type=RefusalText)
-    except msgspec.MsgspecError:
-        return RefusalText()
+        text = msgspec.json.decode(body, type=RefusalText)
+    except msgspec.MsgspecError as error:
+        raise EndpointBrokenError(f"unsigned answer {status}") from error
+    if status < 300:
+        raise EndpointBrokenError(f"unsigned answer {status}")
+    return RequestOutcome(text.outcome, text.reason)
 
 
 class ForwardedRequestHandler:
