--- a/vanillareach/features/steps/endpoint_limits.py
+++ b/vanillareach/features/steps/endpoint_limits.py
@@ -97,7 +97,7 @@
     gateway = next(
         g for g in fleet.gateways_by_name.values() if g.gossip.has_full_picture
     )
-    return gateway.gossip.coordinator_name((LIMITED_ENGINE, 1))
+    return gateway.gossip.limit_coordination.coordinator_name((LIMITED_ENGINE, 1))
 
 
 async def kill_coordinator(fleet, duration_s):
--- a/vanillareach/features/steps/placers.py
+++ b/vanillareach/features/steps/placers.py
@@ -15,7 +15,7 @@
     encode_message,
 )
 from vanillareach.features.fleet_script import FleetScript, action, check
-from vanillareach.gateway.peer_forwarding import PeerChooser
+from vanillareach.gateway.peer_choice import PeerChooser
 
 
 @given('a fleet of {count:d} instances in domains "{domains}"')
--- a/vanillareach/gateway/app.py
+++ b/vanillareach/gateway/app.py
@@ -11,13 +11,11 @@
 from vanillareach.core.engine_policies import POLICIES_BY_NAME
 from vanillareach.core.routing import CallerLimits
 from vanillareach.gateway.following import StoreFollower
+from vanillareach.gateway.forwarded_requests import ForwardedRequestHandler
 from vanillareach.gateway.forwarder import Forwarder
 from vanillareach.gateway.gossip import Gossip
 from vanillareach.gateway.listener import CallerListener
-from vanillareach.gateway.peer_forwarding import (
-    ForwardedRequestHandler,
-    PeerChooser,
-)
+from vanillareach.gateway.peer_choice import PeerChooser
 from vanillareach.gateway.placing import PlacementClient, PlacementServer
 from vanillareach.gateway.probing import ReachabilityProber
 from vanillareach.gateway.report import STATE_PATH, build_report
--- a/vanillareach/gateway/forwarder.py
+++ b/vanillareach/gateway/forwarder.py
@@ -19,7 +19,8 @@
 from vanillareach.gateway.link_monitor import LinkMonitor
 from vanillareach.gateway.loss_checks import EndpointLossChecker
 from vanillareach.gateway.pacing import EnginePaceEstimator
-from vanillareach.gateway.peer_forwarding import PeerAttemptRunner, PeerPlacement
+from vanillareach.gateway.peer_choice import PeerPlacement
+from vanillareach.gateway.peer_forwarding import PeerAttemptRunner
 from vanillareach.gateway.placing import PlacementDecision
 from vanillareach.gateway.quarantine import QUARANTINE_RETRY_AFTER_MS
 from vanillareach.gateway.relay import send_buffered
--- a/vanillareach/gateway/gossip.py
+++ b/vanillareach/gateway/gossip.py
@@ -28,10 +28,10 @@
     StateQuery,
 )
 from vanillareach.core.placers import PLACER_SILENCE_MS
-from vanillareach.core.rendezvous import owner_of
 from vanillareach.core.state_change import ChangeKind
 from vanillareach.gateway.announcements import AnnouncementBuilder
 from vanillareach.gateway.datagrams import MAX_DATAGRAM_BYTES, DatagramSocket
+from vanillareach.gateway.limit_coordination import LimitCoordination
 from vanillareach.gateway.peer_table import PeerTable
 from vanillareach.gateway.ports import RegisteredInstance
 from vanillareach.gateway.state_fetch import StateFetcher
@@ -75,6 +75,7 @@
     registration : RegisteredInstance
         Own entry in the store.
     peers : PeerTable
+    limit_coordination : LimitCoordination
     announcements : AnnouncementBuilder
     answer_query : callable
         Returns the reply to a `PlacementQuery`, `LoadQuery` or `PermitQuery`; None if
@@ -94,6 +95,9 @@
             settings.forward_listen,
         )
         self.peers = PeerTable(state, self.audience, settings.domain, clock)
+        self.limit_coordination = LimitCoordination(
+            self.name, settings.domain, state, self.audience, self.peers, clock
+        )
         self.announcements = AnnouncementBuilder(self.registration, state, clock)
         self.domain = settings.domain
         self._state = state
@@ -226,7 +230,7 @@
             self._update_role()
             now_ms, peer_count = self._clock.now_ms(), len(self.peers.by_name)
             self._state.placing_instance_count = self._placing_instance_count()
-            self._state.limits.share = self._heard_share()
+            self._state.limits.share = self.limit_coordination.heard_share()
             change, self._change, self._change_event = self._change, None, trio.Event()
             kind = self.audience.next_message(change, peer_count, now_ms)
             if kind is not None:
@@ -242,20 +246,6 @@
             return len(self.audience.election.domains())
         return self._state.instance_count
 
-    def _heard_share(self):
-        """Return the share of the fleet that this instance hears, itself included.
-
-        In a large fleet a domain is heard if one of its placers is.
-        """
-        peers, audience = self.peers, self.audience
-        if audience.is_direct:
-            return (1 + len(peers.alive_names())) / (1 + peers.possible_count())
-        heard = {self.domain, *peers.domains_of_heard_placers(PLACER_SILENCE_MS)}
-        election = audience.election
-        counts_by_domain = {d: len(election.members(d)) for d in election.domains()}
-        heard_count = sum(counts_by_domain.get(domain, 0) for domain in heard)
-        return heard_count / max(1, sum(counts_by_domain.values()))
-
     def names_in_own_domain(self):
         """Return the names of the known instances of the own domain."""
         return set(self.audience.election.members(self.domain))
@@ -264,24 +254,6 @@
         """Pass a query of another instance on to a peer, which replies to that one."""
         self._send_to(self._authenticator.encode(query), [peer])
 
-    def coordinator_name(self, key):
-        """Return the name of the instance that coordinates an endpoint's limit.
-
-        Only instances that are told of all requests know it.
-
-        Parameters
-        ----------
-        key : tuple of (str, int)
-            Id and incarnation of the endpoint.
-        """
-        if self.audience.is_direct:
-            names = {peer.name for peer in self.peers.available()}
-        else:
-            names = set(self.store_followers())
-        if not self._state.is_stopping or not names:
-            names.add(self.name)
-        return owner_of(f"limit {key[0]} {key[1]}", names)
-
     def _coalescing_ms(self):
         if not self.audience.is_direct:
             return CHANGE_COALESCING_MS
--- /dev/null
+++ b/vanillareach/gateway/peer_choice.py
@@ -0,0 +1,113 @@
+"""Choice of the peer to which an instance without links hands a request."""
+
+import random
+
+from vanillareach.gateway.exchange import AttemptResult
+
+# A request that has met this many unreachable endpoints is handed on.
+MAX_UNREACHABLE_ATTEMPTS = 2
+# A peer that could not help is left out for this time.
+UNABLE_TTL_MS = 1_000.0
+# The own domain is left out while this many of its peers could not help.
+MAX_UNABLE_NEAR_PEERS = 2
+
+
+class PeerTarget:
+    """A peer in the place of an endpoint.
+
+    Attributes
+    ----------
+    id : str
+        Marks it as a peer among the ids of endpoints.
+    peer : Peer
+    """
+
+    __slots__ = ("id", "peer")
+
+    def __init__(self, peer):
+        self.id = f"peer {peer.name}"
+        self.peer = peer
+
+
+class PeerPlacement:
+    """Placement of an attempt at a peer.
+
+    Attributes
+    ----------
+    endpoint : PeerTarget
+    helpers : tuple
+        Always empty.
+    """
+
+    __slots__ = ("endpoint", "helpers")
+
+    def __init__(self, peer):
+        self.endpoint = PeerTarget(peer)
+        self.helpers = ()
+
+
+class PeerChooser:
+    """Chooses the peer to which a request is handed.
+
+    Parameters
+    ----------
+    state : GatewayState
+    gossip : Gossip
+    clock : Clock
+    """
+
+    def __init__(self, state, gossip, clock):
+        self._state = state
+        self._gossip = gossip
+        self._clock = clock
+        self._random = random.Random()
+        self._unable_until_ms_by_name = {}
+
+    def choose(self, exchange):
+        """Return the `PeerPlacement` of a request's next attempt.
+
+        None if the request isn't to be handed on, or no peer can take it.
+        """
+        # The response to HEAD has no body, whose end would show that it is complete.
+        if exchange.is_forwarded or exchange.request.method == b"HEAD":
+            return None
+        unreachable_count = sum(
+            attempt.result is AttemptResult.UNREACHABLE for attempt in exchange.attempts
+        )
+        is_cut_off = self._state.reach.is_lost
+        if not is_cut_off and unreachable_count < MAX_UNREACHABLE_ATTEMPTS:
+            return None
+        peer = self._least_loaded(exchange)
+        return None if peer is None else PeerPlacement(peer)
+
+    def record_unable(self, peer):
+        """Leave out a peer for a while."""
+        self._unable_until_ms_by_name[peer.name] = self._clock.now_ms() + UNABLE_TTL_MS
+
+    def _least_loaded(self, exchange):
+        """Return the better of two random peers, of the own domain if there are any."""
+        now_ms = self._clock.now_ms()
+        unable = {
+            name
+            for name, until_ms in self._unable_until_ms_by_name.items()
+            if until_ms > now_ms
+        }
+        peers = [
+            peer
+            for peer in self._gossip.peers.forwarding_candidates()
+            if peer.name not in unable
+            and PeerTarget(peer).id not in exchange.excluded_endpoints
+        ]
+        near_names = self._gossip.names_in_own_domain()
+        near = [peer for peer in peers if peer.name in near_names]
+        if len(unable & near_names) >= MAX_UNABLE_NEAR_PEERS:
+            # The whole domain may be cut off.
+            near = [peer for peer in peers if peer.name not in near_names]
+        candidates = near or peers
+        sample = self._random.sample(candidates, min(2, len(candidates)))
+        load_state = self._state.load_state
+        return min(
+            sample,
+            key=lambda peer: load_state.peer_flight_count(peer.name),
+            default=None,
+        )
--- a/vanillareach/gateway/peer_forwarding.py
+++ b/vanillareach/gateway/peer_forwarding.py
@@ -6,38 +6,24 @@
 request, whose response is the one for the caller.
 """
 
-import random
-
-import h11
 import msgspec
 
-from vanillareach.core.messages import ForwardedRequest, MessageError
-from vanillareach.core.routing import CallerLimits, RequestKind
+from vanillareach.core.messages import ForwardedRequest
+from vanillareach.core.routing import RequestKind
 from vanillareach.endpoints.base import EndpointBrokenError, EndpointUnreachableError
 from vanillareach.gateway.answers import AnswerProgress, read_answer
 from vanillareach.gateway.attempt_group import AttemptSupersededError
 from vanillareach.gateway.exchange import AttemptResult
 from vanillareach.gateway.relay import RelayObserver, relay_events, send_buffered
 from vanillareach.gateway.request_outcome import RequestOutcome
-from vanillareach.gateway.request_reader import CallerRequest
 from vanillareach.gateway.upstream import UpstreamRequest, open_upstream
 from vanillareach.log import get_logger
 from vanillareach.peers.link import MessageAuthenticator
 
 FORWARD_PATH = b"/forward"
-# Bytes of a message besides the caller's header and body.
-MESSAGE_OVERHEAD_BYTES = 4_096
-# A request that has met this many unreachable endpoints is handed on.
-MAX_UNREACHABLE_ATTEMPTS = 2
-# A peer that could not help is left out for this time.
-UNABLE_TTL_MS = 1_000.0
-# The own domain is left out while this many of its peers could not help.
-MAX_UNABLE_NEAR_PEERS = 2
 # A silent peer is taken for dead later than a silent endpoint, which the peer itself
 # replaces by another one.
 PEER_SILENCE_MARGIN_MS = 500.0
-# Requests of peers that an instance serves at the same time.
-MAX_FORWARDED_REQUESTS = 128
 # Reasons of a peer's refusal by which another peer may still serve the request.
 UNABLE_REASONS = frozenset(
     ("busy", "deadline", "links_lost", "no_route", "no_service", "not_ready")
@@ -47,107 +33,6 @@
 log = get_logger("forwarding")
 
 
-class PeerTarget:
-    """A peer in the place of an endpoint.
-
-    Attributes
-    ----------
-    id : str
-        Marks it as a peer among the ids of endpoints.
-    peer : Peer
-    """
-
-    __slots__ = ("id", "peer")
-
-    def __init__(self, peer):
-        self.id = f"peer {peer.name}"
-        self.peer = peer
-
-
-class PeerPlacement:
-    """Placement of an attempt at a peer.
-
-    Attributes
-    ----------
-    endpoint : PeerTarget
-    helpers : tuple
-        Always empty.
-    """
-
-    __slots__ = ("endpoint", "helpers")
-
-    def __init__(self, peer):
-        self.endpoint = PeerTarget(peer)
-        self.helpers = ()
-
-
-class PeerChooser:
-    """Chooses the peer to which a request is handed.
-
-    Parameters
-    ----------
-    state : GatewayState
-    gossip : Gossip
-    clock : Clock
-    """
-
-    def __init__(self, state, gossip, clock):
-        self._state = state
-        self._gossip = gossip
-        self._clock = clock
-        self._random = random.Random()
-        self._unable_until_ms_by_name = {}
-
-    def choose(self, exchange):
-        """Return the `PeerPlacement` of a request's next attempt.
-
-        None if the request isn't to be handed on, or no peer can take it.
-        """
-        # The response to HEAD has no body, whose end would show that it is complete.
-        if exchange.is_forwarded or exchange.request.method == b"HEAD":
-            return None
-        unreachable_count = sum(
-            attempt.result is AttemptResult.UNREACHABLE for attempt in exchange.attempts
-        )
-        is_cut_off = self._state.reach.is_lost
-        if not is_cut_off and unreachable_count < MAX_UNREACHABLE_ATTEMPTS:
-            return None
-        peer = self._least_loaded(exchange)
-        return None if peer is None else PeerPlacement(peer)
-
-    def record_unable(self, peer):
-        """Leave out a peer for a while."""
-        self._unable_until_ms_by_name[peer.name] = self._clock.now_ms() + UNABLE_TTL_MS
-
-    def _least_loaded(self, exchange):
-        """Return the better of two random peers, of the own domain if there are any."""
-        now_ms = self._clock.now_ms()
-        unable = {
-            name
-            for name, until_ms in self._unable_until_ms_by_name.items()
-            if until_ms > now_ms
-        }
-        peers = [
-            peer
-            for peer in self._gossip.peers.forwarding_candidates()
-            if peer.name not in unable
-            and PeerTarget(peer).id not in exchange.excluded_endpoints
-        ]
-        near_names = self._gossip.names_in_own_domain()
-        near = [peer for peer in peers if peer.name in near_names]
-        if len(unable & near_names) >= MAX_UNABLE_NEAR_PEERS:
-            # The whole domain may be cut off.
-            near = [peer for peer in peers if peer.name not in near_names]
-        candidates = near or peers
-        sample = self._random.sample(candidates, min(2, len(candidates)))
-        load_state = self._state.load_state
-        return min(
-            sample,
-            key=lambda peer: load_state.peer_flight_count(peer.name),
-            default=None,
-        )
-
-
 class PeerResponseObserver(RelayObserver):
     """Records the progress of a stream that a peer relays."""
 
@@ -366,58 +251,3 @@
     if status < 300:
         raise EndpointBrokenError(f"unsigned answer {status}")
     return RequestOutcome(text.outcome, text.reason)
-
-
-class ForwardedRequestHandler:
-    """Serves the requests that peers hand to this instance.
-
-    Parameters
-    ----------
-    forwarder : Forwarder
-    state : GatewayState
-    peer_key : str
-    clock : Clock
-    """
-
-    def __init__(self, forwarder, state, peer_key, clock):
-        self._forwarder = forwarder
-        self._state = state
-        self._authenticator = MessageAuthenticator(peer_key)
-        self._clock = clock
-        self._running_count = 0
-
-    def limits(self):
-        """Return the `CallerLimits` of the requests that carry messages."""
-        limits = self._state.caller_limits()
-        return CallerLimits(
-            body_bytes=limits.header_bytes + limits.body_bytes + MESSAGE_OVERHEAD_BYTES
-        )
-
-    async def handle(self, request, responder):
-        """Serve one request."""
-        try:
-            message = self._authenticator.decode(request.body or b"")
-            if not isinstance(message, ForwardedRequest):
-                raise MessageError(f"unexpected {type(message).__name__}")
-            forwarded = self._unpack(message)
-        except (MessageError, h11.LocalProtocolError) as error:
-            log.warning("Invalid request of a peer rejected.", cause=str(error))
-            await responder.answer(400, [], b"")
-            return
-        self._running_count += 1
-        try:
-            await self._forwarder.handle_forwarded(
-                forwarded,
-                message,
-                responder,
-                is_busy=self._running_count > MAX_FORWARDED_REQUESTS,
-            )
-        finally:
-            self._running_count -= 1
-
-    def _unpack(self, message):
-        head = h11.Request(
-            method=message.method, target=message.target, headers=list(message.headers)
-        )
-        received_ms = self._clock.now_ms() - max(0.0, message.waited_ms)
-        return CallerRequest(head, message.body, received_ms)
--- a/vanillareach/gateway/placing.py
+++ b/vanillareach/gateway/placing.py
@@ -121,7 +121,9 @@
             reply = await self._ask_placers(
                 partial(self._permit_query, key), PermitReply
             )
-        elif (coordinator := gossip.coordinator_name(key)) == gossip.name:
+        elif (
+            coordinator := gossip.limit_coordination.coordinator_name(key)
+        ) == gossip.name:
             return limits.grant(key, gossip.name, self._clock.now_ms())
         else:
             reply = await self._ask_coordinator(coordinator, key)
@@ -295,7 +297,7 @@
         self._state.record_reported_limit(query.limit)
         gossip, limits, now_ms = self._gossip, self._state.limits, self._clock.now_ms()
         if not query.is_forwarded:
-            coordinator = gossip.coordinator_name(key)
+            coordinator = gossip.limit_coordination.coordinator_name(key)
             peer = gossip.peers.by_name.get(coordinator)
             if peer is not None and peer.name != query.sender:
                 forwarded = msgspec.structs.replace(query, is_forwarded=True)
