Tell peers of a lost endpoint once

Cause: the check of a broken attempt's endpoint reported it twice. Change: only what records the loss reports it.

--- a/vanillareach/gateway/loss_checks.py
+++ b/vanillareach/gateway/loss_checks.py
@@ -76,7 +76,6 @@
         try:
             stream = await connect(endpoint.address, CHECK_TIMEOUT_MS)
         except OSError as error:
-            self._link_monitor.record_failed(endpoint)
             if await self._link_monitor.check():
                 # The own links are down; nothing is known of the endpoint.
                 return True
