Don't put the silence of a coordinator down to the placer that asks it

Cause: a member asks for a permit through a placer, which passes the query on. If the coordinator is gone, the member took the placer for unresponsive, then the second one, and placed without any for a second. Found by reading. Change: only queries that a placer answers itself show whether it responds.

--- a/vanillareach/features/endpoint_limits.feature
+++ b/vanillareach/features/endpoint_limits.feature
@@ -82,3 +82,9 @@
     When the fleet runs for 2000 ms
     And one instance alone knows that engine "m-a1" takes 1 request a second
     Then it is granted at most 2 of 20 requests that it asks for at once
+
+  Scenario: The silence of a coordinator isn't put down to the placer that forwards to it
+    Given a fleet of 30 instances in domains "abc"
+    When the fleet runs for 2000 ms
+    And engine "m-a1" names a limit, and its coordinator freezes
+    Then a member is denied a permit, and its placers still answer
--- a/vanillareach/features/steps/endpoint_limits.py
+++ b/vanillareach/features/steps/endpoint_limits.py
@@ -279,3 +279,27 @@
         endpoint = gateway.state.endpoints.by_id[LIMITED_ENGINE]
         granted = [await gateway.client._acquire_permit(endpoint) for _ in range(count)]
         assert sum(granted) <= most, granted
+
+
+@when('engine "{engine}" names a limit, and its coordinator freezes')
+def step_freeze_coordinator(context, engine):
+    @action(context)
+    async def freeze(fleet):
+        name = coordinator_name(fleet)
+        domain = next(d for d in "abc" if d != name[0])
+        member = fleet.memory["member"] = fleet.members(domain)[0]
+        endpoint = member.state.endpoints.by_id[engine]
+        member.state.record_limit(endpoint, 1.0, member.clock.now_ms())
+        await trio.sleep(NEWS_S)
+        fleet.network.sockets_by_address[name].is_frozen = True
+
+
+@then("a member is denied a permit, and its placers still answer")
+def step_placers_answer(context):
+    @check(context)
+    async def verify(fleet):
+        member = fleet.memory["member"]
+        endpoint = member.state.endpoints.by_id[LIMITED_ENGINE]
+        assert not await member.client._acquire_permit(endpoint)
+        decision = await member.client._choose_at_placer(member.exchange(), set())
+        assert decision is not None and decision.placement is not None
--- a/vanillareach/gateway/placing.py
+++ b/vanillareach/gateway/placing.py
@@ -117,32 +117,34 @@
     async def _acquire_permit(self, endpoint):
         """Return whether a request may be sent to an endpoint that names a limit."""
         key, gossip, limits = endpoint.key, self._gossip, self._state.limits
-        if not self.knows_all_loads:
-            reply = await self._ask_placers(
-                partial(self._permit_query, key), PermitReply
-            )
-        elif (
-            coordinator := gossip.limit_coordination.coordinator_name(key)
-        ) == gossip.name:
-            return limits.grant(key, gossip.name, self._clock.now_ms())
+        if self.knows_all_loads:
+            coordinator = gossip.limit_coordination.coordinator_name(key)
+            if coordinator == gossip.name:
+                return limits.grant(key, gossip.name, self._clock.now_ms())
+            peer = gossip.peers.by_name.get(coordinator)
         else:
-            reply = await self._ask_coordinator(coordinator, key)
-        if reply is not None and reply.is_granted:
+            peer = next(self._responsive_placers(), None)
+        reply = await self._ask_for_permit(peer, key)
+        if reply is None:
+            closed_ms = UNANSWERED_PERMIT_TTL_MS
+        elif reply.is_granted:
             return True
-        closed_ms = UNANSWERED_PERMIT_TTL_MS
-        if reply is not None:
+        else:
             closed_ms = max(MIN_DENIAL_MS, min(MAX_DENIAL_MS, reply.wait_ms))
         limits.close(key, closed_ms, self._clock.now_ms())
         return False
 
-    async def _ask_coordinator(self, name, key):
-        peer = self._gossip.peers.by_name.get(name)
-        reply = None
-        if peer is not None:
-            query = partial(self._permit_query, key)
-            reply = await self._gossip.ask(peer, query, QUERY_TIMEOUT_MS)
+    async def _ask_for_permit(self, peer, key):
+        """Return the `PermitReply` of a coordinator, or None without one in time.
+
+        A placer passes the query on, so silence doesn't show that it is gone itself.
+        """
+        if peer is None:
+            return None
+        query = partial(self._permit_query, key)
+        reply = await self._gossip.ask(peer, query, QUERY_TIMEOUT_MS)
         if not isinstance(reply, PermitReply):
-            log.info("Coordinator did not answer.", peer=name, endpoint=key[0])
+            log.info("Coordinator did not answer.", peer=peer.name, endpoint=key[0])
             return None
         return reply
 
@@ -250,12 +252,17 @@
         }
         return self._unreachable_until_ms_by_id
 
+    def _responsive_placers(self):
+        """Yield the placers that are not known to be unresponsive."""
+        for placer in self._gossip.placers():
+            until_ms = self._unresponsive_until_ms_by_name.get(placer.name, 0.0)
+            if until_ms <= self._clock.now_ms():
+                yield placer
+
     async def _ask_placers(self, make_query, reply_type):
         """Ask the placers one after another; return the first reply, or None."""
         unresponsive = self._unresponsive_until_ms_by_name
-        for placer in self._gossip.placers():
-            if unresponsive.get(placer.name, 0.0) > self._clock.now_ms():
-                continue
+        for placer in self._responsive_placers():
             reply = await self._gossip.ask(placer, make_query, QUERY_TIMEOUT_MS)
             if isinstance(reply, reply_type):
                 unresponsive.pop(placer.name, None)
