Complete configurations that an older instance passed on

Cause: configurations travel between instances as decoded structs, so an instance of the version in production drops fields that it doesn't know, and a newer one that fetched from it took the rest for the whole configuration. No run of real processes of both versions yet.

--- a/vanillareach/core/messages.py
+++ b/vanillareach/core/messages.py
@@ -344,6 +344,8 @@
         Address for requests that peers hand on; empty in that of an older version.
     has_lost_links : bool
         Whether the sender reaches no endpoints.
+    configuration_schema : int
+        `RouteTable.schema` of the sender's configuration; 0 from an older version.
     """
 
     name: str
@@ -371,6 +373,7 @@
     limits: tuple[RequestLimit, ...] = ()
     forward_address: str = ""
     has_lost_links: bool = False
+    configuration_schema: int = 0
 
 
 class RelayedDatagram(Wire, tag=23, frozen=True):
--- a/vanillareach/core/routing.py
+++ b/vanillareach/core/routing.py
@@ -3,6 +3,10 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+# Raised whenever decoding a configuration yields a new field, so that a configuration
+# passed on by an older instance, which drops the field, isn't taken for complete.
+CONFIGURATION_SCHEMA = 1
+
 
 class RequestKind(StrEnum):
     """Kind of a route's requests: plain ones that may or may not run twice, or streams.
@@ -192,6 +196,9 @@
     teams_by_key : dict of str to RoutedTeam, or None
         None if callers need no key.
     limits : CallerLimits
+    schema : int
+        `CONFIGURATION_SCHEMA` of the program that decoded it from the store; 0 of one
+        that passed it on without the field.
     """
 
     version: int
@@ -199,6 +206,7 @@
     services_by_name: dict[str, RoutedService]
     teams_by_key: dict[str, RoutedTeam] | None
     limits: CallerLimits = field(default_factory=CallerLimits)
+    schema: int = 0
 
     @classmethod
     def build(cls, version, routes, services, teams_by_key, limits):
@@ -207,7 +215,30 @@
         for route in sorted(routes, key=lambda route: -len(route.prefix)):
             routes_by_host.setdefault(route.host, []).append(route)
         services_by_name = {service.name: service for service in services}
-        return cls(version, routes_by_host, services_by_name, teams_by_key, limits)
+        return cls(
+            version,
+            routes_by_host,
+            services_by_name,
+            teams_by_key,
+            limits,
+            CONFIGURATION_SCHEMA,
+        )
+
+    @property
+    def is_complete(self):
+        """Whether it has all fields that this version of the program uses."""
+        return self.schema >= CONFIGURATION_SCHEMA
+
+    def replaces(self, other):
+        """Return whether it is newer than another table, or the same but more complete.
+
+        Parameters
+        ----------
+        other : RouteTable or None
+        """
+        if other is None or self.version != other.version:
+            return other is None or self.version > other.version
+        return self.schema > other.schema and not other.is_complete
 
     def match(self, host, path):
         """Return the route with the longest prefix of `path`, or None.
--- a/vanillareach/features/gateway_network.py
+++ b/vanillareach/features/gateway_network.py
@@ -164,16 +164,23 @@
 
     async def read_configuration(self):
         """Read the configuration; see `DeploymentStore`."""
-        await self._shared.call()
-        return StorePosition(self._shared.era, 1), self._shared.configuration
+        shared = self._shared
+        await shared.call()
+        shared.configuration_reads += 1
+        return StorePosition(shared.era, shared.revision), shared.configuration
 
     async def wait_for_configuration(self, position, wait_ms):
-        """Wait for a change that doesn't come; see `DeploymentStore`."""
-        await self._shared.call()
-        await trio.sleep(wait_ms / 1000)
-        if position.era != self._shared.era:
+        """Wait for a change; see `DeploymentStore`."""
+        shared = self._shared
+        await shared.call()
+        with trio.move_on_after(wait_ms / 1000):
+            while shared.revision <= position.revision:
+                await shared.change_event.wait()
+        if position.era != shared.era:
             raise PlatformGoneError("era")
-        return position, None
+        if shared.revision <= position.revision:
+            return position, None
+        return StorePosition(shared.era, shared.revision), shared.configuration
 
     async def list_endpoints(self):
         """List the endpoints; see `DeploymentStore`."""
@@ -201,9 +208,11 @@
 
     Attributes
     ----------
-    calls : int
-        Number of calls of all instances.
+    calls, configuration_reads : int
+        Number of calls of all instances, and of reads of the configuration.
     era : int
+    revision : int
+        Of the configuration.
     is_down : bool
     """
 
@@ -212,9 +221,20 @@
         self.endpoints = endpoints
         self.instances_by_name = {}
         self.calls = 0
+        self.configuration_reads = 0
         self.era = 1
+        self.revision = 1
+        self.change_event = trio.Event()
         self.is_down = False
 
+    def write_configuration(self, version):
+        """Write the configuration under another version."""
+        document = msgspec.json.encode(configuration(version))
+        self.configuration = decode_configuration(document)
+        self.revision += 1
+        self.change_event.set()
+        self.change_event = trio.Event()
+
     async def call(self):
         """Count a call and take the time of one."""
         self.calls += 1
--- a/vanillareach/gateway/announcements.py
+++ b/vanillareach/gateway/announcements.py
@@ -75,4 +75,7 @@
             limits=state.limit_news(),
             forward_address=registration.forward_address,
             has_lost_links=state.reach.is_lost,
+            configuration_schema=state.configuration.schema
+            if state.configuration
+            else 0,
         )
--- a/vanillareach/gateway/following.py
+++ b/vanillareach/gateway/following.py
@@ -42,6 +42,11 @@
 # Instances that list the others once in `REGISTRATION_INTERVAL_MS`; with more of them
 # the interval grows.
 INSTANCES_PER_REGISTRATION_INTERVAL = 8
+# A configuration that an older instance passed on lacks fields. It is read from the
+# store after this time and a random part of the second one, unless a peer that has it
+# complete is heard before.
+INCOMPLETE_READ_DELAY_MS = 300.0
+INCOMPLETE_READ_SPREAD_MS = 1_000.0
 # After the store has lost their entries, instances write them again within this time.
 REGISTRATION_SPREAD_MS = 1_500.0
 
@@ -113,7 +118,8 @@
         key = "configuration"
         while True:
             rank = self._own_rank(key)
-            if rank != 0 and not await self._wait_for_turn(
+            is_due = rank == 0 or self._must_complete_configuration()
+            if not is_due and not await self._wait_for_turn(
                 key,
                 rank,
                 self._state.configuration_age_ms(),
@@ -123,6 +129,19 @@
             if await self._call_store(self._refresh_configuration):
                 self._state.publish(ChangeKind.CONFIRMATION)
 
+    def _must_complete_configuration(self):
+        """Return whether this instance must read the fields that its copy lacks.
+
+        A position in the store's history is given up, since a watch reports changes
+        only.
+        """
+        place = preference("completion", self._gossip.name) / MAX_PREFERENCE
+        delay_ms = INCOMPLETE_READ_DELAY_MS + INCOMPLETE_READ_SPREAD_MS * place
+        if self._state.configuration_incomplete_ms() <= delay_ms:
+            return False
+        self._configuration_position = None
+        return True
+
     async def _refresh_configuration(self):
         state = self._state
         if self._configuration_position is None:
--- a/vanillareach/gateway/state.py
+++ b/vanillareach/gateway/state.py
@@ -117,7 +117,8 @@
         self._retry_shares_by_service = {}
         self._listeners = []
         self._packed_configuration = None
-        self._packed_version = None
+        self._packed_key = None
+        self._incomplete_since_ms = None
 
     def subscribe(self, listener):
         """Call `listener` at every change that has to be sent to peers.
@@ -362,7 +363,8 @@
     def apply_configuration(self, configuration, confirmed_ms, source, stamp=None):
         """Put a configuration in force if it is newer than the current one.
 
-        If it is the current version, only its confirmation is recorded.
+        If it is the current version and no more complete, only its confirmation is
+        recorded.
 
         Parameters
         ----------
@@ -381,14 +383,18 @@
                 self.confirm_configuration(confirmed_ms)
             return
         self.confirm_configuration(confirmed_ms, stamp)
-        if configuration.version == current_version:
+        if not configuration.replaces(self.configuration):
             return
         self.configuration = configuration
+        self._incomplete_since_ms = None
+        if not configuration.is_complete:
+            self._incomplete_since_ms = self._clock.now_ms()
         self._signal_initial_state()
         log.info(
             "In force.",
             version=configuration.version,
             before=current_version,
+            is_complete=configuration.is_complete,
             source=source,
         )
         self.publish()
@@ -466,6 +472,12 @@
         """
         return self._age_ms(self.configuration_freshness)
 
+    def configuration_incomplete_ms(self):
+        """Return for how long the configuration has lacked fields; 0 if it doesn't."""
+        if self._incomplete_since_ms is None:
+            return 0.0
+        return self._clock.now_ms() - self._incomplete_since_ms
+
     def endpoints_age_ms(self):
         """Return the time since the store confirmed the endpoints.
 
@@ -497,10 +509,11 @@
         )
 
     def _pack_configuration(self):
-        """Return the configuration packed for peers, cached for each version."""
+        """Return the configuration packed for peers, cached until it is replaced."""
         if self.configuration is None:
             return None
-        if self._packed_version != self.configuration.version:
+        key = (self.configuration.version, self.configuration.schema)
+        if self._packed_key != key:
             self._packed_configuration = pack_configuration(self.configuration)
-            self._packed_version = self.configuration.version
+            self._packed_key = key
         return self._packed_configuration
--- a/vanillareach/gateway/state_fetch.py
+++ b/vanillareach/gateway/state_fetch.py
@@ -69,15 +69,21 @@
         nursery.start_soon(self._fetch, address, query, delay_ms)
 
     def _confirm_configuration(self, beacon, now_ms):
-        """Apply a confirmation; return whether the peer's configuration is newer."""
+        """Apply a confirmation; return whether the peer's configuration is wanted.
+
+        It is if it is newer, or the same with fields that the own one lacks.
+        """
         if beacon.configuration_age_ms < 0:
             return False
-        state = self._state
-        own_version = state.configuration.version if state.configuration else -1
-        if beacon.configuration_version == own_version:
-            confirmed_ms = now_ms - beacon.configuration_age_ms
-            state.confirm_configuration(confirmed_ms, beacon.configuration_stamp)
-        return beacon.configuration_version > own_version
+        state, configuration = self._state, self._state.configuration
+        if configuration is None:
+            return beacon.configuration_version > -1
+        if beacon.configuration_version != configuration.version:
+            return beacon.configuration_version > configuration.version
+        confirmed_ms = now_ms - beacon.configuration_age_ms
+        state.confirm_configuration(confirmed_ms, beacon.configuration_stamp)
+        is_more_complete = beacon.configuration_schema > configuration.schema
+        return is_more_complete and not configuration.is_complete
 
     def _confirm_endpoints(self, beacon, now_ms):
         """Apply a confirmation; return whether the peer has another, newer list."""
