Let a deployment say what an engine in another domain costs

Cause: short prompts are batched with those of other domains at a cost of 0.008, less than a third of the gain of one batched request. Change: the setting other_domain_cost, in worth, by default as before. Result: 12 prompts of one domain beside 12 decoding in another: 8 to 12 leave at 0.008, none at 0.2; of 70 between 8 and 40 leave at 0.2.

--- a/vanillareach/core/dispatching.py
+++ b/vanillareach/core/dispatching.py
@@ -160,7 +160,9 @@
             return self._choose_plain(candidates, loads, now_ms)
         placement = self._policy.place(
             msgspec.structs.replace(
-                generation, unreported_requests=self._unreported_requests()
+                generation,
+                unreported_requests=self._unreported_requests(),
+                other_domain_cost=self._state.other_domain_cost,
             ),
             service.engine,
             self._engine_views(candidates, loads, now_ms),
--- a/vanillareach/core/placement_types.py
+++ b/vanillareach/core/placement_types.py
@@ -8,6 +8,10 @@
 from vanillareach.core.endpoint_list import ListedEndpoint
 from vanillareach.core.load_state import EngineLoad
 
+# Cost of an engine in another failure domain, in worth, unless the settings say more.
+# It counts little against a late response.
+OTHER_DOMAIN_COST = 0.008
+
 
 class GenerationRequest(msgspec.Struct, array_like=True, frozen=True):
     """A generation to place: its size, time limits and worth.
@@ -29,6 +33,8 @@
         Expected requests that other instances have placed but not reported yet.
     time_to_shutdown_ms : float
         Time left until the placing instance shuts down, which ends all its responses.
+    other_domain_cost : float
+        Cost of an engine in another failure domain, in worth.
     """
 
     prompt_tokens: int
@@ -40,6 +46,7 @@
     domain: str
     unreported_requests: float = 0.0
     time_to_shutdown_ms: float = math.inf
+    other_domain_cost: float = OTHER_DOMAIN_COST
 
 
 @dataclass(slots=True, frozen=True)
--- a/vanillareach/core/span_placement.py
+++ b/vanillareach/core/span_placement.py
@@ -48,9 +48,6 @@
 MS_PER_SECOND = 1000.0
 # Pending prefill of a helper, in ms, that costs one unit of worth, so it counts little.
 HELPER_WAIT_MS_PER_WORTH = 10_000.0
-# Cost of an engine in another failure domain, in worth. Traffic between domains is
-# cheap compared with a late response.
-OTHER_DOMAIN_COST = 0.008
 # Share of each engine's memory that reservations leave to short prompts, and the
 # minimum number of tokens for which a reservation is worthwhile.
 UNRESERVED_MEMORY_SHARE = 0.15
@@ -241,7 +238,7 @@
     cost += request.worth * view.failure_share + view.jitter
     cost += _batching_cost(request, figures, load)
     if view.endpoint.domain != request.domain:
-        cost += OTHER_DOMAIN_COST
+        cost += request.other_domain_cost
     return cost
 
 
--- a/vanillareach/features/placement_load.feature
+++ b/vanillareach/features/placement_load.feature
@@ -80,3 +80,16 @@
       | unseen | choice |
       | 0.1    | joins  |
       | 3.0    | avoids |
+
+  # Guards against streams that a cut between failure domains breaks needlessly: 24 short
+  # prompts of one domain are batched with those of another at the cost of 0.008.
+  Scenario Outline: Short prompts stay in their domain at a cost, until it is crowded
+    Given half of the engines are in another domain, where 12 short prompts decode
+    When <count> short prompts arrive one after another, at a cost of <cost>
+    Then between <least> and <most> of them leave their domain
+
+    Examples:
+      | count | cost  | least | most |
+      | 12    | 0.008 | 8     | 12   |
+      | 12    | 0.2   | 0     | 0    |
+      | 70    | 0.2   | 8     | 40   |
--- a/vanillareach/features/steps/placement_load.py
+++ b/vanillareach/features/steps/placement_load.py
@@ -1,13 +1,18 @@
 """Steps that replay load patterns against the placement of generations."""
 
 import math
+from dataclasses import replace
 
 from behave import given, then, when
 
 from vanillareach.core.endpoint_list import ListedEndpoint
 from vanillareach.core.engine_time import pass_ms
 from vanillareach.core.load_state import EngineLoad, InFlightRequest, LoadState
-from vanillareach.core.placement_types import EngineView, GenerationRequest
+from vanillareach.core.placement_types import (
+    OTHER_DOMAIN_COST,
+    EngineView,
+    GenerationRequest,
+)
 from vanillareach.core.routing import EngineFigures
 from vanillareach.core.span_placement import place
 
@@ -48,13 +53,15 @@
         self.time_to_deadline_ms = 10_000.0
         self.time_to_shutdown_ms = math.inf
         self.answer_tokens = SHORT_ANSWER_TOKENS
+        self.domain_by_id = {}
+        self.other_domain_cost = OTHER_DOMAIN_COST
 
     def views(self):
         """Return the `EngineView` of each engine."""
         loads = self.load_state.loads_by_engine(self.now_ms)
         return [
             EngineView(
-                engine,
+                replace(engine, domain=self.domain_by_id.get(engine.id, "a")),
                 loads.get(engine.id, EngineLoad()),
                 self.failure_share_by_id.get(engine.id, 0.0),
                 self.pace_by_id.get(engine.id, 1.0),
@@ -76,6 +83,7 @@
             "a",
             self.unreported_requests,
             self.time_to_shutdown_ms,
+            self.other_domain_cost,
         )
         placement = place(request, FIGURES, self.views())
         if placement is None or placement.gain < 0:
@@ -287,3 +295,37 @@
 def step_request_count(context, name, count):
     hosts = [flight.engine for _, flight in context.replay.placements]
     assert hosts.count(name) == count, hosts
+
+
+@given(
+    "half of the engines are in another domain, where {count:d} short prompts decode"
+)
+def step_other_domain(context, count):
+    replay = context.replay = LoadReplay()
+    replay.domain_by_id = {engine.id: "b" for engine in ENGINES[::2]}
+    for engine in ENGINES[1::2]:
+        replay.failure_share_by_id[engine.id] = 1.0
+    for _ in range(count):
+        replay.arrive(SHORT_PROMPT_TOKENS)
+    replay.finish_prefills()
+    replay.failure_share_by_id.clear()
+    assert {replay.domain_by_id.get(f.engine) for _, f in replay.placements} == {"b"}
+    replay.placements.clear()
+
+
+@when(
+    "{count:d} short prompts arrive one after another, at a cost of {cost:f}",
+)
+def step_arrive_at_cost(context, count, cost):
+    replay = context.replay
+    replay.other_domain_cost = cost
+    for _ in range(count):
+        replay.arrive(SHORT_PROMPT_TOKENS)
+        replay.finish_prefills()
+
+
+@then("between {least:d} and {most:d} of them leave their domain")
+def step_leave_domain(context, least, most):
+    placements = [placement for placement, _ in context.replay.placements]
+    left = sum(placement.endpoint.domain == "b" for placement in placements)
+    assert least <= left <= most, (left, len(placements))
--- a/vanillareach/gateway/settings.py
+++ b/vanillareach/gateway/settings.py
@@ -1,6 +1,7 @@
 """Settings of the gateway daemon, declared like those of the entry daemon."""
 
 from vanillareach.core.engine_policies import DEFAULT_POLICY, POLICIES_BY_NAME
+from vanillareach.core.placement_types import OTHER_DOMAIN_COST
 from vanillareach.settings import (
     SETTINGS_BY_NAME,
     CheckedSettings,
@@ -94,6 +95,15 @@
         "How an engine is chosen; all but the default are baselines to compare with.",
         check_one_of(*POLICIES_BY_NAME),
     ),
+    Setting(
+        "other_domain_cost",
+        float,
+        OTHER_DOMAIN_COST,
+        "worth",
+        "Cost of an engine in another failure domain; a prompt of 13,000 tokens has "
+        "worth 1.",
+        check_between(0.0, 1e3),
+    ),
     SETTINGS_BY_NAME["log_level"],
 )
 
--- a/vanillareach/gateway/state.py
+++ b/vanillareach/gateway/state.py
@@ -57,6 +57,8 @@
     ----------
     name : str
         Name of the instance.
+    other_domain_cost : float
+        Cost of an engine in another failure domain, in worth.
     configuration : RouteTable or None
         Newest configuration received; never replaced by an older version.
     configuration_freshness, endpoints_freshness : Freshness
@@ -90,6 +92,7 @@
 
     def __init__(self, settings, clock):
         self.name = settings.name
+        self.other_domain_cost = settings.other_domain_cost
         self._settings = settings
         self._clock = clock
         self.configuration = None
