--- a/vanillareach/core/evacuations.py
+++ b/vanillareach/core/evacuations.py
@@ -85,7 +85,9 @@
         stamp : int
             Identity of that confirmation.
         """
-        ordered = sorted(self.domains, key=lambda name: (name not in known_domains, name))
+        ordered = sorted(
+            self.domains, key=lambda name: (name not in known_domains, name)
+        )
         era, revision = self.position
         return EvacuationNews(
             era, revision, tuple(ordered[:MAX_DOMAINS_IN_BEACON]), round(age_ms), stamp
--- a/vanillareach/features/steps/evacuations.py
+++ b/vanillareach/features/steps/evacuations.py
@@ -56,7 +56,9 @@
 
 def encoded_with(beacon, change):
     """Return an encoded beacon whose list of fields was changed."""
-    return msgspec.msgpack.encode(change(msgspec.msgpack.decode(encode_message(beacon))))
+    return msgspec.msgpack.encode(
+        change(msgspec.msgpack.decode(encode_message(beacon)))
+    )
 
 
 @then("a beacon of an older version tells no evacuations")
@@ -149,7 +151,9 @@
 def step_others_rejected(context, kind):
     @action(context)
     async def reject(fleet):
-        names = ranked_names(fleet) if kind == "placer" else list(fleet.gateways_by_name)
+        names = (
+            ranked_names(fleet) if kind == "placer" else list(fleet.gateways_by_name)
+        )
         fleet.store.rejected_names.update(set(fleet.gateways_by_name) - {names[-1]})
 
 
@@ -172,8 +176,8 @@
 def step_cut_off(context, domain):
     @action(context)
     async def cut(fleet):
-        fleet.network.is_cut = lambda one, other: (one[0] == domain) != (
-            other[0] == domain
+        fleet.network.is_cut = lambda one, other: (
+            (one[0] == domain) != (other[0] == domain)
         )
         fleet.store.rejected_names = {
             name for name in fleet.gateways_by_name if name[0] == domain
--- a/vanillareach/features/steps/gateway.py
+++ b/vanillareach/features/steps/gateway.py
@@ -27,11 +27,11 @@
     context.run(start)
 
 
-def start_another(context, name, domain):
+def start_another(context, name, domain, **settings):
     """Start a gateway and wait until all receive each other's beacons."""
 
     async def start():
-        await context.platform.start_gateway(name, domain)
+        await context.platform.start_gateway(name, domain, **settings)
         others = len(context.platform.gateways) - 1
         for gateway in context.platform.gateways:
             await context.platform.until(
--- a/vanillareach/gateway/app.py
+++ b/vanillareach/gateway/app.py
@@ -182,6 +182,16 @@
             "Whether no connection to an endpoint can be made.",
             lambda: int(state.reach.is_lost),
         )
+        add(
+            "domains_evacuated",
+            "Failure domains whose endpoints get no new request.",
+            lambda: len(state.evacuations.domains),
+        )
+        add(
+            "evacuations_age_ms",
+            "Time since the store confirmed the evacuations.",
+            state.evacuations_age_ms,
+        )
         add("slow_engines", "Engines seen slow.", lambda: len(state.paces.own_paces))
         add(
             "flights",
--- a/vanillareach/gateway/report.py
+++ b/vanillareach/gateway/report.py
@@ -22,7 +22,7 @@
     id, service, domain, address : str
     standing : str
         "usable", "leaving", "leaving (said by an answer)", "quiet for N s",
-        "unreachable", "shunned" or "limited to N/s".
+        "evacuated", "unreachable", "shunned" or "limited to N/s".
     failure_share : float
         Share of the recent attempts that failed, 0 to 1.
     pace : float
@@ -69,6 +69,9 @@
         Whether it places the requests of its failure domain.
     store_era : int
         Highest era of the store that it has heard of; -1 for none.
+    evacuated_domains : list of str
+    evacuations_age_ms : float
+        Time since the store confirmed them; -1 if it never did.
     """
 
     name: str
@@ -85,6 +88,8 @@
     peers: list[PeerReport]
     is_placer: bool = False
     store_era: int = 0
+    evacuated_domains: list[str] = []
+    evacuations_age_ms: float = -1.0
 
 
 def build_report(settings, state, gossip, reservations, now_ms):
@@ -126,6 +131,8 @@
         ],
         is_placer=state.is_placer,
         store_era=state.store_era,
+        evacuated_domains=sorted(state.evacuations.domains),
+        evacuations_age_ms=state.evacuations_age_ms(),
     )
 
 
@@ -140,6 +147,8 @@
         standing = "leaving (said by an answer)"
     elif quiet_ms > 0:
         standing = f"quiet for {math.ceil(quiet_ms / MS_PER_SECOND)} s"
+    elif state.evacuations.is_evacuated(endpoint.domain):
+        standing = "evacuated"
     elif endpoint.key in health.unreachable_by_key:
         standing = "unreachable"
     elif health.is_outlier(endpoint.key, now_ms):
--- a/vanillareach/gateways_cli.py
+++ b/vanillareach/gateways_cli.py
@@ -1,5 +1,6 @@
 """Command that shows the state of gateways: versions in force, endpoints, budgets."""
 
+from collections import Counter
 from typing import Annotated
 
 import typer
@@ -67,9 +68,19 @@
         hidden = [report for _, report in ordered[row_count:]]
         odd_count = sum(_is_odd(report, newest_version) for report in hidden)
         lines.append(f"{len(hidden)} more, {odd_count} of them odd")
+    lines += _evacuation_lines([r for r in reports_by_address.values() if r])
     return "\n".join(lines)
 
 
+def _evacuation_lines(reports):
+    """Return a line for each evacuated domain, with the instances that know it."""
+    counts = Counter(domain for r in reports for domain in r.evacuated_domains)
+    return [
+        f"evacuated: {domain} ({count} of {len(reports)})"
+        for domain, count in sorted(counts.items())
+    ]
+
+
 def _is_odd(report, newest_version):
     """Return whether an instance differs from what all should be like."""
     return (
