--- a/vanillareach/features/gateway_network.py
+++ b/vanillareach/features/gateway_network.py
@@ -199,9 +199,10 @@
         if before is None:
             raise PlatformGoneError("history")
         with trio.move_on_after(wait_ms / 1000):
-            while shared.evacuated == before:
+            while shared.evacuated == before or self._name in shared.hanging_names:
                 await trio.sleep(STORE_LATENCY_MS / 1000)
                 self._check_access()
+        await self._fail_if_hanging()
         if position.era != shared.era:
             raise PlatformGoneError("era")
         changed = shared.evacuated ^ before
@@ -213,10 +214,14 @@
         now_ms = trio.current_time() * 1000
         self._shared.evacuation_calls.append((kind, now_ms))
         await self._shared.call()
+        if kind == "list":
+            await self._fail_if_hanging()
+        self._check_access()
+
+    async def _fail_if_hanging(self):
         if self._name in self._shared.hanging_names:
             await trio.sleep(STORE_CALL_TIMEOUT_MS / 1000)
             raise PlatformUnavailableError("no answer")
-        self._check_access()
 
     def _check_access(self):
         if self._name in self._shared.rejected_names:
--- a/vanillareach/features/steps/evacuation_fleet.py
+++ b/vanillareach/features/steps/evacuation_fleet.py
@@ -12,8 +12,8 @@
 from vanillareach.features.users_platform.endpoint import StandinEndpoint
 from vanillareach.gateway import upstream
 from vanillareach.gateway.ports import StorePosition
-from vanillareach.gateways_cli import instances_table
 from vanillareach.gateway.report import InstanceReport
+from vanillareach.gateways_cli import instances_table
 from vanillareach.platform import names
 
 SETTINGS = {"evacuation_ms": 5_000.0}
--- a/vanillareach/gateway/reservations.py
+++ b/vanillareach/gateway/reservations.py
@@ -26,8 +26,8 @@
 # An engine that names a limit of requests gets each of this many renewals only.
 LIMITED_RENEWAL_INTERVALS = 3
 # States of an engine in which it gets no reservation, renewal or release. What runs at
-# a leaving or evacuated engine ends there; a reservation ends by itself at one that wants quiet or
-# takes few requests.
+# a leaving or evacuated engine ends there; a reservation ends by itself at one that
+# wants quiet or takes few requests.
 RESERVATION_STOPS = ("leaving", "quiet", "limited", "evacuated")
 RENEWAL_STOPS = ("quiet",)
 RELEASE_STOPS = ("quiet", "limited")
@@ -187,8 +187,9 @@
             nonlocal sent_ms
             sent_ms = self._clock.now_ms()
             cause = self._state.unusable_cause(engine)
-            # Renewals and releases at an evacuated engine are held back by a limit only.
-            if cause in ("", "evacuated") and self._state.limits.is_limited(engine.key):
+            is_limited = self._state.limits.is_limited(engine.key)
+            # A limit holds back renewals and releases at an evacuated engine, too.
+            if cause in ("", "evacuated") and is_limited:
                 cause = "limited"
             if cause in stops:
                 raise EndpointWithdrawnError(f"{engine.id}: {cause}")
