Evacuate a domain in the soak, with a check of late arrivals

The check EVACUATED reports new work there later than 5 s after the evacuation or after the store's last failure.

--- a/bench/layout.py
+++ b/bench/layout.py
@@ -241,7 +241,7 @@
         return
     if name in GATEWAYS_BY_LAYOUT:
         for gateway in GATEWAYS_BY_LAYOUT[name]:
-            yield gateway.command()
+            yield gateway.command(options=" --evacuation-ms 5000")
         return
     yield from commands(LAYOUTS_BY_NAME[name])
 
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -4,6 +4,7 @@
 
 from bench.soak.budget import find_tainted
 from bench.soak.endless import find_held, find_high_peaks
+from bench.soak.evacuations import find_late
 from bench.soak.limits import find_exceeded
 from bench.soak.lost import NOT_EXECUTED_STEPS, find_lost
 from bench.soak.unwanted import find_unwanted
@@ -28,6 +29,7 @@
       sound requests are no longer answered after others have crashed engines.
     - DRAIN: a gateway sent to an endpoint that had told it that it leaves.
     - QUIET: a gateway sent to an endpoint that had asked it for quiet.
+    - EVACUATED: an endpoint got new work too long after its domain was evacuated.
     - LIMIT: an endpoint got more requests than the limit it named allows.
     - HELD: a request stayed with an endless answer though others could have answered.
     - MEMORY: a gateway's memory has exceeded its bound.
@@ -45,7 +47,7 @@
                 run_counts[attempt_id] += 1
     for attempt in environment.attempts:
         found += _check_attempt(attempt, run_counts[attempt.id])
-    finders = (find_lost, find_unwanted, find_exceeded, find_held)
+    finders = (find_lost, find_unwanted, find_exceeded, find_held, find_late)
     for find in (*finders, find_high_peaks, find_tainted):
         found += find(environment)
     return found
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -22,6 +22,9 @@
 # Endpoints of services that versions of the configuration take away and put back.
 SCANNER_NAMES = ("s0", "s1")
 TALKER_NAMES = ("t0", "t1")
+EVACUATED_ZONE = "zone-b"
+# Endpoints in the domain that is evacuated: a part of each service.
+EVACUATED_NAMES = ("m1", "m3", "d1", "s1", "t1")
 SERVICES_BY_PREFIX = {"m": "model", "d": "desk", "s": "scanner", "t": "talker"}
 ENGINE_SERVICES = ("model", "talker")
 SERVICES_BY_KIND = {
@@ -120,7 +123,10 @@
         """Let the store come back from an older copy."""
         store = self.stage.store
         self.lost_entries = dict(store.objects_by_kind["servers"])
+        evacuations = store.objects_by_kind.get("evacuations", {})
         store.restore(copy)
+        # Operators see to it that the store still has their evacuations.
+        store.objects_by_kind["evacuations"] = evacuations
         self.restored_entries = dict(store.objects_by_kind["servers"])
 
     def write_again(self):
@@ -170,6 +176,7 @@
         await nursery.start(proxy.run)
         environment.endpoint_proxies[name] = proxy
         endpoint.address = proxy.listen
+        endpoint.zone = EVACUATED_ZONE if name in EVACUATED_NAMES else endpoint.zone
         stage.put_endpoint(name, services[name])
     environment.write_configuration()
     return environment
--- a/vanillareach/features/soak_checks.feature
+++ b/vanillareach/features/soak_checks.feature
@@ -326,3 +326,21 @@
       | 12    | 6       | 11   | nothing          | no violation |
       | 12    | 0.3     | 10.1 | nothing          | no violation |
       | 12    | 3       | 11   | TERM 10.9        | no violation |
+
+  Scenario Outline: A request to an evacuated domain
+    Given the domain of d1 was evacuated from 10 s to 20 s
+    And a <arrival> reached d1 at <at> s
+    And there was <disturbance>
+    Then the checks report <result>
+
+    Examples:
+      | arrival     | at   | disturbance          | result         |
+      | request     | 15.1 | nothing              | "EVACUATED"    |
+      | reservation | 15.1 | nothing              | "EVACUATED"    |
+      | request     | 19.9 | store 11-12          | "EVACUATED"    |
+      | request     | 15.1 | STOP 12 other        | "EVACUATED"    |
+      | request     | 14.9 | nothing              | no violation   |
+      | renewal     | 15.1 | nothing              | no violation   |
+      | request     | 20.1 | nothing              | no violation   |
+      | request     | 16.9 | store 11-12          | no violation   |
+      | request     | 15.1 | STOP 8, CONT 12      | no violation   |
--- a/vanillareach/features/steps/soak_checks.py
+++ b/vanillareach/features/steps/soak_checks.py
@@ -21,7 +21,7 @@
     SentSignal,
 )
 from bench.soak.tainted import PromptParts
-from bench.soak.world import SoakEnvironment, expected_body
+from bench.soak.world import EVACUATED_ZONE, SoakEnvironment, expected_body
 from vanillareach.features.users_platform.endpoint import ReceivedRequest
 from vanillareach.platform import names
 
@@ -328,3 +328,21 @@
         record_received(context, "d0", attempt.id, "answer", at_s, at_s + 0.1)
         endpoint = scenario_environment(context).endpoints_by_name["d0"]
         endpoint.arrivals.append(Arrival(attempt.id, at_s, endpoint.incarnation))
+
+
+@given("the domain of d1 was evacuated from {start_s:g} s to {end_s:g} s")
+def step_was_evacuated(context, start_s, end_s):
+    environment = scenario_environment(context)
+    environment.endpoints_by_name["d1"].zone = EVACUATED_ZONE
+    evacuation = Fault("evacuation", start_s, end_s, detail=EVACUATED_ZONE)
+    environment.observations.faults.append(evacuation)
+
+
+@given("a {arrival} reached d1 at {at_s:g} s")
+def step_reached_evacuated(context, arrival, at_s):
+    attempt = add_attempt(context, "read")
+    attempt.process = PROCESS
+    sender_id = attempt.id if arrival == "request" else f"{attempt.id}-1:2-0"
+    context.environment.endpoints_by_name["d1"].arrivals.append(
+        Arrival(sender_id, at_s, 1, arrival == "renewal")
+    )
--- a/vanillareach/features/users_platform/endpoint.py
+++ b/vanillareach/features/users_platform/endpoint.py
@@ -68,6 +68,8 @@
         Granted reservation requests, renewals included.
     large_bytes : int
         Size of a large error body.
+    zone : str
+        Failure domain of its entry.
     """
 
     def __init__(self, name):
@@ -79,6 +81,7 @@
         self.expiry_s_by_reservation = {}
         self.reservation_count = 0
         self.large_bytes = LARGE_BODY_BYTES
+        self.zone = "zone-a"
 
     async def handle(self, request, responder):
         """Handle one request."""
--- a/vanillareach/features/users_platform/stage.py
+++ b/vanillareach/features/users_platform/stage.py
@@ -196,7 +196,7 @@
         entry = {
             "backend": service,
             "address": endpoint.address,
-            "zone": "zone-a",
+            "zone": endpoint.zone,
             "version": "v1",
             "slots": 8,
             "state": state,
