--- a/vanillareach/features/steps/mixed_versions.py
+++ b/vanillareach/features/steps/mixed_versions.py
@@ -174,27 +174,23 @@
 
 @given("version {version:d} of schema {schema:d} in force")
 def step_schema_in_force(context, version, schema):
-    context.gateway_state = GatewayState(GatewaySettings(name="g1"), TrioClock())
-    apply_schema(context, version, schema)
-
-
-def apply_schema(context, version, schema):
-    """Apply an empty configuration as a peer passes it on."""
-    table = RouteTable.build(version, [], [], None, CallerLimits())
-    table = dataclasses.replace(table, schema=schema)
-
-    async def apply():
-        context.gateway_state.apply_configuration(table, 0.0, "peer", stamp=1)
-
-    trio.run(apply)
+    context.sent = [(version, schema)]
 
 
 @when("a peer sends version {version:d} of schema {schema:d}")
 def step_peer_sends(context, version, schema):
-    apply_schema(context, version, schema)
+    context.sent.append((version, schema))
 
 
 @then("the configuration in force has version {version:d} and schema {schema:d}")
 def step_schema_result(context, version, schema):
-    table = context.gateway_state.configuration
+    async def apply_all():
+        state = GatewayState(GatewaySettings(name="g1"), TrioClock())
+        for sent_version, sent_schema in context.sent:
+            table = RouteTable.build(sent_version, [], [], None, CallerLimits())
+            table = dataclasses.replace(table, schema=sent_schema)
+            state.apply_configuration(table, 0.0, "peer", stamp=1)
+        return state.configuration
+
+    table = trio.run(apply_all)
     assert (table.version, table.schema) == (version, schema), table
--- a/vanillareach/features/steps/placers.py
+++ b/vanillareach/features/steps/placers.py
@@ -326,6 +326,7 @@
             "limits",
             "forward_address",
             "has_lost_links",
+            "evacuations",
             "configuration_schema",
         )
         beacon = decode_message(
