Read evacuations rarely beside placers of an older version

Members of a large fleet whose placers tell no evacuations would have read the list at the usual age, each for itself. They now wait for an age of 30 s. The feature of beacons of older versions knows the new field.

--- a/vanillareach/core/peer.py
+++ b/vanillareach/core/peer.py
@@ -23,6 +23,8 @@
         Whether its last beacon said that it reaches no endpoints.
     is_leaving : bool
         Whether its last beacon said that it is stopping.
+    tells_evacuations : bool
+        Whether its last beacon had a set of evacuated domains.
     """
 
     __slots__ = (
@@ -36,6 +38,7 @@
         "last_heard_ms",
         "last_message_order",
         "name",
+        "tells_evacuations",
     )
 
     def __init__(self, name, address, added_ms):
@@ -46,6 +49,7 @@
         self.is_leaving = False
         self.forward_address = ""
         self.has_lost_links = False
+        self.tells_evacuations = False
         self.last_heard_ms = None
         self.added_ms = added_ms
         self.last_message_order = (0, 0)
--- a/vanillareach/features/evacuations.feature
+++ b/vanillareach/features/evacuations.feature
@@ -140,6 +140,12 @@
       | 9     |
       | 30    |
 
+  Scenario: Members whose placers are of an older version call the store rarely
+    Given a fleet of 30 instances in domains "abc" that follows evacuations
+    When the placers are of a version without evacuations
+    And the fleet runs for 6000 ms
+    Then the evacuations are listed at most 30 times in 30000 ms
+
   Scenario: A fleet without the setting doesn't ask for evacuations
     Given a fleet of 9 instances in domains "abc"
     When the domains "b" are evacuated
--- a/vanillareach/features/gateway_network.py
+++ b/vanillareach/features/gateway_network.py
@@ -212,7 +212,7 @@
 
     async def _call_for_evacuations(self, kind):
         now_ms = trio.current_time() * 1000
-        self._shared.evacuation_calls.append((kind, now_ms))
+        self._shared.evacuation_calls.append((self._name, kind, now_ms))
         await self._shared.call()
         if kind == "list":
             await self._fail_if_hanging()
@@ -254,8 +254,8 @@
     is_down : bool
     evacuated : frozenset of str
         Failure domains with an object of the kind of evacuations.
-    evacuation_calls : list of (str, float)
-        "list" or "watch", and time in ms, of each call about them.
+    evacuation_calls : list of (str, str, float)
+        Instance, "list" or "watch", and time in ms, of each call about them.
     rejected_names, hanging_names : set of str
         Instances whose calls about evacuations fail, at once or by a time-out.
     """
--- a/vanillareach/features/steps/evacuations.py
+++ b/vanillareach/features/steps/evacuations.py
@@ -331,11 +331,36 @@
     async def verify(fleet):
         fleet.store.evacuation_calls.clear()
         await trio.sleep(duration_ms / 1000)
-        calls = [kind for kind, _ in fleet.store.evacuation_calls]
+        calls = [kind for _, kind, _ in fleet.store.evacuation_calls]
         assert count / 2 < calls.count("watch") <= count, len(calls)
         assert "list" not in calls, calls.count("list")
 
 
+@when("the placers are of a version without evacuations")
+def step_older_placers(context):
+    @action(context)
+    async def ignore(fleet):
+        await trio.sleep(1.5)
+        for domain in context.script.domains:
+            for name in fleet.placer_names(domain):
+                state = fleet.gateways_by_name[name].state
+                state.follows_evacuations = False
+                state.evacuations = Evacuations()
+                fleet.store.rejected_names.add(name)
+
+
+@then("the evacuations are listed at most {count:d} times in {duration_ms:d} ms")
+def step_list_rate(context, count, duration_ms):
+    @check(context)
+    async def verify(fleet):
+        members = {member.settings.name for member in fleet.members()}
+        calls = fleet.store.evacuation_calls
+        calls.clear()
+        await trio.sleep(duration_ms / 1000)
+        listed = [name for name, kind, _ in calls if kind == "list" and name in members]
+        assert len(listed) <= count, len(listed)
+
+
 @then("no instance has asked the store for evacuations")
 def step_no_calls(context):
     @check(context)
--- a/vanillareach/features/steps/placers.py
+++ b/vanillareach/features/steps/placers.py
@@ -10,6 +10,7 @@
 from vanillareach.core.messages import (
     Beacon,
     EndpointFault,
+    EvacuationNews,
     MessageError,
     decode_message,
     encode_message,
@@ -326,6 +327,7 @@
             "limits",
             "forward_address",
             "has_lost_links",
+            "evacuations",
         )
         beacon = decode_message(
             msgspec.msgpack.encode(values[: len(values) - len(newer_fields)])
@@ -333,7 +335,7 @@
         assert isinstance(beacon, Beacon)
         assert (beacon.capacity, beacon.is_placer) == (0.0, False)
         assert beacon.crash_news == CrashNews()
-        assert beacon.limits == ()
+        assert beacon.limits == () and beacon.evacuations == EvacuationNews()
         assert (beacon.forward_address, beacon.has_lost_links) == ("", False)
 
 
--- a/vanillareach/gateway/following.py
+++ b/vanillareach/gateway/following.py
@@ -45,6 +45,9 @@
 # and 120 ms. A watch that started then, with one failed call, leaves 1.9 s of the five
 # within which an evacuation takes effect, see `docs/design/evacuation.md`.
 EVACUATIONS_REFRESH_AGE_MS = 1_900.0
+# The age for members whose placers, of an older version, tell no evacuations. Each of
+# them has to read the list for itself, and calls are priced.
+UNTOLD_EVACUATIONS_REFRESH_AGE_MS = 30_000.0
 EMPTY_STORE_DELAY_MS = 200.0
 REGISTRATION_INTERVAL_MS = 5_000.0
 # Instances that list the others once in `REGISTRATION_INTERVAL_MS`; with more of them
@@ -202,15 +205,21 @@
             if rank != 0:
                 # A list is answered at once, a watch only after a change.
                 self._listed_evacuations = None
-                if not await self._wait_for_turn(
-                    key, rank, self._evacuations_age_ms(), EVACUATIONS_REFRESH_AGE_MS
-                ):
+                age_ms = self._evacuations_age_ms()
+                refresh_age_ms = self._evacuations_refresh_age_ms(rank)
+                if not await self._wait_for_turn(key, rank, age_ms, refresh_age_ms):
                     continue
             if await self._call_store(self._refresh_evacuations):
                 self._state.publish(ChangeKind.CONFIRMATION)
             else:
                 self._listed_evacuations = None
 
+    def _evacuations_refresh_age_ms(self, rank):
+        placers = self._gossip.placers()
+        if rank is None and placers and not any(p.tells_evacuations for p in placers):
+            return UNTOLD_EVACUATIONS_REFRESH_AGE_MS
+        return EVACUATIONS_REFRESH_AGE_MS
+
     def _evacuations_age_ms(self):
         """Return the age of the evacuations; a set of an earlier era is due."""
         age_ms, state = self._state.evacuations_age_ms(), self._state
--- a/vanillareach/gateway/gossip.py
+++ b/vanillareach/gateway/gossip.py
@@ -436,6 +436,7 @@
             self._state.record_reported_leaving(*key)
         for limit in beacon.limits:
             self._state.record_reported_limit(limit)
+        peer.tells_evacuations = beacon.evacuations.era >= 0
         self._state.record_evacuation_news(beacon.evacuations, beacon.name)
         self._fetcher.reconcile(
             peer.address, beacon, self._max_fetch_delay_ms(), self._random, nursery
