--- a/vanillareach/core/evacuations.py
+++ b/vanillareach/core/evacuations.py
@@ -67,8 +67,9 @@
         """
         if tuple(position) < self.position:
             return None
-        names = sorted({name for name in domains if is_domain_name(name)})
-        applied = frozenset(names[:MAX_DOMAINS])
+        applied = frozenset(name for name in domains if is_domain_name(name))
+        if len(applied) > MAX_DOMAINS:
+            applied = frozenset(sorted(applied)[:MAX_DOMAINS])
         before, self.domains = self.domains, applied
         self.position = tuple(position)
         return sorted(applied - before), sorted(before - applied)
--- a/vanillareach/gateway/state.py
+++ b/vanillareach/gateway/state.py
@@ -477,10 +477,9 @@
         self._signal_initial_state()
         self.endpoints.evacuated_domains = self.evacuations.domains
         evacuated, taken_back = changes
-        known_domains = self._known_domains()
         for domain in evacuated:
             log.info("Domain evacuated.", domain=domain, source=source)
-            if self.endpoints.is_loaded and domain not in known_domains:
+            if self.endpoints.is_loaded and domain not in self._known_domains():
                 log.warning("No endpoint of the evacuated domain.", domain=domain)
         for domain in taken_back:
             log.info("Domain taken back.", domain=domain, source=source)
