--- a/vanillareach/features/steps/placers.py
+++ b/vanillareach/features/steps/placers.py
@@ -10,6 +10,7 @@
 from vanillareach.core.messages import (
     Beacon,
     EndpointFault,
+    EvacuationNews,
     MessageError,
     decode_message,
     encode_message,
@@ -335,7 +336,7 @@
         assert isinstance(beacon, Beacon)
         assert (beacon.capacity, beacon.is_placer) == (0.0, False)
         assert beacon.crash_news == CrashNews()
-        assert beacon.limits == ()
+        assert beacon.limits == () and beacon.evacuations == EvacuationNews()
         assert (beacon.forward_address, beacon.has_lost_links) == ("", False)
         assert beacon.configuration_schema == 0
 
