Limit the requests of cold engines for all instances together

An engine that has just started, or comes back with its failure domain, tolerates few requests a second. Being cold is a second, expiring source of a limit in EndpointLimits, learned from entries, answers, starts, returns and peers.

--- a/vanillareach/core/dispatching.py
+++ b/vanillareach/core/dispatching.py
@@ -68,6 +68,9 @@
 # Network latency between caller and instance, which is deducted from the latency
 # objective.
 CALLER_LATENCY_MS = 12.0
+# Load of a plain endpoint, as a share of its slots, for which a cold one is used
+# instead: the other ones serve in time, and a cold one costs a round trip for a permit.
+COLD_LOAD = 0.5
 NO_LOAD = EngineLoad()
 
 
@@ -179,7 +182,7 @@
         )
 
     def _choose_plain(self, candidates, loads, now_ms):
-        health = self._state.health
+        health, limits = self._state.health, self._state.limits
 
         def cost(endpoint):
             running = loads.get(endpoint.id, NO_LOAD).running
@@ -187,6 +190,7 @@
                 (running + 1) / max(1, endpoint.slots)
                 + health.failure_share(endpoint.key, now_ms)
                 + (0.0 if endpoint.domain == self._domain else 0.05)
+                + COLD_LOAD * (limits.cold_remaining_ms(endpoint.key, now_ms) > 0)
                 + 0.02 * self._random.random()
             )
 
@@ -203,6 +207,7 @@
     def _engine_views(self, candidates, loads, now_ms):
         """Return the `EngineView` of each candidate, in random order."""
         health, paces = self._state.health, self._state.paces
+        limits, cold_engines = self._state.limits, self._state.cold_engines
         # The more instances place requests, the more placements are not known here yet.
         jitter = COST_JITTER_PER_INSTANCE * min(
             self._state.placing_instance_count, MAX_JITTER_INSTANCES
@@ -212,9 +217,13 @@
                 endpoint,
                 loads.get(endpoint.id, NO_LOAD),
                 health.failure_share(endpoint.key, now_ms),
-                paces.pace(endpoint.id, now_ms),
+                max(
+                    paces.pace(endpoint.id, now_ms),
+                    cold_engines.expected_pace(endpoint, now_ms),
+                ),
                 jitter=jitter * self._random.random(),
-                is_limited=self._state.limits.is_limited(endpoint.key),
+                is_limited=limits.is_limited(endpoint.key),
+                is_cold=limits.cold_remaining_ms(endpoint.key, now_ms) > 0,
             )
             for endpoint in candidates
         ]
--- a/vanillareach/core/endpoint_limits.py
+++ b/vanillareach/core/endpoint_limits.py
@@ -1,7 +1,8 @@
-"""Request limits that endpoints name, kept by all instances together.
+"""Request limits of endpoints, kept by all instances together.
 
-Each instance keeps a token bucket for each endpoint that names a limit, and takes from
-it the requests of all instances as it hears of them. One instance, the coordinator of
+A limit has two sources: the endpoint names one, or it is cold (see `cold_engines`),
+which ends by itself. The lower one counts. Each instance keeps a token bucket for each
+endpoint with a limit, and takes from it the requests of all instances as it hears of them. One instance, the coordinator of
 the endpoint, grants permits, so that instances which see the same token don't all use
 it. When another instance becomes the coordinator, its bucket is as empty as that of the
 one before. An instance that hears only a part of the fleet grants only that part of the
@@ -15,6 +16,14 @@
 
 # A bucket holds one request and those of this time.
 BURST_S = 0.5
+# The bucket of a cold endpoint holds less, and each part of a fleet that is cut off has
+# its share of that: at most 1.2 times the limit and one request for each part in a
+# second. 1.5 times and 5 are tolerated, which leaves 4 requests and 0.3 times the limit
+# for those sent before the limit was known and those that were delayed on their way.
+COLD_BURST_S = 0.2
+# The limit of an endpoint whose domain returns rises from this share to the whole.
+RISE_START_SHARE = 0.3
+RISE_MS = 3_000.0
 # Requests that came shortly before the limit was named count against it, as far as they
 # exceed those of this time and a few more.
 RECENT_WINDOW_MS = 1_000.0
@@ -42,28 +51,33 @@
     level : float
         Requests left, negative if there were too many.
     now_ms : float
+    is_cold : bool
+        Whether the bucket is that of a cold endpoint, which holds less.
 
     Attributes
     ----------
     created_ms : float
     """
 
-    __slots__ = ("_level", "_per_s", "_updated_ms", "created_ms")
+    __slots__ = ("_is_cold", "_level", "_per_s", "_updated_ms", "created_ms")
 
-    def __init__(self, per_s, level, now_ms):
+    def __init__(self, per_s, level, now_ms, is_cold=False):
         self._per_s = per_s
+        self._is_cold = is_cold
         self._level = level
         self._updated_ms = now_ms
         self.created_ms = now_ms
 
-    def set_rate(self, per_s):
+    def set_rate(self, per_s, is_cold=False):
         """Change the limit; what is left stays."""
         self._per_s = per_s
+        self._is_cold = is_cold
 
     def level(self, share, now_ms):
         """Return the requests left, if a share of the limit may be used."""
         rate = max(self._per_s, MIN_RATE_PER_S) * share
-        capacity = 1.0 + BURST_S * self._per_s
+        burst_s = COLD_BURST_S * share if self._is_cold else BURST_S
+        capacity = 1.0 + burst_s * self._per_s
         gained = rate * (now_ms - self._updated_ms) / 1000
         self._level = min(capacity, self._level + gained)
         self._updated_ms = now_ms
@@ -81,6 +95,33 @@
         return max(0.0, 1000 * missing / rate)
 
 
+class ColdLimit:
+    """Limit of an endpoint while it is cold.
+
+    Parameters
+    ----------
+    per_s : float
+    until_ms : float
+        When the endpoint isn't cold any more.
+    rises_from_ms : float or None
+        When its domain returned, from when on the limit rises to `per_s`.
+    """
+
+    __slots__ = ("_per_s", "_rises_from_ms", "until_ms")
+
+    def __init__(self, per_s, until_ms, rises_from_ms=None):
+        self._per_s = per_s
+        self._rises_from_ms = rises_from_ms
+        self.until_ms = until_ms
+
+    def per_s(self, now_ms):
+        """Return the limit in requests a second."""
+        if self._rises_from_ms is None:
+            return self._per_s
+        risen = min(1.0, max(0.0, (now_ms - self._rises_from_ms) / RISE_MS))
+        return self._per_s * (RISE_START_SHARE + (1.0 - RISE_START_SHARE) * risen)
+
+
 class RecentDispatches:
     """Times of the requests sent to each endpoint within `RECENT_WINDOW_MS`."""
 
@@ -124,6 +165,7 @@
     __slots__ = (
         "_buckets_by_key",
         "_closed_until_ms_by_key",
+        "_cold_by_key",
         "_learned_ms_by_key",
         "_limits_by_key",
         "_permits_by_key",
@@ -134,6 +176,7 @@
     def __init__(self):
         self.share = 1.0
         self._limits_by_key = {}
+        self._cold_by_key = {}
         self._learned_ms_by_key = {}
         self._buckets_by_key = {}
         self._closed_until_ms_by_key = {}
@@ -181,22 +224,42 @@
         self._put(limit, now_ms)
         return True
 
+    def set_cold(self, key, limit, now_ms):
+        """Set the `ColdLimit` of an endpoint, or None; return whether it is news."""
+        was_cold = key in self._cold_by_key
+        if limit is not None:
+            self._cold_by_key[key] = limit
+        elif self._cold_by_key.pop(key, None) is None:
+            return False
+        self._update_bucket(key, now_ms)
+        return not was_cold and key in self._cold_by_key
+
+    def cold_remaining_ms(self, key, now_ms):
+        """Return for how long an endpoint is cold; 0 if it isn't."""
+        limit = self._cold_by_key.get(key)
+        return 0.0 if limit is None else max(0.0, limit.until_ms - now_ms)
+
+    def cold_keys(self, now_ms):
+        """Return the keys of the cold endpoints."""
+        limits = self._cold_by_key.items()
+        return [key for key, limit in limits if limit.until_ms > now_ms]
+
     def limit(self, key):
         """Return the `RequestLimit` of an endpoint, or None if none is known."""
         return self._limits_by_key.get(key)
 
     def limit_per_s(self, key):
-        """Return the limit of an endpoint in requests a second, or None."""
+        """Return the limit that an endpoint names, in requests a second, or None."""
         limit = self._limits_by_key.get(key)
         return None if limit is None else limit.per_s
 
     def is_limited(self, key):
-        """Return whether an endpoint names a limit."""
+        """Return whether an endpoint has a limit: it names one or is cold."""
         return key in self._buckets_by_key
 
     def wait_ms(self, key, now_ms):
         """Return the time until an endpoint takes a request; 0 if it does now."""
-        bucket = self._buckets_by_key.get(key)
+        bucket = self._bucket(key, now_ms)
         if bucket is None:
             return 0.0
         closed_ms = self._closed_until_ms_by_key.get(key, now_ms) - now_ms
@@ -204,10 +267,11 @@
 
     def closed_keys(self, now_ms):
         """Return the keys of the endpoints that take no request now."""
-        return [key for key in self._buckets_by_key if self.wait_ms(key, now_ms) > 0]
+        keys = list(self._buckets_by_key)
+        return [key for key in keys if self.wait_ms(key, now_ms) > 0]
 
     def limited_keys(self):
-        """Return the keys of the endpoints that name a limit."""
+        """Return the keys of the endpoints that have a limit."""
         return list(self._buckets_by_key)
 
     def close(self, key, duration_ms, now_ms):
@@ -217,7 +281,7 @@
 
     def grant(self, key, instance, now_ms):
         """Return whether an instance may send one request, which counts from now on."""
-        bucket = self._buckets_by_key.get(key)
+        bucket = self._bucket(key, now_ms)
         if bucket is None:
             return True
         if bucket.level(self.share, now_ms) < 1.0:
@@ -233,7 +297,7 @@
         One that was sent before the limit was known counts as a recent one only.
         """
         self._recent.add(key[0], sent_ms)
-        bucket = self._buckets_by_key.get(key)
+        bucket = self._bucket(key, now_ms)
         if bucket is None or sent_ms < bucket.created_ms:
             return
         if not self._use_permit(key, instance, now_ms):
@@ -241,7 +305,7 @@
 
     def count_order(self, key, now_ms):
         """Count a request about memory, which needs no permit."""
-        bucket = self._buckets_by_key.get(key)
+        bucket = self._bucket(key, now_ms)
         if bucket is not None:
             bucket.take(self.share, now_ms)
 
@@ -271,24 +335,47 @@
         self._limits_by_key.pop(key, None)
         self._limits_by_key[key] = limit
         self._learned_ms_by_key[key] = now_ms
-        bucket = self._buckets_by_key.get(key)
-        if limit.per_s is None:
-            self._remove_bucket(key)
-        elif bucket is None:
-            level = self._first_level(limit, now_ms)
-            self._buckets_by_key[key] = TokenBucket(limit.per_s, level, now_ms)
-        else:
-            bucket.level(self.share, now_ms)
-            bucket.set_rate(limit.per_s)
+        self._update_bucket(key, now_ms)
         while len(self._limits_by_key) > MAX_LIMITS:
             oldest = next(iter(self._limits_by_key))
             del self._limits_by_key[oldest], self._learned_ms_by_key[oldest]
-            self._remove_bucket(oldest)
-
-    def _first_level(self, limit, now_ms):
-        allowance = RECENT_ALLOWANCE_S * limit.per_s + RECENT_ALLOWANCE_REQUESTS
-        surplus = self._recent.count(limit.endpoint, now_ms) - allowance
-        return -min(max(0.0, surplus), 1.0 + MAX_DEBT_S * limit.per_s)
+            self._update_bucket(oldest, now_ms)
+
+    def _bucket(self, key, now_ms):
+        """Return the bucket of an endpoint at its present limit, or None."""
+        if key in self._cold_by_key:
+            self._update_bucket(key, now_ms)
+        return self._buckets_by_key.get(key)
+
+    def _update_bucket(self, key, now_ms):
+        """Let the bucket of an endpoint have the lower one of its limits."""
+        cold, named_per_s = self._cold_by_key.get(key), self.limit_per_s(key)
+        if cold is not None and cold.until_ms <= now_ms:
+            del self._cold_by_key[key]
+            cold = None
+        if cold is None and named_per_s is None:
+            self._remove_bucket(key)
+            return
+        is_cold = cold is not None
+        per_s = min(
+            math.inf if named_per_s is None else named_per_s,
+            cold.per_s(now_ms) if is_cold else math.inf,
+        )
+        bucket = self._buckets_by_key.get(key)
+        if bucket is None:
+            level = self._first_level(key, per_s, is_cold, now_ms)
+            self._buckets_by_key[key] = TokenBucket(per_s, level, now_ms, is_cold)
+        else:
+            bucket.level(self.share, now_ms)
+            bucket.set_rate(per_s, is_cold)
+
+    def _first_level(self, key, per_s, is_cold, now_ms):
+        allowance = RECENT_ALLOWANCE_S * per_s + RECENT_ALLOWANCE_REQUESTS
+        if is_cold:
+            # What an endpoint gets in a second counts from the moment it is cold.
+            allowance = per_s
+        surplus = self._recent.count(key[0], now_ms) - allowance
+        return -min(max(0.0, surplus), 1.0 + MAX_DEBT_S * per_s)
 
     def _remove_bucket(self, key):
         self._buckets_by_key.pop(key, None)
--- a/vanillareach/core/endpoint_list.py
+++ b/vanillareach/core/endpoint_list.py
@@ -1,6 +1,6 @@
 """Endpoints listed in the store, their incarnations, and which of them are leaving."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from vanillareach.core.hashing import hash64
 
@@ -35,6 +35,9 @@
     is_leaving : bool
         Whether the entry says that the endpoint is leaving; see also
         `EndpointList.is_leaving`.
+    cold_ms : float or None
+        For how long the entry says that the endpoint is cold, from the time of the
+        list on; None if it doesn't say or an older instance passed it on.
     """
 
     id: str
@@ -44,6 +47,7 @@
     domain: str
     slots: int
     is_leaving: bool
+    cold_ms: float | None = field(default=None, compare=False)
 
     @property
     def key(self):
--- a/vanillareach/core/messages.py
+++ b/vanillareach/core/messages.py
@@ -344,6 +344,9 @@
         Address for requests that peers hand on; empty in that of an older version.
     has_lost_links : bool
         Whether the sender reaches no endpoints.
+    cold : tuple of (str, int, float)
+        Id and incarnation of endpoints that are cold as their answers or entries say,
+        and for how many ms.
     """
 
     name: str
@@ -371,6 +374,7 @@
     limits: tuple[RequestLimit, ...] = ()
     forward_address: str = ""
     has_lost_links: bool = False
+    cold: tuple[tuple[str, int, float], ...] = ()
 
 
 class RelayedDatagram(Wire, tag=23, frozen=True):
@@ -494,7 +498,7 @@
 
 
 class PermitQuery(Wire, tag=28, frozen=True):
-    """Asks whether the sender may send a request to an endpoint that names a limit.
+    """Asks whether the sender may send a request to an endpoint that has a limit.
 
     Attributes
     ----------
@@ -503,9 +507,11 @@
     sender, address : str
         Name of the instance that sends the request, and the address for the reply.
     limit : RequestLimit
-        Limit of the endpoint as the sender knows it.
+        Limit of the endpoint as the sender knows it; of version 0 if it names none.
     is_forwarded : bool
         Whether a placer has passed the query on to the endpoint's coordinator.
+    cold_ms : float
+        For how long the endpoint is cold; 0 if it isn't.
     """
 
     id: int
@@ -513,6 +519,7 @@
     address: str
     limit: RequestLimit
     is_forwarded: bool = False
+    cold_ms: float = 0.0
 
 
 class PermitReply(Wire, tag=29, frozen=True):
--- a/vanillareach/core/placement_types.py
+++ b/vanillareach/core/placement_types.py
@@ -58,7 +58,9 @@
         Random cost, in worth, by which instances with the same load state choose
         different engines.
     is_limited : bool
-        Whether it names a limit of requests, so that it doesn't help others.
+        Whether it has a limit of requests, so that it doesn't help others.
+    is_cold : bool
+        Whether that is because it is cold; see `cold_engines`.
     """
 
     endpoint: object
@@ -67,6 +69,7 @@
     pace: float = 1.0
     jitter: float = 0.0
     is_limited: bool = False
+    is_cold: bool = False
 
 
 class Placement(msgspec.Struct, array_like=True, frozen=True):
--- a/vanillareach/core/routing.py
+++ b/vanillareach/core/routing.py
@@ -134,11 +134,18 @@
         Connections that one of its endpoints accepts from all instances together.
     engine : EngineFigures or None
         None for a plain service.
+    cold_per_s : float
+        Requests a second that one of its endpoints takes while it is cold; 0 if none
+        of them is ever cold.
+    cold_start_ms : float
+        Time for which an endpoint is cold after its start.
     """
 
     name: str
     max_connections: int
     engine: EngineFigures | None
+    cold_per_s: float = 0.0
+    cold_start_ms: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
--- a/vanillareach/core/span_placement.py
+++ b/vanillareach/core/span_placement.py
@@ -42,6 +42,12 @@
 CROWDING_LOSS_SHARE = 0.1
 # Cost of each helper of a span, in worth.
 SPAN_ENGINE_COST = 0.02
+# Cost of a cold engine, in worth, and the time until a permit for it has come: the way
+# to a placer and its coordinator, and back. A permit is scarce, so that it pays for the
+# requests that gain most by an engine with little load: long ones, and short ones that
+# the other engines would serve late.
+COLD_ENGINE_COST = 0.1
+PERMIT_WAIT_MS = 10.0
 # Cost of an engine that prefills for a second, in worth. It grows with the square of
 # the time, since all requests that arrive meanwhile wait for the rest of the prefill.
 OCCUPANCY_COST_PER_SQUARE_S = 0.3
@@ -92,7 +98,8 @@
     else:
         hosts = shortlist(figures, hosts)
         candidates = shortlist(figures, views)
-    blocking = BlockingCost(figures, views)
+    # Cold engines take too few requests to keep others clear.
+    blocking = BlockingCost(figures, [view for view in views if not view.is_cold])
     best = None
     for width in _widths(request, len(views)):
         placement = _place_span(
@@ -242,6 +249,8 @@
     cost += _batching_cost(request, figures, load)
     if view.endpoint.domain != request.domain:
         cost += OTHER_DOMAIN_COST
+    if view.is_cold:
+        cost += COLD_ENGINE_COST
     return cost
 
 
@@ -334,6 +343,8 @@
     time_to_first_event_ms += own_pass_ms * view.pace
     if load.running >= figures.slots:
         time_to_first_event_ms += SLOT_WAIT_MS * (1 + load.running - figures.slots)
+    if view.is_cold:
+        time_to_first_event_ms += PERMIT_WAIT_MS
     return time_to_first_event_ms
 
 
--- a/vanillareach/gateway/announcements.py
+++ b/vanillareach/gateway/announcements.py
@@ -75,4 +75,7 @@
             limits=state.limit_news(),
             forward_address=registration.forward_address,
             has_lost_links=state.reach.is_lost,
+            cold=state.cold_engines.news(
+                state.endpoints.by_id.values(), now_ms, is_own_only
+            ),
         )
--- a/vanillareach/gateway/app.py
+++ b/vanillareach/gateway/app.py
@@ -174,9 +174,14 @@
         )
         add(
             "endpoints_limited",
-            "Endpoints that name a limit of requests.",
+            "Endpoints that have a limit of requests, cold ones included.",
             lambda: len(state.limits.limited_keys()),
         )
+        add(
+            "endpoints_cold",
+            "Endpoints that are cold and get few requests.",
+            lambda: len(state.cold_endpoints()),
+        )
         add(
             "links_lost",
             "Whether no connection to an endpoint can be made.",
--- a/vanillareach/gateway/gossip.py
+++ b/vanillareach/gateway/gossip.py
@@ -436,6 +436,8 @@
             self._state.record_reported_leaving(*key)
         for limit in beacon.limits:
             self._state.record_reported_limit(limit)
+        for record in beacon.cold:
+            self._state.record_reported_cold(*record)
         self._fetcher.reconcile(
             peer.address, beacon, self._max_fetch_delay_ms(), self._random, nursery
         )
--- a/vanillareach/gateway/placing.py
+++ b/vanillareach/gateway/placing.py
@@ -18,6 +18,7 @@
     PermitReply,
     PlacementQuery,
     PlacementReply,
+    RequestLimit,
 )
 from vanillareach.log import get_logger
 
@@ -30,6 +31,9 @@
 MAX_LOGGED_ENDPOINTS = 20
 # An endpoint whose coordinator doesn't answer gets no request for this time.
 UNANSWERED_PERMIT_TTL_MS = 250.0
+# After so many endpoints without a permit, or a silent coordinator, a request leaves out
+# all cold ones, since each of them costs a round trip or that silence.
+MAX_COLD_ATTEMPTS = 2
 # An endpoint whose coordinator denies a request gets none for this time at least.
 MIN_DENIAL_MS = 20.0
 # After this time it is asked again, since more may be taken than was foreseen.
@@ -80,6 +84,7 @@
     async def choose(self, exchange):
         """Return the `PlacementDecision` for the next attempt of a request."""
         denied = set()
+        refused_count = 0
         while True:
             decision = await self._decide(exchange, denied)
             if decision.placement is None:
@@ -87,12 +92,17 @@
             endpoint = decision.placement.endpoint
             if not self._state.limits.is_limited(endpoint.key):
                 return decision
+            asked_ms = self._clock.now_ms()
             if await self._acquire_permit(endpoint):
                 placement = decision.placement
                 return PlacementDecision(
                     msgspec.structs.replace(placement, has_permit=True)
                 )
             denied.add(endpoint.id)
+            refused_count += 1
+            was_silent = self._clock.now_ms() - asked_ms >= QUERY_TIMEOUT_MS
+            if was_silent or refused_count >= MAX_COLD_ATTEMPTS:
+                denied |= self._state.cold_endpoints()
         unavailability = self._dispatcher.unavailability(exchange)
         if unavailability is None:
             return decision
@@ -149,8 +159,14 @@
         return reply
 
     def _permit_query(self, key, query_id):
-        limit = self._state.limits.limit(key)
-        return PermitQuery(query_id, self._gossip.name, self._gossip.address, limit)
+        limits, gossip = self._state.limits, self._gossip
+        return PermitQuery(
+            query_id,
+            gossip.name,
+            gossip.address,
+            limits.limit(key) or RequestLimit(*key, 0, None),
+            cold_ms=limits.cold_remaining_ms(key, self._clock.now_ms()),
+        )
 
     def record_unreachable(self, endpoint):
         """Leave out an endpoint that this instance could not reach, for a while."""
@@ -301,7 +317,9 @@
         """Grant or deny a request, or let the endpoint's coordinator do so."""
         key = query.limit.key
         # This instance may have started just now and know of no limit.
-        self._state.record_reported_limit(query.limit)
+        if query.limit.version:
+            self._state.record_reported_limit(query.limit)
+        self._state.record_reported_cold(*key, query.cold_ms)
         gossip, limits, now_ms = self._gossip, self._state.limits, self._clock.now_ms()
         if not query.is_forwarded:
             coordinator = gossip.limit_coordination.coordinator_name(key)
--- a/vanillareach/gateway/ports.py
+++ b/vanillareach/gateway/ports.py
@@ -81,12 +81,15 @@
     limit_per_s : float or None
         Requests a second that it takes from all instances together; None if it names
         no limit.
+    cold_ms : float or None
+        Time for which it is still cold; None if it doesn't say.
     """
 
     is_leaving: bool = False
     quiet_ms: float = 0.0
     ignored_retry_after: str = ""
     limit_per_s: float | None = None
+    cold_ms: float | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/vanillareach/gateway/report.py
+++ b/vanillareach/gateway/report.py
@@ -22,7 +22,7 @@
     id, service, domain, address : str
     standing : str
         "usable", "leaving", "leaving (said by an answer)", "quiet for N s",
-        "unreachable", "shunned" or "limited to N/s".
+        "unreachable", "shunned", "cold for N s" or "limited to N/s".
     failure_share : float
         Share of the recent attempts that failed, 0 to 1.
     pace : float
@@ -31,6 +31,8 @@
         Requests of all instances that are in flight there.
     reading_ms : float
         Predicted time of its pending prefill.
+    cold_ms : float
+        For how long it is cold, in which it gets few requests; 0 if it isn't.
     """
 
     id: str
@@ -42,6 +44,7 @@
     pace: float
     running: int
     reading_ms: float
+    cold_ms: float = 0.0
 
 
 class PeerReport(msgspec.Struct):
@@ -133,6 +136,7 @@
     health = state.health
     failure_share = health.failure_share(endpoint.key, now_ms)
     quiet_ms = state.quiet_periods.remaining_ms(endpoint.key, now_ms)
+    cold_ms = state.limits.cold_remaining_ms(endpoint.key, now_ms)
     standing = "usable"
     if endpoint.is_leaving:
         standing = "leaving"
@@ -144,6 +148,8 @@
         standing = "unreachable"
     elif health.is_outlier(endpoint.key, now_ms):
         standing = "shunned"
+    elif cold_ms > 0:
+        standing = f"cold for {math.ceil(cold_ms / MS_PER_SECOND)} s"
     elif state.limits.is_limited(endpoint.key):
         standing = f"limited to {state.limits.limit_per_s(endpoint.key):g}/s"
     return EndpointReport(
@@ -156,4 +162,5 @@
         pace=round(state.paces.pace(endpoint.id, now_ms), 2),
         running=load.running,
         reading_ms=round(load.pending_prefill_ms),
+        cold_ms=round(cold_ms),
     )
--- a/vanillareach/gateway/state.py
+++ b/vanillareach/gateway/state.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from vanillareach.core.cold_engines import ColdEngines
 from vanillareach.core.endpoint_health import EndpointHealth
 from vanillareach.core.endpoint_limits import EndpointLimits
 from vanillareach.core.endpoint_list import EndpointList
@@ -72,6 +73,8 @@
         Whether this instance has lost its links to the endpoints.
     limits : EndpointLimits
         Requests that endpoints take from all instances together.
+    cold_engines : ColdEngines
+        Until when endpoints are cold, which limits their requests.
     ignored_retry_after_count : int
         Answers of endpoints whose Retry-After could not be used.
     instance_count : int
@@ -104,6 +107,7 @@
         self.quiet_periods = QuietPeriods(extension)
         self.reach = EndpointReach()
         self.limits = EndpointLimits()
+        self.cold_engines = ColdEngines()
         self.ignored_retry_after_count = 0
         self.instance_count = 1
         self.is_placer = False
@@ -170,6 +174,11 @@
             self.record_fault(endpoint, EndpointFault.LEAVING, now_ms)
             # Told in beacons for as long as the list doesn't say so.
             self.publish()
+        if signals.cold_ms is not None and self.cold_engines.record_answer(
+            endpoint, signals.cold_ms, now_ms
+        ):
+            self._apply_cold((endpoint,), "answer")
+            self.publish()
         if signals.quiet_ms:
             self.quiet_periods.record(endpoint.key, signals.quiet_ms, now_ms)
             log.info(
@@ -213,6 +222,37 @@
                 # The instances of its domain hear of it from here.
                 self.publish()
 
+    def record_reported_cold(self, endpoint_id, incarnation, remaining_ms):
+        """Take over for how long an endpoint is cold, as a peer tells."""
+        endpoint = self.endpoints.by_id.get(endpoint_id)
+        if endpoint is None or endpoint.incarnation != incarnation:
+            return
+        now_ms = self._clock.now_ms()
+        if self.cold_engines.record_reported(endpoint, remaining_ms, now_ms):
+            self._apply_cold((endpoint,), "peer")
+            if self.is_placer:
+                # The instances of its domain hear of it from here.
+                self.publish()
+
+    def record_domain_returned(self, domain, now_ms):
+        """Record that a failure domain is used again: its endpoints may be cold."""
+        returned = [e for e in self.endpoints.by_id.values() if e.domain == domain]
+        self.cold_engines.record_returned(returned, now_ms)
+        self._apply_cold(returned, "domain")
+
+    def _apply_cold(self, endpoints, source):
+        """Limit the requests of those of `endpoints` that are cold."""
+        now_ms = self._clock.now_ms()
+        for endpoint in endpoints:
+            limit = self.cold_engines.limit(endpoint, now_ms)
+            if self.limits.set_cold(endpoint.key, limit, now_ms):
+                log.info(
+                    "Endpoint cold.",
+                    endpoint=endpoint.id,
+                    for_ms=round(limit.until_ms - now_ms),
+                    source=source,
+                )
+
     def _log_limit(self, limit, before, source):
         log.info(
             "Endpoint limit.",
@@ -243,6 +283,11 @@
             for endpoint in self._listed(limits.closed_keys(now_ms))
         }
 
+    def cold_endpoints(self):
+        """Return the ids of the listed endpoints that are cold."""
+        keys = self.limits.cold_keys(self._clock.now_ms())
+        return {endpoint.id for endpoint in self._listed(keys)}
+
     def withheld_endpoints(self):
         """Return why listed endpoints get no request of this instance now, by id.
 
@@ -384,6 +429,8 @@
         if configuration.version == current_version:
             return
         self.configuration = configuration
+        self.cold_engines.set_services(configuration.services_by_name)
+        self._apply_cold(self.endpoints.by_id.values(), "configuration")
         self._signal_initial_state()
         log.info(
             "In force.",
@@ -415,9 +462,15 @@
         """
         self.observe_era(position.era)
         era, revision = position
+        is_first, listed = not self.endpoints.is_loaded, ()
         if (era, revision) >= (self.endpoints.era, self.endpoints.revision):
             self.endpoints_freshness.confirm(stamp or new_stamp(), confirmed_ms)
+            listed = endpoints = tuple(endpoints)
         changes = self.endpoints.apply_list(endpoints, revision, confirmed_ms, era)
+        by_id, now_ms = self.endpoints.by_id, self._clock.now_ms()
+        listed = [e for e in listed if by_id.get(e.id) is e]
+        self.cold_engines.record_list(listed, confirmed_ms, now_ms, is_first)
+        self._apply_cold(listed, "list")
         self._signal_initial_state()
         if changes:
             log.info(
@@ -487,7 +540,11 @@
             else None,
             configuration_age_ms=self.configuration_age_ms(),
             configuration_stamp=self.configuration_freshness.stamp,
-            endpoints=tuple(endpoints.by_id.values())
+            endpoints=self.cold_engines.as_listed(
+                endpoints.by_id.values(),
+                max(0.0, self.endpoints_age_ms()),
+                self._clock.now_ms(),
+            )
             if query.wants_endpoints and endpoints.is_loaded
             else None,
             endpoints_revision=endpoints.revision,
--- a/vanillareach/platform/documents.py
+++ b/vanillareach/platform/documents.py
@@ -117,6 +117,8 @@
     name: str
     max_connections: int = 0
     engine: EngineDocument | None = None
+    cold_per_s: float = 0.0
+    cold_start_s: float = 0.0
 
 
 class LimitsDocument(msgspec.Struct):
@@ -155,8 +157,8 @@
     version: str
     slots: int
     state: str
-    cold_remaining_ms: float
     sequence: int
+    cold_remaining_ms: float | None = None
     born: int = 0
 
 
@@ -217,6 +219,8 @@
                 service.name,
                 service.max_connections,
                 service.engine.figures() if service.engine else None,
+                max(0.0, service.cold_per_s),
+                MS_PER_SECOND * max(0.0, service.cold_start_s),
             )
             for service in document.backends
         ],
@@ -259,6 +263,7 @@
         domain=entry.zone,
         slots=entry.slots,
         is_leaving=entry.state == DRAINING_STATE,
+        cold_ms=entry.cold_remaining_ms,
     )
 
 
--- a/vanillareach/platform/names.py
+++ b/vanillareach/platform/names.py
@@ -22,6 +22,7 @@
 RETRY_AFTER = b"retry-after"
 SERVER_LEAVING = b"server-leaving"
 SERVER_LIMIT = b"server-limit"
+COLD_MS = b"vanillareach-cold-ms"
 STORE_ERA_HEADER = b"store-era"
 
 BEARER_SCHEME = b"bearer"
--- a/vanillareach/platform/signals.py
+++ b/vanillareach/platform/signals.py
@@ -26,22 +26,26 @@
     """
     if is_misdirected(status, headers):
         return EndpointSignals()
-    is_leaving, retry_after, limit_per_s = False, None, None
+    is_leaving, retry_after, limit_per_s, cold_ms = False, None, None, None
     for name, value in headers:
         lower_name = name.lower()
         if lower_name == names.SERVER_LEAVING:
             is_leaving |= value.strip() == LEAVING_VALUE
         elif lower_name == names.SERVER_LIMIT and limit_per_s is None:
             limit_per_s = _parse_decimal(value.strip())
+        elif lower_name == names.COLD_MS and cold_ms is None:
+            cold_ms = _parse_decimal(value.strip())
         elif lower_name == names.RETRY_AFTER and retry_after is None:
             retry_after = value.strip()
     if status != QUIET_STATUS or retry_after is None:
-        return EndpointSignals(is_leaving, limit_per_s=limit_per_s)
+        return EndpointSignals(is_leaving, limit_per_s=limit_per_s, cold_ms=cold_ms)
     quiet_ms = _parse_seconds(retry_after)
     if quiet_ms is None:
         ignored = retry_after.decode("latin-1")
-        return EndpointSignals(is_leaving, 0.0, ignored, limit_per_s)
-    return EndpointSignals(is_leaving, quiet_ms, limit_per_s=limit_per_s)
+        return EndpointSignals(is_leaving, 0.0, ignored, limit_per_s, cold_ms)
+    return EndpointSignals(
+        is_leaving, quiet_ms, limit_per_s=limit_per_s, cold_ms=cold_ms
+    )
 
 
 def is_misdirected(status, headers):
