--- a/vanillareach/features/gateway_network.py
+++ b/vanillareach/features/gateway_network.py
@@ -7,6 +7,7 @@
 import random
 from collections import deque
 from contextvars import ContextVar
+from dataclasses import replace
 from types import SimpleNamespace
 
 import msgspec
@@ -23,7 +24,12 @@
 from vanillareach.gateway.following import StoreFollower
 from vanillareach.gateway.gossip import Gossip
 from vanillareach.gateway.placing import PlacementClient, PlacementServer
-from vanillareach.gateway.ports import CallerFields, DeploymentStore, StorePosition
+from vanillareach.gateway.ports import (
+    CallerFields,
+    DeploymentStore,
+    EndpointSignals,
+    StorePosition,
+)
 from vanillareach.gateway.settings import GatewaySettings
 from vanillareach.gateway.stalls import StallDetector
 from vanillareach.gateway.state import GatewayState
@@ -178,7 +184,7 @@
     async def list_endpoints(self):
         """List the endpoints; see `DeploymentStore`."""
         await self._shared.call()
-        return StorePosition(self._shared.era, 1), self._shared.endpoints, []
+        return StorePosition(self._shared.era, 1), self._shared.listed(), []
 
     async def list_instances(self, may_be_stale=False):
         """List the instances; see `DeploymentStore`."""
@@ -201,13 +207,15 @@
 
     Attributes
     ----------
+    engines : LimitedEngines
     calls : int
         Number of calls of all instances.
     era : int
     is_down : bool
     """
 
-    def __init__(self, endpoints):
+    def __init__(self, endpoints, engines):
+        self.engines = engines
         self.configuration = decode_configuration(msgspec.json.encode(configuration(1)))
         self.endpoints = endpoints
         self.instances_by_name = {}
@@ -215,6 +223,13 @@
         self.era = 1
         self.is_down = False
 
+    def listed(self):
+        """Return the entries, which tell for how long endpoints are cold."""
+        return [
+            replace(endpoint, cold_ms=self.engines.cold_ms(endpoint.id))
+            for endpoint in self.endpoints
+        ]
+
     async def call(self):
         """Count a call and take the time of one."""
         self.calls += 1
@@ -319,8 +334,14 @@
         flight = self.dispatcher.record_dispatch(exchange, decision.placement, sent_ms)
         await self.clock.sleep_ms(LATENCY_MS)
         endpoint = decision.placement.endpoint
+        if endpoint.incarnation != self.engines.incarnations_by_id.get(endpoint.id, 1):
+            # Answered with 421.
+            self.dispatcher.record_end(flight)
+            return None
         limit_per_s = self.engines.answer(endpoint.id)
+        signals = EndpointSignals(cold_ms=self.engines.cold_ms(endpoint.id))
         await self.clock.sleep_ms(LATENCY_MS)
+        self.state.record_signals(endpoint, signals)
         self.state.record_limit(endpoint, limit_per_s, sent_ms)
         await self.clock.sleep_ms(duration_ms / 2)
         self.dispatcher.record_first_event(flight)
@@ -330,7 +351,7 @@
 
 
 class LimitedEngines:
-    """The engines of a fleet as far as they name limits.
+    """The engines of a fleet as far as they name limits or are cold.
 
     Attributes
     ----------
@@ -338,24 +359,34 @@
         Requests a second that an engine names in its answers.
     arrivals_by_id : dict of str to list of float
         Times of the requests that each engine got, in s.
+    incarnations_by_id : dict of str to int
+        Of the engines that have started again.
+    cold_until_s_by_id : dict of str to float
     """
 
     def __init__(self):
+        self.incarnations_by_id = {}
+        self.cold_until_s_by_id = {}
         self.limits_by_id = {}
         self.arrivals_by_id = {}
 
+    def cold_ms(self, engine):
+        """Return for how long an engine says it is cold."""
+        until_s = self.cold_until_s_by_id.get(engine, 0.0)
+        return max(0.0, 1000 * (until_s - trio.current_time()))
+
     def answer(self, engine):
         """Record a request; return the limit in the head of its answer, or None."""
         self.arrivals_by_id.setdefault(engine, []).append(trio.current_time())
         return self.limits_by_id.get(engine)
 
 
-def endpoints_of(domains):
+def endpoints_of(domains, count=ENGINES_PER_DOMAIN):
     """Return the engines of a fleet, as listed endpoints."""
     return [
         ListedEndpoint(f"m-{domain}{n}", 1, "model", f"10.0.0.{n}:80", domain, 8, False)
         for domain in domains
-        for n in range(ENGINES_PER_DOMAIN)
+        for n in range(count)
     ]
 
 
@@ -372,8 +403,8 @@
 
     def __init__(self, nursery, instance_count, domains):
         self.network = MemoryNetwork()
-        self.store = SharedStore(endpoints_of(domains))
         self.engines = LimitedEngines()
+        self.store = SharedStore(endpoints_of(domains), self.engines)
         self.gateways_by_name = {}
         self._nursery = nursery
         nursery.start_soon(self.network.run)
--- a/vanillareach/features/steps/placers.py
+++ b/vanillareach/features/steps/placers.py
@@ -326,6 +326,7 @@
             "limits",
             "forward_address",
             "has_lost_links",
+            "cold",
         )
         beacon = decode_message(
             msgspec.msgpack.encode(values[: len(values) - len(newer_fields)])
@@ -333,7 +334,7 @@
         assert isinstance(beacon, Beacon)
         assert (beacon.capacity, beacon.is_placer) == (0.0, False)
         assert beacon.crash_news == CrashNews()
-        assert beacon.limits == ()
+        assert (beacon.limits, beacon.cold) == ((), ())
         assert (beacon.forward_address, beacon.has_lost_links) == ("", False)
 
 
