Let a domain that returns cold take a rising part of the load

With 18 cold engines beside 36 warm ones and 100 short requests a second nobody is refused; with 400 a second that last 1.2 s the returned domain's part rises by half or more from the first second to the fourth (fleets of 9 and 30).

--- a/vanillareach/core/span_placement.py
+++ b/vanillareach/core/span_placement.py
@@ -43,10 +43,10 @@
 # Cost of each helper of a span, in worth.
 SPAN_ENGINE_COST = 0.02
 # Cost of a cold engine, in worth, and the time until a permit for it has come: the way
-# to a placer and its coordinator, and back. A permit is scarce, so that it pays for the
-# requests that gain most by an engine with little load: long ones, and short ones that
-# the other engines would serve late.
-COLD_ENGINE_COST = 0.1
+# to a placer and its coordinator, and back. Permits are few, so they go to the requests
+# that gain most by an engine with little load: long ones, and short ones that would be
+# late elsewhere. The cost is that of one decoding request less to be batched with.
+COLD_ENGINE_COST = 0.03
 PERMIT_WAIT_MS = 10.0
 # Cost of an engine that prefills for a second, in worth. It grows with the square of
 # the time, since all requests that arrive meanwhile wait for the rest of the prefill.
--- a/vanillareach/features/cold_engines.feature
+++ b/vanillareach/features/cold_engines.feature
@@ -99,14 +99,27 @@
     And the store is down while an instance starts again
     Then it takes all engines for cold, and for no longer than its peers do
 
-  Scenario Outline: A domain that returns cold takes a rising part, and nobody is refused
+  Scenario Outline: A domain returns cold, and nobody is refused whom warm engines serve
     Given a fleet of <instances> instances in domains "abc"
     And 18 engines in each domain, of the figures of the first deployment
     And cold engines take 6 requests a second, for 4 s from their start
     When the fleet runs for 2000 ms
-    And domain "c" is not used for 1500 ms of 100 short and 1 long requests a second, and then for 6000 ms it is
+    And domain "c" is unused for 1500 ms and then used for 5000 ms, with 100 requests of 350 ms and 1 long one a second
     Then no cold engine got more than 1.5 times that and 5 requests in a second
     And no request was refused
+
+    Examples:
+      | instances |
+      | 9         |
+      | 30        |
+
+  Scenario Outline: What warm engines can't serve goes to a domain that returns, a rising part
+    Given a fleet of <instances> instances in domains "abc"
+    And 18 engines in each domain, of the figures of the first deployment
+    And cold engines take 6 requests a second, for 4 s from their start
+    When the fleet runs for 2000 ms
+    And domain "c" is unused for 1500 ms and then used for 4000 ms, with 400 requests of 1200 ms and 1 long one a second
+    Then no cold engine got more than 1.5 times that and 5 requests in a second
     And the part of domain "c" has risen
 
     Examples:
--- a/vanillareach/features/steps/cold_engines.py
+++ b/vanillareach/features/steps/cold_engines.py
@@ -34,7 +34,7 @@
     "stride": 52,
 }
 SHORT_TOKENS, LONG_TOKENS = 4_960, 300_000
-SHORT_MS, LONG_MS = 350.0, 6_000.0
+LONG_MS = 6_000.0
 # Time for which all instances hear of a list, an answer or a return.
 NEWS_S = 0.8
 
@@ -251,13 +251,13 @@
 
 
 @when(
-    'domain "{domain}" is not used for {unused_ms:d} ms of {short:d} short and {long:d} '
-    "long requests a second, and then for {used_ms:d} ms it is"
+    'domain "{domain}" is unused for {unused_ms:d} ms and then used for {used_ms:d} ms, '
+    "with {short:d} requests of {short_ms:d} ms and {long:d} long one a second"
 )
-def step_domain_returns(context, domain, unused_ms, short, long, used_ms):
+def step_domain_returns(context, domain, unused_ms, used_ms, short, short_ms, long):
     @action(context)
     async def load(fleet):
-        fleet.memory["refused"], fleet.memory["used"] = [], []
+        fleet.memory["refused"] = []
         returning = [e for e in fleet.store.endpoints if e.domain == domain]
         for gateway in fleet.gateways_by_name.values():
             state, now_ms = gateway.state, gateway.clock.now_ms()
@@ -265,7 +265,7 @@
                 # Stands in for an evacuation.
                 state.quiet_periods.record(endpoint.key, unused_ms, now_ms)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(send_requests, fleet, short, SHORT_TOKENS, SHORT_MS)
+            nursery.start_soon(send_requests, fleet, short, SHORT_TOKENS, short_ms)
             nursery.start_soon(send_requests, fleet, long, LONG_TOKENS, LONG_MS)
             await trio.sleep(unused_ms / 1000)
             begin_cold(fleet, returning, False)
@@ -312,4 +312,4 @@
             )
 
         parts = [count(s, s + 1) for s in range(4)]
-        assert 0 < parts[0] < parts[3], parts
+        assert 0 < 1.5 * parts[0] < parts[3], parts
