--- a/bench/limit_worlds.py
+++ b/bench/limit_worlds.py
@@ -2,16 +2,21 @@
 
 Instances restart, freeze and join, domains and instances are cut off, datagrams are
 lost, limits change, all at random. Run by hand:
-``python -m bench.limit_worlds --seeds 0-99``.
+``python -m bench.limit_worlds --seeds 0-99``. With ``--cold`` engines turn cold as well,
+and a cold engine must not get more than the bound in any second.
 """
 
 import argparse
 import random
+from dataclasses import replace
 
+import msgspec
 import trio
 
 from vanillareach.features.gateway_network import run_fleet
+from vanillareach.features.users_platform.stage import configuration
 from vanillareach.log import configure_logs
+from vanillareach.platform.documents import decode_configuration
 
 FLEETS = ((9, "abc"), (9, "abc"), (18, "abc"), (30, "abc"), (50, "abcde"))
 LIMITS_PER_S = (0.2, 0.5, 1.0, 1.1, 2.5, 6.0, 15.0)
@@ -23,6 +28,12 @@
 ALLOWED_FACTOR = 1.5
 ALLOWED_REQUESTS = 5
 SETTLING_S = 0.5
+COLD_LIMITS_PER_S = (1.0, 4.0, 12.0)
+COLD_START_S = 3.0
+COLD_WINDOW_S = 1.0
+# An engine that turns cold without a start is known to be after this time, in which it
+# gets what it got before.
+COLD_NEWS_S = 0.3
 
 
 class LimitWorld:
@@ -57,6 +68,7 @@
 
     async def _play(self, fleet):
         fleet.network.is_cut = self._is_cut
+        self._prepare(fleet)
         await trio.sleep(2.0)
         for endpoint in fleet.store.endpoints:
             if self.draw.random() < self.limited_share:
@@ -68,6 +80,9 @@
             nursery.cancel_scope.cancel()
         return self._exceeded(fleet.engines.arrivals_by_id)
 
+    def _prepare(self, fleet):
+        """Change a fleet before it starts."""
+
     def _name_limit(self, fleet, engine):
         limit = self.draw.choice(LIMITS_PER_S)
         fleet.engines.limits_by_id[engine] = limit
@@ -81,7 +96,7 @@
             await trio.sleep(self.draw.expovariate(self.rate_per_s))
 
     async def _inject_faults(self, fleet):
-        faults = (self._restart, self._freeze, self._cut, self._lower, self._nothing)
+        faults = self._faults()
         async with trio.open_nursery() as nursery:
             while True:
                 await trio.sleep(self.draw.uniform(0.1, 1.5))
@@ -89,6 +104,9 @@
                 self.events.append((round(trio.current_time(), 2), fault.__name__))
                 nursery.start_soon(fault, fleet)
 
+    def _faults(self):
+        return (self._restart, self._freeze, self._cut, self._lower, self._nothing)
+
     async def _nothing(self, fleet):
         """Leave some time without a fault."""
 
@@ -152,15 +170,68 @@
         ]
 
 
+class ColdWorld(LimitWorld):
+    """Fleet whose engines also turn cold, by a start or as their answers say."""
+
+    def __init__(self, seed):
+        super().__init__(seed)
+        self.cold_per_s = self.draw.choice(COLD_LIMITS_PER_S)
+        # Start and end of the times for which the bound holds, by engine.
+        self._cold_spans_s = []
+
+    def _prepare(self, fleet):
+        document = configuration(1)
+        cold = {"cold_per_s": self.cold_per_s, "cold_start_s": COLD_START_S}
+        document["backends"][1] |= cold
+        fleet.store.configuration = decode_configuration(msgspec.json.encode(document))
+
+    def _faults(self):
+        return (*super()._faults(), self._start_engines, self._cool_engines)
+
+    async def _start_engines(self, fleet):
+        self._turn_cold(fleet, True)
+
+    async def _cool_engines(self, fleet):
+        self._turn_cold(fleet, False)
+
+    def _turn_cold(self, fleet, is_start):
+        """Let half of the engines be cold, either from a start on or without one."""
+        engines, now_s = fleet.engines, trio.current_time()
+        listed = fleet.store.endpoints
+        for index in self.draw.sample(range(len(listed)), len(listed) // 2):
+            endpoint = listed[index]
+            incarnation = endpoint.incarnation + is_start
+            listed[index] = replace(endpoint, incarnation=incarnation)
+            engines.incarnations_by_id[endpoint.id] = incarnation
+            until_s = now_s + COLD_START_S
+            engines.cold_until_s_by_id[endpoint.id] = until_s
+            since_s = now_s if is_start else now_s + COLD_NEWS_S
+            self._cold_spans_s.append((endpoint.id, since_s, until_s))
+
+    def _exceeded(self, arrivals_by_id):
+        allowed = ALLOWED_FACTOR * self.cold_per_s + ALLOWED_REQUESTS
+        exceeded = super()._exceeded(arrivals_by_id)
+        for engine, since_s, until_s in self._cold_spans_s:
+            arrivals = arrivals_by_id.get(engine, ())
+            times = [t for t in arrivals if since_s <= t < until_s]
+            counts = [sum(s <= t < s + COLD_WINDOW_S for t in times) for s in times]
+            if max(counts, default=0) > allowed:
+                exceeded.append((engine, "cold", round(since_s, 2), max(counts)))
+        return exceeded
+
+
 def main():
     """Play the worlds of the command line's seeds."""
     configure_logs(level="error")
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", default="0-99", help="first and last seed")
-    first, last = map(int, parser.parse_args().seeds.split("-"))
+    parser.add_argument("--cold", action="store_true", help="engines turn cold")
+    arguments = parser.parse_args()
+    first, last = map(int, arguments.seeds.split("-"))
+    world_type = ColdWorld if arguments.cold else LimitWorld
     broken = 0
     for seed in range(first, last + 1):
-        world = LimitWorld(seed)
+        world = world_type(seed)
         if exceeded := world.run():
             broken += 1
             print(seed, world.instance_count, world.rate_per_s, exceeded, world.events)
--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -23,6 +23,7 @@
     send_requests_forever,
 )
 from bench.soak.checks import find_leaked_reservations, find_violations
+from bench.soak.cold import ColdInjector
 from bench.soak.faults import FaultInjector
 from bench.soak.limits import LimitInjector
 from bench.soak.observations import record_stalls
@@ -34,7 +35,7 @@
 from vanillareach.utils import split_address
 
 # Faults besides the usual ones, and those of them that are injected by default.
-EXTRA_FAULTS = (*STEPS_BY_FAULT, "tainted", "limited")
+EXTRA_FAULTS = (*STEPS_BY_FAULT, "tainted", "limited", "cold")
 DEFAULT_EXTRA_FAULTS = ("unframed", "limited")
 READY_TIMEOUT_S = 60
 # Reservations that nobody releases expire within this time.
@@ -81,6 +82,9 @@
                     if "limited" in extra_faults:
                         limits = LimitInjector(environment, seed)
                         disturbances.start_soon(limits.run, duration_s)
+                    if "cold" in extra_faults:
+                        cold = ColdInjector(environment, seed)
+                        disturbances.start_soon(cold.run, duration_s)
                 callers.cancel_scope.cancel()
             for endpoint in environment.endpoints_by_name.values():
                 endpoint.script.clear()
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -3,6 +3,7 @@
 from collections import Counter
 
 from bench.soak.budget import find_tainted
+from bench.soak.cold import find_overrun
 from bench.soak.endless import find_held, find_high_peaks
 from bench.soak.limits import find_exceeded
 from bench.soak.lost import NOT_EXECUTED_STEPS, find_lost
@@ -29,6 +30,7 @@
     - DRAIN: a gateway sent to an endpoint that had told it that it leaves.
     - QUIET: a gateway sent to an endpoint that had asked it for quiet.
     - LIMIT: an endpoint got more requests than the limit it named allows.
+    - COLD: a cold endpoint got more requests in a second than it tolerates.
     - HELD: a request stayed with an endless answer though others could have answered.
     - MEMORY: a gateway's memory has exceeded its bound.
     - BUDGET: too many requests with a part that crashes engines reached engines.
@@ -45,7 +47,7 @@
                 run_counts[attempt_id] += 1
     for attempt in environment.attempts:
         found += _check_attempt(attempt, run_counts[attempt.id])
-    finders = (find_lost, find_unwanted, find_exceeded, find_held)
+    finders = (find_lost, find_unwanted, find_exceeded, find_overrun, find_held)
     for find in (*finders, find_high_peaks, find_tainted):
         found += find(environment)
     return found
--- a/bench/soak/configurations.py
+++ b/bench/soak/configurations.py
@@ -18,6 +18,8 @@
 }
 # Where versions lead the route "scan"; the other routes keep their services.
 SCAN_SERVICES = ("scanner", "desk", None)
+# Time for which endpoints are cold after their start, if they are.
+COLD_START_S = 3.0
 
 
 @dataclass(slots=True, frozen=True)
--- a/bench/soak/endpoint.py
+++ b/bench/soak/endpoint.py
@@ -53,6 +53,8 @@
     notices : list of SentNotice
     crasher : EngineCrasher or None
         What lets it crash at prompts with the deadly part.
+    cold : ColdInjector or None
+        What lets it crash at too many requests while it is cold.
     """
 
     def __init__(self, name, seed, incarnation=1):
@@ -61,6 +63,7 @@
         self.arrivals = []
         self.notices = []
         self.crasher = None
+        self.cold = None
         self._random = random.Random(f"{name} {seed}")
         index = (seed - 1) % len(SILENT_STREAM_SHARES)
         self._silent_stream_share = SILENT_STREAM_SHARES[index]
@@ -76,6 +79,8 @@
         now_s = trio.current_time()
         arrival = Arrival(attempt_id, now_s, self.incarnation, is_renewal)
         self.arrivals.append(arrival)
+        if self.cold is not None and now_s < self.cold_until_s:
+            self.cold.crash_if_too_many(self)
 
     def _record_signal(self, cause, attempt_id, duration_s):
         notice = SentNotice(
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -7,7 +7,7 @@
 import trio
 
 from bench.layout import GATEWAYS_BY_LAYOUT
-from bench.soak.configurations import ConfigurationVariant
+from bench.soak.configurations import COLD_START_S, ConfigurationVariant
 from bench.soak.endpoint import EVENT_COUNT, SoakEndpoint
 from bench.soak.observations import Observations
 from bench.soak.proxy import FaultProxy
@@ -62,6 +62,8 @@
         Draws the parts of prompts; None if prompts are sent without parts.
     withdrawn_names : set of str
         Endpoints that leave, ask for quiet or have crashed.
+    cold_per_s : float
+        Requests a second that endpoints take while they are cold; 0 if none is.
     lost_entries, restored_entries : dict
         Entries of endpoints before and after the last restore, by name.
     """
@@ -78,6 +80,7 @@
     variant: ConfigurationVariant = ConfigurationVariant()
     prompts: object = None
     withdrawn_names: set = field(default_factory=set)
+    cold_per_s: float = 0.0
     lost_entries: dict = field(default_factory=dict)
     restored_entries: dict = field(default_factory=dict)
 
@@ -112,6 +115,10 @@
 
     def _put_configuration(self):
         document = self.variant.document(self.version)
+        if self.cold_per_s:
+            for service in document["backends"]:
+                service["cold_per_s"] = self.cold_per_s
+                service["cold_start_s"] = COLD_START_S
         timeouts = {route["name"]: route["timeout_ms"] for route in document["routes"]}
         self.observations.timeouts_ms.append((trio.current_time(), timeouts))
         self.stage.store.put("config", "main", document)
--- a/vanillareach/features/soak_checks.feature
+++ b/vanillareach/features/soak_checks.feature
@@ -326,3 +326,18 @@
       | 12    | 6       | 11   | nothing          | no violation |
       | 12    | 0.3     | 10.1 | nothing          | no violation |
       | 12    | 3       | 11   | TERM 10.9        | no violation |
+
+  Scenario Outline: More requests than a cold endpoint tolerates
+    Given d0 was cold from 10 s to 20 s
+    And <count> requests reached d0 within <seconds> s from <at> s on
+    And there was <disturbance>
+    Then the checks report <result>
+
+    Examples:
+      | count | seconds | at   | disturbance | result       |
+      | 7     | 0.9     | 11   | nothing     | "COLD"       |
+      | 6     | 0.9     | 11   | nothing     | no violation |
+      | 7     | 0.4     | 10.1 | nothing     | no violation |
+      | 7     | 0.9     | 20.1 | nothing     | no violation |
+      | 7     | 0.9     | 11   | TERM 10.9   | no violation |
+
--- a/vanillareach/features/steps/soak_checks.py
+++ b/vanillareach/features/steps/soak_checks.py
@@ -318,6 +318,12 @@
     scenario_environment(context).observations.faults.append(limit)
 
 
+@given("d0 was cold from {start_s:g} s to {end_s:g} s")
+def step_was_cold(context, start_s, end_s):
+    fault = Fault("endpoint_cold", start_s, end_s, endpoint="d0")
+    scenario_environment(context).observations.faults.append(fault)
+
+
 @given("{count:d} requests reached d0 within {duration_s:g} s from {start_s:g} s on")
 def step_reached_limited(context, count, duration_s, start_s):
     for number in range(count):
--- a/vanillareach/features/users_platform/endpoint_signals.py
+++ b/vanillareach/features/users_platform/endpoint_signals.py
@@ -33,7 +33,10 @@
 
 
 class SignallingEndpoint:
-    """Part of a stand-in that sends `Server-Leaving`, `Retry-After`, `Server-Limit`.
+    """Part of a stand-in that sends headers about itself.
+
+    These are `Server-Leaving`, `Retry-After`, `Server-Limit` and
+    `Vanillareach-Cold-Ms`.
 
     Attributes
     ----------
@@ -47,6 +50,10 @@
         Requests a second that all its answers name; empty for none.
     limited_since_s : float
         When the first answer named a limit; infinite before.
+    cold_until_s : float
+        Until when all its answers say that it is cold.
+    cold_said_s : float
+        When the first answer said so; infinite before.
     quiet_count : int
         Number of answers that asked for quiet.
     unwanted : list of UnwantedRequest
@@ -59,6 +66,8 @@
         self.is_leaving = False
         self.limit = b""
         self.limited_since_s = math.inf
+        self.cold_until_s = 0.0
+        self.cold_said_s = math.inf
         self.quiet_count = 0
         self.unwanted = []
         # Cause, attempt id, time of the answer and end of each signal.
@@ -70,6 +79,7 @@
         self.is_leaving = False
         self.limit = b""
         self.limited_since_s = math.inf
+        self.cold_until_s = 0.0
         self._signals.clear()
 
     def name_limit(self, limit):
@@ -92,6 +102,11 @@
         if self.limit:
             self.limited_since_s = min(self.limited_since_s, trio.current_time())
             headers.append((b"Server-Limit", self.limit))
+        now_s = trio.current_time()
+        if now_s < self.cold_until_s:
+            self.cold_said_s = min(self.cold_said_s, now_s)
+            cold_ms = str(round(1000 * (self.cold_until_s - now_s)))
+            headers.append((b"Vanillareach-Cold-Ms", cold_ms.encode()))
         if self.is_leaving:
             self._record_signal("leaving", attempt_id, math.inf)
             headers.append((b"Server-Leaving", b"1"))
