--- a/bench/limit_worlds.py
+++ b/bench/limit_worlds.py
@@ -2,8 +2,8 @@
 
 Instances restart, freeze and join, domains and instances are cut off, datagrams are
 lost, limits change, all at random. Run by hand:
-``python -m bench.limit_worlds --seeds 0-99``. With ``--cold`` engines turn cold as well,
-and a cold engine must not get more than the bound in any second.
+``python -m bench.limit_worlds --seeds 0-99``. With ``--cold`` engines turn cold as
+well, and a cold engine must not get more than the bound in any second.
 """
 
 import argparse
--- a/vanillareach/core/endpoint_limits.py
+++ b/vanillareach/core/endpoint_limits.py
@@ -2,11 +2,12 @@
 
 A limit has two sources: the endpoint names one, or it is cold (see `cold_engines`),
 which ends by itself. The lower one counts. Each instance keeps a token bucket for each
-endpoint with a limit, and takes from it the requests of all instances as it hears of them. One instance, the coordinator of
-the endpoint, grants permits, so that instances which see the same token don't all use
-it. When another instance becomes the coordinator, its bucket is as empty as that of the
-one before. An instance that hears only a part of the fleet grants only that part of the
-limit, so that two sides of a partition don't use it twice.
+endpoint with a limit, and takes from it the requests of all instances as it hears of
+them. One instance, the coordinator of the endpoint, grants permits, so that instances
+which see the same token don't all use it. When another instance becomes the
+coordinator, its bucket is as empty as that of the one before. An instance that hears
+only a part of the fleet grants only that part of the limit, so that two sides of a
+partition don't use it twice.
 """
 
 import math
--- a/vanillareach/features/steps/cold_engines.py
+++ b/vanillareach/features/steps/cold_engines.py
@@ -9,8 +9,12 @@
 
 from vanillareach.core.cold_engines import MARGIN_MS, ColdEngines
 from vanillareach.core.endpoint_list import ListedEndpoint
-from vanillareach.core.messages import PermitQuery, RequestLimit, encode_message
-from vanillareach.core.messages import decode_message
+from vanillareach.core.messages import (
+    PermitQuery,
+    RequestLimit,
+    decode_message,
+    encode_message,
+)
 from vanillareach.core.routing import RoutedService
 from vanillareach.features.fleet_script import action, check
 from vanillareach.features.gateway_network import endpoints_of
@@ -137,7 +141,9 @@
     assert older == msgspec.structs.replace(query, cold_ms=0.0), older
 
 
-@given("cold engines take {per_s:g} requests a second, for {start_s:g} s from their start")
+@given(
+    "cold engines take {per_s:g} requests a second, for {start_s:g} s from their start"
+)
 def step_cold_fleet(context, per_s, start_s):
     @action(context)
     async def configure(fleet):
@@ -206,9 +212,7 @@
 def step_cold_used(context, share):
     @check(context)
     async def verify(fleet):
-        until_s = min(
-            trio.current_time(), *fleet.engines.cold_until_s_by_id.values()
-        )
+        until_s = min(trio.current_time(), *fleet.engines.cold_until_s_by_id.values())
         duration_s = until_s - fleet.memory["cold_since_s"] - NEWS_S
         total = sum(len(times) for _, times in cold_arrivals(fleet))
         count = len(fleet.memory["cold_ids"])
@@ -251,8 +255,8 @@
 
 
 @when(
-    'domain "{domain}" is unused for {unused_ms:d} ms and then used for {used_ms:d} ms, '
-    "with {short:d} requests of {short_ms:d} ms and {long:d} long one a second"
+    'domain "{domain}" is unused for {unused_ms:d} ms and then used for {used_ms:d} '
+    "ms, with {short:d} requests of {short_ms:d} ms and {long:d} long one a second"
 )
 def step_domain_returns(context, domain, unused_ms, used_ms, short, short_ms, long):
     @action(context)
--- a/vanillareach/gateway/placing.py
+++ b/vanillareach/gateway/placing.py
@@ -31,8 +31,8 @@
 MAX_LOGGED_ENDPOINTS = 20
 # An endpoint whose coordinator doesn't answer gets no request for this time.
 UNANSWERED_PERMIT_TTL_MS = 250.0
-# After so many endpoints without a permit, or a silent coordinator, a request leaves out
-# all cold ones, since each of them costs a round trip or that silence.
+# After so many endpoints without a permit, or a silent coordinator, a request leaves
+# out all cold ones, since each of them costs a round trip or that silence.
 MAX_COLD_ATTEMPTS = 2
 # An endpoint whose coordinator denies a request gets none for this time at least.
 MIN_DENIAL_MS = 20.0
--- a/vanillareach/gateways_cli.py
+++ b/vanillareach/gateways_cli.py
@@ -6,6 +6,8 @@
 
 REQUEST_TIMEOUT_S = 3.0
 EMPTY_CELL = "-"
+# Start of the standing of a cold endpoint, which is usable within its limit.
+COLD_STANDING = "cold"
 # Instances that fit on a screen.
 DEFAULT_ROWS = 40
 # A list that the store confirmed longer ago makes an instance odd.
@@ -52,8 +54,8 @@
     """
     lines = [
         f"{'instance':16} {'domain':10} {'role':6} {'version':>7} {'age ms':>7} "
-        f"{'list ms':>8} {'flights':>7} {'held':>5} {'peers':>6} {'not usable':>11}  "
-        "retries left"
+        f"{'list ms':>8} {'flights':>7} {'held':>5} {'peers':>6} {'not usable':>11} "
+        f"{'cold':>5}  retries left"
     ]
     newest_version = max(
         (r.configuration_version for r in reports_by_address.values() if r), default=-1
@@ -84,7 +86,11 @@
     if report is None:
         return f"{address:16} no answer"
     heard_peer_count = sum(peer.heard_ms_ago >= 0 for peer in report.peers)
-    unusable_count = sum(e.standing != "usable" for e in report.endpoints)
+    cold_count = sum(e.cold_ms > 0 for e in report.endpoints)
+    unusable_count = sum(
+        e.standing != "usable" and not e.standing.startswith(COLD_STANDING)
+        for e in report.endpoints
+    )
     retries_left = report.retries_left_by_service
     retries = " ".join(f"{name}={count}" for name, count in retries_left.items())
     role = "placer" if report.is_placer else EMPTY_CELL
@@ -92,7 +98,8 @@
         f"{report.name:16} {report.domain:10} {role:6} "
         f"{report.configuration_version:7} {report.configuration_age_ms:7.0f} "
         f"{report.list_age_ms:8.0f} {report.flights:7} {report.reservations:5} "
-        f"{heard_peer_count:6} {unusable_count:11}  {retries or EMPTY_CELL}"
+        f"{heard_peer_count:6} {unusable_count:11} {cold_count:5}  "
+        f"{retries or EMPTY_CELL}"
     )
 
 
@@ -100,11 +107,13 @@
     """Return a row for each endpoint, as one instance sees it, as text."""
     lines = [
         f"{'endpoint':20} {'service':14} {'domain':10} {'standing':28} "
-        f"{'failed':>7} {'pace':>5} {'running':>8} {'reading ms':>11}"
+        f"{'failed':>7} {'pace':>5} {'running':>8} {'reading ms':>11} "
+        f"{'cold ms':>8}"
     ]
     lines += [
         f"{e.id:20} {e.service:14} {e.domain:10} {e.standing:28} "
-        f"{e.failure_share:7.2f} {e.pace:5.2f} {e.running:8} {e.reading_ms:11.0f}"
+        f"{e.failure_share:7.2f} {e.pace:5.2f} {e.running:8} {e.reading_ms:11.0f} "
+        f"{e.cold_ms:8.0f}"
         for e in report.endpoints
     ]
     return "\n".join(lines)
