--- a/vanillareach/features/cold_engines.feature
+++ b/vanillareach/features/cold_engines.feature
@@ -126,3 +126,15 @@
       | instances |
       | 9         |
       | 30        |
+
+  @platform
+  Scenario: A gateway learns from a header that an engine is cold, and operators see it
+    Given a gateway in front of engines "m1,m2" and services "d1,d2"
+    And engines that answer with a stream
+    And a configuration in which cold endpoints take 2 requests a second
+    And endpoint "d1" says that it is cold for 30 s
+    When callers send "/read/a" to each gateway in turn, 30 a second for 2000 ms
+    Then all of them are answered 200
+    And endpoint "d1" got at most 8 requests in a second, and some
+    And the report says "cold for" and a time of endpoint "d1"
+    And the metrics say 1 for "endpoints_cold" and "endpoints_limited"
--- a/vanillareach/features/steps/cold_engines.py
+++ b/vanillareach/features/steps/cold_engines.py
@@ -1,5 +1,6 @@
 """Steps about engines that are cold and take few requests."""
 
+import re
 from dataclasses import replace
 from random import Random
 
@@ -19,6 +20,8 @@
 from vanillareach.features.fleet_script import action, check
 from vanillareach.features.gateway_network import endpoints_of
 from vanillareach.features.users_platform.stage import configuration
+from vanillareach.gateway.report import InstanceReport
+from vanillareach.gateways_cli import instances_table
 from vanillareach.platform.documents import (
     EndpointDocument,
     MetadataDocument,
@@ -317,3 +320,46 @@
 
         parts = [count(s, s + 1) for s in range(4)]
         assert 0 < 1.5 * parts[0] < parts[3], parts
+
+
+@given("a configuration in which cold endpoints take {per_s:g} requests a second")
+def step_cold_configuration(context, per_s):
+    platform, document = context.platform, configuration(2)
+    for service in document["backends"]:
+        service |= {"cold_per_s": per_s, "cold_start_s": 1}
+
+    async def change():
+        platform.store.put("config", "main", document)
+        await trio.sleep(NEWS_S)
+
+    context.run(change)
+
+
+@given('endpoint "{name}" says that it is cold for {duration_s:g} s')
+def step_say_cold(context, name, duration_s):
+    async def say():
+        endpoint = context.platform.endpoints_by_name[name]
+        endpoint.cold_until_s = trio.current_time() + duration_s
+
+    context.run(say)
+
+
+@then('endpoint "{name}" got at most {most:d} requests in a second, and some')
+def step_cold_requests(context, name, most):
+    received = context.platform.endpoints_by_name[name].received
+    times = [request.arrived_s for request in received]
+    counts = [sum(s <= t < s + 1 for t in times) for s in times]
+    assert 0 < max(counts, default=0) <= most, counts
+
+
+@then('the report says "{text}" and a time of endpoint "{name}"')
+def step_cold_report(context, text, name):
+    async def report():
+        return context.platform.gateways[0]._encoded_report()
+
+    decoded = msgspec.json.decode(context.run(report), type=InstanceReport)
+    (endpoint,) = [e for e in decoded.endpoints if e.id == name]
+    assert re.fullmatch(text + r" \d+ s", endpoint.standing), endpoint
+    assert 0 < endpoint.cold_ms <= 30_500, endpoint
+    table = instances_table({"x": decoded})
+    assert table.splitlines()[1].split()[9:11] == ["0", "1"], table
