--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -23,6 +23,7 @@
     send_requests_forever,
 )
 from bench.soak.checks import find_leaked_reservations, find_violations
+from bench.soak.cold import ColdInjector
 from bench.soak.evacuations import EvacuationInjector
 from bench.soak.faults import FaultInjector
 from bench.soak.limits import LimitInjector
@@ -35,7 +36,7 @@
 from vanillareach.utils import split_address
 
 # Faults besides the usual ones, and those of them that are injected by default.
-EXTRA_FAULTS = (*STEPS_BY_FAULT, "tainted", "limited", "evacuated")
+EXTRA_FAULTS = (*STEPS_BY_FAULT, "tainted", "limited", "evacuated", "cold")
 DEFAULT_EXTRA_FAULTS = ("unframed", "limited", "evacuated")
 READY_TIMEOUT_S = 60
 # Reservations that nobody releases expire within this time.
@@ -85,6 +86,9 @@
                     if "evacuated" in extra_faults:
                         evacuations = EvacuationInjector(environment, seed)
                         disturbances.start_soon(evacuations.run, duration_s)
+                    if "cold" in extra_faults:
+                        cold = ColdInjector(environment, seed)
+                        disturbances.start_soon(cold.run, duration_s)
                 callers.cancel_scope.cancel()
             for endpoint in environment.endpoints_by_name.values():
                 endpoint.script.clear()
--- a/vanillareach/core/messages.py
+++ b/vanillareach/core/messages.py
@@ -366,6 +366,9 @@
     has_lost_links : bool
         Whether the sender reaches no endpoints.
     evacuations : EvacuationNews
+    cold : tuple of (str, int, float)
+        Id and incarnation of endpoints that are cold as their answers or entries say,
+        and for how many ms.
     configuration_schema : int
         `RouteTable.schema` of the sender's configuration; 0 from an older version.
     """
@@ -396,6 +399,7 @@
     forward_address: str = ""
     has_lost_links: bool = False
     evacuations: EvacuationNews = EvacuationNews()
+    cold: tuple[tuple[str, int, float], ...] = ()
     configuration_schema: int = 0
 
 
@@ -520,7 +524,7 @@
 
 
 class PermitQuery(Wire, tag=28, frozen=True):
-    """Asks whether the sender may send a request to an endpoint that names a limit.
+    """Asks whether the sender may send a request to an endpoint that has a limit.
 
     Attributes
     ----------
@@ -529,9 +533,11 @@
     sender, address : str
         Name of the instance that sends the request, and the address for the reply.
     limit : RequestLimit
-        Limit of the endpoint as the sender knows it.
+        Limit of the endpoint as the sender knows it; of version 0 if it names none.
     is_forwarded : bool
         Whether a placer has passed the query on to the endpoint's coordinator.
+    cold_ms : float
+        For how long the endpoint is cold; 0 if it isn't.
     """
 
     id: int
@@ -539,6 +545,7 @@
     address: str
     limit: RequestLimit
     is_forwarded: bool = False
+    cold_ms: float = 0.0
 
 
 class PermitReply(Wire, tag=29, frozen=True):
--- a/vanillareach/features/steps/placers.py
+++ b/vanillareach/features/steps/placers.py
@@ -328,6 +328,7 @@
             "forward_address",
             "has_lost_links",
             "evacuations",
+            "cold",
             "configuration_schema",
         )
         beacon = decode_message(
@@ -336,7 +337,8 @@
         assert isinstance(beacon, Beacon)
         assert (beacon.capacity, beacon.is_placer) == (0.0, False)
         assert beacon.crash_news == CrashNews()
-        assert beacon.limits == () and beacon.evacuations == EvacuationNews()
+        assert (beacon.limits, beacon.cold) == ((), ())
+        assert beacon.evacuations == EvacuationNews()
         assert (beacon.forward_address, beacon.has_lost_links) == ("", False)
         assert beacon.configuration_schema == 0
 
--- a/vanillareach/gateway/announcements.py
+++ b/vanillareach/gateway/announcements.py
@@ -76,6 +76,9 @@
             forward_address=registration.forward_address,
             has_lost_links=state.reach.is_lost,
             evacuations=state.evacuation_news(),
+            cold=state.cold_engines.news(
+                state.endpoints.by_id.values(), now_ms, is_own_only
+            ),
             configuration_schema=state.configuration.schema
             if state.configuration
             else 0,
