Show that a path which accepts connections and passes nothing isn't noticed

An instance whose connections to the endpoints are accepted, then reset or silent, takes them for working. The feature runs four gateways with a proxy on each path. The callers' stand-in endpoint answers health checks, and the soak's proxy has a mode for each direction.

--- a/bench/soak/proxy.py
+++ b/bench/soak/proxy.py
@@ -10,6 +10,8 @@
 RECEIVE_BUFFER_BYTES = 65_536
 # With SO_LINGER on and a time of 0 s, closing a socket sends a TCP reset.
 ZERO_LINGER_OPTION = struct.pack("ii", 1, 0)
+# Mode in which no data passes in a direction.
+BLOCKING_MODE_BY_DIRECTION = {"there": "mute", "back": "deaf"}
 
 
 class FaultProxy:
@@ -24,7 +26,8 @@
     ----------
     mode : str
         "pass", "delay" (each piece of data by `DELAY_S`), "silent" (no data passes),
-        "deaf" (no data passes back to the client) or "cut" (new connections are reset).
+        "deaf" (no data passes back to the client), "mute" (none passes to the target)
+        or "cut" (new connections are reset).
     """
 
     DELAY_S = 0.15
@@ -90,9 +93,7 @@
     async def _forward(self, source, sink, direction):
         try:
             while data := await source.receive_some(RECEIVE_BUFFER_BYTES):
-                while self.mode == "silent" or (
-                    self.mode == "deaf" and direction == "back"
-                ):
+                while self.mode in ("silent", BLOCKING_MODE_BY_DIRECTION[direction]):
                     await trio.sleep(0.05)
                 if self.mode == "delay":
                     await trio.sleep(self.DELAY_S)
--- a/vanillareach/features/users_platform/endpoint.py
+++ b/vanillareach/features/users_platform/endpoint.py
@@ -11,6 +11,7 @@
 
 SIGNATURE_HEADER = (b"Vanillareach-Response-Signature", b"signed")
 EVENTS = 6
+HEALTH_PATH = "/health"
 # Longer than the idle timeout of an attempt, shorter than a caller's patience.
 SILENCE_S = 1.9
 # Exceeds the capacity of the buffers between an endpoint and a caller.
@@ -68,6 +69,8 @@
         Granted reservation requests, renewals included.
     large_bytes : int
         Size of a large error body.
+    health_checks_s : list of float
+        Times of the health checks that arrived.
     """
 
     def __init__(self, name):
@@ -79,9 +82,13 @@
         self.expiry_s_by_reservation = {}
         self.reservation_count = 0
         self.large_bytes = LARGE_BODY_BYTES
+        self.health_checks_s = []
 
     async def handle(self, request, responder):
         """Handle one request."""
+        if request.path == HEALTH_PATH:
+            self.health_checks_s.append(trio.current_time())
+            return await responder.answer(200, [], b"")
         if request.path == names.MEMORY_ORDER_PATH:
             return await self._handle_reservation(request, responder)
         received = ReceivedRequest(request)
@@ -190,6 +197,16 @@
             raise ResponseAbortedError("torn")
         await responder.finish()
 
+    async def _drip(self, received, responder):
+        """Send events for half a second."""
+        headers = self._response_headers(received)
+        await responder.start(200, [*headers, (b"Transfer-Encoding", b"chunked")])
+        first = int(received.values_by_name.get(names.LAST_EVENT_ID, "0")) + 1
+        for number in range(first, EVENTS + 1):
+            await responder.send(f"id: {number}\ndata: piece {number}\n\n".encode())
+            await trio.sleep(0.08)
+        await responder.finish()
+
     async def _flood(self, received, responder):
         """Send events that fill all buffers if the caller doesn't read."""
         await self._stream(received, responder, padding=FLOOD_EVENT_BYTES)
--- a/vanillareach/features/users_platform/endpoint_links.py
+++ b/vanillareach/features/users_platform/endpoint_links.py
@@ -20,15 +20,23 @@
         they are neither made nor refused.
     spared : set of str
         Addresses of endpoints to which all links are whole.
+    proxies_by_gateway : dict of str to dict of str to FaultProxy
+        Proxies, by the address of the endpoint, through which a gateway connects.
     """
 
     def __init__(self, endpoints_by_name):
         self.cuts_by_gateway = {}
         self.spared = set()
+        self.proxies_by_gateway = {}
         self._endpoints_by_name = endpoints_by_name
 
     async def connect(self, address, timeout_ms, *arguments):
         """Connect as `vanillareach.gateway.sockets.connect` does, unless it is cut."""
+        proxies = self.proxies_by_gateway.get(current_gateway.get(), {})
+        if address in proxies:
+            return await sockets.connect(
+                proxies[address].listen, timeout_ms, *arguments
+            )
         cut = self.cuts_by_gateway.get(current_gateway.get())
         addresses = {e.address for e in self._endpoints_by_name.values()} - self.spared
         if cut is None or address not in addresses:
