Ask endpoints for their health where a service names a health path

A TCP connection was taken as proof of a working path, and only a failed connection woke the check. Now a check counts an endpoint as reached if bytes come back from its health path, and resets and silences after connecting at two endpoints within 2 s wake it. Paths that leave a health check unanswered get no request until bytes come back. The 25 scenarios of peer_forwarding.feature pass.

--- a/vanillareach/core/dispatching.py
+++ b/vanillareach/core/dispatching.py
@@ -101,14 +101,26 @@
             Ids of endpoints that take no further request now.
         """
         withheld = self._state.withheld_endpoints().keys()
+        excluded = exchange.excluded_endpoints | denied | withheld
         return self.place(
             exchange.service,
             self.generation_request(exchange, now_ms),
-            exchange.excluded_endpoints | denied | withheld,
+            excluded | self.avoided_ids(exchange.service.name, excluded, now_ms),
             exchange.first_event_ms is None,
             now_ms,
         )
 
+    def avoided_ids(self, service, excluded, now_ms):
+        """Return the ids of endpoints whose paths pass nothing from this instance.
+
+        Empty if no other endpoint of the service is left.
+        """
+        avoided = self._state.paths.avoided_ids(now_ms)
+        if not avoided:
+            return avoided
+        usable = {e.id for e in self._state.endpoints.usable(service)}
+        return avoided if usable - excluded - avoided else set()
+
     def generation_request(self, exchange, now_ms):
         """Return the `GenerationRequest` to place, or None for a plain call."""
         fields, route = exchange.fields, exchange.route
--- /dev/null
+++ b/vanillareach/core/path_evidence.py
@@ -0,0 +1,199 @@
+"""What requests tell about the paths from this instance to the endpoints.
+
+A path passes data once bytes of an answer have come back on a connection that was
+opened later than the one that failed. Bytes on an older connection prove nothing for
+new ones. A single endpoint whose requests are reset or unanswered may be at fault
+itself; several at once put the paths in doubt.
+"""
+
+import math
+
+# Failures of different endpoints within this time count together.
+WINDOW_MS = 2_000.0
+MIN_SUSPECTS = 2
+# A plain call without a byte after this time counts as unanswered. It is some three
+# times the usual time of a call, and less than the shortest usual deadline.
+PLAIN_SILENCE_MS = 500.0
+# The same for a generation, which is also given a multiple of its predicted time.
+STREAM_SILENCE_FACTOR = 1.5
+STREAM_SILENCE_SLACK_MS = 600.0
+# A peer that reports faults of this many endpoints within the window has the same
+# trouble, so the endpoints are the likely cause. Two may fail there by chance.
+MIN_PEER_FAULTS = 3
+# Faults remembered for one peer, the latest ones.
+MAX_PEER_FAULTS = 64
+
+
+class WaitingRequest:
+    """A request of which no byte of an answer has arrived.
+
+    Attributes
+    ----------
+    key : tuple of (str, int)
+        Id and incarnation of the endpoint.
+    flight : InFlightRequest
+    sent_ms : float
+    due_ms : float
+        From when on it counts as unanswered.
+    """
+
+    __slots__ = ("due_ms", "flight", "key", "sent_ms")
+
+    def __init__(self, key, flight, sent_ms, due_ms):
+        self.key = key
+        self.flight = flight
+        self.sent_ms = sent_ms
+        self.due_ms = due_ms
+
+
+class PathEvidence:
+    """Requests that endpoints swallowed, and faults that peers report.
+
+    Attributes
+    ----------
+    waiting_by_id : dict of int to WaitingRequest
+        By the id of the flight.
+    dead_keys : set of tuple
+        Endpoints that left requests and a health check unanswered, until bytes come
+        back from them.
+    """
+
+    __slots__ = (
+        "_answered_ms_by_key",
+        "_faults_by_peer",
+        "_swallowed_by_key",
+        "dead_keys",
+        "waiting_by_id",
+    )
+
+    def __init__(self):
+        self.waiting_by_id = {}
+        self.dead_keys = set()
+        # When the latest request was sent of which bytes came back.
+        self._answered_ms_by_key = {}
+        # When the path swallowed a request, and when that request was last known to
+        # be on a working connection: bytes must come from a later one.
+        self._swallowed_by_key = {}
+        self._faults_by_peer = {}
+
+    def record_sent(self, flight, key, silence_ms, now_ms):
+        """Record that a request is sent; it is unanswered after `silence_ms`."""
+        self.waiting_by_id[flight.id] = WaitingRequest(
+            key, flight, now_ms, now_ms + silence_ms
+        )
+
+    def record_bytes(self, flight, key, sent_ms):
+        """Record that the first bytes of an answer arrived."""
+        self.waiting_by_id.pop(flight.id, None)
+        self.record_answered(key, sent_ms)
+
+    def record_answered(self, key, sent_ms):
+        """Record that what was sent to an endpoint at `sent_ms` was answered."""
+        if sent_ms <= self._answered_ms_by_key.get(key, -math.inf):
+            return
+        self._answered_ms_by_key[key] = sent_ms
+        swallowed = self._swallowed_by_key.get(key)
+        if swallowed is not None and swallowed[1] < sent_ms:
+            del self._swallowed_by_key[key]
+            self.dead_keys.discard(key)
+
+    def record_end(self, flight, now_ms):
+        """Record that an attempt ended, for example at its deadline."""
+        waiting = self.waiting_by_id.pop(flight.id, None)
+        if waiting is not None and now_ms >= waiting.due_ms:
+            self._record_swallowed(waiting.key, waiting.sent_ms, now_ms)
+
+    def record_reset(self, flight, key, now_ms):
+        """Record that the connection of an attempt ended before its answer did."""
+        waiting = self.waiting_by_id.pop(flight.id, None)
+        since_ms = now_ms if waiting is None else waiting.sent_ms
+        self._record_swallowed(key, since_ms, now_ms)
+
+    def record_silence(self, flight, key, now_ms):
+        """Record that an attempt is silent, though no prefill explains it."""
+        waiting = self.waiting_by_id.get(flight.id)
+        since_ms = now_ms if waiting is None else waiting.sent_ms
+        self._record_swallowed(key, since_ms, now_ms)
+
+    def _record_swallowed(self, key, since_ms, now_ms):
+        if self._answered_ms_by_key.get(key, -math.inf) > since_ms:
+            return
+        known = self._swallowed_by_key.get(key)
+        if known is not None:
+            since_ms = max(since_ms, known[1])
+        self._swallowed_by_key[key] = (now_ms, since_ms)
+
+    def overdue(self, now_ms):
+        """Return the `WaitingRequest` records that count as unanswered."""
+        return [
+            waiting
+            for waiting in self.waiting_by_id.values()
+            if waiting.due_ms <= now_ms
+            and self._answered_ms_by_key.get(waiting.key, -math.inf) <= waiting.sent_ms
+        ]
+
+    def next_due_ms(self, now_ms):
+        """Return when the next request becomes unanswered, or None."""
+        return min(
+            (w.due_ms for w in self.waiting_by_id.values() if w.due_ms > now_ms),
+            default=None,
+        )
+
+    def suspects(self, now_ms):
+        """Return the keys of the endpoints that have just swallowed a request."""
+        return [
+            key
+            for key, (swallowed_ms, _) in self._swallowed_by_key.items()
+            if now_ms - swallowed_ms < WINDOW_MS
+        ]
+
+    def avoided_ids(self, now_ms):
+        """Return the ids of endpoints whose paths are dead or in doubt."""
+        if not self._swallowed_by_key:
+            return set()
+        return {key[0] for key in (*self.dead_keys, *self.suspects(now_ms))}
+
+    def record_unanswered_check(self, key, now_ms):
+        """Record that a health check of an endpoint got no answer."""
+        self.dead_keys.add(key)
+        self._record_swallowed(key, now_ms, now_ms)
+
+    def forget_dead(self):
+        """Use all paths again, for example because peers have the same trouble."""
+        self.dead_keys.clear()
+
+    def keep_only(self, keys):
+        """Forget the endpoints that are not among `keys`."""
+        self.dead_keys &= keys
+        for records in (self._answered_ms_by_key, self._swallowed_by_key):
+            for key in records.keys() - keys:
+                del records[key]
+
+    def record_peer_fault(self, peer, endpoint_id, now_ms):
+        """Record that a peer reports a fault of an endpoint."""
+        faults = self._faults_by_peer.setdefault(peer, {})
+        faults.pop(endpoint_id, None)
+        faults[endpoint_id] = now_ms
+        if len(faults) > MAX_PEER_FAULTS:
+            del faults[next(iter(faults))]
+
+    def is_shared(self, peers, listed_count, now_ms):
+        """Return whether all of some peers report faults of several endpoints.
+
+        Parameters
+        ----------
+        peers : collection of str
+            Names of the peers that say that they have their links.
+        listed_count : int
+            Number of listed endpoints.
+        now_ms : float
+        """
+        self._faults_by_peer = {
+            peer: recent
+            for peer, faults in self._faults_by_peer.items()
+            if (recent := {e: t for e, t in faults.items() if now_ms - t < WINDOW_MS})
+        }
+        needed = min(MIN_PEER_FAULTS, listed_count)
+        return bool(peers) and all(
+            len(self._faults_by_peer.get(peer, ())) >= needed for peer in peers
+        )
--- a/vanillareach/core/routing.py
+++ b/vanillareach/core/routing.py
@@ -134,11 +134,14 @@
         Connections that one of its endpoints accepts from all instances together.
     engine : EngineFigures or None
         None for a plain service.
+    health_path : str
+        Path at which its endpoints answer health checks; empty if there is none.
     """
 
     name: str
     max_connections: int
     engine: EngineFigures | None
+    health_path: str = ""
 
 
 @dataclass(slots=True, frozen=True)
--- a/vanillareach/endpoints/base.py
+++ b/vanillareach/endpoints/base.py
@@ -15,6 +15,10 @@
     """The call failed or timed out after parts of it may have been sent."""
 
 
+class EndpointConnectionLostError(EndpointBrokenError):
+    """The connection was reset or closed before the response was complete."""
+
+
 class EndpointLimitError(EndpointBrokenError):
     """The response exceeded a limit of its size or time and was broken off."""
 
--- a/vanillareach/gateway/attempts.py
+++ b/vanillareach/gateway/attempts.py
@@ -4,7 +4,11 @@
 
 from vanillareach.core.messages import EndpointFault
 from vanillareach.core.routing import RequestKind
-from vanillareach.endpoints.base import EndpointBrokenError, EndpointUnreachableError
+from vanillareach.endpoints.base import (
+    EndpointBrokenError,
+    EndpointConnectionLostError,
+    EndpointUnreachableError,
+)
 from vanillareach.gateway.answers import AnswerProgress, read_answer
 from vanillareach.gateway.attempt_group import AttemptSupersededError
 from vanillareach.gateway.buffer_budget import BufferBudget
@@ -67,6 +71,7 @@
     state : GatewayState
     dispatcher : Dispatcher
     loss_checker : EndpointLossChecker
+    link_monitor : LinkMonitor
     idle_timeouts : IdleTimeoutMonitor
     protocol : RequestProtocol
     reservation_protocol : MemoryReservationProtocol
@@ -84,6 +89,7 @@
         state,
         dispatcher,
         loss_checker,
+        link_monitor,
         idle_timeouts,
         protocol,
         reservation_protocol,
@@ -94,6 +100,7 @@
         self._state = state
         self._dispatcher = dispatcher
         self._loss_checker = loss_checker
+        self._link_monitor = link_monitor
         self._idle_timeouts = idle_timeouts
         self._protocol = protocol
         self._reservation_protocol = reservation_protocol
@@ -105,7 +112,7 @@
     async def run(self, attempt, responder):
         """Run one attempt; set and record its result."""
         self._begin(attempt)
-        detail = ""
+        detail, is_reset = "", False
         try:
             with attempt.scope:
                 attempt.result = await self._reserve_and_forward(attempt, responder)
@@ -113,12 +120,14 @@
             attempt.result, detail = AttemptResult.UNREACHABLE, str(error)
         except EndpointBrokenError as error:
             attempt.result, detail = AttemptResult.BROKEN, str(error)
+            is_reset = isinstance(error, EndpointConnectionLostError)
         except AttemptSupersededError:
             attempt.result = AttemptResult.SUPERSEDED
         except EndpointWithdrawnError as error:
             attempt.result, detail = AttemptResult.NOT_SENT, str(error)
             attempt.exchange.attempts.remove(attempt)
         finally:
+            self._link_monitor.record_end(attempt, is_reset)
             self._dispatcher.record_end(attempt.flight)
             self._idle_timeouts.unwatch(attempt.idle_timeout)
             attempt.idle_timeout = None
@@ -169,6 +178,7 @@
             last_event=exchange.last_event_id,
             after_ms=round(now_ms - exchange.request.received_ms),
         )
+        self._link_monitor.record_silence(attempt)
         attempt.mark_silent()
 
     async def _reserve_and_forward(self, attempt, responder):
@@ -187,6 +197,7 @@
         """Prepare for the first byte of the request, if it may still be sent."""
         self._check_placement(attempt)
         attempt.mark_sent(self._clock.now_ms())
+        self._link_monitor.record_sent(attempt)
         self._state.quarantine.record_sent(attempt)
 
     def _check_placement(self, attempt):
@@ -210,6 +221,7 @@
 
     async def _relay_response(self, attempt, response, responder):
         exchange = attempt.exchange
+        self._link_monitor.record_bytes(attempt)
         fields = self._protocol.read_response(response.status, response.headers)
         self._record_signals(attempt, fields)
         if fields.has_not_run:
--- a/vanillareach/gateway/forwarder.py
+++ b/vanillareach/gateway/forwarder.py
@@ -98,7 +98,9 @@
         self.pace_estimator = EnginePaceEstimator(
             state, dispatcher, placement_client, clock
         )
-        self.link_monitor = LinkMonitor(state, settings.domain, clock)
+        self.link_monitor = LinkMonitor(
+            state, settings.domain, clock, placement_client, peer_chooser
+        )
         self.loss_checker = EndpointLossChecker(
             state, placement_client, self.link_monitor, clock
         )
@@ -106,6 +108,7 @@
             state,
             dispatcher,
             self.loss_checker,
+            self.link_monitor,
             self.idle_timeouts,
             protocol,
             reservation_protocol,
--- a/vanillareach/gateway/gossip.py
+++ b/vanillareach/gateway/gossip.py
@@ -390,6 +390,7 @@
         failed_ids = set()
         for endpoint_id, incarnation, fault in update.faults:
             failed_ids.add(endpoint_id)
+            state.paths.record_peer_fault(update.name, endpoint_id, now_ms)
             state.apply_reported_fault(endpoint_id, incarnation, fault, now_ms)
         for flight_id in update.ended:
             flight = state.load_state.peer_flight(update.name, flight_id)
--- a/vanillareach/gateway/loss_checks.py
+++ b/vanillareach/gateway/loss_checks.py
@@ -83,6 +83,10 @@
             return True
         is_closed = await _is_closed_soon(stream)
         stream.socket.close()
+        if is_closed and self._link_monitor.uses_health:
+            # The path may accept connections and end them. An endpoint that has ended
+            # refuses the second check.
+            return False
         if is_closed:
             self._record_loss(attempt, "connection closed")
         return is_closed
--- a/vanillareach/gateway/peer_choice.py
+++ b/vanillareach/gateway/peer_choice.py
@@ -80,6 +80,10 @@
         peer = self._least_loaded(exchange)
         return None if peer is None else PeerPlacement(peer)
 
+    def candidate_names(self):
+        """Return the names of the peers that say that they have links."""
+        return [peer.name for peer in self._gossip.peers.forwarding_candidates()]
+
     def record_unable(self, peer):
         """Leave out a peer for a while."""
         self._unable_until_ms_by_name[peer.name] = self._clock.now_ms() + UNABLE_TTL_MS
--- a/vanillareach/gateway/placing.py
+++ b/vanillareach/gateway/placing.py
@@ -191,7 +191,11 @@
 
         Endpoints that this instance could not reach are used if no other is left.
         """
-        unreachable = self._unreachable_ids()
+        now_ms = self._clock.now_ms()
+        unreachable = {
+            *self._unreachable_ids(),
+            *self._state.paths.avoided_ids(now_ms),
+        }
         decision = await self._ask_for_placement(exchange, {*denied, *unreachable})
         is_refused = decision is not None and decision.placement is None
         if is_refused and unreachable:
--- a/vanillareach/gateway/response_reader.py
+++ b/vanillareach/gateway/response_reader.py
@@ -7,7 +7,10 @@
 import h11
 import trio
 
-from vanillareach.endpoints.base import EndpointBrokenError
+from vanillareach.endpoints.base import (
+    EndpointBrokenError,
+    EndpointConnectionLostError,
+)
 
 RECEIVE_BUFFER_BYTES = 64 * 1024
 # Head of a response with all informational ones before it. Also of a chunk's extensions
@@ -39,6 +42,7 @@
         "_connection",
         "_framing_bytes",
         "_has_head",
+        "_is_closed",
         "_received_bytes",
         "_stream",
         "_turn_events",
@@ -49,6 +53,7 @@
         self._stream = stream
         self._received_bytes = 0
         self._has_head = False
+        self._is_closed = False
         # Bytes received after the head: those that frame the body, and its own.
         self._framing_bytes = 0
         self._body_bytes = 0
@@ -103,12 +108,17 @@
             try:
                 event = self._connection.next_event()
             except h11.RemoteProtocolError as error:
-                raise EndpointBrokenError(f"malformed response: {error}") from error
+                kind = (
+                    EndpointConnectionLostError
+                    if self._is_closed
+                    else (EndpointBrokenError)
+                )
+                raise kind(f"malformed response: {error}") from error
             if event is h11.NEED_DATA:
                 await self._receive()
                 continue
             if isinstance(event, h11.ConnectionClosed):
-                raise EndpointBrokenError("connection closed")
+                raise EndpointConnectionLostError("connection closed")
             self._turn_events += 1
             if self._turn_events > MAX_EVENTS_PER_TURN:
                 self._turn_events = 0
@@ -127,7 +137,8 @@
         try:
             data = await self._stream.receive_some(RECEIVE_BUFFER_BYTES)
         except trio.BrokenResourceError as error:
-            raise EndpointBrokenError("connection reset") from error
+            raise EndpointConnectionLostError("connection reset") from error
+        self._is_closed = not data
         self._received_bytes += len(data)
         self._framing_bytes += len(data)
         self._connection.receive_data(data)
--- a/vanillareach/gateway/state.py
+++ b/vanillareach/gateway/state.py
@@ -17,6 +17,7 @@
     StateReply,
     pack_configuration,
 )
+from vanillareach.core.path_evidence import PathEvidence
 from vanillareach.core.quiet_periods import QuietPeriods
 from vanillareach.core.rendezvous import MAX_PREFERENCE, preference
 from vanillareach.core.retry_share import RetryBudgetShare
@@ -70,6 +71,8 @@
         Endpoints that want no request from this instance for a time.
     reach : EndpointReach
         Whether this instance has lost its links to the endpoints.
+    paths : PathEvidence
+        Which paths to endpoints have just swallowed requests.
     limits : EndpointLimits
         Requests that endpoints take from all instances together.
     ignored_retry_after_count : int
@@ -103,6 +106,7 @@
         extension = preference("readmission", settings.name) / MAX_PREFERENCE
         self.quiet_periods = QuietPeriods(extension)
         self.reach = EndpointReach()
+        self.paths = PathEvidence()
         self.limits = EndpointLimits()
         self.ignored_retry_after_count = 0
         self.instance_count = 1
@@ -153,6 +157,9 @@
 
     def tell_fault(self, endpoint, fault):
         """Tell peers of a fault of an endpoint."""
+        if self.reach.is_lost and self.reach.is_checked_by_health:
+            # The own links are the likely cause.
+            return
         if len(self._unreported_faults) < MAX_UNREPORTED_FAULTS:
             self._unreported_faults.append((*endpoint.key, fault))
         self.publish(ChangeKind.FLIGHTS)
--- a/vanillareach/platform/documents.py
+++ b/vanillareach/platform/documents.py
@@ -1,5 +1,7 @@
 """Decodes the objects of the platform's store into the types of the core."""
 
+import re
+
 import msgspec
 
 from vanillareach.core.endpoint_list import ListedEndpoint
@@ -22,6 +24,7 @@
 DRAINING_STATE = "draining"
 READY_STATE = "ready"
 MS_PER_SECOND = 1000.0
+HEALTH_PATH_PATTERN = re.compile(r"/[!-~]*")
 
 
 class DocumentError(ValueError):
@@ -117,6 +120,18 @@
     name: str
     max_connections: int = 0
     engine: EngineDocument | None = None
+    health_path: str | None = None
+
+    def service(self):
+        """Return the document as a `RoutedService`."""
+        path = self.health_path or ""
+        return RoutedService(
+            self.name,
+            self.max_connections,
+            self.engine.figures() if self.engine else None,
+            # A path with other characters would break the head of a request.
+            path if HEALTH_PATH_PATTERN.fullmatch(path) else "",
+        )
 
 
 class LimitsDocument(msgspec.Struct):
@@ -212,14 +227,7 @@
     return RouteTable.build(
         version=document.version,
         routes=[route.route() for route in document.routes],
-        services=[
-            RoutedService(
-                service.name,
-                service.max_connections,
-                service.engine.figures() if service.engine else None,
-            )
-            for service in document.backends
-        ],
+        services=[service.service() for service in document.backends],
         teams_by_key=_teams_by_key(document.tenants),
         limits=CallerLimits(
             limits.max_header_bytes,
