Hand requests of a service on whose paths are all dead, and bound health checks

With dead paths to all endpoints of a service, others being whole, its requests were still sent there: 144 of 216 served from 3 s on with resets, 12 of 18 in silence. They are handed to a peer now, and a peer in the same state refuses them. All health checks of an instance keep to 8 a second with a burst of 8. A generation that pending prefill explains doesn't count as unanswered.

--- a/vanillareach/core/path_evidence.py
+++ b/vanillareach/core/path_evidence.py
@@ -20,8 +20,13 @@
 # A peer that reports faults of this many endpoints within the window has the same
 # trouble, so the endpoints are the likely cause. Two may fail there by chance.
 MIN_PEER_FAULTS = 3
-# Faults remembered for one peer, the latest ones.
+# Faults remembered for one peer, the latest ones, and peers and endpoints for which
+# something is remembered.
 MAX_PEER_FAULTS = 64
+MAX_PEERS = 1_024
+MAX_ENDPOINTS = 2_048
+# An unanswered generation that pending prefill explains is looked at again after this.
+BUSY_EXTENSION_MS = 200.0
 
 
 class WaitingRequest:
@@ -34,7 +39,7 @@
     flight : InFlightRequest
     sent_ms : float
     due_ms : float
-        From when on it counts as unanswered.
+        From when on it counts as unanswered; infinite once that is recorded.
     """
 
     __slots__ = ("due_ms", "flight", "key", "sent_ms")
@@ -91,16 +96,21 @@
         """Record that what was sent to an endpoint at `sent_ms` was answered."""
         if sent_ms <= self._answered_ms_by_key.get(key, -math.inf):
             return
-        self._answered_ms_by_key[key] = sent_ms
+        _put_latest(self._answered_ms_by_key, key, sent_ms, MAX_ENDPOINTS)
         swallowed = self._swallowed_by_key.get(key)
         if swallowed is not None and swallowed[1] < sent_ms:
             del self._swallowed_by_key[key]
             self.dead_keys.discard(key)
 
     def record_end(self, flight, now_ms):
-        """Record that an attempt ended, for example at its deadline."""
+        """Record that an attempt ended, for example at its deadline.
+
+        Of a generation nothing is known: it may have waited for a prefill.
+        """
         waiting = self.waiting_by_id.pop(flight.id, None)
-        if waiting is not None and now_ms >= waiting.due_ms:
+        if waiting is None or flight.prompt_tokens:
+            return
+        if now_ms >= waiting.due_ms:
             self._record_swallowed(waiting.key, waiting.sent_ms, now_ms)
 
     def record_reset(self, flight, key, now_ms):
@@ -112,7 +122,9 @@
     def record_silence(self, flight, key, now_ms):
         """Record that an attempt is silent, though no prefill explains it."""
         waiting = self.waiting_by_id.get(flight.id)
-        since_ms = now_ms if waiting is None else waiting.sent_ms
+        since_ms = now_ms
+        if waiting is not None:
+            since_ms, waiting.due_ms = waiting.sent_ms, math.inf
         self._record_swallowed(key, since_ms, now_ms)
 
     def _record_swallowed(self, key, since_ms, now_ms):
@@ -121,23 +133,15 @@
         known = self._swallowed_by_key.get(key)
         if known is not None:
             since_ms = max(since_ms, known[1])
-        self._swallowed_by_key[key] = (now_ms, since_ms)
+        _put_latest(self._swallowed_by_key, key, (now_ms, since_ms), MAX_ENDPOINTS)
 
     def overdue(self, now_ms):
-        """Return the `WaitingRequest` records that count as unanswered."""
-        return [
-            waiting
-            for waiting in self.waiting_by_id.values()
-            if waiting.due_ms <= now_ms
-            and self._answered_ms_by_key.get(waiting.key, -math.inf) <= waiting.sent_ms
-        ]
+        """Return the `WaitingRequest` records that now count as unanswered."""
+        return [w for w in self.waiting_by_id.values() if w.due_ms <= now_ms]
 
-    def next_due_ms(self, now_ms):
-        """Return when the next request becomes unanswered, or None."""
-        return min(
-            (w.due_ms for w in self.waiting_by_id.values() if w.due_ms > now_ms),
-            default=None,
-        )
+    def next_due_ms(self):
+        """Return when the next request becomes unanswered; infinite without any."""
+        return min((w.due_ms for w in self.waiting_by_id.values()), default=math.inf)
 
     def suspects(self, now_ms):
         """Return the keys of the endpoints that have just swallowed a request."""
@@ -158,6 +162,12 @@
         self.dead_keys.add(key)
         self._record_swallowed(key, now_ms, now_ms)
 
+    def is_cut_off(self, endpoints):
+        """Return whether there are endpoints, and the paths to all of them are dead."""
+        return bool(self.dead_keys and endpoints) and all(
+            endpoint.key in self.dead_keys for endpoint in endpoints
+        )
+
     def forget_dead(self):
         """Use all paths again, for example because peers have the same trouble."""
         self.dead_keys.clear()
@@ -171,11 +181,9 @@
 
     def record_peer_fault(self, peer, endpoint_id, now_ms):
         """Record that a peer reports a fault of an endpoint."""
-        faults = self._faults_by_peer.setdefault(peer, {})
-        faults.pop(endpoint_id, None)
-        faults[endpoint_id] = now_ms
-        if len(faults) > MAX_PEER_FAULTS:
-            del faults[next(iter(faults))]
+        faults = self._faults_by_peer.get(peer, {})
+        _put_latest(faults, endpoint_id, now_ms, MAX_PEER_FAULTS)
+        _put_latest(self._faults_by_peer, peer, faults, MAX_PEERS)
 
     def is_shared(self, peers, listed_count, now_ms):
         """Return whether all of some peers report faults of several endpoints.
@@ -197,3 +205,11 @@
         return bool(peers) and all(
             len(self._faults_by_peer.get(peer, ())) >= needed for peer in peers
         )
+
+
+def _put_latest(records, key, value, max_count):
+    """Put a record last, and remove the oldest beyond `max_count`."""
+    records.pop(key, None)
+    records[key] = value
+    if len(records) > max_count:
+        del records[next(iter(records))]
--- a/vanillareach/features/dead_paths.feature
+++ b/vanillareach/features/dead_paths.feature
@@ -27,9 +27,11 @@
       | g1       | pass nothing to the endpoints             |
       | g1       | pass nothing back                         |
       | g3,g4    | reset new connections and open ones       |
-      | g1       | reset connections, whole each other second|
-      | g1       | reset connections to half of the endpoints|
+      | g1       | reset connections, whole each other second |
+      | g1       | reset connections to half of the endpoints |
       | g1       | pass nothing to half of the endpoints     |
+      | g1       | reset connections to all engines          |
+      | g1       | pass nothing to all engines               |
 
   Scenario: Paths that pass bytes again are used again
     When six callers call each gateway, and after 500 ms the paths of "g1" reset new connections and open ones
--- a/vanillareach/features/steps/dead_paths.py
+++ b/vanillareach/features/steps/dead_paths.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 
 from bench.soak.proxy import FaultProxy
+from vanillareach.core.load_state import InFlightRequest
 from vanillareach.features.steps.gateway import start_another
 from vanillareach.features.steps.peer_forwarding import CONNECTING_MODULES
 from vanillareach.features.users_platform.endpoint import HEALTH_PATH
@@ -20,16 +21,20 @@
 PAUSE_S = 0.05
 PATHS = ("/read/a", "/book/a", "/ask/a")
 AFTER_CUT_S = 6.5
-# Mode of the proxies, whether open connections are reset, and the share of endpoints.
+# Mode of the proxies, whether open connections are reset, and whose paths are cut.
+ALL = ("m1", "m2", "m3", "m4", "d1", "d2", "d3")
+HALF = ("m1", "m2", "d1", "d2")
 FAULTS = {
-    "reset new connections and open ones": ("cut", True, 1.0),
-    "reset new connections and keep open ones": ("cut", False, 1.0),
-    "accept new connections and pass nothing": ("silent", False, 1.0),
-    "pass nothing to the endpoints": ("mute", False, 1.0),
-    "pass nothing back": ("deaf", False, 1.0),
-    "reset connections, whole each other second": ("cut", True, 1.0),
-    "reset connections to half of the endpoints": ("cut", True, 0.5),
-    "pass nothing to half of the endpoints": ("silent", False, 0.5),
+    "reset new connections and open ones": ("cut", True, ALL),
+    "reset new connections and keep open ones": ("cut", False, ALL),
+    "accept new connections and pass nothing": ("silent", False, ALL),
+    "pass nothing to the endpoints": ("mute", False, ALL),
+    "pass nothing back": ("deaf", False, ALL),
+    "reset connections, whole each other second": ("cut", True, ALL),
+    "reset connections to half of the endpoints": ("cut", True, HALF),
+    "pass nothing to half of the endpoints": ("silent", False, HALF),
+    "reset connections to all engines": ("cut", True, ALL[:4]),
+    "pass nothing to all engines": ("silent", False, ALL[:4]),
 }
 
 
@@ -71,11 +76,12 @@
     context.run(start)
 
 
-def set_paths(platform, names, mode, resets_open=False, share=1.0):
-    """Set the mode of the proxies of gateways to a share of the endpoints."""
+def set_paths(platform, names, mode, resets_open=False, endpoints=ALL):
+    """Set the mode of the proxies of gateways to some endpoints."""
     for name in names:
-        proxies = list(platform.links.proxies_by_gateway[name].values())
-        for proxy in proxies[: round(share * len(proxies))]:
+        proxies = platform.links.proxies_by_gateway[name]
+        for endpoint in endpoints:
+            proxy = proxies[platform.endpoints_by_name[endpoint].address]
             proxy.mode = mode
             if resets_open:
                 proxy.reset_all()
@@ -127,13 +133,13 @@
 )
 def step_cut_paths(context, wait_ms, names, fault):
     context.cut_names = names.split(",")
-    mode, resets_open, share = FAULTS[fault]
+    mode, resets_open, endpoints = FAULTS[fault]
 
     async def disturb():
         await trio.sleep(wait_ms / 1000)
         context.cut_s = trio.current_time()
         while trio.current_time() < context.cut_s + AFTER_CUT_S:
-            set_paths(context.platform, context.cut_names, mode, resets_open, share)
+            set_paths(context.platform, context.cut_names, mode, resets_open, endpoints)
             await trio.sleep(1.0)
             if "second" in fault:
                 set_paths(context.platform, context.cut_names, "pass")
@@ -206,6 +212,29 @@
     context.run(wait)
 
 
+def read_long_prompts(platform):
+    """Let all engines be silent, each with a long prompt that is still read."""
+    script_all(platform, "m", "late_stream")
+    for gateway in platform.gateways:
+        state, now_ms = gateway.state, gateway.clock.now_ms()
+        for number in range(1, 5):
+            flight = InFlightRequest(
+                id=-number,
+                engine=f"m{number}",
+                helpers=(),
+                reserved_tokens=(),
+                prompt_tokens=9_000,
+                memory_tokens=9_000,
+                part_prefill_ms=20_000.0,
+                objective_ms=30_000.0,
+                pause_limit_ms=0.0,
+                worth=0.0,
+                is_prefilling=True,
+                age_ms=0.0,
+            )
+            state.load_state.add(flight, now_ms)
+
+
 def script_all(platform, prefix, step):
     """Let all endpoints of a kind do a step with each request."""
     for name, endpoint in platform.endpoints_by_name.items():
@@ -223,7 +252,7 @@
     "nothing else happens": lambda platform: None,
     "an engine resets all requests": lambda p: script_all(p, "m1", "reset"),
     "a service is silent": lambda p: script_all(p, "d1", "mute"),
-    "engines are silent in a long prefill": lambda p: script_all(p, "m", "late_stream"),
+    "engines are silent in a long prefill": read_long_prompts,
     "all engines reset all requests": lambda p: script_all(p, "m", "reset"),
     "the gateways are paused for 1500 ms": pause_all,
 }
--- a/vanillareach/gateway/forwarder.py
+++ b/vanillareach/gateway/forwarder.py
@@ -294,7 +294,10 @@
             peer_placement = self._peer_chooser.choose(exchange)
             if peer_placement is not None:
                 return PlacementDecision(peer_placement)
-            if self._state.reach.is_lost and exchange.is_forwarded:
+            if exchange.is_forwarded and (
+                self._state.reach.is_lost
+                or self._peer_chooser.is_service_cut_off(exchange)
+            ):
                 return PlacementDecision(None, NOT_READY_RETRY_AFTER_MS, "links_lost")
             decision = await self._placement_client.choose(exchange)
             if decision.placement is not None or group.is_running:
--- a/vanillareach/gateway/link_monitor.py
+++ b/vanillareach/gateway/link_monitor.py
@@ -9,14 +9,17 @@
 or leave unanswered wake the check as well.
 """
 
+import math
 import random
 
 import trio
 
 from vanillareach.clock import MS_PER_SECOND
+from vanillareach.core.buckets import TokenBucket
 from vanillareach.core.endpoint_reach import choose_checked
 from vanillareach.core.messages import EndpointFault
 from vanillareach.core.path_evidence import (
+    BUSY_EXTENSION_MS,
     MIN_SUSPECTS,
     PLAIN_SILENCE_MS,
     STREAM_SILENCE_FACTOR,
@@ -29,8 +32,8 @@
 # Pause between two checks while links are lost, and while they aren't.
 LOST_CHECK_INTERVAL_MS = 250.0
 CHECK_INTERVAL_MS = 100.0
-# The same with health checks, which are priced: four at once while links are lost, and
-# up to eight otherwise, so at most eight a second.
+# Health checks are priced. Besides the intervals, all checks together keep to a rate.
+MAX_HEALTH_CHECKS_PER_S = 8
 LOST_HEALTH_CHECK_INTERVAL_MS = 500.0
 HEALTH_CHECK_INTERVAL_MS = 1_000.0
 # Dead paths and those in doubt that one check asks besides the four endpoints.
@@ -79,6 +82,9 @@
         self._configuration = None
         self._paths_by_service = {}
         self.health_check_count = 0
+        self._budget = TokenBucket(
+            MAX_HEALTH_CHECKS_PER_S, MAX_HEALTH_CHECKS_PER_S, clock.now_ms()
+        )
 
     @property
     def uses_health(self):
@@ -119,6 +125,8 @@
 
     def record_bytes(self, attempt):
         """Record that the head of an answer arrived."""
+        if not self.uses_health:
+            return
         key = attempt.placement.endpoint.key
         self._state.paths.record_bytes(attempt.flight, key, attempt.sent_ms)
 
@@ -207,6 +215,10 @@
             # Where it can be asked for, only an answer proves a path.
             listed = [e for e in listed if e.service in self._paths_by_service]
         checked = choose_checked(listed, self._domain, self._random, self.uses_health)
+        now_ms = self._clock.now_ms()
+        if self.uses_health and not self._budget.try_acquire(len(checked), now_ms):
+            # What the last check found stands.
+            return
         reached = await self._reached(checked)
         if reached is None:
             # Stalled: nothing is known.
@@ -257,9 +269,15 @@
         # Those that aren't known as dead come first.
         self._random.shuffle(keys)
         keys.sort(key=paths.dead_keys.__contains__)
-        asked = [by_key[key] for key in keys[:MAX_CHECKED_PATHS]]
+        asked = [
+            by_key[key]
+            for key in keys[:MAX_CHECKED_PATHS]
+            if self._budget.try_acquire(1, now_ms)
+        ]
         reached = await self._reached(asked)
-        if reached is None or self._is_shared():
+        if reached is None:
+            return
+        if self._is_shared():
             paths.forget_dead()
             return
         before = len(paths.dead_keys)
@@ -319,8 +337,8 @@
         paths = self._state.paths
         while True:
             now_ms = self._clock.now_ms()
-            due_ms = paths.next_due_ms(now_ms)
-            if due_ms is None:
+            due_ms = paths.next_due_ms()
+            if due_ms == math.inf:
                 self._sent_event = trio.Event()
                 await self._sent_event.wait()
                 continue
@@ -329,8 +347,7 @@
             if self._clock.now_ms() > now_ms + wait_ms + STALL_MS:
                 # Answers that have arrived meanwhile are received first.
                 await self._clock.sleep_ms(STALL_SETTLING_MS)
-            if not self._state.reach.is_lost:
-                await self._record_overdue()
+            await self._record_overdue()
 
     async def _record_overdue(self):
         paths = self._state.paths
@@ -340,7 +357,9 @@
             is_busy = flight.prompt_tokens and (
                 await self._placement_client.is_prefill_pending(flight)
             )
-            if not is_busy and flight.id in paths.waiting_by_id:
-                now_ms = self._clock.now_ms()
+            now_ms = self._clock.now_ms()
+            if is_busy:
+                waiting.due_ms = now_ms + BUSY_EXTENSION_MS
+            elif flight.id in paths.waiting_by_id:
                 paths.record_silence(flight, waiting.key, now_ms)
         self._wake_if_in_doubt()
--- a/vanillareach/gateway/peer_choice.py
+++ b/vanillareach/gateway/peer_choice.py
@@ -74,12 +74,19 @@
         unreachable_count = sum(
             attempt.result is AttemptResult.UNREACHABLE for attempt in exchange.attempts
         )
-        is_cut_off = self._state.reach.is_lost
+        is_cut_off = self._state.reach.is_lost or self.is_service_cut_off(exchange)
         if not is_cut_off and unreachable_count < MAX_UNREACHABLE_ATTEMPTS:
             return None
         peer = self._least_loaded(exchange)
         return None if peer is None else PeerPlacement(peer)
 
+    def is_service_cut_off(self, exchange):
+        """Return whether the paths to all endpoints of a request's service are dead."""
+        paths, endpoints = self._state.paths, self._state.endpoints
+        if not paths.dead_keys:
+            return False
+        return paths.is_cut_off(endpoints.usable(exchange.service.name))
+
     def candidate_names(self):
         """Return the names of the peers that say that they have links."""
         return [peer.name for peer in self._gossip.peers.forwarding_candidates()]
