--- a/vanillareach/features/steps/dead_paths.py
+++ b/vanillareach/features/steps/dead_paths.py
@@ -248,7 +248,16 @@
     time.sleep(1.5)  # noqa: ASYNC251
 
 
+async def crash_all(platform, prefixes):
+    """Let all endpoints of some kinds reset all connections."""
+    await trio.sleep(0.5)
+    for name, endpoint in platform.endpoints_by_name.items():
+        endpoint.is_down = name[0] in prefixes
+
+
 EVENTS = {
+    "all engines are down": lambda p: crash_all(p, "m"),
+    "all endpoints are down": lambda p: crash_all(p, "md"),
     "nothing else happens": lambda platform: None,
     "an engine resets all requests": lambda p: script_all(p, "m1", "reset"),
     "a service is silent": lambda p: script_all(p, "d1", "mute"),
--- a/vanillareach/features/users_platform/endpoint.py
+++ b/vanillareach/features/users_platform/endpoint.py
@@ -71,6 +71,8 @@
         Size of a large error body.
     health_checks_s : list of float
         Times of the health checks that arrived.
+    is_down : bool
+        Whether all connections are reset.
     """
 
     def __init__(self, name):
@@ -83,9 +85,12 @@
         self.reservation_count = 0
         self.large_bytes = LARGE_BODY_BYTES
         self.health_checks_s = []
+        self.is_down = False
 
     async def handle(self, request, responder):
         """Handle one request."""
+        if self.is_down:
+            raise ResponseAbortedError("down")
         if request.path == HEALTH_PATH:
             self.health_checks_s.append(trio.current_time())
             return await responder.answer(200, [], b"")
--- a/vanillareach/gateway/app.py
+++ b/vanillareach/gateway/app.py
@@ -179,9 +179,19 @@
         )
         add(
             "links_lost",
-            "Whether no connection to an endpoint can be made.",
+            "Whether the links to the endpoints are lost.",
             lambda: int(state.reach.is_lost),
         )
+        add(
+            "paths_dead",
+            "Endpoints whose paths pass nothing from this instance.",
+            lambda: len(state.paths.dead_keys),
+        )
+        add(
+            "health_checks",
+            "Health checks of endpoints sent.",
+            lambda: self.forwarder.link_monitor.health_check_count,
+        )
         add("slow_engines", "Engines seen slow.", lambda: len(state.paces.own_paces))
         add(
             "flights",
--- a/vanillareach/gateway/link_monitor.py
+++ b/vanillareach/gateway/link_monitor.py
@@ -44,6 +44,8 @@
 # the whole instance. What it saw tells nothing.
 STALL_MS = 150.0
 STALL_SETTLING_MS = 100.0
+# Time in which peers report the same faults if the endpoints are the cause.
+PEER_REPORT_MS = 200.0
 
 log = get_logger("probing")
 
@@ -224,8 +226,12 @@
             # Stalled: nothing is known.
             return
         connected = [endpoint.id for endpoint in reached]
+        is_shared = False
+        if self.uses_health and not connected:
+            if not state.reach.is_lost:
+                await self._clock.sleep_ms(PEER_REPORT_MS)
+            is_shared = self._peer_chooser.has_shared_faults()
         now_ms = self._clock.now_ms()
-        is_shared = not connected and self.uses_health and self._is_shared()
         if not state.reach.record_check(
             len(connected), len(checked), now_ms, is_shared
         ):
@@ -242,15 +248,6 @@
         )
         state.publish()
 
-    def _is_shared(self):
-        """Return whether the peers that could help report the same faults."""
-        state = self._state
-        return state.paths.is_shared(
-            self._peer_chooser.candidate_names(),
-            len(state.endpoints.by_id),
-            self._clock.now_ms(),
-        )
-
     async def _check_paths(self):
         """Ask some of the dead paths and of those in doubt for an answer."""
         state, paths = self._state, self._state.paths
@@ -277,7 +274,7 @@
         reached = await self._reached(asked)
         if reached is None:
             return
-        if self._is_shared():
+        if self._peer_chooser.has_shared_faults():
             paths.forget_dead()
             return
         before = len(paths.dead_keys)
--- a/vanillareach/gateway/peer_choice.py
+++ b/vanillareach/gateway/peer_choice.py
@@ -74,7 +74,7 @@
         unreachable_count = sum(
             attempt.result is AttemptResult.UNREACHABLE for attempt in exchange.attempts
         )
-        is_cut_off = self._state.reach.is_lost or self.is_service_cut_off(exchange)
+        is_cut_off = self._state.reach.is_lost or self._is_in_doubt(exchange)
         if not is_cut_off and unreachable_count < MAX_UNREACHABLE_ATTEMPTS:
             return None
         peer = self._least_loaded(exchange)
@@ -87,9 +87,25 @@
             return False
         return paths.is_cut_off(endpoints.usable(exchange.service.name))
 
-    def candidate_names(self):
-        """Return the names of the peers that say that they have links."""
-        return [peer.name for peer in self._gossip.peers.forwarding_candidates()]
+    def _is_in_doubt(self, exchange):
+        """Return whether all paths to a service are dead or have just failed here.
+
+        False if peers report the same faults.
+        """
+        avoided = self._state.paths.avoided_ids(self._clock.now_ms())
+        if not avoided:
+            return False
+        usable = {e.id for e in self._state.endpoints.usable(exchange.service.name)}
+        return bool(usable) and usable <= avoided and not self.has_shared_faults()
+
+    def has_shared_faults(self):
+        """Return whether the peers that say that they have links report faults."""
+        state = self._state
+        return state.paths.is_shared(
+            [peer.name for peer in self._gossip.peers.forwarding_candidates()],
+            len(state.endpoints.by_id),
+            self._clock.now_ms(),
+        )
 
     def record_unable(self, peer):
         """Leave out a peer for a while."""
