Record the faults that peers report in small fleets too

Outcomes of peers were applied in large fleets only, so the check never saw that peers report the same faults.

--- a/vanillareach/gateway/gossip.py
+++ b/vanillareach/gateway/gossip.py
@@ -377,6 +377,8 @@
             load_state.replace_peer(update.name, (), now_ms)
         peer.last_message_order = order
         peer.last_heard_ms = now_ms
+        for endpoint_id, _, _ in update.faults:
+            self._state.paths.record_peer_fault(update.name, endpoint_id, now_ms)
         if not self.audience.is_direct:
             self._apply_outcomes(update, now_ms)
         self._state.record_dispatches(update.name, update.begun)
@@ -390,7 +392,6 @@
         failed_ids = set()
         for endpoint_id, incarnation, fault in update.faults:
             failed_ids.add(endpoint_id)
-            state.paths.record_peer_fault(update.name, endpoint_id, now_ms)
             state.apply_reported_fault(endpoint_id, incarnation, fault, now_ms)
         for flight_id in update.ended:
             flight = state.load_state.peer_flight(update.name, flight_id)
