--- a/vanillareach/core/path_evidence.py
+++ b/vanillareach/core/path_evidence.py
@@ -185,15 +185,14 @@
         _put_latest(faults, endpoint_id, now_ms, MAX_PEER_FAULTS)
         _put_latest(self._faults_by_peer, peer, faults, MAX_PEERS)
 
-    def is_shared(self, peers, listed_count, now_ms):
-        """Return whether all of some peers report faults of several endpoints.
+    def is_shared(self, peers, count, now_ms):
+        """Return whether all of some peers report faults of `count` endpoints.
 
         Parameters
         ----------
         peers : collection of str
             Names of the peers that say that they have their links.
-        listed_count : int
-            Number of listed endpoints.
+        count : int
         now_ms : float
         """
         self._faults_by_peer = {
@@ -201,9 +200,8 @@
             for peer, faults in self._faults_by_peer.items()
             if (recent := {e: t for e, t in faults.items() if now_ms - t < WINDOW_MS})
         }
-        needed = min(MIN_PEER_FAULTS, listed_count)
         return bool(peers) and all(
-            len(self._faults_by_peer.get(peer, ())) >= needed for peer in peers
+            len(self._faults_by_peer.get(peer, ())) >= count for peer in peers
         )
 
 
--- a/vanillareach/gateway/link_monitor.py
+++ b/vanillareach/gateway/link_monitor.py
@@ -44,8 +44,10 @@
 # the whole instance. What it saw tells nothing.
 STALL_MS = 150.0
 STALL_SETTLING_MS = 100.0
-# Time in which peers report the same faults if the endpoints are the cause.
+# Time in which peers report a fault if the endpoints are the cause, and in which those
+# that have reported one report more.
 PEER_REPORT_MS = 200.0
+MAX_PEER_REPORT_MS = 800.0
 
 log = get_logger("probing")
 
@@ -228,9 +230,7 @@
         connected = [endpoint.id for endpoint in reached]
         is_shared = False
         if self.uses_health and not connected:
-            if not state.reach.is_lost:
-                await self._clock.sleep_ms(PEER_REPORT_MS)
-            is_shared = self._peer_chooser.has_shared_faults()
+            is_shared = await self._await_shared_faults()
         now_ms = self._clock.now_ms()
         if not state.reach.record_check(
             len(connected), len(checked), now_ms, is_shared
@@ -248,6 +248,18 @@
         )
         state.publish()
 
+    async def _await_shared_faults(self):
+        """Return whether peers report the same faults; wait while they may do so."""
+        chooser, until_ms = self._peer_chooser, self._clock.now_ms()
+        if not self._state.reach.is_lost:
+            until_ms += MAX_PEER_REPORT_MS
+            await self._clock.sleep_ms(PEER_REPORT_MS)
+        while not chooser.has_shared_faults():
+            if self._clock.now_ms() >= until_ms or not chooser.has_shared_faults(1):
+                return False
+            await self._clock.sleep_ms(MIN_WATCH_INTERVAL_MS)
+        return True
+
     async def _check_paths(self):
         """Ask some of the dead paths and of those in doubt for an answer."""
         state, paths = self._state, self._state.paths
--- a/vanillareach/gateway/peer_choice.py
+++ b/vanillareach/gateway/peer_choice.py
@@ -2,6 +2,7 @@
 
 import random
 
+from vanillareach.core.path_evidence import MIN_PEER_FAULTS
 from vanillareach.gateway.exchange import AttemptResult
 
 # A request that has met this many unreachable endpoints is handed on.
@@ -98,12 +99,15 @@
         usable = {e.id for e in self._state.endpoints.usable(exchange.service.name)}
         return bool(usable) and usable <= avoided and not self.has_shared_faults()
 
-    def has_shared_faults(self):
-        """Return whether the peers that say that they have links report faults."""
+    def has_shared_faults(self, count=MIN_PEER_FAULTS):
+        """Return whether all peers that say that they have links report faults.
+
+        `count` is the least number of endpoints at which each has seen one.
+        """
         state = self._state
         return state.paths.is_shared(
             [peer.name for peer in self._gossip.peers.forwarding_candidates()],
-            len(state.endpoints.by_id),
+            min(count, len(state.endpoints.by_id)),
             self._clock.now_ms(),
         )
 
