Cut the paths of single gateways in the soak; forget dead paths without health path

The soak's gateways share the proxies, so a proxy finds the process that holds the other end of a connection. Extra fault "paths", not injected by default. An endpoint that accepts and closes connections counts as lost at the second check only, unless other paths are in doubt as well. Paths count as dead only while their service names a health path. A health path that isn't a string is ignored.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -26,6 +26,7 @@
 from bench.soak.faults import FaultInjector
 from bench.soak.limits import LimitInjector
 from bench.soak.observations import record_stalls
+from bench.soak.paths import PathInjector
 from bench.soak.processes import record_processes
 from bench.soak.signals import SignalSeries
 from bench.soak.tainted import EngineCrasher, PromptParts
@@ -34,7 +35,7 @@
 from vanillareach.utils import split_address
 
 # Faults besides the usual ones, and those of them that are injected by default.
-EXTRA_FAULTS = (*STEPS_BY_FAULT, "tainted", "limited")
+EXTRA_FAULTS = (*STEPS_BY_FAULT, "tainted", "limited", "paths")
 DEFAULT_EXTRA_FAULTS = ("unframed", "limited")
 READY_TIMEOUT_S = 60
 # Reservations that nobody releases expire within this time.
@@ -55,6 +56,9 @@
     """
     async with trio.open_nursery() as nursery:
         environment = await open_environment(nursery, layout, seed, seed_index)
+        if "paths" in extra_faults:
+            environment.has_health_paths = True
+            environment.write_configuration()
         violations = await wait_until_all_serve(environment, READY_TIMEOUT_S)
         if not violations:
             injector = FaultInjector(environment)
@@ -78,6 +82,9 @@
                     disturbances.start_soon(withdrawals.run, duration_s)
                     disturbances.start_soon(answers.run, duration_s)
                     disturbances.start_soon(crasher.run, duration_s)
+                    if "paths" in extra_faults:
+                        paths = PathInjector(environment, seed)
+                        disturbances.start_soon(paths.run, duration_s)
                     if "limited" in extra_faults:
                         limits = LimitInjector(environment, seed)
                         disturbances.start_soon(limits.run, duration_s)
--- /dev/null
+++ b/bench/soak/paths.py
@@ -0,0 +1,51 @@
+"""Paths of single gateways to all endpoints that accept connections and fail them.
+
+The gateways share the proxies, so a connection is told apart by the process that holds
+its other end.
+"""
+
+import random
+
+import trio
+
+from bench.soak.observations import Fault
+from bench.soak.processes import process_of
+
+PAUSE_S = (1.0, 4.0)
+DURATION_S = (1.0, 5.0)
+MODES = ("cut", "silent", "deaf", "mute")
+
+
+class PathInjector:
+    """Cuts the paths of single gateways, with a generator of its own.
+
+    Parameters
+    ----------
+    environment : SoakEnvironment
+    seed : int
+    """
+
+    def __init__(self, environment, seed):
+        self._environment = environment
+        self._random = random.Random(f"paths {seed}")
+
+    async def run(self, duration_s):
+        """Cut paths for `duration_s`; return when the last ones are whole."""
+        end_s = trio.current_time() + duration_s
+        while trio.current_time() < end_s:
+            await trio.sleep(self._random.uniform(*PAUSE_S))
+            gateway = self._random.choice(self._environment.gateways)
+            process = process_of(gateway)
+            if process is not None:
+                await self._cut(gateway, process, self._random.choice(MODES))
+
+    async def _cut(self, gateway, process, mode):
+        fault = Fault("paths", trio.current_time(), gateway=gateway.number, detail=mode)
+        self._environment.observations.faults.append(fault)
+        proxies = self._environment.endpoint_proxies.values()
+        for proxy in proxies:
+            proxy.modes_by_process = {process.id: mode}
+        await trio.sleep(self._random.uniform(*DURATION_S))
+        for proxy in proxies:
+            proxy.modes_by_process = {}
+        fault.ended_s = trio.current_time()
--- a/bench/soak/processes.py
+++ b/bench/soak/processes.py
@@ -8,7 +8,9 @@
 
 from bench.processes import peak_mb
 from bench.soak.observations import Process, SentSignal
+from vanillareach.utils import split_address
 
+SOCKETS_TABLE = Path("/proc/net/tcp")
 PID_FOLDER = Path("build/entries")
 PROCESS_LOOK_INTERVAL_S = 0.2
 
@@ -51,3 +53,25 @@
                 observations.first_peak_mb_by_process.setdefault(process, peak)
                 observations.peak_mb_by_process[process] = peak
         await trio.sleep(PROCESS_LOOK_INTERVAL_S)
+
+
+def owns_socket(process_id, address):
+    """Return whether a process holds the socket with a local address.
+
+    Parameters
+    ----------
+    process_id : int
+    address : str
+        ``host:port``.
+    """
+    host, port = split_address(address)
+    octets = bytes(map(int, host.split(".")))[::-1]
+    local = f"{octets.hex().upper()}:{port:04X}"
+    rows = (line.split() for line in SOCKETS_TABLE.read_text().splitlines()[1:])
+    names = {f"socket:[{row[9]}]" for row in rows if row[1] == local}
+    try:
+        folder = Path(f"/proc/{process_id}/fd")
+        return any(os.readlink(item) in names for item in folder.iterdir())
+    except OSError:
+        # The process, or one of its files, is gone.
+        return False
--- a/bench/soak/proxy.py
+++ b/bench/soak/proxy.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from bench.soak.processes import owns_socket
 from vanillareach.utils import split_address
 
 RECEIVE_BUFFER_BYTES = 65_536
@@ -24,6 +25,8 @@
 
     Attributes
     ----------
+    modes_by_process : dict of int to str
+        Modes of the connections of single processes, by id, instead of `mode`.
     mode : str
         "pass", "delay" (each piece of data by `DELAY_S`), "silent" (no data passes),
         "deaf" (no data passes back to the client), "mute" (none passes to the target)
@@ -36,6 +39,8 @@
         self.listen = listen
         self.target = target
         self.mode = "pass"
+        self.modes_by_process = {}
+        self._owners_by_stream = {}
         self._open_streams = set()
         self._listening_scope = None
         self._reopening_event = None
@@ -69,17 +74,17 @@
     async def _serve(self, client_stream):
         self._open_streams.add(client_stream)
         try:
-            if self.mode == "cut":
+            if self._mode_of(client_stream) == "cut":
                 return _reset(client_stream)
             target_stream = await trio.open_tcp_stream(*split_address(self.target))
             self._open_streams.add(target_stream)
             try:
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(
-                        self._forward, client_stream, target_stream, "there"
+                        self._forward, client_stream, target_stream, client_stream
                     )
                     nursery.start_soon(
-                        self._forward, target_stream, client_stream, "back"
+                        self._forward, target_stream, client_stream, client_stream
                     )
             finally:
                 self._open_streams.discard(target_stream)
@@ -88,12 +93,26 @@
             return None
         finally:
             self._open_streams.discard(client_stream)
+            self._owners_by_stream.pop(client_stream, None)
             client_stream.socket.close()
 
-    async def _forward(self, source, sink, direction):
+    def _mode_of(self, client_stream):
+        """Return the mode of a client's connection."""
+        for process_id, mode in self.modes_by_process.items():
+            owners = self._owners_by_stream.setdefault(client_stream, {})
+            if process_id not in owners:
+                host, port = client_stream.socket.getpeername()
+                owners[process_id] = owns_socket(process_id, f"{host}:{port}")
+            if owners[process_id]:
+                return mode
+        return self.mode
+
+    async def _forward(self, source, sink, client_stream):
+        direction = "there" if source is client_stream else "back"
+        blocking = ("silent", BLOCKING_MODE_BY_DIRECTION[direction])
         try:
             while data := await source.receive_some(RECEIVE_BUFFER_BYTES):
-                while self.mode in ("silent", BLOCKING_MODE_BY_DIRECTION[direction]):
+                while self._mode_of(client_stream) in blocking:
                     await trio.sleep(0.05)
                 if self.mode == "delay":
                     await trio.sleep(self.DELAY_S)
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -11,7 +11,7 @@
 from bench.soak.endpoint import EVENT_COUNT, SoakEndpoint
 from bench.soak.observations import Observations
 from bench.soak.proxy import FaultProxy
-from vanillareach.features.users_platform.endpoint import response_body
+from vanillareach.features.users_platform.endpoint import HEALTH_PATH, response_body
 from vanillareach.features.users_platform.stage import (
     PlatformStage,
     free_address,
@@ -54,6 +54,8 @@
     observations : Observations
     id_prefix : str
         Common start of the attempt ids of a seed.
+    has_health_paths : bool
+        Whether configurations name the path of health checks.
     version : int
         Version of the newest configuration that the operator has written.
     variant : ConfigurationVariant
@@ -74,6 +76,7 @@
     id_prefix: str = ""
     store_proxies: list = field(default_factory=list)
     endpoint_proxies: dict = field(default_factory=dict)
+    has_health_paths: bool = False
     version: int = 1
     variant: ConfigurationVariant = ConfigurationVariant()
     prompts: object = None
@@ -112,6 +115,9 @@
 
     def _put_configuration(self):
         document = self.variant.document(self.version)
+        if self.has_health_paths:
+            for backend in document["backends"]:
+                backend["health_path"] = HEALTH_PATH
         timeouts = {route["name"]: route["timeout_ms"] for route in document["routes"]}
         self.observations.timeouts_ms.append((trio.current_time(), timeouts))
         self.stage.store.put("config", "main", document)
--- a/vanillareach/core/path_evidence.py
+++ b/vanillareach/core/path_evidence.py
@@ -98,8 +98,8 @@
             return
         _put_latest(self._answered_ms_by_key, key, sent_ms, MAX_ENDPOINTS)
         swallowed = self._swallowed_by_key.get(key)
-        if swallowed is not None and swallowed[1] < sent_ms:
-            del self._swallowed_by_key[key]
+        if swallowed is None or swallowed[1] < sent_ms:
+            self._swallowed_by_key.pop(key, None)
             self.dead_keys.discard(key)
 
     def record_end(self, flight, now_ms):
@@ -153,7 +153,7 @@
 
     def avoided_ids(self, now_ms):
         """Return the ids of endpoints whose paths are dead or in doubt."""
-        if not self._swallowed_by_key:
+        if not self._swallowed_by_key and not self.dead_keys:
             return set()
         return {key[0] for key in (*self.dead_keys, *self.suspects(now_ms))}
 
--- a/vanillareach/gateway/link_monitor.py
+++ b/vanillareach/gateway/link_monitor.py
@@ -144,9 +144,10 @@
 
     def record_end(self, attempt, is_reset):
         """Record that an attempt ended, and whether its connection ended too early."""
+        paths, now_ms = self._state.paths, self._clock.now_ms()
         if not self.uses_health:
+            paths.waiting_by_id.pop(attempt.flight.id, None)
             return
-        paths, now_ms = self._state.paths, self._clock.now_ms()
         if is_reset:
             key = attempt.placement.endpoint.key
             paths.record_reset(attempt.flight, key, now_ms)
@@ -154,11 +155,15 @@
             paths.record_end(attempt.flight, now_ms)
         self._wake_if_in_doubt()
 
-    def _wake_if_in_doubt(self):
-        if self._state.reach.is_lost or self._suspect_event.is_set():
-            return
+    def is_in_doubt(self):
+        """Return whether links are lost, or several endpoints swallowed requests."""
+        if self._state.reach.is_lost:
+            return True
         suspects = self._state.paths.suspects(self._clock.now_ms())
-        if len(suspects) >= MIN_SUSPECTS:
+        return len(suspects) >= MIN_SUSPECTS
+
+    def _wake_if_in_doubt(self):
+        if not self._state.reach.is_lost and self.is_in_doubt():
             self._suspect_event.set()
 
     async def run(self):
@@ -263,18 +268,19 @@
     async def _check_paths(self):
         """Ask some of the dead paths and of those in doubt for an answer."""
         state, paths = self._state, self._state.paths
-        by_key = {endpoint.key: endpoint for endpoint in state.endpoints.by_id.values()}
+        # Without a health path there is no proof that a path is dead, or isn't.
+        by_key = {
+            endpoint.key: endpoint
+            for endpoint in state.endpoints.by_id.values()
+            if self.uses_health and endpoint.service in self._paths_by_service
+        }
         paths.keep_only(by_key.keys())
         now_ms = self._clock.now_ms()
         in_doubt = set(paths.suspects(now_ms))
         if len(in_doubt) < MIN_SUSPECTS:
             # A single one may have failed itself.
             in_doubt.clear()
-        keys = [
-            key
-            for key in in_doubt | paths.dead_keys
-            if by_key[key].service in self._paths_by_service
-        ]
+        keys = list(in_doubt | paths.dead_keys)
         # Those that aren't known as dead come first.
         self._random.shuffle(keys)
         keys.sort(key=paths.dead_keys.__contains__)
--- a/vanillareach/gateway/loss_checks.py
+++ b/vanillareach/gateway/loss_checks.py
@@ -69,9 +69,9 @@
     async def _check_again(self, attempt):
         async with self._limiter:
             await self._clock.sleep_ms(SECOND_CHECK_DELAY_MS)
-            await self._is_lost(attempt)
+            await self._is_lost(attempt, is_second=True)
 
-    async def _is_lost(self, attempt):
+    async def _is_lost(self, attempt, is_second=False):
         endpoint = attempt.placement.endpoint
         try:
             stream = await connect(endpoint.address, CHECK_TIMEOUT_MS)
@@ -84,9 +84,12 @@
         is_closed = await _is_closed_soon(stream)
         stream.socket.close()
         if is_closed and self._link_monitor.uses_health:
-            # The path may accept connections and end them. An endpoint that has ended
-            # refuses the second check.
-            return False
+            # The path may accept connections and end them. By the second check it is
+            # known whether others do so, too.
+            if not is_second or self._link_monitor.is_in_doubt():
+                return False
+            if await self._link_monitor.check():
+                return True
         if is_closed:
             self._record_loss(attempt, "connection closed")
         return is_closed
--- a/vanillareach/platform/documents.py
+++ b/vanillareach/platform/documents.py
@@ -1,6 +1,7 @@
 """Decodes the objects of the platform's store into the types of the core."""
 
 import re
+from typing import Any
 
 import msgspec
 
@@ -120,11 +121,12 @@
     name: str
     max_connections: int = 0
     engine: EngineDocument | None = None
-    health_path: str | None = None
+    # Of any type, so that a useless value makes no configuration invalid.
+    health_path: Any = None
 
     def service(self):
         """Return the document as a `RoutedService`."""
-        path = self.health_path or ""
+        path = self.health_path if isinstance(self.health_path, str) else ""
         return RoutedService(
             self.name,
             self.max_connections,
