--- a/vanillareach/core/routing.py
+++ b/vanillareach/core/routing.py
@@ -143,6 +143,8 @@
         of them is ever cold.
     cold_start_ms : float
         Time for which an endpoint is cold after its start.
+    health_path : str
+        Path at which its endpoints answer health checks; empty if there is none.
     """
 
     name: str
@@ -150,6 +152,7 @@
     engine: EngineFigures | None
     cold_per_s: float = 0.0
     cold_start_ms: float = 0.0
+    health_path: str = ""
 
 
 @dataclass(slots=True, frozen=True)
--- a/vanillareach/gateway/forwarder.py
+++ b/vanillareach/gateway/forwarder.py
@@ -98,7 +98,9 @@
         self.pace_estimator = EnginePaceEstimator(
             state, dispatcher, placement_client, clock
         )
-        self.link_monitor = LinkMonitor(state, settings.domain, clock)
+        self.link_monitor = LinkMonitor(
+            state, settings.domain, clock, placement_client, peer_chooser
+        )
         self.loss_checker = EndpointLossChecker(
             state, placement_client, self.link_monitor, clock
         )
@@ -106,6 +108,7 @@
             state,
             dispatcher,
             self.loss_checker,
+            self.link_monitor,
             self.idle_timeouts,
             protocol,
             reservation_protocol,
@@ -291,7 +294,10 @@
             peer_placement = self._peer_chooser.choose(exchange)
             if peer_placement is not None:
                 return PlacementDecision(peer_placement)
-            if self._state.reach.is_lost and exchange.is_forwarded:
+            if exchange.is_forwarded and (
+                self._state.reach.is_lost
+                or self._peer_chooser.is_service_cut_off(exchange)
+            ):
                 return PlacementDecision(None, NOT_READY_RETRY_AFTER_MS, "links_lost")
             decision = await self._placement_client.choose(exchange)
             if decision.placement is not None or group.is_running:
--- a/vanillareach/gateway/gossip.py
+++ b/vanillareach/gateway/gossip.py
@@ -377,6 +377,8 @@
             load_state.replace_peer(update.name, (), now_ms)
         peer.last_message_order = order
         peer.last_heard_ms = now_ms
+        for endpoint_id, _, _ in update.faults:
+            self._state.paths.record_peer_fault(update.name, endpoint_id, now_ms)
         if not self.audience.is_direct:
             self._apply_outcomes(update, now_ms)
         self._state.record_dispatches(update.name, update.begun)
--- a/vanillareach/gateway/peer_choice.py
+++ b/vanillareach/gateway/peer_choice.py
@@ -2,6 +2,7 @@
 
 import random
 
+from vanillareach.core.path_evidence import MIN_PEER_FAULTS
 from vanillareach.gateway.exchange import AttemptResult
 
 # A request that has met this many unreachable endpoints is handed on.
@@ -74,12 +75,42 @@
         unreachable_count = sum(
             attempt.result is AttemptResult.UNREACHABLE for attempt in exchange.attempts
         )
-        is_cut_off = self._state.reach.is_lost
+        is_cut_off = self._state.reach.is_lost or self._is_in_doubt(exchange)
         if not is_cut_off and unreachable_count < MAX_UNREACHABLE_ATTEMPTS:
             return None
         peer = self._least_loaded(exchange)
         return None if peer is None else PeerPlacement(peer)
 
+    def is_service_cut_off(self, exchange):
+        """Return whether the paths to all endpoints of a request's service are dead."""
+        paths, endpoints = self._state.paths, self._state.endpoints
+        if not paths.dead_keys:
+            return False
+        return paths.is_cut_off(endpoints.usable(exchange.service.name))
+
+    def _is_in_doubt(self, exchange):
+        """Return whether all paths to a service are dead or have just failed here.
+
+        False if peers report the same faults.
+        """
+        avoided = self._state.paths.avoided_ids(self._clock.now_ms())
+        if not avoided:
+            return False
+        usable = {e.id for e in self._state.endpoints.usable(exchange.service.name)}
+        return bool(usable) and usable <= avoided and not self.has_shared_faults()
+
+    def has_shared_faults(self, count=MIN_PEER_FAULTS):
+        """Return whether all peers that say that they have links report faults.
+
+        `count` is the least number of endpoints at which each has seen one.
+        """
+        state = self._state
+        return state.paths.is_shared(
+            [peer.name for peer in self._gossip.peers.forwarding_candidates()],
+            min(count, len(state.endpoints.by_id)),
+            self._clock.now_ms(),
+        )
+
     def record_unable(self, peer):
         """Leave out a peer for a while."""
         self._unable_until_ms_by_name[peer.name] = self._clock.now_ms() + UNABLE_TTL_MS
--- a/vanillareach/platform/documents.py
+++ b/vanillareach/platform/documents.py
@@ -1,5 +1,8 @@
 """Decodes the objects of the platform's store into the types of the core."""
 
+import re
+from typing import Any
+
 import msgspec
 
 from vanillareach.core.endpoint_list import ListedEndpoint
@@ -22,6 +25,7 @@
 DRAINING_STATE = "draining"
 READY_STATE = "ready"
 MS_PER_SECOND = 1000.0
+HEALTH_PATH_PATTERN = re.compile(r"/[!-~]*")
 
 
 class DocumentError(ValueError):
@@ -119,6 +123,21 @@
     engine: EngineDocument | None = None
     cold_per_s: float = 0.0
     cold_start_s: float = 0.0
+    # Of any type, so that a useless value makes no configuration invalid.
+    health_path: Any = None
+
+    def service(self):
+        """Return the document as a `RoutedService`."""
+        path = self.health_path if isinstance(self.health_path, str) else ""
+        return RoutedService(
+            self.name,
+            self.max_connections,
+            self.engine.figures() if self.engine else None,
+            max(0.0, self.cold_per_s),
+            MS_PER_SECOND * max(0.0, self.cold_start_s),
+            # A path with other characters would break the head of a request.
+            path if HEALTH_PATH_PATTERN.fullmatch(path) else "",
+        )
 
 
 class LimitsDocument(msgspec.Struct):
@@ -262,16 +281,7 @@
     return RouteTable.build(
         version=document.version,
         routes=[route.route() for route in document.routes],
-        services=[
-            RoutedService(
-                service.name,
-                service.max_connections,
-                service.engine.figures() if service.engine else None,
-                max(0.0, service.cold_per_s),
-                MS_PER_SECOND * max(0.0, service.cold_start_s),
-            )
-            for service in document.backends
-        ],
+        services=[service.service() for service in document.backends],
         teams_by_key=_teams_by_key(document.tenants),
         limits=CallerLimits(
             limits.max_header_bytes,
