--- a/vanillareach/features/cold_engines.feature
+++ b/vanillareach/features/cold_engines.feature
@@ -90,6 +90,19 @@
     And the fleet runs for 4000 ms
     Then no instance takes an engine for cold, or limits it
 
+  Scenario Outline: Callers are refused at once while all engines are cold and have enough
+    Given a fleet of <instances> instances in domains "abc"
+    And cold engines take 0.2 requests a second, for 6 s from their start
+    When the fleet runs for 2000 ms
+    And the engines of the fleet start again
+    And callers send 100 requests a second for 3000 ms, while nothing else happens
+    Then a request is refused within 20 ms as "limited", and told when to return
+
+    Examples:
+      | instances |
+      | 9         |
+      | 30        |
+
   Scenario: An instance that starts learns from a peer for how long engines are cold
     Given a fleet of 9 instances in domains "abc"
     And cold engines take 4 requests a second, for 8 s from their start
