--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -37,7 +37,13 @@
 from vanillareach.utils import split_address
 
 # Faults besides the usual ones, and those of them that are injected by default.
-EXTRA_FAULTS = (*STEPS_BY_FAULT, "tainted", "limited", "evacuated", "cold", "paths")
+INJECTORS_BY_FAULT = {
+    "paths": PathInjector,
+    "limited": LimitInjector,
+    "evacuated": EvacuationInjector,
+    "cold": ColdInjector,
+}
+EXTRA_FAULTS = (*STEPS_BY_FAULT, "tainted", *INJECTORS_BY_FAULT)
 DEFAULT_EXTRA_FAULTS = ("unframed", "limited", "evacuated")
 READY_TIMEOUT_S = 60
 # Reservations that nobody releases expire within this time.
@@ -84,18 +90,10 @@
                     disturbances.start_soon(withdrawals.run, duration_s)
                     disturbances.start_soon(answers.run, duration_s)
                     disturbances.start_soon(crasher.run, duration_s)
-                    if "paths" in extra_faults:
-                        paths = PathInjector(environment, seed)
-                        disturbances.start_soon(paths.run, duration_s)
-                    if "limited" in extra_faults:
-                        limits = LimitInjector(environment, seed)
-                        disturbances.start_soon(limits.run, duration_s)
-                    if "evacuated" in extra_faults:
-                        evacuations = EvacuationInjector(environment, seed)
-                        disturbances.start_soon(evacuations.run, duration_s)
-                    if "cold" in extra_faults:
-                        cold = ColdInjector(environment, seed)
-                        disturbances.start_soon(cold.run, duration_s)
+                    for fault, injector_type in INJECTORS_BY_FAULT.items():
+                        if fault in extra_faults:
+                            extra = injector_type(environment, seed)
+                            disturbances.start_soon(extra.run, duration_s)
                 callers.cancel_scope.cancel()
             for endpoint in environment.endpoints_by_name.values():
                 endpoint.script.clear()
