--- a/vanillareach/features/waiting.feature
+++ b/vanillareach/features/waiting.feature
@@ -65,7 +65,7 @@
 
   Scenario: Refused callers return one after another, within a third of their time
     Given engines with all slots taken
-    When 60 medium prompts are refused at once
+    When 30 medium prompts are refused at once
     Then their retry times grow, differ, and take no more than a third of their time
 
   Scenario: A flood is bounded, and an urgent request still gets its place
