--- a/vanillareach/core/placement_types.py
+++ b/vanillareach/core/placement_types.py
@@ -7,6 +7,7 @@
 
 from vanillareach.core.endpoint_list import ListedEndpoint
 from vanillareach.core.load_state import EngineLoad
+from vanillareach.core.priorities import UNKNOWN_PRIORITY
 
 # Cost of an engine in another failure domain, in worth, unless the settings say more.
 # It counts little against a late response.
@@ -35,6 +36,8 @@
         Time left until the placing instance shuts down, which ends all its responses.
     other_domain_cost : float
         Cost of an engine in another failure domain, in worth.
+    priority : int
+        Unknown where the service has one priority only.
     """
 
     prompt_tokens: int
@@ -47,6 +50,7 @@
     unreported_requests: float = 0.0
     time_to_shutdown_ms: float = math.inf
     other_domain_cost: float = OTHER_DOMAIN_COST
+    priority: int = UNKNOWN_PRIORITY
 
 
 @dataclass(slots=True, frozen=True)
--- a/vanillareach/gateway/app.py
+++ b/vanillareach/gateway/app.py
@@ -9,6 +9,7 @@
 from vanillareach.clock import MS_PER_SECOND, TrioClock
 from vanillareach.core.dispatching import Dispatcher
 from vanillareach.core.engine_policies import POLICIES_BY_NAME
+from vanillareach.core.ordered_placing import OrderedPlacement
 from vanillareach.core.routing import CallerLimits
 from vanillareach.gateway.following import StoreFollower
 from vanillareach.gateway.forwarded_requests import ForwardedRequestHandler
@@ -103,8 +104,10 @@
         )
         policy = POLICIES_BY_NAME[settings.placement]()
         dispatcher = Dispatcher(self.state, settings.domain, random.Random(), policy)
-        placement_client = PlacementClient(self.state, dispatcher, self.gossip, clock)
-        placement_server = PlacementServer(self.state, dispatcher, self.gossip, clock)
+        self.ordered = OrderedPlacement(self.state, dispatcher, random.Random())
+        placing = (self.state, dispatcher, self.gossip, clock, self.ordered)
+        placement_client = PlacementClient(*placing)
+        placement_server = PlacementServer(*placing)
         self.gossip.answer_query = placement_server.answer
         self.forwarder = Forwarder(
             self.state,
@@ -143,6 +146,7 @@
 
     def _add_gauges(self):
         add, state = self.metrics.add_gauge, self.state
+        self.metrics.read_waiting = self._waiting_counts
         add(
             "log_lines_dropped",
             "Log lines left out.",
@@ -232,6 +236,9 @@
             lambda: self.caller_listener.open_connections,
         )
 
+    def _waiting_counts(self):
+        return self.ordered.waiting_counts(self.clock.now_ms())
+
     async def start(self, nursery):
         """Start all tasks; return once callers can connect."""
         for run in (
@@ -299,7 +306,12 @@
     def _encoded_report(self):
         now_ms = self.clock.now_ms()
         report = build_report(
-            self.settings, self.state, self.gossip, self.reservations, now_ms
+            self.settings,
+            self.state,
+            self.gossip,
+            self.reservations,
+            now_ms,
+            self._waiting_counts(),
         )
         return msgspec.json.encode(report)
 
--- a/vanillareach/gateway/forwarder.py
+++ b/vanillareach/gateway/forwarder.py
@@ -302,6 +302,8 @@
             decision = await self._placement_client.choose(exchange)
             if decision.placement is not None or group.is_running:
                 return decision
+            if decision.is_final:
+                return decision
             if not self._dispatcher.may_wait(exchange, self._clock.now_ms()):
                 return decision
             await self._clock.sleep_ms(CAPACITY_CHECK_INTERVAL_MS)
@@ -349,6 +351,8 @@
                 retry_after_ms = self._dispatcher.refusal_retry_after_ms(
                     exchange, self._clock.now_ms()
                 )
+            labels = (exchange.service.name, str(exchange.priority), reason)
+            self._metrics.refusals[labels] += 1
             await self._refuse(exchange.fields, responder, 503, reason, retry_after_ms)
 
     async def _pass_on_failure(self, exchange, responder, reason):
--- a/vanillareach/gateway/report.py
+++ b/vanillareach/gateway/report.py
@@ -75,6 +75,8 @@
     evacuated_domains : list of str
     evacuations_age_ms : float
         Time since the store confirmed them; -1 if it never did.
+    waiting_by_service : dict of str to dict of int to int
+        Requests in its queue, by priority; without services that have none.
     """
 
     name: str
@@ -93,9 +95,10 @@
     store_era: int = 0
     evacuated_domains: list[str] = []
     evacuations_age_ms: float = -1.0
+    waiting_by_service: dict[str, dict[int, int]] = {}
 
 
-def build_report(settings, state, gossip, reservations, now_ms):
+def build_report(settings, state, gossip, reservations, now_ms, waiting_by_service):
     """Return the `InstanceReport` of this instance.
 
     Parameters
@@ -105,6 +108,8 @@
     gossip : Gossip
     reservations : ReservationManager
     now_ms : float
+    waiting_by_service : dict
+        See `InstanceReport`.
     """
     configuration = state.configuration
     loads = state.load_state.loads_by_engine(now_ms)
@@ -136,6 +141,7 @@
         store_era=state.store_era,
         evacuated_domains=sorted(state.evacuations.domains),
         evacuations_age_ms=state.evacuations_age_ms(),
+        waiting_by_service=waiting_by_service,
     )
 
 
