Predict what requests cost and place by the work that remains

Requests that look alike take very different amounts of work, but a decoding request counts as one until it ends, and plain calls go by count. The default policy is as before.

--- a/vanillareach/core/dispatching.py
+++ b/vanillareach/core/dispatching.py
@@ -11,6 +11,8 @@
     GenerationRequest,
     Placement,
 )
+from vanillareach.core.remaining_work import DEFAULT_CALL_MS, queue_ms
+from vanillareach.core.request_costs import CostTraits
 from vanillareach.core.routing import RequestKind
 from vanillareach.core.state_change import ChangeKind
 from vanillareach.core.unavailability import find_unavailability
@@ -68,6 +70,13 @@
 # Network latency between caller and instance, which is deducted from the latency
 # objective.
 CALLER_LATENCY_MS = 12.0
+# Costs of a plain call at an endpoint in multiples of its predicted time, besides its
+# predicted completion: for the work left there, shared by the slots, which calls not
+# reported yet add to; for each share of failed attempts; in another failure domain.
+PLAIN_WORK_WEIGHT = 0.5
+PLAIN_FAILURE_WEIGHT = 2.0
+PLAIN_OTHER_DOMAIN_COST = 0.05
+PLAIN_JITTER = 0.05
 NO_LOAD = EngineLoad()
 
 
@@ -89,6 +98,9 @@
         self._random = random
         self._policy = policy
         self._last_flight_id = 0
+        self._uses_costs = policy is not None and policy.uses_costs
+        if self._uses_costs:
+            state.costs.is_enabled = True
 
     def choose(self, exchange, now_ms, denied=frozenset()):
         """Return the `Placement` of the next attempt, or None; see `place`.
@@ -107,6 +119,7 @@
             exchange.excluded_endpoints | denied | withheld,
             exchange.first_event_ms is None,
             now_ms,
+            self._predicted_work(exchange, now_ms)[0],
         )
 
     def generation_request(self, exchange, now_ms):
@@ -115,6 +128,7 @@
         if exchange.service.engine is None or not fields.prompt_tokens:
             return None
         waited_ms = now_ms - exchange.request.received_ms
+        predicted_tokens, high_tokens = self._predicted_work(exchange, now_ms)
         return GenerationRequest(
             prompt_tokens=fields.prompt_tokens,
             answer_tokens=fields.answer_tokens,
@@ -124,9 +138,58 @@
             worth=worth_of(fields),
             domain=self._domain,
             time_to_shutdown_ms=self._time_to_shutdown_ms(exchange, now_ms),
+            predicted_tokens=predicted_tokens,
+            high_tokens=high_tokens,
         )
 
-    def place(self, service, generation, excluded, may_be_refused, now_ms):
+    def _predicted_work(self, exchange, now_ms):
+        """Return median and high quantile of a request's cost; 0 if unknown.
+
+        The first prediction holds for all attempts of the request: a second attempt
+        is predicted to cost what is left.
+        """
+        if not self._uses_costs:
+            return 0.0, 0.0
+        if exchange.cost_traits is None:
+            exchange.cost_traits = cost_traits_of(exchange)
+            costs = self._state.costs.model
+            exchange.cost_prediction = costs.predict(exchange.cost_traits, now_ms)
+        prediction = exchange.cost_prediction
+        if prediction is None:
+            return 0.0, 0.0
+        done = self._tokens_done(exchange)
+        if not done:
+            return prediction.median, prediction.high
+        rest = self._state.costs.model.predict(exchange.cost_traits, now_ms, done)
+        return max(1.0, rest.median - done), max(1.0, rest.high - done)
+
+    def _tokens_done(self, exchange):
+        if exchange.cost_traits.size_class == 0 or not exchange.last_event_id:
+            return 0
+        return exchange.last_event_id * exchange.service.engine.steps_per_pass
+
+    def record_cost(self, exchange, now_ms):
+        """Learn from a request whose attempts have ended."""
+        if not self._uses_costs or exchange.cost_traits is None:
+            return
+        sent = [a for a in exchange.attempts if a.may_have_run and a.flight]
+        if not sent:
+            return
+        attempt = sent[-1]
+        is_complete = exchange.is_answered
+        if exchange.cost_traits.size_class:
+            cost = self._tokens_done(exchange)
+        elif attempt.placement.wait_ms > 0.0 or exchange.failure_response is not None:
+            # The wait for a slot isn't part of the time that the call takes.
+            return
+        else:
+            end_ms = exchange.answered_ms if is_complete else now_ms
+            cost = end_ms - attempt.sent_ms
+        model = self._state.costs.model
+        model.observe(exchange.cost_traits, cost, is_complete, now_ms)
+        model.record_error(exchange.cost_prediction, cost, is_complete)
+
+    def place(self, service, generation, excluded, may_be_refused, now_ms, call_ms=0.0):
         """Return the `Placement` of an attempt by the load known here, or None.
 
         None means that no endpoint has room, or that the request would cost more than
@@ -145,6 +208,8 @@
             Whether a request that costs more than it is worth is refused; a stream
             that has begun is continued.
         now_ms : float
+        call_ms : float
+            Predicted time of a plain call; 0 if unknown.
         """
         state = self._state
         candidates = [
@@ -156,6 +221,8 @@
         if not candidates:
             return None
         loads = state.load_state.loads_by_engine(now_ms)
+        if generation is None and self._uses_costs:
+            return self._choose_plain_by_work(candidates, loads, call_ms, now_ms)
         if generation is None:
             return self._choose_plain(candidates, loads, now_ms)
         placement = self._policy.place(
@@ -192,6 +259,32 @@
 
         return Placement(min(candidates, key=cost))
 
+    def _choose_plain_by_work(self, candidates, loads, call_ms, now_ms):
+        """Return the placement with the earliest predicted completion."""
+        health, call_ms = self._state.health, call_ms or DEFAULT_CALL_MS
+        best, waits_ms = None, []
+        for endpoint in candidates:
+            load = loads.get(endpoint.id, NO_LOAD)
+            slots = max(1, endpoint.slots)
+            wait_ms, work_ms = queue_ms(load.prefilling_requests, slots)
+            waits_ms.append(wait_ms)
+            cost = (
+                (wait_ms + PLAIN_WORK_WEIGHT * work_ms / slots) / call_ms
+                + PLAIN_FAILURE_WEIGHT * health.failure_share(endpoint.key, now_ms)
+                + PLAIN_JITTER * self._random.random()
+            )
+            if endpoint.domain != self._domain:
+                cost += PLAIN_OTHER_DOMAIN_COST
+            if best is None or cost < best[0]:
+                best = (cost, endpoint, wait_ms, work_ms, load.running)
+        _, endpoint, wait_ms, work_ms, running = best
+        why = (
+            f"call takes {call_ms:.0f} ms; {running} calls there have {work_ms:.0f} ms "
+            f"left; slot in {wait_ms:.0f} ms, elsewhere in "
+            f"{min(waits_ms):.0f} to {max(waits_ms):.0f} ms"
+        )
+        return Placement(endpoint, why=why, wait_ms=wait_ms)
+
     def _unreported_requests(self):
         """Return the expected requests that others have placed but not reported."""
         state = self._state
@@ -281,7 +374,7 @@
     def record_dispatch(self, exchange, placement, now_ms):
         """Record the dispatch of a request and return its `InFlightRequest`."""
         flight = placed_flight(
-            self.unplaced_flight(exchange, placement.flight_id), placement
+            self.unplaced_flight(exchange, placement.flight_id, now_ms), placement
         )
         state = self._state
         state.load_state.add(flight, now_ms)
@@ -289,7 +382,7 @@
         state.publish(ChangeKind.FLIGHTS)
         return flight
 
-    def unplaced_flight(self, exchange, flight_id=0):
+    def unplaced_flight(self, exchange, flight_id=0, now_ms=0.0):
         """Return the `InFlightRequest` of a request whose endpoint isn't chosen yet.
 
         Parameters
@@ -297,11 +390,13 @@
         exchange : GatewayExchange
         flight_id : int
             Id of the flight; 0 for a new one.
+        now_ms : float
         """
         if not flight_id:
             self._last_flight_id += 1
             flight_id = self._last_flight_id
         fields, route = exchange.fields, exchange.route
+        predicted_work, high_work = self._predicted_work(exchange, now_ms)
         return InFlightRequest(
             id=flight_id,
             engine="",
@@ -315,11 +410,13 @@
             worth=worth_of(fields),
             is_prefilling=True,
             age_ms=0.0,
+            predicted_work=predicted_work,
+            high_work=high_work,
         )
 
-    def record_first_event(self, flight):
+    def record_first_event(self, flight, now_ms):
         """Record that the first event of an in-flight request has arrived."""
-        self._state.load_state.mark_decoding(flight)
+        self._state.load_state.mark_decoding(flight, now_ms)
         self._state.publish(ChangeKind.FLIGHTS)
 
     def record_end(self, flight):
@@ -446,6 +543,19 @@
     )
 
 
+def cost_traits_of(exchange):
+    """Return the `CostTraits` of a request."""
+    fields, team = exchange.fields, exchange.team
+    traits = CostTraits(exchange.route.name, team=team.name if team else "")
+    if exchange.service.engine is not None and fields.prompt_tokens:
+        traits.size_class = fields.prompt_tokens.bit_length()
+        traits.part = fields.prompt_parts[-1] if fields.prompt_parts else ""
+        traits.hint_tokens = fields.length_hint
+        if fields.answer_tokens:
+            traits.limit = fields.answer_tokens
+    return traits
+
+
 def worth_of(fields):
     """Return the relative worth of a generation.
 
--- a/vanillareach/core/engine_policies.py
+++ b/vanillareach/core/engine_policies.py
@@ -8,8 +8,11 @@
 
 from abc import ABC, abstractmethod
 
+import msgspec
+
 from vanillareach.core.engine_time import prefill_ms
 from vanillareach.core.placement_types import Placement
+from vanillareach.core.remaining_work import PredictedWork
 from vanillareach.core.span_placement import (
     first_event_ms,
     place,
@@ -22,7 +25,16 @@
 
 
 class EnginePolicy(ABC):
-    """Base of the policies, which choose the engine of a generation."""
+    """Base of the policies, which choose the engine of a generation.
+
+    Attributes
+    ----------
+    uses_costs : bool
+        Whether requests are placed, and costs learned, by predicted costs; see
+        `request_costs`.
+    """
+
+    uses_costs = False
 
     @abstractmethod
     def place(self, request, figures, views):
@@ -45,6 +57,43 @@
         return place(request, figures, views)
 
 
+class RemainingWork(EnginePolicy):
+    """Least predicted loss, with what is predicted to remain of other requests."""
+
+    uses_costs = True
+
+    def place(self, request, figures, views):
+        """Place; see `EnginePolicy`."""
+        work = PredictedWork()
+        placement = place(request, figures, views, work)
+        if placement is None:
+            return None
+        return msgspec.structs.replace(
+            placement, why=explain_choice(request, figures, views, work, placement)
+        )
+
+
+def explain_choice(request, figures, views, work, placement):
+    """Return in words why an engine was chosen, for the decision log."""
+    view = next(v for v in views if v.endpoint.id == placement.endpoint.id)
+    left_ms = work.remaining_ms(figures, view)
+    answer = "answer unknown"
+    if request.predicted_tokens:
+        answer = (
+            f"answer {request.predicted_tokens:.0f} to {request.high_tokens:.0f} tokens"
+        )
+    if view.load.running < figures.slots:
+        slot = f"{figures.slots - view.load.running} slots free"
+    else:
+        slot = f"slot in {work.slot_wait_ms(figures, view):.0f} ms"
+    with_free_slot = sum(v.load.running < figures.slots for v in views)
+    ends = f", first ends in {min(left_ms):.0f} ms" if left_ms else ""
+    return (
+        f"{answer}; {len(left_ms)} requests there have {sum(left_ms):.0f} ms left"
+        f"{ends}; {slot}; {with_free_slot} of {len(views)} engines have slots"
+    )
+
+
 class SingleEngine(EnginePolicy):
     """Base of the baselines, which prefill each prompt on one engine."""
 
@@ -116,6 +165,7 @@
 
 POLICIES_BY_NAME = {
     "predicted-loss": PredictedLoss,
+    "remaining-work": RemainingWork,
     "random": RandomEngine,
     "round-robin": RoundRobin,
     "least-loaded": LeastLoaded,
--- a/vanillareach/core/load_state.py
+++ b/vanillareach/core/load_state.py
@@ -35,6 +35,11 @@
         Whether its first event is still to come.
     age_ms : float
         Time since its dispatch, by the sender's clock when it was sent.
+    predicted_work, high_work : float
+        Median and high quantile of its predicted cost: output tokens of a generation,
+        ms of a plain call; 0 if unknown, as from an instance of an older version.
+    decoding_ms : float
+        Time since its first event, at sending; 0 if unknown.
     """
 
     id: int
@@ -49,6 +54,9 @@
     worth: float
     is_prefilling: bool
     age_ms: float
+    predicted_work: float = 0.0
+    high_work: float = 0.0
+    decoding_ms: float = 0.0
 
 
 @dataclass(slots=True)
@@ -61,6 +69,8 @@
         Requests that occupy a slot.
     decoding_requests : list of InFlightRequest
         Requests it responds to whose first event has come.
+    decoding_ms : list of float
+        Time since the first event of each of them.
     prefilling_requests : list of (InFlightRequest, float)
         Requests whose prompts, or parts of them, it prefills, with their ages in ms.
     pending_prefill_ms : float
@@ -75,6 +85,7 @@
 
     running: int = 0
     decoding_requests: list = field(default_factory=list)
+    decoding_ms: list = field(default_factory=list)
     prefilling_requests: list = field(default_factory=list)
     pending_prefill_ms: float = 0.0
     helper_part_count: int = 0
@@ -90,26 +101,49 @@
     by_id : dict of int to InFlightRequest
     dispatched_ms_by_id : dict of int to float
         When each was dispatched, by the local clock.
+    decoding_since_ms_by_id : dict of int to float
+        When the first event of each came, by the local clock.
     updated_ms : float
         When the instance last sent its requests or changes to them.
     """
 
-    __slots__ = ("by_id", "updated_ms", "dispatched_ms_by_id")
+    __slots__ = (
+        "by_id",
+        "updated_ms",
+        "dispatched_ms_by_id",
+        "decoding_since_ms_by_id",
+    )
 
     def __init__(self):
         self.by_id = {}
         self.dispatched_ms_by_id = {}
+        self.decoding_since_ms_by_id = {}
         self.updated_ms = 0.0
 
     def put(self, flight, now_ms):
         """Add a request, with the dispatch time that its age gives."""
         self.by_id[flight.id] = flight
         self.dispatched_ms_by_id[flight.id] = now_ms - flight.age_ms
+        if not flight.is_prefilling:
+            self.decoding_since_ms_by_id[flight.id] = now_ms - _decoding_ms(flight)
+
+    def mark_decoding(self, flight, now_ms):
+        """Record that the first event of a request has come."""
+        flight.is_prefilling = False
+        self.decoding_since_ms_by_id.setdefault(flight.id, now_ms)
 
     def remove(self, flight_id):
         """Remove a request, if present."""
         self.by_id.pop(flight_id, None)
         self.dispatched_ms_by_id.pop(flight_id, None)
+        self.decoding_since_ms_by_id.pop(flight_id, None)
+
+    def update_ages(self, now_ms):
+        """Update the ages that the requests carry to peers."""
+        for flight in self.by_id.values():
+            flight.age_ms = now_ms - self.dispatched_ms_by_id[flight.id]
+            since_ms = self.decoding_since_ms_by_id.get(flight.id, now_ms)
+            flight.decoding_ms = now_ms - since_ms
 
 
 class InFlightChanges:
@@ -149,9 +183,9 @@
         self._own_flights.put(flight, now_ms)
         self._changes.started_by_id[flight.id] = flight
 
-    def mark_decoding(self, flight):
+    def mark_decoding(self, flight, now_ms):
         """Record that the prefill of an own request has ended."""
-        flight.is_prefilling = False
+        self._own_flights.mark_decoding(flight, now_ms)
         self._changes.decoding_ids.add(flight.id)
 
     def remove(self, flight_id):
@@ -172,8 +206,7 @@
 
     def own_flights(self, now_ms):
         """Return a tuple of the own in-flight requests, with their ages updated."""
-        for flight in self._own_flights.by_id.values():
-            flight.age_ms = now_ms - self._own_flights.dispatched_ms_by_id[flight.id]
+        self._own_flights.update_ages(now_ms)
         return tuple(self._own_flights.by_id.values())
 
     def drain_changes(self, now_ms):
@@ -200,7 +233,7 @@
         for flight_id in decoding_ids:
             flight = peer_flights.by_id.get(flight_id)
             if flight is not None:
-                flight.is_prefilling = False
+                peer_flights.mark_decoding(flight, now_ms)
         for flight_id in ended_ids:
             peer_flights.remove(flight_id)
 
@@ -216,7 +249,7 @@
         """Return the `EngineLoad` by engine id; engines without load are left out."""
         loads = {}
         prefills = []
-        for flight, age_ms in self._all_flights(now_ms):
+        for flight, age_ms, since_ms_by_id in self._all_flights(now_ms):
             load = loads.setdefault(flight.engine, EngineLoad())
             load.running += 1
             load.memory_tokens += flight.memory_tokens
@@ -226,6 +259,8 @@
                 loads.setdefault(helper, EngineLoad()).memory_tokens += tokens
             if not flight.is_prefilling:
                 load.decoding_requests.append(flight)
+                since_ms = since_ms_by_id.get(flight.id, now_ms)
+                load.decoding_ms.append(now_ms - since_ms)
                 load.context_tokens += flight.prompt_tokens
                 continue
             prefills.append((age_ms, flight))
@@ -249,5 +284,18 @@
             if now_ms - flights.updated_ms > PEER_FLIGHTS_TTL_MS:
                 del self._flights_by_peer[peer]
         for flights in (self._own_flights, *self._flights_by_peer.values()):
+            since_ms_by_id = flights.decoding_since_ms_by_id
             for flight in flights.by_id.values():
-                yield flight, now_ms - flights.dispatched_ms_by_id[flight.id]
+                age_ms = now_ms - flights.dispatched_ms_by_id[flight.id]
+                yield flight, age_ms, since_ms_by_id
+
+
+def _decoding_ms(flight):
+    """Return the time since the first event of a request, at its sending.
+
+    An instance of an older version doesn't tell it; the predicted prefill stands for
+    the time before the first event then.
+    """
+    if flight.decoding_ms > 0.0:
+        return min(flight.decoding_ms, max(0.0, flight.age_ms))
+    return max(0.0, flight.age_ms - flight.part_prefill_ms)
--- a/vanillareach/core/messages.py
+++ b/vanillareach/core/messages.py
@@ -344,6 +344,9 @@
         Address for requests that peers hand on; empty in that of an older version.
     has_lost_links : bool
         Whether the sender reaches no endpoints.
+    costs : bytes
+        Summary of what the sender has learned of the costs of requests, in some of its
+        beacons; see `CostExchange`.
     """
 
     name: str
@@ -371,6 +374,7 @@
     limits: tuple[RequestLimit, ...] = ()
     forward_address: str = ""
     has_lost_links: bool = False
+    costs: bytes = b""
 
 
 class RelayedDatagram(Wire, tag=23, frozen=True):
--- a/vanillareach/core/placement_types.py
+++ b/vanillareach/core/placement_types.py
@@ -29,6 +29,8 @@
         Expected requests that other instances have placed but not reported yet.
     time_to_shutdown_ms : float
         Time left until the placing instance shuts down, which ends all its responses.
+    predicted_tokens, high_tokens : float
+        Median and high quantile of the predicted length of the answer; 0 if unknown.
     """
 
     prompt_tokens: int
@@ -40,6 +42,8 @@
     domain: str
     unreported_requests: float = 0.0
     time_to_shutdown_ms: float = math.inf
+    predicted_tokens: float = 0.0
+    high_tokens: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -93,6 +97,10 @@
         Id under which a placer counts the request already; 0 for none.
     has_permit : bool
         Whether the request may be sent to an endpoint that names a limit.
+    why : str
+        Why the endpoint was chosen, for the decision log; empty if not told.
+    wait_ms : float
+        Predicted wait of a plain call for a slot.
     """
 
     endpoint: ListedEndpoint
@@ -104,6 +112,8 @@
     reserved_tokens: tuple[int, ...] = ()
     flight_id: int = 0
     has_permit: bool = False
+    why: str = ""
+    wait_ms: float = 0.0
 
     @property
     def reserved_tokens_by_helper(self):
--- a/vanillareach/core/span_placement.py
+++ b/vanillareach/core/span_placement.py
@@ -17,6 +17,7 @@
 from vanillareach.core.engine_shortlist import shortlist
 from vanillareach.core.engine_time import decode_ms, pass_ms, prefill_ms
 from vanillareach.core.placement_types import Placement
+from vanillareach.core.remaining_work import COUNTED_WORK
 
 # Maximum number of helpers that an endpoint accepts for one request.
 MAX_HELPERS = 16
@@ -29,8 +30,6 @@
 # Share of the worth of a request in prefill that is charged for a delay as long as its
 # whole objective, even if it stays in time: later requests may add to the delay.
 DELAY_LOSS_SHARE = 0.15
-# Predicted wait for a slot at an engine whose slots are all taken.
-SLOT_WAIT_MS = 900.0
 # Maximum number of requests that may wait at an engine beyond its slots.
 MAX_WAITING_REQUESTS = 2
 # Gain for each request that already decodes on the engine, in worth.
@@ -72,7 +71,7 @@
     )
 
 
-def place(request, figures, views):
+def place(request, figures, views, work=COUNTED_WORK):
     """Return the `Placement` with the least predicted loss, or None if none fits.
 
     If the prompt fits in no engine's memory, the rest of its KV cache is reserved at
@@ -83,6 +82,8 @@
     request : GenerationRequest
     figures : EngineFigures
     views : list of EngineView
+    work : CountedWork
+        What remains of the requests at the engines.
     """
     hosts = views_with_room(request, figures, views)
     spread_memory = not hosts
@@ -96,7 +97,7 @@
     best = None
     for width in _widths(request, len(views)):
         placement = _place_span(
-            request, figures, hosts, candidates, width, spread_memory, blocking
+            request, figures, hosts, candidates, width, spread_memory, blocking, work
         )
         if placement is not None and (best is None or placement.cost < best.cost):
             best = placement
@@ -133,16 +134,18 @@
     return [width for width in SPAN_WIDTHS if width <= max_width]
 
 
-def _place_span(request, figures, hosts, views, width, spread_memory, blocking):
+def _place_span(request, figures, hosts, views, width, spread_memory, blocking, work):
     """Return the best `Placement` on `width` engines, or None."""
     if not hosts:
         return None
     part_prefill_ms = prefill_ms(figures, request.prompt_tokens, width)
     host = min(
         hosts,
-        key=lambda view: _standalone_host_cost(request, figures, view, part_prefill_ms),
+        key=lambda view: _standalone_host_cost(
+            request, figures, view, part_prefill_ms, work
+        ),
     )
-    helpers = _helpers(figures, host, views, width, part_prefill_ms)
+    helpers = _helpers(figures, host, views, width, part_prefill_ms, work)
     if helpers is None:
         return None
     reserved_tokens = (
@@ -150,16 +153,16 @@
     )
     if reserved_tokens is None:
         return None
-    time_to_first_event_ms = first_event_ms(figures, host, part_prefill_ms)
+    time_to_first_event_ms = first_event_ms(figures, host, part_prefill_ms, work)
     pause_ms = _pause_ms(figures, host)
-    cost = _host_cost(request, figures, host, part_prefill_ms)
+    cost = _host_cost(request, figures, host, part_prefill_ms, work)
     first_pass_ms = pass_ms(figures, 1, request.prompt_tokens / width)
     for view in helpers:
         part_end_ms = _pass_wait_ms(figures, view) + part_prefill_ms * view.pace
         time_to_first_event_ms = max(
             time_to_first_event_ms, part_end_ms + first_pass_ms
         )
-        cost += _interference_cost(figures, view, part_prefill_ms)
+        cost += _interference_cost(figures, view, part_prefill_ms, work)
         cost += request.worth * view.failure_share + SPAN_ENGINE_COST
     if (
         _answer_ms(request, figures, host, time_to_first_event_ms)
@@ -184,7 +187,7 @@
     )
 
 
-def _helpers(figures, host, views, width, part_prefill_ms):
+def _helpers(figures, host, views, width, part_prefill_ms, work):
     """Return the `width` - 1 engines with the least helper cost, or None.
 
     Orders about the memory of a part would use up what a limited engine takes.
@@ -198,7 +201,7 @@
     ]
     if len(others) < width - 1:
         return None
-    others.sort(key=lambda view: _helper_cost(figures, view, part_prefill_ms))
+    others.sort(key=lambda view: _helper_cost(figures, view, part_prefill_ms, work))
     return others[: width - 1]
 
 
@@ -226,41 +229,41 @@
     return figures.memory_tokens - view.load.memory_tokens
 
 
-def _standalone_host_cost(request, figures, view, part_prefill_ms):
+def _standalone_host_cost(request, figures, view, part_prefill_ms, work):
     """Return the cost by which hosts are compared before helpers are chosen."""
-    time_to_first_event_ms = first_event_ms(figures, view, part_prefill_ms)
-    cost = _host_cost(request, figures, view, part_prefill_ms)
+    time_to_first_event_ms = first_event_ms(figures, view, part_prefill_ms, work)
+    cost = _host_cost(request, figures, view, part_prefill_ms, work)
     cost += _request_loss(request, time_to_first_event_ms, _pause_ms(figures, view))
     return cost + _occupancy_cost(view, part_prefill_ms)
 
 
-def _host_cost(request, figures, view, part_prefill_ms):
+def _host_cost(request, figures, view, part_prefill_ms, work):
     """Return the cost of a host without the loss of the request itself."""
-    load = view.load
-    cost = _interference_cost(figures, view, part_prefill_ms)
+    cost = _interference_cost(figures, view, part_prefill_ms, work)
     cost += request.worth * view.failure_share + view.jitter
-    cost += _batching_cost(request, figures, load)
+    cost += _batching_cost(request, figures, view, work)
     if view.endpoint.domain != request.domain:
         cost += OTHER_DOMAIN_COST
     return cost
 
 
-def _batching_cost(request, figures, load):
+def _batching_cost(request, figures, view, work):
     """Return the cost, mostly negative, of joining an engine's decoding requests."""
     expected_running = (
-        load.running + SLOTS_PER_UNREPORTED_REQUEST * request.unreported_requests
+        work.lasting_requests(figures, view)
+        + SLOTS_PER_UNREPORTED_REQUEST * request.unreported_requests
     )
     excess_requests = max(0.0, expected_running + 1 - figures.slots)
-    batched = min(len(load.decoding_requests), figures.slots - 2)
+    batched = min(work.lasting_decoding(figures, view), figures.slots - 2)
     return (
         CROWDING_LOSS_SHARE * request.worth * excess_requests - BATCHING_GAIN * batched
     )
 
 
-def _helper_cost(figures, view, part_prefill_ms):
+def _helper_cost(figures, view, part_prefill_ms, work):
     """Return the cost by which helpers are compared."""
     return (
-        _interference_cost(figures, view, part_prefill_ms)
+        _interference_cost(figures, view, part_prefill_ms, work)
         + view.failure_share
         + view.load.pending_prefill_ms / HELPER_WAIT_MS_PER_WORTH
         + _occupancy_cost(view, part_prefill_ms)
@@ -316,7 +319,7 @@
     )
 
 
-def first_event_ms(figures, view, part_prefill_ms):
+def first_event_ms(figures, view, part_prefill_ms, work=COUNTED_WORK):
     """Return the predicted time to the first event of a prompt on one engine.
 
     Parameters
@@ -325,6 +328,7 @@
     view : EngineView
     part_prefill_ms : float
         Time to prefill the prompt, or the engine's part of it.
+    work : CountedWork
     """
     load = view.load
     time_to_first_event_ms = (
@@ -333,7 +337,7 @@
     own_pass_ms = pass_ms(figures, len(load.decoding_requests) + 1, load.context_tokens)
     time_to_first_event_ms += own_pass_ms * view.pace
     if load.running >= figures.slots:
-        time_to_first_event_ms += SLOT_WAIT_MS * (1 + load.running - figures.slots)
+        time_to_first_event_ms += work.slot_wait_ms(figures, view)
     return time_to_first_event_ms
 
 
@@ -350,7 +354,7 @@
     )
 
 
-def _interference_cost(figures, view, part_prefill_ms):
+def _interference_cost(figures, view, part_prefill_ms, work):
     """Return the worth that the requests at an engine lose by a further prefill."""
     load = view.load
     if not load.decoding_requests and not load.prefilling_requests:
@@ -364,12 +368,7 @@
     pass_after_ms = (
         pass_ms(figures, decoding_count, context_tokens, prefill_after_ms) * view.pace
     )
-    lost_worth = 0.0
-    for flight in load.decoding_requests:
-        limit_ms = flight.pause_limit_ms
-        lost_worth += flight.worth * (
-            miss_risk(pass_after_ms, limit_ms) - miss_risk(pass_before_ms, limit_ms)
-        )
+    lost_worth = _pause_loss(figures, view, pass_before_ms, pass_after_ms, work)
     for flight, age_ms in load.prefilling_requests:
         time_to_first_event_ms = age_ms + pass_before_ms
         limit_ms = max(1.0, flight.objective_ms)
@@ -380,3 +379,19 @@
         )
         lost_worth += flight.worth * DELAY_LOSS_SHARE * min(1.0, delay_ms / limit_ms)
     return LATE_LOSS_SHARE * lost_worth
+
+
+def _pause_loss(figures, view, pass_before_ms, pass_after_ms, work):
+    """Return the worth that decoding requests lose by a longer pass."""
+    lost_worth = 0.0
+    worths = work.protected_worths(figures, view)
+    if worths is None:
+        worths = [(f.pause_limit_ms, f.worth) for f in view.load.decoding_requests]
+    for limit_ms, worth in worths:
+        # Without a risk afterwards, or without a limit, the risk doesn't grow.
+        if limit_ms <= 0 or pass_after_ms / limit_ms <= RISK_START_SHARE:
+            continue
+        lost_worth += worth * (
+            miss_risk(pass_after_ms, limit_ms) - miss_risk(pass_before_ms, limit_ms)
+        )
+    return lost_worth
--- a/vanillareach/features/gateway_network.py
+++ b/vanillareach/features/gateway_network.py
@@ -323,7 +323,7 @@
         await self.clock.sleep_ms(LATENCY_MS)
         self.state.record_limit(endpoint, limit_per_s, sent_ms)
         await self.clock.sleep_ms(duration_ms / 2)
-        self.dispatcher.record_first_event(flight)
+        self.dispatcher.record_first_event(flight, self.clock.now_ms())
         await self.clock.sleep_ms(duration_ms / 2)
         self.dispatcher.record_end(flight)
         return decision.placement
--- a/vanillareach/features/steps/engine_choice.py
+++ b/vanillareach/features/steps/engine_choice.py
@@ -107,6 +107,6 @@
 @then("every policy refuses a prompt")
 def step_all_refuse(context):
     figures = EngineTable().figures()
-    assert len(POLICIES_BY_NAME) == 5
+    assert len(POLICIES_BY_NAME) == 6
     for policy in POLICIES_BY_NAME.values():
         assert policy().place(REQUEST, figures, context.views) is None, policy
--- a/vanillareach/features/steps/placers.py
+++ b/vanillareach/features/steps/placers.py
@@ -326,6 +326,7 @@
             "limits",
             "forward_address",
             "has_lost_links",
+            "costs",
         )
         beacon = decode_message(
             msgspec.msgpack.encode(values[: len(values) - len(newer_fields)])
@@ -335,6 +336,7 @@
         assert beacon.crash_news == CrashNews()
         assert beacon.limits == ()
         assert (beacon.forward_address, beacon.has_lost_links) == ("", False)
+        assert beacon.costs == b""
 
 
 @then("a message of an unknown kind is rejected")
--- a/vanillareach/gateway/announcements.py
+++ b/vanillareach/gateway/announcements.py
@@ -75,4 +75,5 @@
             limits=state.limit_news(),
             forward_address=registration.forward_address,
             has_lost_links=state.reach.is_lost,
+            costs=state.costs.take_summary(now_ms),
         )
--- a/vanillareach/gateway/app.py
+++ b/vanillareach/gateway/app.py
@@ -141,6 +141,50 @@
             address, self.clock, limits, handle, lambda: self.state.is_stopping
         )
 
+    def _add_cost_gauges(self):
+        add, costs = self.metrics.add_gauge, self.state.costs
+        model = costs.model
+        add(
+            "cost_error_octaves",
+            "Error of predicted costs in powers of two, as a moving average.",
+            lambda: model.error_octaves,
+        )
+        add(
+            "cost_high_coverage",
+            "Share of requests that cost no more than their high prediction.",
+            lambda: model.high_coverage,
+        )
+        add(
+            "cost_predicted",
+            "Requests that ended and had a predicted cost.",
+            lambda: model.predicted_count,
+        )
+        add(
+            "cost_unknown",
+            "Requests that ended and had no predicted cost.",
+            lambda: model.unknown_count,
+        )
+        add(
+            "cost_censored",
+            "Requests that ended early, so that their cost isn't known.",
+            lambda: model.censored_count,
+        )
+        add(
+            "cost_sketches",
+            "Distributions of costs that are kept.",
+            lambda: model.sketch_count,
+        )
+        add(
+            "cost_sources",
+            "Summaries of costs of peers in use.",
+            lambda: costs.source_count,
+        )
+        add(
+            "cost_summaries_invalid",
+            "Summaries of costs of peers, or parts of them, that were dropped.",
+            lambda: costs.invalid_count,
+        )
+
     def _add_gauges(self):
         add, state = self.metrics.add_gauge, self.state
         add(
@@ -182,6 +226,7 @@
             "Whether no connection to an endpoint can be made.",
             lambda: int(state.reach.is_lost),
         )
+        self._add_cost_gauges()
         add("slow_engines", "Engines seen slow.", lambda: len(state.paces.own_paces))
         add(
             "flights",
--- a/vanillareach/gateway/attempts.py
+++ b/vanillareach/gateway/attempts.py
@@ -234,6 +234,7 @@
             attempt.idle_timeout.pause()
             attempt.take_over()
             self._record_output(attempt)
+            exchange.answered_ms = self._clock.now_ms()
             await send_buffered(response, body, responder)
         return AttemptResult.ANSWERED
 
@@ -310,7 +311,7 @@
             exchange.weights_version = attempt.weights_version
             exchange.drop_answer_margin()
         if flight.is_prefilling:
-            self._dispatcher.record_first_event(flight)
+            self._dispatcher.record_first_event(flight, now_ms)
             self._metrics.record_first_token(
                 exchange.route.name, exchange.first_event_ms
             )
@@ -335,6 +336,7 @@
         result_name = result.name.lower()
         self._metrics.attempts[(exchange.service.name, result_name)] += 1
         if result is AttemptResult.ANSWERED:
+            exchange.is_answered = True
             state.health.record_outcome(placement.endpoint.key, False, now_ms)
         elif result is AttemptResult.UNREACHABLE:
             self._loss_checker.record_unreachable(placement.endpoint, detail)
@@ -351,6 +353,7 @@
 
     def _log_dispatch(self, exchange, placement, now_ms):
         state = self._state
+        why = {"why": placement.why} if placement.why else {}
         log.info(
             "Dispatched.",
             id=exchange.id,
@@ -365,6 +368,7 @@
             list_age_ms=round(state.endpoints_age_ms()),
             version=exchange.configuration.version,
             attempt=len(exchange.attempts),
+            **why,
         )
 
     def _log_end(self, attempt, result, detail):
--- a/vanillareach/gateway/exchange.py
+++ b/vanillareach/gateway/exchange.py
@@ -103,19 +103,30 @@
         Time from the arrival of the request to its first event.
     longest_pause_ms : float
         Longest time between two events.
+    cost_traits : CostTraits or None
+    cost_prediction : CostPrediction or None
+        What the request was predicted to cost when it was first placed.
+    is_answered : bool
+        Whether an endpoint's response was complete.
+    answered_ms : float or None
+        When a response in one piece was complete.
     """
 
     __slots__ = (
         "_latest_ms",
         "_own_deadline_ms",
         "_time_limit_ms",
+        "answered_ms",
         "attempts",
         "configuration",
+        "cost_prediction",
+        "cost_traits",
         "deadline_ms",
         "excluded_endpoints",
         "failure_response",
         "fields",
         "first_event_ms",
+        "is_answered",
         "is_forwarded",
         "is_trial",
         "_kept_body",
@@ -162,6 +173,10 @@
         self.first_event_ms = None
         self.last_event_ms = None
         self.longest_pause_ms = 0.0
+        self.cost_traits = None
+        self.cost_prediction = None
+        self.is_answered = False
+        self.answered_ms = None
         self.last_event_id = fields.last_event_id
 
     @property
--- a/vanillareach/gateway/forwarder.py
+++ b/vanillareach/gateway/forwarder.py
@@ -185,6 +185,7 @@
                 await self._send_deadline_exceeded(exchange, responder)
         finally:
             self._exchanges.discard(exchange)
+            self._dispatcher.record_cost(exchange, self._clock.now_ms())
             # Ends the reference cycle that would keep the request's body in memory
             # until a garbage collection.
             exchange.attempts.clear()
--- a/vanillareach/gateway/gossip.py
+++ b/vanillareach/gateway/gossip.py
@@ -205,6 +205,7 @@
         audience.election.record_unavailable(
             self.name, state.is_stopping or self._is_deaf
         )
+        state.costs.set_role(self.domain, audience.is_direct, audience.is_placer)
         if not audience.update(len(self.peers.by_name), now_ms):
             return
         state.is_placer = audience.is_placer
@@ -436,6 +437,9 @@
             self._state.record_reported_leaving(*key)
         for limit in beacon.limits:
             self._state.record_reported_limit(limit)
+        if self._state.costs.receive(beacon, is_unaware, now_ms):
+            # A peer that has just started is told what it can't know yet.
+            self._on_state_change(ChangeKind.STATE)
         self._fetcher.reconcile(
             peer.address, beacon, self._max_fetch_delay_ms(), self._random, nursery
         )
--- a/vanillareach/gateway/placing.py
+++ b/vanillareach/gateway/placing.py
@@ -202,7 +202,7 @@
         excluded = {*exchange.excluded_endpoints, *left_out}
         # Nobody else knows which endpoints want quiet from this instance.
         excluded |= self._state.withheld_endpoints().keys()
-        flight = self._dispatcher.unplaced_flight(exchange)
+        flight = self._dispatcher.unplaced_flight(exchange, now_ms=self._clock.now_ms())
         for _ in range(2):
             reply = await self._ask_placers(
                 partial(self._placement_query, exchange, excluded, flight),
@@ -329,6 +329,7 @@
             {*query.excluded, *state.closed_endpoints()},
             query.may_be_refused,
             now_ms,
+            query.flight.predicted_work,
         )
         if placement is None:
             retry_after_ms = self._dispatcher.retry_after_ms(query.service, now_ms)
--- a/vanillareach/gateway/ports.py
+++ b/vanillareach/gateway/ports.py
@@ -25,6 +25,8 @@
         Event after which a stream is to resume.
     prompt_parts : tuple of str
         Ids of the parts that the prompt may share with other requests, in order.
+    length_hint : int
+        Length of the answer in tokens as the caller expects it; 0 if not specified.
     """
 
     attempt_id: str
@@ -34,6 +36,7 @@
     answer_tokens: int
     last_event_id: int | None
     prompt_parts: tuple[str, ...] = ()
+    length_hint: int = 0
 
 
 @dataclass(slots=True, frozen=True)
--- a/vanillareach/gateway/state.py
+++ b/vanillareach/gateway/state.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from vanillareach.core.cost_exchange import CostExchange
 from vanillareach.core.endpoint_health import EndpointHealth
 from vanillareach.core.endpoint_limits import EndpointLimits
 from vanillareach.core.endpoint_list import EndpointList
@@ -72,6 +73,8 @@
         Whether this instance has lost its links to the endpoints.
     limits : EndpointLimits
         Requests that endpoints take from all instances together.
+    costs : CostExchange
+        Learned costs of requests, here and at peers.
     ignored_retry_after_count : int
         Answers of endpoints whose Retry-After could not be used.
     instance_count : int
@@ -104,6 +107,7 @@
         self.quiet_periods = QuietPeriods(extension)
         self.reach = EndpointReach()
         self.limits = EndpointLimits()
+        self.costs = CostExchange()
         self.ignored_retry_after_count = 0
         self.instance_count = 1
         self.is_placer = False
--- a/vanillareach/platform/calls.py
+++ b/vanillareach/platform/calls.py
@@ -35,6 +35,7 @@
             prompt_parts=_parse_shared_parts(
                 b",".join(v for n, v in headers if n.lower() == names.PROMPT_PREFIX)
             ),
+            length_hint=_parse_integer(first_values.get(names.LENGTH_HINT)) or 0,
         )
 
     def endpoint_headers(self, headers, endpoint_fields, strips_key):
