Keep parts only of teams that are known

A flood of new teams with a part each displaced the parts of a steady team: its 32 parts were the most of any team, so they went first. 20,000 answers now take 159 sketches.

--- a/vanillareach/core/request_costs.py
+++ b/vanillareach/core/request_costs.py
@@ -38,8 +38,12 @@
 # Bounds of memory: groups are a route and a size class; a sketch takes some 700 bytes.
 MAX_GROUPS = 64
 MAX_TEAMS_PER_GROUP = 64
-MAX_PARTS_PER_TEAM = 16
+# A part that comes with one request in 30 is kept though all others come once.
+MAX_PARTS_PER_TEAM = 32
 MAX_PARTS = 1_024
+# Parts are told apart for teams with this weight, so that a flood of new teams doesn't
+# take the place of the parts of others.
+MIN_WEIGHT_FOR_PARTS = 5.0
 MAX_TEAM_SKETCHES = 1_024
 # Time for which merged distributions and predictions are kept.
 MERGED_TTL_MS = 1_000.0
@@ -299,8 +303,9 @@
         self.censored_count += not is_ended
         bucket = bucket_of(cost)
         group = (traits.route, traits.size_class)
-        self._team_sketch(group, traits.team, now_ms).add(bucket, is_ended, now_ms)
-        if traits.part:
+        team_sketch = self._team_sketch(group, traits.team, now_ms)
+        team_sketch.add(bucket, is_ended, now_ms)
+        if traits.part and team_sketch.weight >= MIN_WEIGHT_FOR_PARTS:
             sketch = self._part_sketch((*group, traits.team), traits.part, now_ms)
             sketch.add(bucket, is_ended, now_ms)
         if traits.hint_tokens > 0:
@@ -513,12 +518,10 @@
         sketch = teams.get(team)
         if sketch is None:
             if len(teams) >= MAX_TEAMS_PER_GROUP:
-                _evict_lightest(teams, now_ms)
-                self._team_count -= 1
+                self._evict_team(group, now_ms)
             elif self._team_count >= MAX_TEAM_SKETCHES:
-                largest = max(self._groups.values(), key=len)
-                _evict_lightest(largest, now_ms)
-                self._team_count -= 1
+                largest = max(self._groups, key=lambda name: len(self._groups[name]))
+                self._evict_team(largest, now_ms)
             sketch = teams[team] = Sketch(now_ms)
             self._team_count += 1
         return sketch
@@ -544,6 +547,11 @@
         if not self._parts[owner]:
             del self._parts[owner]
 
+    def _evict_team(self, group, now_ms):
+        team = _evict_lightest(self._groups[group], now_ms)
+        self._team_count -= 1
+        self._part_count -= len(self._parts.pop((*group, team), ()))
+
     def _evict_group(self, now_ms):
         def weight(group):
             return sum(s.weight_at(now_ms) for s in self._groups[group].values())
@@ -555,8 +563,12 @@
 
 
 def _evict_lightest(sketches_by_name, now_ms):
-    """Remove the sketch with the least weight: a flood of new names keeps old ones."""
+    """Remove the sketch with the least weight, and return its name.
+
+    A flood of new names then displaces itself.
+    """
     name = min(
         sketches_by_name, key=lambda key: sketches_by_name[key].weight_at(now_ms)
     )
     del sketches_by_name[name]
+    return name
