--- a/vanillareach/core/dispatching.py
+++ b/vanillareach/core/dispatching.py
@@ -73,10 +73,10 @@
 # Costs of a plain call at an endpoint in multiples of its predicted time, besides its
 # predicted completion: for the work left there, shared by the slots, which calls not
 # reported yet add to; for each share of failed attempts; in another failure domain.
-PLAIN_WORK_WEIGHT = 0.5
+PLAIN_WORK_WEIGHT = 0.1
 PLAIN_FAILURE_WEIGHT = 2.0
 PLAIN_OTHER_DOMAIN_COST = 0.05
-PLAIN_JITTER = 0.05
+PLAIN_JITTER = 0.02
 NO_LOAD = EngineLoad()
 
 
--- a/vanillareach/core/remaining_work.py
+++ b/vanillareach/core/remaining_work.py
@@ -26,6 +26,8 @@
 HALF_WORTH_PASSES = 1.0
 # Time within which requests that end leave their slots to those not reported yet.
 CROWDING_HORIZON_MS = 250.0
+# Wait for a slot that counts like a further request beyond the slots.
+WAIT_MS_PER_REQUEST = 500.0
 # Minimum remaining time, so that a prediction never says that a slot is free already.
 MIN_REMAINING_MS = 5.0
 # Table of the expected remainder, as a multiple of the work done, by spread and by the
@@ -167,6 +169,10 @@
         if load.running + 2 < figures.slots:
             # Far from the slots the number doesn't matter.
             return load.running
+        if load.running >= figures.slots:
+            # A wait short enough to be in time is still worse than none, and of late
+            # ones the shortest is the best.
+            return load.running + self.slot_wait_ms(figures, view) / WAIT_MS_PER_REQUEST
         lasting = self._lasting_by_engine.get(view.endpoint.id)
         if lasting is None:
             lasting = 0.0
--- a/vanillareach/gateway/settings.py
+++ b/vanillareach/gateway/settings.py
@@ -91,7 +91,7 @@
         str,
         DEFAULT_POLICY,
         "",
-        "How an engine is chosen; all but the default are baselines to compare with.",
+        "How endpoints are chosen; see docs/operators.md.",
         check_one_of(*POLICIES_BY_NAME),
     ),
     SETTINGS_BY_NAME["log_level"],
