--- a/vanillareach/features/remaining_work.feature
+++ b/vanillareach/features/remaining_work.feature
@@ -16,7 +16,7 @@
       | -5     | nan   | 10    | 0     | 0     |
 
   Scenario: A stream about to end is protected less than one that begins
-    Then streams that have 950 of 1000 tokens are worth under three quarters of those with 100
+    Then streams that have 950 of 1000 tokens are worth at most 0.8 of those with 100
     And a flight of an older version is worth as much as one that begins
 
   Scenario: The wait for a slot is that until a request ends
@@ -32,7 +32,7 @@
 
   Scenario: Plain calls with a tail of five times longer work are served better
     When bursts of plain calls are replayed with both policies
-    Then at least 0.003 more of them are in time, and the mean is 2 ms lower
+    Then at least 0.005 more of them are in time, and the mean is 2 ms lower
 
   Scenario: The reason of a choice is told
     When a short prompt is placed by remaining work among busy engines
