Tell predictions in whole numbers and learn from the attempt that answered

A call that was hedged was learned with the time since the last attempt was sent, not since the one that answered; a stream without the length of its prompt was only ever learned as censored.

--- a/vanillareach/core/dispatching.py
+++ b/vanillareach/core/dispatching.py
@@ -149,19 +149,19 @@
         is predicted to cost what is left.
         """
         if not self._uses_costs:
-            return 0.0, 0.0
+            return 0, 0
         if exchange.cost_traits is None:
             exchange.cost_traits = cost_traits_of(exchange)
             costs = self._state.costs.model
             exchange.cost_prediction = costs.predict(exchange.cost_traits, now_ms)
         prediction = exchange.cost_prediction
         if prediction is None:
-            return 0.0, 0.0
+            return 0, 0
         done = self._tokens_done(exchange)
         if not done:
-            return prediction.median, prediction.high
+            return round(prediction.median), round(prediction.high)
         rest = self._state.costs.model.predict(exchange.cost_traits, now_ms, done)
-        return max(1.0, rest.median - done), max(1.0, rest.high - done)
+        return max(1, round(rest.median - done)), max(1, round(rest.high - done))
 
     def _tokens_done(self, exchange):
         if exchange.cost_traits.size_class == 0 or not exchange.last_event_id:
@@ -179,12 +179,17 @@
         is_complete = exchange.is_answered
         if exchange.cost_traits.size_class:
             cost = self._tokens_done(exchange)
-        elif attempt.placement.wait_ms > 0.0 or exchange.failure_response is not None:
-            # The wait for a slot isn't part of the time that the call takes.
+        elif exchange.route.kind is RequestKind.STREAM:
+            # Without the length of the prompt its work isn't counted in tokens.
+            return
+        elif is_complete:
+            cost = exchange.service_ms
+        elif attempt.placement.wait_ms > 0 or exchange.failure_response is not None:
             return
         else:
-            end_ms = exchange.answered_ms if is_complete else now_ms
-            cost = end_ms - attempt.sent_ms
+            cost = now_ms - attempt.sent_ms
+        if cost is None:
+            return
         model = self._state.costs.model
         model.observe(exchange.cost_traits, cost, is_complete, now_ms)
         model.record_error(exchange.cost_prediction, cost, is_complete)
--- a/vanillareach/core/load_state.py
+++ b/vanillareach/core/load_state.py
@@ -54,9 +54,10 @@
     worth: float
     is_prefilling: bool
     age_ms: float
-    predicted_work: float = 0.0
-    high_work: float = 0.0
-    decoding_ms: float = 0.0
+    # Whole numbers, which take fewer bytes.
+    predicted_work: float = 0
+    high_work: float = 0
+    decoding_ms: float = 0
 
 
 @dataclass(slots=True)
@@ -143,7 +144,7 @@
         for flight in self.by_id.values():
             flight.age_ms = now_ms - self.dispatched_ms_by_id[flight.id]
             since_ms = self.decoding_since_ms_by_id.get(flight.id, now_ms)
-            flight.decoding_ms = now_ms - since_ms
+            flight.decoding_ms = round(now_ms - since_ms)
 
 
 class InFlightChanges:
--- a/vanillareach/core/placement_types.py
+++ b/vanillareach/core/placement_types.py
@@ -42,8 +42,8 @@
     domain: str
     unreported_requests: float = 0.0
     time_to_shutdown_ms: float = math.inf
-    predicted_tokens: float = 0.0
-    high_tokens: float = 0.0
+    predicted_tokens: float = 0
+    high_tokens: float = 0
 
 
 @dataclass(slots=True, frozen=True)
@@ -113,7 +113,7 @@
     flight_id: int = 0
     has_permit: bool = False
     why: str = ""
-    wait_ms: float = 0.0
+    wait_ms: float = 0
 
     @property
     def reserved_tokens_by_helper(self):
--- a/vanillareach/gateway/attempts.py
+++ b/vanillareach/gateway/attempts.py
@@ -234,7 +234,8 @@
             attempt.idle_timeout.pause()
             attempt.take_over()
             self._record_output(attempt)
-            exchange.answered_ms = self._clock.now_ms()
+            if not attempt.placement.wait_ms:
+                exchange.service_ms = self._clock.now_ms() - attempt.sent_ms
             await send_buffered(response, body, responder)
         return AttemptResult.ANSWERED
 
--- a/vanillareach/gateway/exchange.py
+++ b/vanillareach/gateway/exchange.py
@@ -108,15 +108,15 @@
         What the request was predicted to cost when it was first placed.
     is_answered : bool
         Whether an endpoint's response was complete.
-    answered_ms : float or None
-        When a response in one piece was complete.
+    service_ms : float or None
+        Time that an endpoint took for a response in one piece; None if it included a
+        predicted wait for a slot.
     """
 
     __slots__ = (
         "_latest_ms",
         "_own_deadline_ms",
         "_time_limit_ms",
-        "answered_ms",
         "attempts",
         "configuration",
         "cost_prediction",
@@ -139,6 +139,7 @@
         "route",
         "scope",
         "service",
+        "service_ms",
         "suspect",
         "team",
         "weights_version",
@@ -176,7 +177,7 @@
         self.cost_traits = None
         self.cost_prediction = None
         self.is_answered = False
-        self.answered_ms = None
+        self.service_ms = None
         self.last_event_id = fields.last_event_id
 
     @property
