--- a/vanillareach/core/messages.py
+++ b/vanillareach/core/messages.py
@@ -370,6 +370,9 @@
     cold : tuple of (str, int, float)
         Id and incarnation of endpoints that are cold as their answers or entries say,
         and for how many ms.
+    costs : bytes
+        Summary of what the sender has learned of the costs of requests, in some of its
+        beacons; see `CostExchange`.
     configuration_schema : int
         `RouteTable.schema` of the sender's configuration; 0 from an older version.
     """
@@ -401,6 +404,7 @@
     has_lost_links: bool = False
     evacuations: EvacuationNews = EvacuationNews()
     cold: tuple[tuple[str, int, float], ...] = ()
+    costs: bytes = b""
     configuration_schema: int = 0
 
 
--- a/vanillareach/core/ordered_placing.py
+++ b/vanillareach/core/ordered_placing.py
@@ -42,6 +42,8 @@
         See `PlacementQuery`.
     objective_ms, pause_limit_ms : float
         Limits of the request's route.
+    call_ms : float
+        Predicted time of a plain call; 0 if unknown.
     """
 
     service: RoutedService
@@ -55,6 +57,7 @@
     digest: int
     objective_ms: float
     pause_limit_ms: float
+    call_ms: float = 0.0
 
 
 class OrderedDecision(msgspec.Struct, frozen=True):
@@ -134,7 +137,12 @@
         priorities = self.priorities(service.name)
         if priorities is None or generation is None or service.engine is None:
             placement = self._dispatcher.place(
-                service, generation, ask.excluded, ask.may_be_refused, now_ms
+                service,
+                generation,
+                ask.excluded,
+                ask.may_be_refused,
+                now_ms,
+                ask.call_ms,
             )
             return OrderedDecision(placement)
         request = self._waiting_request(ask, priorities)
--- a/vanillareach/core/placement_types.py
+++ b/vanillareach/core/placement_types.py
@@ -38,6 +38,8 @@
         Cost of an engine in another failure domain, in worth.
     priority : int
         Unknown where the service has one priority only.
+    predicted_tokens, high_tokens : float
+        Median and high quantile of the predicted length of the answer; 0 if unknown.
     """
 
     prompt_tokens: int
@@ -51,6 +53,8 @@
     time_to_shutdown_ms: float = math.inf
     other_domain_cost: float = OTHER_DOMAIN_COST
     priority: int = UNKNOWN_PRIORITY
+    predicted_tokens: float = 0
+    high_tokens: float = 0
 
 
 @dataclass(slots=True, frozen=True)
@@ -107,6 +111,10 @@
         Id under which a placer counts the request already; 0 for none.
     has_permit : bool
         Whether the request may be sent to an endpoint that names a limit.
+    why : str
+        Why the endpoint was chosen, for the decision log; empty if not told.
+    wait_ms : float
+        Predicted wait of a plain call for a slot.
     """
 
     endpoint: ListedEndpoint
@@ -118,6 +126,8 @@
     reserved_tokens: tuple[int, ...] = ()
     flight_id: int = 0
     has_permit: bool = False
+    why: str = ""
+    wait_ms: float = 0
 
     @property
     def reserved_tokens_by_helper(self):
--- a/vanillareach/features/gateway_network.py
+++ b/vanillareach/features/gateway_network.py
@@ -445,7 +445,7 @@
         self.state.record_signals(endpoint, signals)
         self.state.record_limit(endpoint, limit_per_s, sent_ms)
         await self.clock.sleep_ms(duration_ms / 2)
-        self.dispatcher.record_first_event(flight)
+        self.dispatcher.record_first_event(flight, self.clock.now_ms())
         await self.clock.sleep_ms(duration_ms / 2)
         self.dispatcher.record_end(flight)
         return decision.placement
--- a/vanillareach/features/steps/placers.py
+++ b/vanillareach/features/steps/placers.py
@@ -329,6 +329,7 @@
             "has_lost_links",
             "evacuations",
             "cold",
+            "costs",
             "configuration_schema",
         )
         beacon = decode_message(
@@ -340,6 +341,7 @@
         assert (beacon.limits, beacon.cold) == ((), ())
         assert beacon.evacuations == EvacuationNews()
         assert (beacon.forward_address, beacon.has_lost_links) == ("", False)
+        assert beacon.costs == b""
         assert beacon.configuration_schema == 0
 
 
--- a/vanillareach/gateway/announcements.py
+++ b/vanillareach/gateway/announcements.py
@@ -79,6 +79,7 @@
             cold=state.cold_engines.news(
                 state.endpoints.by_id.values(), now_ms, is_own_only
             ),
+            costs=state.costs.take_summary(now_ms),
             configuration_schema=state.configuration.schema
             if state.configuration
             else 0,
--- a/vanillareach/gateway/exchange.py
+++ b/vanillareach/gateway/exchange.py
@@ -105,6 +105,14 @@
         Time from the arrival of the request to its first event.
     longest_pause_ms : float
         Longest time between two events.
+    cost_traits : CostTraits or None
+    cost_prediction : CostPrediction or None
+        What the request was predicted to cost when it was first placed.
+    is_answered : bool
+        Whether an endpoint's response was complete.
+    service_ms : float or None
+        Time that an endpoint took for a response in one piece; None if it included a
+        predicted wait for a slot.
     """
 
     __slots__ = (
@@ -113,11 +121,14 @@
         "_time_limit_ms",
         "attempts",
         "configuration",
+        "cost_prediction",
+        "cost_traits",
         "deadline_ms",
         "excluded_endpoints",
         "failure_response",
         "fields",
         "first_event_ms",
+        "is_answered",
         "is_forwarded",
         "is_trial",
         "_kept_body",
@@ -130,6 +141,7 @@
         "route",
         "scope",
         "service",
+        "service_ms",
         "suspect",
         "team",
         "waiting_id",
@@ -166,6 +178,10 @@
         self.first_event_ms = None
         self.last_event_ms = None
         self.longest_pause_ms = 0.0
+        self.cost_traits = None
+        self.cost_prediction = None
+        self.is_answered = False
+        self.service_ms = None
         self.last_event_id = fields.last_event_id
 
     @property
--- a/vanillareach/gateway/gossip.py
+++ b/vanillareach/gateway/gossip.py
@@ -205,6 +205,7 @@
         audience.election.record_unavailable(
             self.name, state.is_stopping or self._is_deaf
         )
+        state.costs.set_role(self.domain, audience.is_direct, audience.is_placer)
         if not audience.update(len(self.peers.by_name), now_ms):
             return
         state.is_placer = audience.is_placer
@@ -434,14 +435,11 @@
         self._state.load_state.replace_peer(beacon.name, beacon.flights, now_ms)
         self._state.paces.merge_peer_paces(beacon.paces, now_ms)
         self._apply_crash_news(beacon, is_unaware, now_ms)
-        for key in beacon.leaving:
-            self._state.record_reported_leaving(*key)
-        for limit in beacon.limits:
-            self._state.record_reported_limit(limit)
         peer.tells_evacuations = beacon.evacuations.era >= 0
-        self._state.record_evacuation_news(beacon.evacuations, beacon.name)
-        for record in beacon.cold:
-            self._state.record_reported_cold(*record)
+        self._apply_endpoint_news(beacon)
+        if self._state.costs.receive(beacon, is_unaware, now_ms):
+            # A peer that has just started is told what it can't know yet.
+            self._on_state_change(ChangeKind.STATE)
         self._fetcher.reconcile(
             peer.address, beacon, self._max_fetch_delay_ms(), self._random, nursery
         )
@@ -449,6 +447,17 @@
             # It doesn't know the requests of this instance yet.
             self._on_state_change(ChangeKind.CONFIRMATION)
 
+    def _apply_endpoint_news(self, beacon):
+        """Record what a peer tells of endpoints and their failure domains."""
+        state = self._state
+        for key in beacon.leaving:
+            state.record_reported_leaving(*key)
+        for limit in beacon.limits:
+            state.record_reported_limit(limit)
+        state.record_evacuation_news(beacon.evacuations, beacon.name)
+        for record in beacon.cold:
+            state.record_reported_cold(*record)
+
     def _max_fetch_delay_ms(self):
         return 0.0 if self.has_full_picture else MAX_FETCH_DELAY_MS
 
--- a/vanillareach/gateway/placing.py
+++ b/vanillareach/gateway/placing.py
@@ -293,7 +293,7 @@
         excluded = {*exchange.excluded_endpoints, *left_out}
         # Nobody else knows which endpoints want quiet from this instance.
         excluded |= self._state.withheld_endpoints().keys()
-        flight = self._dispatcher.unplaced_flight(exchange)
+        flight = self._dispatcher.unplaced_flight(exchange, now_ms=self._clock.now_ms())
         for _ in range(2):
             reply = await self._ask_placers(
                 partial(self._placement_query, exchange, excluded, flight),
@@ -441,6 +441,7 @@
             digest=query.digest,
             objective_ms=query.flight.objective_ms,
             pause_limit_ms=query.flight.pause_limit_ms,
+            call_ms=query.flight.predicted_work,
         )
         decision = self._ordered.decide(ask, now_ms)
         placement = decision.placement
--- a/vanillareach/gateway/state.py
+++ b/vanillareach/gateway/state.py
@@ -6,6 +6,7 @@
 import trio
 
 from vanillareach.core.cold_engines import ColdEngines
+from vanillareach.core.cost_exchange import CostExchange
 from vanillareach.core.endpoint_health import EndpointHealth
 from vanillareach.core.endpoint_limits import EndpointLimits
 from vanillareach.core.endpoint_list import EndpointList
@@ -88,6 +89,8 @@
         Requests that endpoints take from all instances together.
     cold_engines : ColdEngines
         Until when endpoints are cold, which limits their requests.
+    costs : CostExchange
+        Learned costs of requests, here and at peers.
     ignored_retry_after_count : int
         Answers of endpoints whose Retry-After could not be used.
     instance_count : int
@@ -127,6 +130,7 @@
         self.paths = PathEvidence()
         self.limits = EndpointLimits()
         self.cold_engines = ColdEngines()
+        self.costs = CostExchange()
         self.ignored_retry_after_count = 0
         self.instance_count = 1
         self.is_placer = False
