Let fleets in memory detect stalls by their mock clock

Cause: StallDetector compared the time since boot with the mock clock. A machine that needs more than 3.4 s for 3 s of virtual time made all instances mark their state as stale, and each then called the store and woke more often: placers.feature:153 and :163 failed in four runs at load 15 to 25. Change: the fleet in memory passes the mock clock to the detector; the bounds stay.

--- a/vanillareach/features/gateway_network.py
+++ b/vanillareach/features/gateway_network.py
@@ -399,7 +399,8 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self.gossip.run)
                 nursery.start_soon(self.follower.run)
-                nursery.start_soon(StallDetector(self.state, self.clock).run)
+                detector = StallDetector(self.state, self.clock, self.clock.now_ms)
+                nursery.start_soon(detector.run)
 
     @property
     def running_count(self):
--- a/vanillareach/gateway/stalls.py
+++ b/vanillareach/gateway/stalls.py
@@ -23,20 +23,24 @@
     ----------
     state : GatewayState
     clock : Clock
+    read_boot_ms : callable
+        Returns the time since boot, suspensions included; the time of `clock` in tests
+        whose clock doesn't follow that of the machine.
     """
 
-    def __init__(self, state, clock):
+    def __init__(self, state, clock, read_boot_ms=None):
         self._state = state
         self._clock = clock
+        self._read_boot_ms = read_boot_ms or _boot_ms
         self._suspended_ms = _suspended_ms()
 
     async def run(self):
         """Check at an interval until cancelled."""
         while True:
-            before_ms = _boot_ms()
+            before_ms = self._read_boot_ms()
             await self._clock.sleep_ms(CHECK_INTERVAL_MS)
             self.check_suspension()
-            stalled_ms = _boot_ms() - before_ms - CHECK_INTERVAL_MS
+            stalled_ms = self._read_boot_ms() - before_ms - CHECK_INTERVAL_MS
             if stalled_ms > STALL_THRESHOLD_MS:
                 self._mark_stale(stalled_ms)
 
