--- a/vanillareach/features/__main__.py
+++ b/vanillareach/features/__main__.py
@@ -23,6 +23,10 @@
     "limits",
     "response_limits",
     "connections",
+    "waiting",
+    "dead_paths",
+    "evacuation_fleet",
+    "cold_engines",
 )
 
 
--- a/vanillareach/features/waiting_world.py
+++ b/vanillareach/features/waiting_world.py
@@ -253,7 +253,7 @@
         self.at(first_ms, self._begin_decoding, flight)
 
     def _begin_decoding(self, flight):
-        self.dispatcher.record_first_event(flight)
+        self.dispatcher.record_first_event(flight, self.now_ms)
         load = self.state.load_state.loads_by_engine(self.now_ms)[flight.engine]
         decoding = len(load.decoding_requests)
         caller = self._running[flight.id]
