Keep off dead paths in the waiting order as well

Cause: merged side by side, the waiting order formed its own set of excluded endpoints, and the paths that pass nothing were left out only where there is no order. Change: both use Dispatcher.avoided_ids. Result: waiting.feature, two scenarios run, pass.

--- a/vanillareach/gateway/placing.py
+++ b/vanillareach/gateway/placing.py
@@ -165,11 +165,15 @@
         priorities = self._ordered.priorities(exchange.service.name)
         if priorities is None or exchange.service.engine is None:
             return PlacementDecision(self._dispatcher.choose(exchange, now_ms, denied))
-        withheld = self._state.withheld_endpoints().keys()
+        excluded = exchange.excluded_endpoints | denied
+        excluded |= self._state.withheld_endpoints().keys()
+        excluded |= self._dispatcher.avoided_ids(
+            exchange.service.name, excluded, now_ms
+        )
         ask = PlacementAsk(
             service=exchange.service,
             generation=self._dispatcher.generation_request(exchange, now_ms),
-            excluded=frozenset(exchange.excluded_endpoints | denied | withheld),
+            excluded=frozenset(excluded),
             may_be_refused=exchange.first_event_ms is None,
             sender=self._gossip.name,
             waiting_id=self._waiting_id(exchange),
