--- a/vanillareach/core/ordered_placing.py
+++ b/vanillareach/core/ordered_placing.py
@@ -105,9 +105,12 @@
     state : GatewayState
     dispatcher : Dispatcher
     random : random.Random
+    is_enabled : bool
+        Whether services with several priorities have an order.
     """
 
-    def __init__(self, state, dispatcher, random):
+    def __init__(self, state, dispatcher, random, is_enabled=True):
+        self._is_enabled = is_enabled
         self._state = state
         self._dispatcher = dispatcher
         self._random = random
@@ -116,6 +119,8 @@
 
     def priorities(self, service):
         """Return the `ServicePriorities` of a service, or None without an order."""
+        if not self._is_enabled:
+            return None
         return self._index.of(self._state.configuration, service)
 
     def waiting_counts(self, now_ms):
--- a/vanillareach/gateway/app.py
+++ b/vanillareach/gateway/app.py
@@ -104,7 +104,9 @@
         )
         policy = POLICIES_BY_NAME[settings.placement]()
         dispatcher = Dispatcher(self.state, settings.domain, random.Random(), policy)
-        self.ordered = OrderedPlacement(self.state, dispatcher, random.Random())
+        self.ordered = OrderedPlacement(
+            self.state, dispatcher, random.Random(), settings.waiting == "priority"
+        )
         placing = (self.state, dispatcher, self.gossip, clock, self.ordered)
         placement_client = PlacementClient(*placing)
         placement_server = PlacementServer(*placing)
