Give the faults of the soak one base, and the gateway's twins one place

Cause: a reading of the whole change. Five injectors of the soak repeated their generator and record of faults, two of them a crash and return, two checks the choice of arrivals that count. The endpoints that a request must not use were formed in two places. Two classes had the name WaitingRequest. A predicate of StoreFollower changed its state. Three counter families were built by the same lines. bench.limit_trace no longer ran: the arguments of Dispatcher.place had grown. Change: SeededInjector and EndpointCrasher, counted_arrivals, Dispatcher.excluded_ids, UnansweredRequest, _counter_family; limit_trace passes further arguments on.

--- a/bench/limit_trace.py
+++ b/bench/limit_trace.py
@@ -34,10 +34,12 @@
         self.is_counting = False
         self._place = Dispatcher.place
 
-    def place(self, dispatcher, service, generation, excluded, may_be_refused, now_ms):
+    def place(
+        self, dispatcher, service, generation, excluded, refusable, now_ms, *more
+    ):
         """Place as `Dispatcher.place` does, and count the result."""
         placement = self._place(
-            dispatcher, service, generation, excluded, may_be_refused, now_ms
+            dispatcher, service, generation, excluded, refusable, now_ms, *more
         )
         if placement is not None and self.is_counting:
             loads = dispatcher._state.load_state.loads_by_engine(now_ms)
--- a/bench/soak/cold.py
+++ b/bench/soak/cold.py
@@ -3,16 +3,13 @@
 They refuse nothing: that they are cold is only in the headers of their answers.
 """
 
-import random
-
 import trio
 
-from bench.soak.limits import SETTLING_S, is_excused
-from bench.soak.observations import Fault
+from bench.soak.injectors import EndpointCrasher
+from bench.soak.limits import SETTLING_S, counted_arrivals
 
 PAUSE_S = (1.0, 4.0)
 DURATION_S = (2.0, 6.0)
-ABSENCE_S = (2.0, 4.0)
 # Of the services of a soak, and what is tolerated in any second.
 COLD_PER_S = 1.0
 ALLOWED_REQUESTS = 1.5 * COLD_PER_S + 5
@@ -20,19 +17,10 @@
 CRASH_DETAIL = "cold"
 
 
-class ColdInjector:
-    """Lets endpoints be cold, with a generator of its own.
-
-    Parameters
-    ----------
-    environment : SoakEnvironment
-    seed : int
-    """
+class ColdInjector(EndpointCrasher):
+    """Lets endpoints be cold; see `EndpointCrasher`."""
 
-    def __init__(self, environment, seed):
-        self._environment = environment
-        self._random = random.Random(f"cold {seed}")
-        self._nursery = None
+    GENERATOR = "cold"
 
     async def run(self, duration_s):
         """Let endpoints be cold for `duration_s`; return when all are back."""
@@ -52,8 +40,7 @@
 
     async def _cool(self, endpoint):
         now_s, duration_s = trio.current_time(), self._random.uniform(*DURATION_S)
-        fault = Fault("endpoint_cold", now_s, endpoint=endpoint.name)
-        self._environment.observations.faults.append(fault)
+        fault = self._record_fault("endpoint_cold", endpoint=endpoint.name)
         endpoint.cold, endpoint.cold_until_s = self, now_s + duration_s
         endpoint.cold_said_s = float("inf")
         await trio.sleep(duration_s)
@@ -64,47 +51,22 @@
 
     def crash_if_too_many(self, endpoint):
         """Crash an endpoint that got more than it tolerates; it comes back later."""
-        environment, now_s = self._environment, trio.current_time()
+        now_s = trio.current_time()
         since_s = max(now_s - WINDOW_S, endpoint.cold_said_s + SETTLING_S)
         count = sum(arrival.at_s >= since_s for arrival in endpoint.arrivals)
-        if count <= ALLOWED_REQUESTS or endpoint.name in environment.withdrawn_names:
-            return
-        environment.withdrawn_names.add(endpoint.name)
-        environment.observations.faults.append(
-            Fault("endpoint_end", now_s, now_s, None, endpoint.name, CRASH_DETAIL)
-        )
-        endpoint.cold_until_s = now_s
-        environment.endpoint_proxies[endpoint.name].close()
-        self._nursery.start_soon(self._return, endpoint)
-
-    async def _return(self, endpoint):
-        """Let an endpoint come back as a new incarnation."""
-        await trio.sleep(self._random.uniform(*ABSENCE_S))
-        environment, name = self._environment, endpoint.name
-        endpoint.restart()
-        environment.endpoint_proxies[name].reopen()
-        environment.stage.put_endpoint(name, environment.service_of(name))
-        environment.withdrawn_names.discard(name)
+        if count > ALLOWED_REQUESTS and self._may_crash(endpoint):
+            endpoint.cold_until_s = now_s
+            self._crash(endpoint, CRASH_DETAIL)
 
 
 def find_overrun(environment):
     """Yield a line of text for each cold endpoint that got more than it tolerates."""
-    attempts_by_id = {attempt.id: attempt for attempt in environment.attempts}
-    for fault in environment.observations.faults:
-        if fault.kind != "endpoint_cold":
-            continue
-        endpoint = environment.endpoints_by_name[fault.endpoint]
-        times_s = [
-            arrival.at_s
-            for arrival in endpoint.arrivals
-            if fault.started_s + SETTLING_S <= arrival.at_s <= fault.ended_s
-            and not is_excused(environment.observations, attempts_by_id, arrival)
-        ]
+    for fault, times_s in counted_arrivals(environment, "endpoint_cold"):
         most = max(
             (sum(s <= t < s + WINDOW_S for t in times_s) for s in times_s), default=0
         )
         if most > ALLOWED_REQUESTS:
             yield (
-                f"COLD {endpoint.name} got {most} requests in {WINDOW_S:g} s, allowed "
+                f"COLD {fault.endpoint} got {most} requests in {WINDOW_S:g} s, allowed "
                 f"{ALLOWED_REQUESTS:g}"
             )
--- a/bench/soak/evacuations.py
+++ b/bench/soak/evacuations.py
@@ -1,10 +1,8 @@
 """Evacuations of a failure domain, and the check that nothing new arrives there."""
 
-import random
-
 import trio
 
-from bench.soak.observations import Fault
+from bench.soak.injectors import SeededInjector
 from bench.soak.unwanted import attempt_of, was_paused
 from bench.soak.world import EVACUATED_ZONE
 
@@ -15,18 +13,10 @@
 BOUND_S = 5.0
 
 
-class EvacuationInjector:
-    """Evacuates a domain and takes it back, with a generator of its own.
-
-    Parameters
-    ----------
-    environment : SoakEnvironment
-    seed : int
-    """
+class EvacuationInjector(SeededInjector):
+    """Evacuates a domain and takes it back; see `SeededInjector`."""
 
-    def __init__(self, environment, seed):
-        self._environment = environment
-        self._random = random.Random(f"evacuations {seed}")
+    GENERATOR = "evacuations"
 
     async def run(self, duration_s):
         """Evacuate for `duration_s`; return when the last evacuation has ended."""
@@ -34,8 +24,7 @@
         end_s = trio.current_time() + duration_s
         while trio.current_time() < end_s:
             await trio.sleep(self._random.uniform(*PAUSE_S))
-            fault = Fault(KIND, trio.current_time(), detail=EVACUATED_ZONE)
-            self._environment.observations.faults.append(fault)
+            fault = self._record_fault(KIND, detail=EVACUATED_ZONE)
             store.put("evacuations", EVACUATED_ZONE, {})
             await trio.sleep(self._random.uniform(*DURATION_S))
             fault.ended_s = trio.current_time()
--- a/bench/soak/limits.py
+++ b/bench/soak/limits.py
@@ -1,10 +1,8 @@
 """Endpoints that name a limit of requests for a while, and the check that it holds."""
 
-import random
-
 import trio
 
-from bench.soak.observations import Fault
+from bench.soak.injectors import SeededInjector
 from bench.soak.unwanted import attempt_of
 
 PAUSE_S = (0.5, 3.0)
@@ -20,18 +18,10 @@
 SIGNAL_EXCUSE_S = 3.0
 
 
-class LimitInjector:
-    """Lets endpoints name limits, with a generator of its own.
-
-    Parameters
-    ----------
-    environment : SoakEnvironment
-    seed : int
-    """
+class LimitInjector(SeededInjector):
+    """Lets endpoints name limits; see `SeededInjector`."""
 
-    def __init__(self, environment, seed):
-        self._environment = environment
-        self._random = random.Random(f"limits {seed}")
+    GENERATOR = "limits"
 
     async def run(self, duration_s):
         """Start limits for `duration_s`; return when the last one has ended."""
@@ -46,9 +36,9 @@
 
     async def _limit(self, endpoint):
         per_s = self._random.choice(LIMITS_PER_S)
-        fault = Fault("endpoint_limit", trio.current_time(), endpoint=endpoint.name)
-        fault.detail = str(per_s)
-        self._environment.observations.faults.append(fault)
+        fault = self._record_fault(
+            "endpoint_limit", endpoint=endpoint.name, detail=str(per_s)
+        )
         endpoint.name_limit(str(per_s).encode())
         await trio.sleep(self._random.uniform(*DURATION_S))
         # A window counts from the first answer that named it.
@@ -59,17 +49,7 @@
 
 def find_exceeded(environment):
     """Yield a line of text for each limit that an endpoint's requests exceeded."""
-    attempts_by_id = {attempt.id: attempt for attempt in environment.attempts}
-    for fault in environment.observations.faults:
-        if fault.kind != "endpoint_limit":
-            continue
-        endpoint = environment.endpoints_by_name[fault.endpoint]
-        times_s = [
-            arrival.at_s
-            for arrival in endpoint.arrivals
-            if fault.started_s + SETTLING_S <= arrival.at_s <= fault.ended_s
-            and not is_excused(environment.observations, attempts_by_id, arrival)
-        ]
+    for fault, times_s in counted_arrivals(environment, "endpoint_limit"):
         per_s = float(fault.detail)
         allowed = ALLOWED_FACTOR * per_s * WINDOW_S + ALLOWED_REQUESTS
         most = max(
@@ -77,12 +57,33 @@
         )
         if most > allowed:
             yield (
-                f"LIMIT {endpoint.name} got {most} requests in {WINDOW_S:g} s at "
+                f"LIMIT {fault.endpoint} got {most} requests in {WINDOW_S:g} s at "
                 f"{per_s:g} a second, allowed {allowed:g}"
             )
 
 
-def is_excused(observations, attempts_by_id, arrival):
+def counted_arrivals(environment, kind):
+    """Yield each fault of a kind, and the times of the requests that count against it.
+
+    Requests count that reached the endpoint while the fault lasted, after the gateways
+    have passed on what it said.
+    """
+    attempts_by_id = {attempt.id: attempt for attempt in environment.attempts}
+    for fault in environment.observations.faults:
+        if fault.kind != kind:
+            continue
+        yield (
+            fault,
+            [
+                arrival.at_s
+                for arrival in environment.endpoints_by_name[fault.endpoint].arrivals
+                if fault.started_s + SETTLING_S <= arrival.at_s <= fault.ended_s
+                and not _is_excused(environment.observations, attempts_by_id, arrival)
+            ],
+        )
+
+
+def _is_excused(observations, attempts_by_id, arrival):
     """Return whether a request doesn't count: a renewal, or by a disturbed gateway."""
     attempt = attempt_of(attempts_by_id, arrival.sender_id)
     if arrival.is_renewal or attempt is None:
--- a/bench/soak/paths.py
+++ b/bench/soak/paths.py
@@ -4,11 +4,9 @@
 its other end.
 """
 
-import random
-
 import trio
 
-from bench.soak.observations import Fault
+from bench.soak.injectors import SeededInjector
 from bench.soak.processes import process_of
 
 PAUSE_S = (1.0, 4.0)
@@ -16,18 +14,10 @@
 MODES = ("cut", "silent", "deaf", "mute")
 
 
-class PathInjector:
-    """Cuts the paths of single gateways, with a generator of its own.
-
-    Parameters
-    ----------
-    environment : SoakEnvironment
-    seed : int
-    """
+class PathInjector(SeededInjector):
+    """Cuts the paths of single gateways; see `SeededInjector`."""
 
-    def __init__(self, environment, seed):
-        self._environment = environment
-        self._random = random.Random(f"paths {seed}")
+    GENERATOR = "paths"
 
     async def run(self, duration_s):
         """Cut paths for `duration_s`; return when the last ones are whole."""
@@ -40,8 +30,7 @@
                 await self._cut(gateway, process, self._random.choice(MODES))
 
     async def _cut(self, gateway, process, mode):
-        fault = Fault("paths", trio.current_time(), gateway=gateway.number, detail=mode)
-        self._environment.observations.faults.append(fault)
+        fault = self._record_fault("paths", gateway=gateway.number, detail=mode)
         proxies = self._environment.endpoint_proxies.values()
         for proxy in proxies:
             proxy.modes_by_process = {process.id: mode}
--- a/bench/soak/tainted.py
+++ b/bench/soak/tainted.py
@@ -4,7 +4,8 @@
 
 import trio
 
-from bench.soak.observations import Crash, Fault
+from bench.soak.injectors import EndpointCrasher
+from bench.soak.observations import Crash
 from vanillareach.platform import names
 from vanillareach.utils import sha256_hex
 
@@ -16,7 +17,6 @@
 DEADLY_KIND = "ask"
 # Time before the first request with the deadly part.
 CALM_S = 2.0
-ABSENCE_S = (2.0, 4.0)
 
 
 class PromptParts:
@@ -64,7 +64,7 @@
     return ",".join(f"{part}:{tokens}" for part in parts)
 
 
-class EngineCrasher:
+class EngineCrasher(EndpointCrasher):
     """Lets engines crash at prompts with the deadly part, and come back.
 
     Parameters
@@ -74,10 +74,7 @@
     seed : int
     """
 
-    def __init__(self, environment, seed):
-        self._environment = environment
-        self._random = random.Random(f"crashes {seed}")
-        self._nursery = None
+    GENERATOR = "crashes"
 
     async def run(self, duration_s):
         """Let engines crash for `duration_s`; return when all are back."""
@@ -104,24 +101,9 @@
 
         Returns whether it crashes; one that leaves or asks for quiet does not.
         """
-        environment, now_s = self._environment, trio.current_time()
-        if endpoint.crasher is None or endpoint.name in environment.withdrawn_names:
+        if endpoint.crasher is None or not self._may_crash(endpoint):
             return False
-        environment.withdrawn_names.add(endpoint.name)
-        crash = Crash(endpoint.name, received.attempt_id, now_s)
-        environment.observations.crashes.append(crash)
-        environment.observations.faults.append(
-            Fault("endpoint_end", now_s, now_s, endpoint=endpoint.name, detail="crash")
-        )
-        environment.endpoint_proxies[endpoint.name].close()
-        self._nursery.start_soon(self._return, endpoint)
+        crash = Crash(endpoint.name, received.attempt_id, trio.current_time())
+        self._environment.observations.crashes.append(crash)
+        self._crash(endpoint, "crash")
         return True
-
-    async def _return(self, endpoint):
-        """Let an engine come back as a new incarnation."""
-        await trio.sleep(self._random.uniform(*ABSENCE_S))
-        environment, name = self._environment, endpoint.name
-        endpoint.restart()
-        environment.endpoint_proxies[name].reopen()
-        environment.stage.put_endpoint(name, environment.service_of(name))
-        environment.withdrawn_names.discard(name)
--- a/bench/soak/withdrawals.py
+++ b/bench/soak/withdrawals.py
@@ -1,10 +1,8 @@
 """Endpoints that leave and come back, and endpoints that ask for quiet."""
 
-import random
-
 import trio
 
-from bench.soak.observations import Fault
+from bench.soak.injectors import SeededInjector
 
 MAX_PAUSE_S = 1.2
 LEAVE_PROBABILITY = 0.5
@@ -21,21 +19,16 @@
 REFUSAL_S = (0.5, 2.0)
 
 
-class WithdrawalInjector:
+class WithdrawalInjector(SeededInjector):
     """Lets endpoints leave and ask for quiet; half of each service at least is left.
 
-    The generator is its own, so that the other faults of a seed are the same with and
-    without these.
-
-    Parameters
-    ----------
-    environment : SoakEnvironment
-    seed : int
+    See `SeededInjector`.
     """
 
+    GENERATOR = "withdrawals"
+
     def __init__(self, environment, seed):
-        self._environment = environment
-        self._random = random.Random(f"withdrawals {seed}")
+        super().__init__(environment, seed)
         self._busy_names = environment.withdrawn_names
 
     async def run(self, duration_s):
@@ -68,15 +61,12 @@
         await withdraw(name)
         self._busy_names.discard(name)
 
-    def _record(self, kind, name, detail=""):
-        fault = Fault(kind, trio.current_time(), endpoint=name, detail=detail)
-        self._environment.observations.faults.append(fault)
-        return fault
-
     async def _leave(self, name):
         """Say so in all answers, end after a while, and come back."""
         announcement = self._random.choice(ANNOUNCEMENTS)
-        fault = self._record("endpoint_leaves", name, announcement)
+        fault = self._record_fault(
+            "endpoint_leaves", endpoint=name, detail=announcement
+        )
         stage, service = self._environment.stage, self._environment.service_of(name)
         endpoint = self._environment.endpoints_by_name[name]
         endpoint.is_leaving = True
@@ -95,7 +85,11 @@
         proxies = self._environment.endpoint_proxies
         proxy, target = proxies[name], proxies[name].target
         is_reused = self._random.random() < REUSE_PROBABILITY
-        end = self._record("endpoint_end", name, "reused" if is_reused else "refusing")
+        end = self._record_fault(
+            "endpoint_end",
+            endpoint=name,
+            detail="reused" if is_reused else "refusing",
+        )
         end.ended_s = end.started_s
         self._remove_entry(name)
         if is_reused:
@@ -119,7 +113,7 @@
         retry_after_s = round(self._random.uniform(*RETRY_AFTER_S), 1)
         is_for_all = self._random.random() < 0.5
         detail = f"{retry_after_s} s, {'all' if is_for_all else 'one'}"
-        fault = self._record("endpoint_quiet", name, detail)
+        fault = self._record_fault("endpoint_quiet", endpoint=name, detail=detail)
         endpoint.retry_after = str(retry_after_s).encode()
         if is_for_all:
             usual_step, endpoint.default_step = endpoint.default_step, "quiet"
--- a/vanillareach/core/dispatching.py
+++ b/vanillareach/core/dispatching.py
@@ -116,27 +116,29 @@
         denied : frozenset or set of str
             Ids of endpoints that take no further request now.
         """
-        withheld = self._state.withheld_endpoints().keys()
-        excluded = exchange.excluded_endpoints | denied | withheld
         return self.place(
             exchange.service,
             self.generation_request(exchange, now_ms),
-            excluded | self.avoided_ids(exchange.service.name, excluded, now_ms),
+            self.excluded_ids(exchange, denied, now_ms),
             exchange.first_event_ms is None,
             now_ms,
             self._predicted_work(exchange, now_ms)[0],
         )
 
-    def avoided_ids(self, service, excluded, now_ms):
-        """Return the ids of endpoints whose paths pass nothing from this instance.
+    def excluded_ids(self, exchange, denied, now_ms):
+        """Return the ids of endpoints that a request must not use now.
 
-        Empty if no other endpoint of the service is left.
+        Endpoints whose paths pass nothing from this instance are among them unless no
+        other one of the service is left.
         """
+        excluded = exchange.excluded_endpoints | denied
+        excluded |= self._state.withheld_endpoints().keys()
         avoided = self._state.paths.avoided_ids(now_ms)
-        if not avoided:
-            return avoided
-        usable = {e.id for e in self._state.endpoints.usable(service)}
-        return avoided if usable - excluded - avoided else set()
+        if avoided:
+            usable = self._state.endpoints.usable(exchange.service.name)
+            if {endpoint.id for endpoint in usable} - excluded - avoided:
+                excluded |= avoided
+        return excluded
 
     def generation_request(self, exchange, now_ms):
         """Return the `GenerationRequest` to place, or None for a plain call."""
--- a/vanillareach/core/path_evidence.py
+++ b/vanillareach/core/path_evidence.py
@@ -29,7 +29,7 @@
 BUSY_EXTENSION_MS = 200.0
 
 
-class WaitingRequest:
+class UnansweredRequest:
     """A request of which no byte of an answer has arrived.
 
     Attributes
@@ -56,7 +56,7 @@
 
     Attributes
     ----------
-    waiting_by_id : dict of int to WaitingRequest
+    waiting_by_id : dict of int to UnansweredRequest
         By the id of the flight.
     dead_keys : set of tuple
         Endpoints that left requests and a health check unanswered, until bytes come
@@ -83,7 +83,7 @@
 
     def record_sent(self, flight, key, silence_ms, now_ms):
         """Record that a request is sent; it is unanswered after `silence_ms`."""
-        self.waiting_by_id[flight.id] = WaitingRequest(
+        self.waiting_by_id[flight.id] = UnansweredRequest(
             key, flight, now_ms, now_ms + silence_ms
         )
 
@@ -136,7 +136,7 @@
         _put_latest(self._swallowed_by_key, key, (now_ms, since_ms), MAX_ENDPOINTS)
 
     def overdue(self, now_ms):
-        """Return the `WaitingRequest` records that now count as unanswered."""
+        """Return the `UnansweredRequest` records that now count as unanswered."""
         return [w for w in self.waiting_by_id.values() if w.due_ms <= now_ms]
 
     def next_due_ms(self):
--- a/vanillareach/exposition.py
+++ b/vanillareach/exposition.py
@@ -32,30 +32,19 @@
 
     def collect(self):
         """Yield the metric families; called by the registry."""
-        requests = CounterMetricFamily(
-            "vanillareach_requests",
-            "Finished requests.",
-            labels=("kind", "outcome", "reason"),
+        metrics = self._metrics
+        yield _counter_family(
+            "requests", "Finished requests.", "kind outcome reason", metrics.requests
         )
-        for labels, count in self._metrics.requests.items():
-            requests.add_metric(labels, count)
-        yield requests
-        attempts = CounterMetricFamily(
-            "vanillareach_attempts",
-            "Attempts at endpoints.",
-            labels=("service", "result"),
+        yield _counter_family(
+            "attempts", "Attempts at endpoints.", "service result", metrics.attempts
         )
-        for labels, count in self._metrics.attempts.items():
-            attempts.add_metric(labels, count)
-        yield attempts
-        refusals = CounterMetricFamily(
-            "vanillareach_refusals",
+        yield _counter_family(
+            "refusals",
             "Requests refused for lack of an endpoint.",
-            labels=("service", "priority", "reason"),
+            "service priority reason",
+            metrics.refusals,
         )
-        for labels, count in self._metrics.refusals.items():
-            refusals.add_metric(labels, count)
-        yield refusals
         yield self._waiting_family()
         yield self._first_token_family()
         for name, (help_text, read) in self._metrics.gauges_by_name.items():
@@ -87,3 +76,13 @@
                     latency.quantile(fraction),
                 )
         return summary
+
+
+def _counter_family(name, help_text, label_names, counts_by_labels):
+    """Return the counters of one name; `label_names` are separated by spaces."""
+    family = CounterMetricFamily(
+        f"vanillareach_{name}", help_text, labels=label_names.split()
+    )
+    for labels, count in counts_by_labels.items():
+        family.add_metric(labels, count)
+    return family
--- a/vanillareach/features/steps/cold_engines.py
+++ b/vanillareach/features/steps/cold_engines.py
@@ -278,7 +278,7 @@
             begin_cold(fleet, returning, False)
             for gateway in fleet.gateways_by_name.values():
                 now_ms = gateway.clock.now_ms()
-                gateway.state.record_domain_returned(domain, now_ms)
+                gateway.state.record_taken_back([domain], now_ms)
             await trio.sleep(used_ms / 1000)
             nursery.cancel_scope.cancel()
 
--- a/vanillareach/gateway/following.py
+++ b/vanillareach/gateway/following.py
@@ -137,7 +137,11 @@
         key = "configuration"
         while True:
             rank = self._own_rank(key)
-            is_due = rank == 0 or self._must_complete_configuration()
+            is_incomplete = self._must_complete_configuration()
+            if is_incomplete:
+                # A watch reports changes only.
+                self._configuration_position = None
+            is_due = rank == 0 or is_incomplete
             if not is_due and not await self._wait_for_turn(
                 key,
                 rank,
@@ -149,17 +153,10 @@
                 self._state.publish(ChangeKind.CONFIRMATION)
 
     def _must_complete_configuration(self):
-        """Return whether this instance must read the fields that its copy lacks.
-
-        A position in the store's history is given up, since a watch reports changes
-        only.
-        """
+        """Return whether this instance must read the fields that its copy lacks."""
         place = preference("completion", self._gossip.name) / MAX_PREFERENCE
         delay_ms = INCOMPLETE_READ_DELAY_MS + INCOMPLETE_READ_SPREAD_MS * place
-        if self._state.configuration_incomplete_ms() <= delay_ms:
-            return False
-        self._configuration_position = None
-        return True
+        return self._state.configuration_incomplete_ms() > delay_ms
 
     async def _refresh_configuration(self):
         state = self._state
--- a/vanillareach/gateway/placing.py
+++ b/vanillareach/gateway/placing.py
@@ -165,11 +165,7 @@
         priorities = self._ordered.priorities(exchange.service.name)
         if priorities is None or exchange.service.engine is None:
             return PlacementDecision(self._dispatcher.choose(exchange, now_ms, denied))
-        excluded = exchange.excluded_endpoints | denied
-        excluded |= self._state.withheld_endpoints().keys()
-        excluded |= self._dispatcher.avoided_ids(
-            exchange.service.name, excluded, now_ms
-        )
+        excluded = self._dispatcher.excluded_ids(exchange, denied, now_ms)
         ask = PlacementAsk(
             service=exchange.service,
             generation=self._dispatcher.generation_request(exchange, now_ms),
--- a/vanillareach/gateway/state.py
+++ b/vanillareach/gateway/state.py
@@ -261,12 +261,6 @@
                 # The instances of its domain hear of it from here.
                 self.publish()
 
-    def record_domain_returned(self, domain, now_ms):
-        """Record that a failure domain is used again: its endpoints may be cold."""
-        returned = [e for e in self.endpoints.by_id.values() if e.domain == domain]
-        self.cold_engines.record_returned(returned, now_ms)
-        self._apply_cold(returned, "domain")
-
     def _apply_cold(self, endpoints, source):
         """Limit the requests of those of `endpoints` that are cold."""
         now_ms = self._clock.now_ms()
@@ -567,15 +561,15 @@
 
         Their endpoints may be cold.
         """
-        endpoints = [e.id for e in self.endpoints.by_id.values() if e.domain in domains]
+        returned = [e for e in self.endpoints.by_id.values() if e.domain in domains]
         log.info(
             "Endpoints get requests again.",
             domains=domains,
-            endpoints=len(endpoints),
+            endpoints=len(returned),
             at_ms=round(now_ms),
         )
-        for domain in domains:
-            self.record_domain_returned(domain, now_ms)
+        self.cold_engines.record_returned(returned, now_ms)
+        self._apply_cold(returned, "domain")
 
     def evacuation_news(self):
         """Return the `EvacuationNews` that peers are told."""
