--- a/review/common/engine.py
+++ b/review/common/engine.py
@@ -52,6 +52,8 @@
 
     Attributes
     ----------
+    begun_ids : set of str
+        Ids of the requests of which the head has arrived.
     on_event : callable
         Called with the request and the number of its events that were sent.
     """
@@ -84,7 +86,9 @@
         self._sequence = 0
         self._heart = None
         self._return = None
+        self.begun_ids = set()
         self._server = Server(self._handle)
+        self._server.on_head = self._note_head
 
     @property
     def address(self):
@@ -117,6 +121,13 @@
         host, port = self.address.rsplit(":", 1)
         return host, int(port)
 
+    def _note_head(self, values):
+        self.begun_ids.add(values.get("vanillareach-attempt-id", ""))
+
+    def read_slowly(self, bytes_per_s):
+        """Read the bodies of requests at a rate."""
+        self._server.bytes_per_s = bytes_per_s
+
     def drain(self):
         """Report that the engine is leaving; it goes on serving."""
         self.is_leaving = True
--- a/review/common/http.py
+++ b/review/common/http.py
@@ -3,6 +3,7 @@
 import asyncio
 
 MAX_HEAD_BYTES = 65_536
+READ_BYTES = 65_536
 
 
 class Request:
@@ -54,8 +55,17 @@
         yield data
 
 
-async def read_request(reader):
-    """Return the next `Request` of a channel, or None at its end."""
+async def read_request(reader, bytes_per_s=None, on_head=None):
+    """Return the next `Request` of a channel, or None at its end.
+
+    Parameters
+    ----------
+    reader : asyncio.StreamReader
+    bytes_per_s : float or None
+        Rate at which the body is read; None for no limit.
+    on_head : callable or None
+        Called with the headers as soon as they have arrived.
+    """
     try:
         head = await reader.readuntil(b"\r\n\r\n")
     except (asyncio.IncompleteReadError, ConnectionError):
@@ -63,13 +73,27 @@
     first, headers = parse_head(head)
     method, target, _ = first.split(" ", 2)
     values = dict(headers)
+    if on_head is not None:
+        on_head(values)
     if "chunked" in values.get("transfer-encoding", ""):
         body = b"".join([chunk async for chunk in read_chunks(reader)])
     else:
-        body = await reader.readexactly(int(values.get("content-length", 0)))
+        length = int(values.get("content-length", 0))
+        body = await _read_body(reader, length, bytes_per_s)
     return Request(method, target, headers, body)
 
 
+async def _read_body(reader, length, bytes_per_s):
+    if bytes_per_s is None:
+        return await reader.readexactly(length)
+    body = bytearray()
+    while len(body) < length:
+        size = min(READ_BYTES, length - len(body))
+        body += await reader.readexactly(size)
+        await asyncio.sleep(size / bytes_per_s)
+    return bytes(body)
+
+
 def encode_response(status, headers, body):
     """Return a complete response as bytes."""
     lines = [f"HTTP/1.1 {status} Status"]
@@ -85,10 +109,19 @@
     ----------
     handle : callable
         Coroutine function of (request, writer); writes the response.
+
+    Attributes
+    ----------
+    bytes_per_s : float or None
+        Rate at which bodies are read; None for no limit.
+    on_head : callable or None
+        See `read_request`.
     """
 
     def __init__(self, handle):
         self._handle = handle
+        self.bytes_per_s = None
+        self.on_head = None
         self._server = None
         self._writers = set()
         self.address = ""
@@ -104,7 +137,7 @@
     async def _serve(self, reader, writer):
         self._writers.add(writer)
         try:
-            while (request := await read_request(reader)) is not None:
+            while request := await read_request(reader, self.bytes_per_s, self.on_head):
                 work = asyncio.ensure_future(self._handle(request, writer))
                 end = asyncio.ensure_future(_wait_for_end(reader))
                 await asyncio.wait({work, end}, return_when=asyncio.FIRST_COMPLETED)
