--- a/review/3/case.py
+++ b/review/3/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import sys
 import time
+from collections import Counter
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
@@ -17,6 +18,8 @@
 DOWN_S = 2.0
 ROUNDS = 14
 PAUSE_S = 1.5
+# Other requesters, each with one stream at a time.
+OTHERS = 4
 PATH = "/overview/season-3"
 PROMPT = b"the prompt that no engine survives"
 
@@ -45,6 +48,29 @@
         engine.on_event = on_event
 
 
+async def send_others(case, ended):
+    """Send other requesters' prompts, one after another; count how they end."""
+    number = 0
+    while True:
+        number += 1
+        gateway = case.gateways[number % len(case.gateways)]
+        attempt_id, answer = await case.ask(
+            gateway,
+            MODEL_HOST,
+            "/overview/other",
+            body=b"a sound prompt",
+            extra=stream_headers("c3", f"{attempt_number(case):x}"),
+        )
+        is_complete = answer is not None and answer.is_complete
+        ended[is_complete] += 1
+        case.record(f"other {attempt_id}: complete: {is_complete}")
+
+
+def attempt_number(case):
+    """Return a number that no other prompt has."""
+    return int(case.new_id(), 16)
+
+
 async def play(case: Case):
     """Send the same prompt again and again, as its requester does."""
     case.store.put("config", "main", model_config())
@@ -64,6 +90,8 @@
         await case.add_gateway(f"edge-{zone}-1", zone)
     await case.wait_until_ready()
     await asyncio.sleep(1.0)
+    ended = Counter()
+    others = [asyncio.ensure_future(send_others(case, ended)) for _ in range(OTHERS)]
     for number in range(ROUNDS):
         gateway = case.gateways[number % len(case.gateways)]
         attempt_id, answer = await case.ask(
@@ -74,6 +102,10 @@
         body = answer.body[:60] if answer and status != 200 else b""
         case.note(f"{attempt_id}: status {status}, complete: {is_complete} {body!r}")
         await asyncio.sleep(PAUSE_S)
+    for task in others:
+        task.cancel()
+    # Not judged: what the crashes do to the prompts of others.
+    case.note(f"others' streams: {ended[True]} complete, {ended[False]} cut or failed")
     retries = []
     if len(crashes.times_s) >= CRASHES_BEFORE:
         from_s = crashes.times_s[CRASHES_BEFORE - 1] + STABLE_WINDOW_S
@@ -81,7 +113,7 @@
             arrival
             for engine in case.engines
             for arrival in engine.arrivals
-            if arrival.at_s > from_s
+            if arrival.at_s > from_s and arrival.request.body == PROMPT
         ]
     case.note(
         f"{len(crashes.times_s)} crashes; {len(retries)} retries reached engines later"
