--- a/review/2/case.py
+++ b/review/2/case.py
@@ -15,8 +15,8 @@
 
 # By the published figures such a stream takes 3.1 s.
 EVENTS = 70
-# The pace that the engines tell, besides the published time of an event.
-PACE = 1.6
+# Two of the engines slow down when they are nearly full, and tell it as their pace.
+FULL_PACES = (1.6, 1.6, 1.0)
 EVENT_S = ENGINE["stride"] * ENGINE["step_ms"] / 1000
 ANSWER_TOKENS = EVENTS * ENGINE["stride"]
 CHANNELS = 8
@@ -54,19 +54,19 @@
     """Stop a gateway to which requesters hold idle channels, as planned."""
     case.store.put("config", "main", model_config())
     zones = ("zone-a", "zone-b", "zone-c")
-    for zone in zones:
+    for number, full_pace in enumerate(FULL_PACES):
         engine = Engine(
             case.store,
-            f"i-{zone}",
+            f"i-{number}",
             "model-pool",
-            zone,
+            zones[number % len(zones)],
             work_s=0.05,
             events=EVENTS,
             event_s=EVENT_S,
-            pace=PACE,
         )
+        engine.full_pace = full_pace
         await case.add_engine(engine)
-    for zone in zones[:2]:
+    for zone in zones:
         await case.add_gateway(f"edge-{zone}-1", zone)
     await case.wait_until_ready()
     await asyncio.sleep(1.0)
--- a/review/common/engine.py
+++ b/review/common/engine.py
@@ -7,6 +7,7 @@
 from common.http import Server, encode_response
 
 HEARTBEAT_S = 1.2
+NEARLY_FULL_SHARE = 0.75
 
 
 class Arrival:
@@ -52,6 +53,8 @@
 
     Attributes
     ----------
+    full_pace : float
+        Pace while three quarters of its slots are taken.
     begun_ids : set of str
         Ids of the requests of which the head has arrived.
     on_event : callable
@@ -78,6 +81,7 @@
         self.event_s = event_s
         self.slots = slots
         self.pace = pace
+        self.full_pace = pace
         self.arrivals = []
         self.is_leaving = False
         self.on_event = lambda request, count: None
@@ -124,6 +128,12 @@
     def _note_head(self, values):
         self.begun_ids.add(values.get("vanillareach-attempt-id", ""))
 
+    def current_pace(self):
+        """Return the pace at the present load."""
+        running = sum(arrival.end == "running" for arrival in self.arrivals)
+        is_nearly_full = running >= NEARLY_FULL_SHARE * self.slots
+        return self.full_pace if is_nearly_full else self.pace
+
     def read_slowly(self, bytes_per_s):
         """Read the bodies of requests at a rate."""
         self._server.bytes_per_s = bytes_per_s
@@ -207,7 +217,7 @@
             "kv_used": 0,
             "kv_total": 405_000,
             "handles": 0,
-            "pace": self.pace,
+            "pace": self.current_pace(),
             "tickets": [],
         }
         return json.dumps(report).encode()
@@ -231,6 +241,6 @@
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
             await writer.drain()
             self.on_event(request, number - first + 1)
-            await asyncio.sleep(self.event_s * self.pace)
+            await asyncio.sleep(self.event_s * self.current_pace())
         writer.write(b"0\r\n\r\n")
         return await writer.drain()
