Accept during a stop only what surely ends in time

Cause: the time of an answer was predicted by published figures times 1.25. Engines up to 1.7 times as slow count as running as published, a slower pace is forgotten after 3 s, and streams handed to a peer and plain calls were not checked at all. In a grace period under 3.5 s idle connections were never closed in order.

Change: the slowest of a route's recent answers counts for what a stopping instance accepts, on every way out; an engine whose pace isn't known is reckoned with the slowest pace that wouldn't be known. Idle connections close at 2.5 s, after the balancer's two checks, and earlier in a short grace period. Refusals for this reason may come back after 50 to 100 ms instead of 300 ms and more.

Why it works: both guesses erred towards accepting, and a refusal costs one repeated request where a cut costs the answer. What a stream took before, later load and unknown pace included, is a bound that needs no model of them.

--- a/vanillareach/core/dispatching.py
+++ b/vanillareach/core/dispatching.py
@@ -1,7 +1,5 @@
 """Choice of the endpoint for each attempt, and the attempt's timeouts."""
 
-import math
-
 import msgspec
 
 from vanillareach.core.engine_time import pass_ms
@@ -14,6 +12,7 @@
 from vanillareach.core.remaining_work import DEFAULT_CALL_MS, queue_ms
 from vanillareach.core.request_costs import CostTraits
 from vanillareach.core.routing import RequestKind
+from vanillareach.core.shutdown_admission import ShutdownAdmission
 from vanillareach.core.state_change import ChangeKind
 from vanillareach.core.unavailability import find_unavailability
 from vanillareach.core.waiting import FreeRoom, engine_room
@@ -94,6 +93,10 @@
         Failure domain of this instance.
     random : random.Random
     policy : EnginePolicy
+
+    Attributes
+    ----------
+    shutdown : ShutdownAdmission
     """
 
     def __init__(self, state, domain, random, policy):
@@ -102,6 +105,7 @@
         self._random = random
         self._policy = policy
         self._last_flight_id = 0
+        self.shutdown = ShutdownAdmission(state)
         self._uses_costs = policy is not None and policy.uses_costs
         if self._uses_costs:
             state.costs.is_enabled = True
@@ -155,7 +159,8 @@
             pause_limit_ms=route.pause_limit_ms,
             worth=worth_of(fields),
             domain=self._domain,
-            time_to_shutdown_ms=self._time_to_shutdown_ms(exchange, now_ms),
+            time_to_shutdown_ms=self.shutdown.time_left_ms(exchange, now_ms),
+            least_answer_ms=self.shutdown.least_answer_ms(exchange, now_ms),
             predicted_tokens=predicted_tokens,
             high_tokens=high_tokens,
         )
@@ -362,15 +367,6 @@
         self._random.shuffle(views)
         return views
 
-    def _time_to_shutdown_ms(self, exchange, now_ms):
-        """Return the time until this instance ends; infinite if the stream has begun.
-
-        A stream that has begun is continued even by an instance that is stopping.
-        """
-        if exchange.first_event_ms is not None:
-            return math.inf
-        return self._state.stop_deadline_ms - now_ms
-
     def event_gap_predictor(self, now_ms):
         """Return the function `expected_gap_ms` that `EnginePaces.update_paces` takes.
 
--- a/vanillareach/core/placement_types.py
+++ b/vanillareach/core/placement_types.py
@@ -40,6 +40,9 @@
         Unknown where the service has one priority only.
     predicted_tokens, high_tokens : float
         Median and high quantile of the predicted length of the answer; 0 if unknown.
+    least_answer_ms : float
+        Time of the answer at the slowdown that others of the route had; 0 unless the
+        placing instance shuts down. See `answer_times`.
     """
 
     prompt_tokens: int
@@ -55,6 +58,7 @@
     priority: int = UNKNOWN_PRIORITY
     predicted_tokens: float = 0
     high_tokens: float = 0
+    least_answer_ms: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/vanillareach/core/shutdown_admission.py
@@ -0,0 +1,91 @@
+"""Which requests a stopping instance accepts: those that surely end before it does."""
+
+import math
+
+from vanillareach.core.answer_times import AnswerTimes, safe_answer_ms
+from vanillareach.core.engine_time import decode_ms, prefill_ms
+from vanillareach.core.routing import RequestKind
+
+
+class ShutdownAdmission:
+    """Compares the time that requests need with the time until the instance ends.
+
+    Parameters
+    ----------
+    state : GatewayState
+        Its `stop_deadline_ms` is infinite until the instance stops.
+    """
+
+    def __init__(self, state):
+        self._state = state
+        self._answer_times = AnswerTimes()
+
+    def time_left_ms(self, exchange, now_ms):
+        """Return the time in which a response has to end because of the shutdown.
+
+        Infinite for a stream that has begun, which goes on as long as the instance, and
+        for a request whose own time limit ends before.
+        """
+        stop_deadline_ms = self._state.stop_deadline_ms
+        if exchange.first_event_ms is not None:
+            return math.inf
+        if exchange.time_limit_ms <= stop_deadline_ms:
+            return math.inf
+        return stop_deadline_ms - now_ms
+
+    def least_answer_ms(self, exchange, now_ms):
+        """Return the time of an answer at the slowdown that others have had.
+
+        It is 0 if it isn't known or if the instance doesn't stop.
+        """
+        if math.isinf(self._state.stop_deadline_ms):
+            return 0.0
+        slowdown = self._answer_times.largest_slowdown(exchange.route.name, now_ms)
+        return slowdown * _nominal_ms(exchange, exchange.fields.answer_tokens)
+
+    def ends_too_late(self, exchange, now_ms):
+        """Return whether a request may not end in time, wherever it runs.
+
+        It knows no load of engines; that of one that is chosen here counts in its
+        placement.
+        """
+        time_left_ms = self.time_left_ms(exchange, now_ms)
+        if math.isinf(time_left_ms):
+            return False
+        least_ms = self.least_answer_ms(exchange, now_ms)
+        if not least_ms and _is_length_unknown(exchange):
+            return True
+        nominal_ms = _nominal_ms(exchange, exchange.fields.answer_tokens)
+        return safe_answer_ms(nominal_ms, 1.0, least_ms) > time_left_ms
+
+    def record_answer(self, exchange, now_ms):
+        """Learn from a request that one attempt has answered completely."""
+        sent = [a for a in exchange.attempts if a.may_have_been_sent]
+        if not exchange.is_answered or len(sent) != 1:
+            return
+        first_event_id = exchange.fields.last_event_id or 0
+        tokens = 0
+        if exchange.service.engine is not None and exchange.last_event_id:
+            event_count = exchange.last_event_id - first_event_id
+            tokens = event_count * exchange.service.engine.steps_per_pass
+        nominal_ms = _nominal_ms(exchange, tokens)
+        if nominal_ms > 0:
+            slowdown = (now_ms - sent[0].sent_ms) / nominal_ms
+            self._answer_times.record(exchange.route.name, slowdown, now_ms)
+
+
+def is_generation(exchange):
+    """Return whether the length of a request's prompt and answer are known."""
+    return exchange.service.engine is not None and bool(exchange.fields.prompt_tokens)
+
+
+def _is_length_unknown(exchange):
+    return exchange.route.kind is RequestKind.STREAM and not is_generation(exchange)
+
+
+def _nominal_ms(exchange, answer_tokens):
+    """Return the time of an answer as published: on an idle engine, or on the route."""
+    if not is_generation(exchange):
+        return exchange.route.objective_ms
+    figures, tokens = exchange.service.engine, exchange.fields.prompt_tokens
+    return prefill_ms(figures, tokens) + decode_ms(figures, answer_tokens, 1, tokens)
--- a/vanillareach/core/span_placement.py
+++ b/vanillareach/core/span_placement.py
@@ -13,6 +13,7 @@
 `dispatching`.
 """
 
+from vanillareach.core.answer_times import safe_answer_ms
 from vanillareach.core.blocking_cost import LATE_LOSS_SHARE, BlockingCost
 from vanillareach.core.engine_shortlist import shortlist
 from vanillareach.core.engine_time import decode_ms, pass_ms, prefill_ms
@@ -58,8 +59,6 @@
 # minimum number of tokens for which a reservation is worthwhile.
 UNRESERVED_MEMORY_SHARE = 0.15
 MIN_RESERVED_TOKENS = 8_192
-# Factor by which a response may take longer than predicted.
-ANSWER_TIME_FACTOR = 1.25
 # Shorter prompts gain too little from a span.
 MIN_SPAN_PROMPT_TOKENS = 12_000
 
@@ -354,15 +353,17 @@
 
 
 def _answer_ms(request, figures, view, time_to_first_event_ms):
-    """Return the time until the response is complete, with a margin for later load."""
+    """Return the time to reckon with until the response is complete."""
     load = view.load
     context_tokens = load.context_tokens + request.prompt_tokens
     decoding_count = len(load.decoding_requests) + 1
     remaining_decode_ms = decode_ms(
         figures, request.answer_tokens, decoding_count, context_tokens
     )
-    return ANSWER_TIME_FACTOR * (
-        time_to_first_event_ms + remaining_decode_ms * view.pace
+    return safe_answer_ms(
+        time_to_first_event_ms / view.pace + remaining_decode_ms,
+        view.pace,
+        request.least_answer_ms,
     )
 
 
--- a/vanillareach/features/steps/connections.py
+++ b/vanillareach/features/steps/connections.py
@@ -32,7 +32,7 @@
     """Close idle connections as a gateway does that stops."""
     gateway = context.platform.gateways[0]
     gateway.state.mark_stopping(gateway.clock.now_ms() + STOP_DURATION_MS)
-    gateway.caller_listener.close_idle()
+    gateway.caller_listener.stop_accepting()
 
 
 async def receive_all(context, callers):
@@ -103,14 +103,14 @@
 @when("the gateway stops and {count:d} callers connect and send a request as it closes")
 def step_connect_during_stop(context, count):
     gateway, callers = context.platform.gateways[0], []
-    close_idle = gateway.caller_listener.close_idle
+    stop_accepting = gateway.caller_listener.stop_accepting
 
-    def connect_and_close_idle():
+    def connect_and_stop_accepting():
         callers.extend(connect_at_once(context, count))
-        close_idle()
+        stop_accepting()
 
     async def call():
-        gateway.caller_listener.close_idle = connect_and_close_idle
+        gateway.caller_listener.stop_accepting = connect_and_stop_accepting
         await gateway.stop()
         context.had_responses = [caller.has_data() for caller in callers]
         await receive_all(context, callers)
--- a/vanillareach/features/stopping.feature
+++ b/vanillareach/features/stopping.feature
@@ -45,3 +45,46 @@
     Given a log whose reader is gone
     When a line is written and drained
     Then it is counted as dropped
+
+  # Guards against streams that a stopping gateway takes by the published pace of engines
+  # and cuts at its end.
+  @platform
+  Scenario Outline: A stopping gateway cuts no stream that it takes on a kept connection
+    Given a gateway with <grace> s to stop, a peer, and engines of busy pace <pace>
+    And <served> streams of <stream> ms were served on connections that are kept
+    When it stops and streams come on these connections from <first> to <last> ms later
+    Then each of them is whole, refused, or came to a closed connection
+    And at least <whole> of them are whole
+
+    Examples:
+      | grace | pace | served | stream | first | last | whole |
+      | 5     | 1.6  | 6      | 1600   | 2000  | 2450 | 0     |
+      | 5     | 1.6  | 0      | 1600   | 2000  | 2450 | 0     |
+      | 5     | 3.0  | 6      | 1000   | 1900  | 2450 | 0     |
+      | 5     | 1.6  | 6      | 1600   | 0     | 1000 | 6     |
+      | 5     | 1.6  | 6      | 500    | 1500  | 2450 | 6     |
+      | 2     | 1.0  | 6      | 300    | 0     | 1900 | 3     |
+
+  # Guards against streams that are handed to a peer without regard to the stop.
+  @platform
+  Scenario: A stopping gateway cuts no stream that it hands to a peer
+    Given a gateway with 5 s to stop, a peer, and engines of busy pace 1.6
+    And 6 streams of 1600 ms were served on connections that are kept
+    And the first gateway has lost its links to all endpoints
+    When it stops and streams come on these connections from 2000 to 2450 ms later
+    Then each of them is whole, refused, or came to a closed connection
+
+  # Guards against plain calls that a stopping gateway passes on and answers with 504.
+  @platform
+  Scenario: A stopping gateway passes on no call that takes longer than it has left
+    Given a gateway with 3 s to stop, a peer, and engines of busy pace 1.0
+    And services that answer after a silence
+    And 2 calls were answered on connections that are kept
+    When it stops and calls come on these connections from 1200 to 1300 ms later
+    Then each of them is whole, refused, or came to a closed connection
+
+  Scenario: The slowest recent answer counts for what a stopping instance accepts
+    Given answers of a route at slowdowns of 1.0, 2.4 and 1.5
+    Then a stopping instance reckons with 2640 ms for an answer of 1000 ms
+    When no answer comes for 601 s
+    Then a stopping instance reckons with 1700 ms for an answer of 1000 ms
--- a/vanillareach/features/users_platform/stage.py
+++ b/vanillareach/features/users_platform/stage.py
@@ -343,6 +343,12 @@
         """Send an encoded request without giving other tasks a turn."""
         os.write(self._stream.socket.fileno(), data)
 
+    async def send_named(self, path, **values):
+        """Send a request and return its attempt id; see `encode`."""
+        attempt_id = self._stage.next_id()
+        await self.send(path, Vanillareach_Attempt_Id=attempt_id, **values)
+        return attempt_id
+
     async def call(self, path, method="POST", body=b"body", **values):
         """Send a request and receive its response."""
         await self.send(path, method, body, **values)
--- a/vanillareach/gateway/app.py
+++ b/vanillareach/gateway/app.py
@@ -32,8 +32,12 @@
 from vanillareach.utils import freeze_startup_objects
 
 # The load balancer checks readiness every second and removes an instance after two
-# failed checks.
+# failed checks. Callers that connect again then reach another instance, so idle
+# connections are closed; new ones are accepted for longer, for a balancer that is slow.
+IDLE_CLOSE_S = 2.5
 BALANCER_REMOVAL_S = 3.2
+# Time for closing connections at the end of a grace period that is shorter than that.
+FINAL_CLOSE_S = 0.6
 # Part of the grace period that is reserved for the exit of the process.
 EXIT_MARGIN_S = 0.3
 # Time before the exit that is reserved for sending error responses to the requests that
@@ -319,11 +323,17 @@
         final_deadline_ms = self.clock.now_ms() + remaining_ms
         self.state.mark_stopping(final_deadline_ms)
         self.forwarder.set_final_deadline(final_deadline_ms)
+        listeners = (self.caller_listener, self.forward_listener)
+        accept_s = min(BALANCER_REMOVAL_S, max(0.0, remaining_s - FINAL_CLOSE_S))
+        idle_s = min(IDLE_CLOSE_S, accept_s)
         with trio.move_on_after(remaining_s):
-            await trio.sleep(BALANCER_REMOVAL_S)
-            for listener in (self.caller_listener, self.forward_listener):
+            await trio.sleep(idle_s)
+            for listener in listeners:
                 listener.close_idle()
-            for listener in (self.caller_listener, self.forward_listener):
+            await trio.sleep(accept_s - idle_s)
+            for listener in listeners:
+                listener.stop_accepting()
+            for listener in listeners:
                 await listener.ended.wait()
         log.info("Stopped.", cut=self.caller_listener.open_connections)
         self.link.close()
--- a/vanillareach/gateway/attempts.py
+++ b/vanillareach/gateway/attempts.py
@@ -366,7 +366,9 @@
 
     def _log_dispatch(self, exchange, placement, now_ms):
         state = self._state
-        why = {"why": placement.why} if placement.why else {}
+        more = {"why": placement.why} if placement.why else {}
+        if state.is_stopping:
+            more["stops_in_ms"] = round(state.stop_deadline_ms - now_ms)
         log.info(
             "Dispatched.",
             id=exchange.id,
@@ -381,7 +383,7 @@
             list_age_ms=round(state.endpoints_age_ms()),
             version=exchange.configuration.version,
             attempt=len(exchange.attempts),
-            **why,
+            **more,
         )
 
     def _log_end(self, attempt, result, detail):
--- a/vanillareach/gateway/exchange.py
+++ b/vanillareach/gateway/exchange.py
@@ -82,6 +82,8 @@
     ----------
     deadline_ms : float
         Monotonic time by which the response must have been sent.
+    time_limit_ms : float
+        Monotonic time at which the time limit of the caller or the route is reached.
     scope : trio.CancelScope or None
         Cancelled at the deadline.
     attempts : list of Attempt
@@ -118,7 +120,6 @@
     __slots__ = (
         "_latest_ms",
         "_own_deadline_ms",
-        "_time_limit_ms",
         "attempts",
         "configuration",
         "cost_prediction",
@@ -144,6 +145,7 @@
         "service_ms",
         "suspect",
         "team",
+        "time_limit_ms",
         "waiting_id",
         "weights_version",
     )
@@ -159,7 +161,7 @@
         timeout_ms = min(route.timeout_ms, caller_timeout_ms - HANDSHAKE_MARGIN_MS)
         self._own_deadline_ms = request.received_ms + timeout_ms - ANSWER_MARGIN_MS
         self.deadline_ms = self._own_deadline_ms
-        self._time_limit_ms = request.received_ms + min(
+        self.time_limit_ms = request.received_ms + min(
             route.timeout_ms, caller_timeout_ms
         )
         self._latest_ms = math.inf
@@ -247,7 +249,7 @@
 
         No other response can be sent any more, so no time is reserved for one.
         """
-        self._own_deadline_ms = self._time_limit_ms
+        self._own_deadline_ms = self.time_limit_ms
         self._set_deadline()
 
     def _set_deadline(self):
--- a/vanillareach/gateway/forwarder.py
+++ b/vanillareach/gateway/forwarder.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from vanillareach.core.crash_evidence import Suspect
+from vanillareach.core.shutdown_admission import is_generation
 from vanillareach.gateway.attempt_group import AttemptGroup
 from vanillareach.gateway.attempts import AttemptRunner
 from vanillareach.gateway.connections import ResponseAbortedError
@@ -33,12 +34,16 @@
 # No further attempt is made with less time left: it could not complete.
 MIN_ATTEMPT_TIME_MS = 30.0
 NOT_READY_RETRY_AFTER_MS = 300.0
+# Retry-After of what a stopping instance can't finish; others can, at once.
+STOPPING_RETRY_AFTER_MS = 50.0
 # Requests that arrive during start-up wait for the first responses of the store.
 STARTUP_WAIT_MS = 300.0
 # Interval at which a waiting request checks for capacity.
 CAPACITY_CHECK_INTERVAL_MS = 60.0
 # The same, for a request whose attempts are silent.
 ROOM_CHECK_INTERVAL_MS = 250.0
+# Reason of a refusal because this instance ends too soon.
+STOPPING = "stopping"
 # An error of the gateway itself, which its caller gets as a 500.
 FAULT = RequestOutcome("unknown", "internal_error")
 
@@ -188,7 +193,9 @@
                 await self._send_deadline_exceeded(exchange, responder)
         finally:
             self._exchanges.discard(exchange)
-            self._dispatcher.record_cost(exchange, self._clock.now_ms())
+            now_ms = self._clock.now_ms()
+            self._dispatcher.record_cost(exchange, now_ms)
+            self._dispatcher.shutdown.record_answer(exchange, now_ms)
             # Ends the reference cycle that would keep the request's body in memory
             # until a garbage collection.
             exchange.attempts.clear()
@@ -253,10 +260,7 @@
                 elif group.is_running:
                     wait_ms = ROOM_CHECK_INTERVAL_MS
                 else:
-                    reason = decision.reason or self._refusal_reason(responder)
-                    return await self._send_final_failure(
-                        exchange, responder, reason, decision.retry_after_ms
-                    )
+                    return await self._refuse_unplaced(exchange, responder, decision)
             report = await group.next_report(wait_ms)
             if report is None:
                 may_try = group.is_silent
@@ -273,6 +277,15 @@
                     exchange, responder, report.result.name.lower()
                 )
 
+    async def _refuse_unplaced(self, exchange, responder, decision):
+        """Send the error response of a request for which there is no endpoint."""
+        reason, retry_after_ms = decision.reason, decision.retry_after_ms
+        if not reason:
+            reason = self._refusal_reason(responder)
+        if reason == STOPPING:
+            retry_after_ms = STOPPING_RETRY_AFTER_MS * (1 + self._random.random())
+        await self._send_final_failure(exchange, responder, reason, retry_after_ms)
+
     def _runner_of(self, placement):
         is_peer = isinstance(placement, PeerPlacement)
         return self._peer_runner if is_peer else self._attempt_runner
@@ -281,7 +294,7 @@
         """Return why a request has no endpoint though some may be asked."""
         # A stop prevents no further attempt once a stream has begun.
         is_due_to_stop = self._state.is_stopping and not responder.is_started
-        return "stopping" if is_due_to_stop else "no_room"
+        return STOPPING if is_due_to_stop else "no_room"
 
     async def _choose_placement(self, exchange, group):
         """Return the next `PlacementDecision`; wait briefly for room.
@@ -293,6 +306,13 @@
             if self._state.quarantine.refuses(exchange):
                 return PlacementDecision(None, QUARANTINE_RETRY_AFTER_MS, "quarantined")
             peer_placement = self._peer_chooser.choose(exchange)
+            # The placement of a generation here counts the load of the engine as well.
+            is_unchecked = peer_placement is not None or not is_generation(exchange)
+            now_ms = self._clock.now_ms()
+            if is_unchecked and self._dispatcher.shutdown.ends_too_late(
+                exchange, now_ms
+            ):
+                return PlacementDecision(None, reason=STOPPING)
             if peer_placement is not None:
                 return PlacementDecision(peer_placement)
             if exchange.is_forwarded and (
--- a/vanillareach/gateway/listener.py
+++ b/vanillareach/gateway/listener.py
@@ -58,9 +58,9 @@
     Attributes
     ----------
     is_closing_idle : bool
-        Whether `close_idle` was called.
+        Whether `stop_accepting` was called, so that no connection stays idle.
     ended : trio.Event
-        Set once the listener and all connections have been closed after `close_idle`.
+        Set once the listener and all connections have been closed after that.
     """
 
     def __init__(self, address, clock, limits, handle, is_stopping):
@@ -82,7 +82,7 @@
         return len(self._connections)
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
-        """Accept until `close_idle`, then return when all connections have ended."""
+        """Accept until `stop_accepting`; return when all connections have ended."""
         host, port = split_address(self._address)
         early = pop_early_socket(self._address)
         if early is None:
@@ -128,15 +128,20 @@
             await trio.aclose_forcefully(stream)
 
     def close_idle(self):
-        """Stop accepting and close the connections that wait for a request.
+        """Close the connections that wait for a request, now or later.
 
-        Requests that have arrived by then are served, also in the listen queue.
+        Requests that have arrived by then are served. Connections that are accepted
+        afterwards may still send one.
         """
-        self.is_closing_idle = True
-        self._accept_scope.cancel()
         for connection in self._connections:
             connection.close_idle()
 
+    def stop_accepting(self):
+        """Accept only what is in the listen queue, and close idle connections."""
+        self.is_closing_idle = True
+        self._accept_scope.cancel()
+        self.close_idle()
+
     def _queued_since_ms(self):
         """Return since when a connection accepted now may have been queued, or None."""
         if self._accept_started_ms is None:
