Refuse requests that keep crashing endpoints after their first output

Cause: output was taken for proof that a request is sound. That spared sound streams beside an engine that dies for another reason, and any prompt that crashes its engine after an event. How often a request met crashes while others survived was kept nowhere.

Evidence: 28 crashes and 22 late retries in 22 s; each crash has a line "Endpoint lost while running." with has_written true, and no evidence after it. With crashes at the arrival of the prompt the same gateways refuse after three. With the new verdict switched off crash_recurrence.feature fails: 12 of 12 engines crashed.

Change: core/crash_recurrence keeps the runs that met crashes, written or not. A request is refused if a sound one, with its share of the engines' time, would hardly have met as many, and no other request explains them as well. Runs without a crash free it again; a trial is made every 24 to 40 s. Runs and survivals are part of beacons. Log lines have the round, the verdict and the chance. A run whose caller left just before the crash counts.

Why it works: a deadly prompt meets every crash in a small share of the time; a sound one meets its share of them, however many engines die and however often it is continued.

--- a/vanillareach/core/crash_evidence.py
+++ b/vanillareach/core/crash_evidence.py
@@ -2,8 +2,9 @@
 
 A crash speaks against everything that ran at the endpoint without having been written
 yet: each request as a whole, and the parts that its prompt shares with others. Output
-speaks for all of these: a request that an endpoint has begun to answer crashes none.
-What is left of several crashes is what they have in common; see `crash_verdicts`.
+speaks for all of these. What is left of several crashes is what they have in common;
+see `crash_verdicts`. Requests that crash endpoints after their first output are known
+by `crash_recurrence`.
 
 Instances exchange reports, so all of them come to the same verdict.
 """
@@ -11,6 +12,7 @@
 import math
 from collections import Counter
 
+from vanillareach.core.crash_recurrence import CrashRecurrences
 from vanillareach.core.crash_trials import TrialRecord
 from vanillareach.core.hashing import hash64
 
@@ -159,6 +161,8 @@
     revision : int
         Changes with the evidence.
     trials : TrialRecord
+    recurrences : CrashRecurrences
+        Requests whose runs met crashes, written or not.
     """
 
     __slots__ = (
@@ -167,6 +171,7 @@
         "_sound_ms_by_trait",
         "crashes_by_key",
         "marks_by_trait",
+        "recurrences",
         "revision",
         "trials",
     )
@@ -176,10 +181,16 @@
         self.marks_by_trait = {}
         self.revision = 0
         self.trials = TrialRecord()
+        self.recurrences = CrashRecurrences()
         self._sound_ms_by_trait = {}
         self._cleared_ms_by_trait = {}
         self._abandoned = []
 
+    @property
+    def has_any(self):
+        """Whether crashes speak against anything."""
+        return bool(self.marks_by_trait or self.recurrences.crashes_by_key)
+
     def record_report(self, report, now_ms):
         """Record that a request ran at a crashed endpoint.
 
@@ -307,6 +318,7 @@
         """Let all reports be told to peers again, as one of them knows none."""
         for report in self.recent_reports(-math.inf):
             report.learned_ms = now_ms
+        self.recurrences.tell_again(now_ms)
 
     def _unrefuted_parts(self, report):
         rounds_by_part = report.rounds_by_part
--- a/vanillareach/core/crash_trials.py
+++ b/vanillareach/core/crash_trials.py
@@ -7,6 +7,7 @@
 so that one of them tries for all.
 """
 
+from vanillareach.core.crash_recurrence import Verdict
 from vanillareach.core.crash_verdicts import is_certain, is_convicted
 from vanillareach.core.rendezvous import MAX_PREFERENCE, preference
 
@@ -16,6 +17,8 @@
 # Both grow by this factor with each trial, up to this exponent.
 TRIAL_DELAY_GROWTH = 8.0
 MAX_TRIAL_DELAY_EXPONENT = 3
+# The same for a whole request, which several trials have to free if it is sound.
+GUILTY_TRIAL_EXPONENT = 1
 # A trial that was allowed but not sent by then may be made by another request.
 SENDING_TIMEOUT_MS = 1_000.0
 # If there are more, the oldest are forgotten.
@@ -122,13 +125,37 @@
     if any(trials.is_allowed(other, now_ms) for other in suspected):
         return False
     exponent = max(map(trials.count, suspected)) + is_certain(evidence, part)
-    growth = TRIAL_DELAY_GROWTH ** min(exponent, MAX_TRIAL_DELAY_EXPONENT)
     crashes_by_key = evidence.crashes_by_key
     last_crash_ms = max(
         (crashes_by_key[key].learned_ms for key in evidence.crash_keys(part)),
         default=0.0,
     )
-    share = preference(f"trial {part}", instance_name) / MAX_PREFERENCE
-    delay_ms = growth * (MIN_TRIAL_DELAY_MS + TRIAL_DELAY_SPREAD_MS * share)
     last_ms = max(last_crash_ms, *map(trials.last_ms, suspected))
-    return now_ms - last_ms >= delay_ms
+    return now_ms - last_ms >= _delay_ms(part, exponent, instance_name)
+
+
+def is_request_trial_due(evidence, fingerprint, verdict, instance_name, now_ms):
+    """Return whether an instance may try a request that is refused as a whole.
+
+    Parameters
+    ----------
+    evidence : CrashEvidence
+    fingerprint : int
+    verdict : Verdict
+    instance_name : str
+    now_ms : float
+    """
+    trials = evidence.trials
+    if trials.is_allowed(fingerprint, now_ms):
+        return False
+    last_crash_ms = evidence.recurrences.last_crash_ms(fingerprint)
+    last_ms = max(last_crash_ms, trials.last_ms(fingerprint))
+    exponent = GUILTY_TRIAL_EXPONENT if verdict is Verdict.GUILTY else 0
+    return now_ms - last_ms >= _delay_ms(fingerprint, exponent, instance_name)
+
+
+def _delay_ms(trait, exponent, instance_name):
+    """Return the pause before a trial, which instances draw unequally."""
+    growth = TRIAL_DELAY_GROWTH ** min(exponent, MAX_TRIAL_DELAY_EXPONENT)
+    share = preference(f"trial {trait}", instance_name) / MAX_PREFERENCE
+    return growth * (MIN_TRIAL_DELAY_MS + TRIAL_DELAY_SPREAD_MS * share)
--- a/vanillareach/features/__main__.py
+++ b/vanillareach/features/__main__.py
@@ -14,6 +14,7 @@
     "placers",
     "endpoint_limits",
     "quarantine",
+    "stopping",
     "outage",
     "processes",
     "properties",
@@ -25,6 +26,7 @@
     "connections",
     "waiting",
     "dead_paths",
+    "crash_recurrence",
     "evacuation_fleet",
     "cold_engines",
 )
--- a/vanillareach/features/steps/quarantine.py
+++ b/vanillareach/features/steps/quarantine.py
@@ -187,7 +187,7 @@
     exchange = SimpleNamespace(
         id="id",
         suspect=suspect_with(context, parts),
-        service=SimpleNamespace(engine=figures),
+        service=SimpleNamespace(engine=figures, name=service),
         fields=SimpleNamespace(prompt_parts=tuple(parts.split())),
         is_trial=False,
     )
--- a/vanillareach/features/users_platform/crashing_endpoint.py
+++ b/vanillareach/features/users_platform/crashing_endpoint.py
@@ -32,3 +32,31 @@
             self.has_crashed = True
             self.scope.cancel()
         await super()._stream(received, responder, **values)
+
+
+class LateCrashingEndpoint(CrashingEndpoint):
+    """Endpoint that crashes after an event of the stream for one body.
+
+    Attributes
+    ----------
+    deadly_body : bytes
+    last_event : int
+        Number of events that it sends before.
+    """
+
+    deadly_body = b"deadly"
+    last_event = 1
+
+    async def _stream(self, received, responder, **values):
+        if received.body != self.deadly_body:
+            return await super()._stream(received, responder, **values)
+        first = int(received.values_by_name.get(names.LAST_EVENT_ID, "0")) + 1
+        headers = self._response_headers(received)
+        await responder.start(200, [*headers, (b"Transfer-Encoding", b"chunked")])
+        for number in range(first, first + self.last_event):
+            event = f"id: {number}\ndata: piece {number}\n\n"
+            await responder.send(event.encode())
+        self.has_crashed = True
+        self.scope.cancel()
+        await trio.lowlevel.checkpoint()
+        return None
--- a/vanillareach/gateway/attempt_group.py
+++ b/vanillareach/gateway/attempt_group.py
@@ -47,6 +47,8 @@
         Whether the endpoint has delivered an event or a complete response.
     rounds_by_part : dict of int to int
         See `CrashReport`; empty before the request is sent.
+    round : int
+        See `CrashedRun`.
     was_delivery_slow : bool
         Whether delivering the last event took long, or none was delivered yet.
     weights_version : int or None
@@ -67,6 +69,7 @@
         "may_have_been_sent",
         "placement",
         "result",
+        "round",
         "rounds_by_part",
         "scope",
         "sent_ms",
@@ -88,6 +91,7 @@
         self.sent_ms = None
         self.has_written = False
         self.rounds_by_part = {}
+        self.round = 1
         self.was_delivery_slow = True
         self.weights_version = None
         self.result = None
--- a/vanillareach/gateway/attempts.py
+++ b/vanillareach/gateway/attempts.py
@@ -135,6 +135,7 @@
                 attempt.set_interrupted_result(responder.is_delivered)
                 if attempt.result is not None:
                     self._record_result(attempt, "")
+                    self._state.quarantine.record_survival(attempt)
                 else:
                     self._state.quarantine.record_abandoned(attempt)
                     self._log_end(
@@ -150,6 +151,8 @@
         self._record_result(attempt, detail)
         if attempt.result is AttemptResult.BROKEN:
             await self._loss_checker.check(attempt)
+        elif attempt.may_have_run:
+            self._state.quarantine.record_survival(attempt)
 
     def _begin(self, attempt):
         """Count the attempt as in flight and watch its idle timeout."""
--- a/vanillareach/gateway/gossip.py
+++ b/vanillareach/gateway/gossip.py
@@ -465,7 +465,7 @@
         """Record what a peer tells of crashes; tell it all if it may know nothing."""
         quarantine = self._state.quarantine
         must_tell = quarantine.apply_news(beacon.crash_news, beacon.name)
-        if is_unaware and quarantine.evidence.marks_by_trait:
+        if is_unaware and quarantine.evidence.has_any:
             quarantine.evidence.tell_again(now_ms)
             must_tell = True
         if must_tell and self.audience.is_placer:
--- a/vanillareach/gateway/quarantine.py
+++ b/vanillareach/gateway/quarantine.py
@@ -2,7 +2,8 @@
 
 from vanillareach.core.crash_evidence import CrashEvidence, CrashReport
 from vanillareach.core.crash_news import apply_news
-from vanillareach.core.crash_trials import is_trial_due
+from vanillareach.core.crash_recurrence import CrashedRun, Verdict
+from vanillareach.core.crash_trials import is_request_trial_due, is_trial_due
 from vanillareach.core.crash_verdicts import guilty_trait
 from vanillareach.log import get_logger
 
@@ -36,7 +37,11 @@
     def refuses(self, exchange):
         """Return whether a request must not be sent to an endpoint now."""
         evidence, suspect = self.evidence, exchange.suspect
-        if exchange.is_trial or not evidence.marks_by_trait:
+        if exchange.is_trial:
+            return False
+        if self._refuses_recurrence(exchange):
+            return True
+        if not evidence.marks_by_trait:
             return False
         trait = self._verdict(suspect)
         if trait is None:
@@ -59,6 +64,35 @@
         )
         return True
 
+    def _refuses_recurrence(self, exchange):
+        """Return whether too many endpoints have crashed while a request ran there."""
+        evidence, fingerprint = self.evidence, exchange.suspect.fingerprint
+        recurrences = evidence.recurrences
+        if fingerprint not in recurrences:
+            return False
+        endpoints = self._state.endpoints.usable(exchange.service.name)
+        now_ms = self._clock.now_ms()
+        verdict = recurrences.verdict(fingerprint, len(endpoints), now_ms)
+        if verdict is Verdict.SOUND:
+            return False
+        recurrences.keep(fingerprint, now_ms)
+        if is_request_trial_due(
+            evidence, fingerprint, verdict, self._instance_name, now_ms
+        ):
+            exchange.is_trial = True
+            evidence.trials.allow(fingerprint, now_ms)
+            return False
+        log.info(
+            "Crashes endpoints.",
+            id=exchange.id,
+            prompt_part="",
+            endpoints=recurrences.crashed_endpoints(fingerprint)[:MAX_LOGGED_PARTS],
+            verdict=verdict.name.lower(),
+            rounds=recurrences.count_rounds(fingerprint),
+            chance=recurrences.chance(fingerprint, len(endpoints)),
+        )
+        return True
+
     def _verdict(self, suspect):
         """Return the guilty trait of a request; judged anew if the evidence changes."""
         revision = self.evidence.revision
@@ -79,6 +113,8 @@
             part: self.evidence.count_rounds(part) + 1
             for part in attempt.exchange.suspect.parts
         }
+        fingerprint = attempt.exchange.suspect.fingerprint
+        attempt.round = self.evidence.recurrences.count_rounds(fingerprint) + 1
         if attempt.exchange.is_trial:
             self._record_trial(attempt.exchange)
 
@@ -89,6 +125,8 @@
         for part in exchange.suspect.parts:
             if evidence.crash_keys(part):
                 evidence.trials.record(part, now_ms)
+        if exchange.suspect.fingerprint in evidence.recurrences:
+            evidence.trials.record(exchange.suspect.fingerprint, now_ms)
         log.info("Trial of a refused part.", id=exchange.id)
         self._state.publish()
 
@@ -115,8 +153,11 @@
             endpoint=endpoint.id,
             has_written=attempt.has_written,
             ran_ms=round(now_ms - attempt.sent_ms),
+            round=attempt.round,
             prompt_parts=exchange.fields.prompt_parts[:MAX_LOGGED_PARTS],
         )
+        runs = self.evidence.recurrences.abandoned_runs(endpoint.key, now_ms)
+        self._record_own_runs([*runs, run_of(attempt, now_ms)])
         reports = self.evidence.abandoned_reports(endpoint.key, now_ms)
         if not attempt.has_written:
             reports.append(report_of(attempt))
@@ -124,17 +165,34 @@
 
     def record_abandoned(self, attempt):
         """Record that an attempt was cancelled, and may still crash its endpoint."""
-        if attempt.has_written or attempt.sent_ms is None:
+        if attempt.sent_ms is None:
             return
-        self.evidence.record_abandoned(report_of(attempt), self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        self.evidence.recurrences.record_abandoned(run_of(attempt, now_ms), now_ms)
+        if not attempt.has_written:
+            self.evidence.record_abandoned(report_of(attempt), now_ms)
+
+    def record_survival(self, attempt):
+        """Record that an attempt has ended, and its endpoint goes on."""
+        now_ms = self._clock.now_ms()
+        self.evidence.recurrences.record_survival(
+            attempt.exchange.suspect.fingerprint,
+            self._instance_name,
+            now_ms - attempt.sent_ms,
+            now_ms,
+        )
 
     def apply_news(self, news, peer_name):
         """Record what a peer tells of crashes; return whether any of it was unknown."""
         if not news:
             return False
         evidence, now_ms = self.evidence, self._clock.now_ms()
+        recurrences = evidence.recurrences
         known = set(evidence.crashes_by_key)
+        known_runs = set(recurrences.crashes_by_key)
         is_news = apply_news(news, evidence, now_ms)
+        for key in recurrences.crashes_by_key.keys() - known_runs:
+            self._record_own_runs(recurrences.abandoned_runs(key, now_ms))
         for key in evidence.crashes_by_key.keys() - known:
             log.info("Crash reported by peer.", endpoint=key[0], peer=peer_name)
             self._record_own(evidence.abandoned_reports(key, now_ms))
@@ -149,6 +207,26 @@
         if is_news:
             self._state.publish()
 
+    def _record_own_runs(self, runs):
+        now_ms = self._clock.now_ms()
+        is_news = False
+        for run in runs:
+            run.is_own = True
+            is_news |= self.evidence.recurrences.record_run(run, now_ms)
+        if is_news:
+            self._state.publish()
+
+
+def run_of(attempt, now_ms):
+    """Return the `CrashedRun` of an attempt whose endpoint was lost by now."""
+    return CrashedRun(
+        attempt.placement.endpoint.key,
+        attempt.exchange.suspect.fingerprint,
+        attempt.round,
+        attempt.sent_ms,
+        now_ms - attempt.sent_ms,
+    )
+
 
 def report_of(attempt):
     """Return the `CrashReport` of an attempt whose endpoint was lost."""
