Skip refusals of other requests that an endpoint repeats

Callers saw: 503 "not run" for requests that an engine had run, or a request that may run once ran at a second engine (REFUSED, TWICE), when a faulty engine wrote an earlier refusal ahead of its answer.

Cause: "not run" was looked at before the id of the response, so the promise of one request was taken for another's.

With an answer instead of a refusal the id was compared, and 502 followed.

Change: a refusal that names another request is skipped, four at most, and the response that follows on the connection is read. Without one the attempt is broken, as after any connection that closes.

Why it works: the id identifies an extra response; each attempt has its own connection, so what follows can only be its own answer, or nothing.

--- a/vanillareach/features/gateway.feature
+++ b/vanillareach/features/gateway.feature
@@ -62,6 +62,25 @@
       | cut      | 502    | 1     |
       | reset    | 502    | 1     |
 
+  # Guards against the refusal of an earlier request that is taken for this one's: the
+  # request would run twice, or be refused as not run.
+  Scenario Outline: An endpoint that repeats an earlier refusal hasn't refused this request
+    Given the first endpoint called will "<fault>"
+    When a caller sends "<path>" with a prompt of 1000 tokens
+    Then the response is <response>
+    And <count> requests reached endpoints
+
+    Examples:
+      | path    | fault                     | response                 | count |
+      | /book/a | refuse_earlier_and_answer | 200, complete and signed | 1     |
+      | /read/a | refuse_earlier_and_answer | 200, complete and signed | 1     |
+      | /ask/a  | refuse_earlier_and_stream | 200, complete and signed | 1     |
+      | /once/a | refuse_earlier_and_stream | 200, complete and signed | 1     |
+      | /book/a | refuse_earlier            | 502                      | 1     |
+      | /read/a | refuse_earlier            | 200, complete and signed | 2     |
+      | /book/a | refuse_twice              | 200, complete and signed | 2     |
+      | /book/a | refuse_earlier_endlessly  | 502                      | 1     |
+
   Scenario: A request that reaches no endpoint in time is refused with Retry-After
     Given no connection to any service can be made
     When a caller calls "/book/a" with "Vanillareach-Deadline-Ms" set to "300"
--- a/vanillareach/features/scripted_attempts.py
+++ b/vanillareach/features/scripted_attempts.py
@@ -111,7 +111,7 @@
         self.sent = []
 
     @asynccontextmanager
-    async def open(self, request, on_connected):
+    async def open(self, request, on_connected, is_foreign):
         """Stand for `open_upstream`."""
         script = next(self._scripts, Script("unreachable"))
         number = len(self.started)
--- a/vanillareach/features/users_platform/endpoint.py
+++ b/vanillareach/features/users_platform/endpoint.py
@@ -5,7 +5,12 @@
 import msgspec
 import trio
 
-from vanillareach.features.users_platform.endpoint_faults import FaultyEndpoint
+from vanillareach.features.users_platform.endpoint_faults import (
+    CHUNKED,
+    FaultyEndpoint,
+    encode_chunk,
+    encode_events,
+)
 from vanillareach.gateway.connections import ResponseAbortedError
 from vanillareach.platform import names
 
@@ -169,6 +174,37 @@
         headers = self._response_headers(received, attempt_id="another")
         await responder.answer(200, headers, b"another's answer")
 
+    async def _refuse_earlier(self, received, responder, answer=b""):
+        """Write the refusal of an earlier request, then the bytes of an answer."""
+        head = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n"
+        fields = b"Vanillareach-Not-Executed: 1\r\nVanillareach-Attempt-Id: earlier\r\n"
+        await self._send_raw(responder, head + fields + b"\r\nfull" + answer)
+        raise ResponseAbortedError("closed after its answer")
+
+    async def _refuse_earlier_and_answer(self, received, responder):
+        body = response_body(received.attempt_id).encode()
+        head = self._encode_head(received, b"Content-Length: %d\r\n" % len(body))
+        await self._refuse_earlier(received, responder, head + body)
+
+    async def _refuse_earlier_and_stream(self, received, responder):
+        events = encode_chunk(encode_events(1)) + encode_chunk(b"")
+        head = self._encode_head(received, CHUNKED)
+        await self._refuse_earlier(received, responder, head + events)
+
+    async def _refuse_twice(self, received, responder):
+        """Write an earlier refusal, then one of the request itself."""
+        identity = f"Vanillareach-Attempt-Id: {received.attempt_id}\r\n".encode()
+        head = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n"
+        fields = b"Vanillareach-Not-Executed: 1\r\n" + identity
+        await self._refuse_earlier(received, responder, head + fields + b"\r\n")
+
+    async def _refuse_earlier_endlessly(self, received, responder):
+        refusal = (
+            b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n"
+            b"Vanillareach-Not-Executed: 1\r\nVanillareach-Attempt-Id: earlier\r\n\r\n"
+        )
+        await self._refuse_earlier(received, responder, refusal * 100)
+
     async def _encoded(self, received, responder):
         """Respond with a content encoding that the caller did not ask for."""
         headers = [*self._response_headers(received), (b"Content-Encoding", b"gzip")]
--- a/vanillareach/gateway/attempts.py
+++ b/vanillareach/gateway/attempts.py
@@ -193,9 +193,29 @@
                 return AttemptResult.NOT_RUN
             request = self._upstream_request(attempt, reservation)
             mark_sent = partial(self._mark_sent, attempt)
-            async with open_upstream(request, mark_sent) as response:
+            is_foreign = partial(self._is_earlier_refusal, attempt)
+            async with open_upstream(request, mark_sent, is_foreign) as response:
                 return await self._relay_response(attempt, response, responder)
 
+    def _is_earlier_refusal(self, attempt, response):
+        """Return whether a response refuses another request than that of an attempt.
+
+        It tells nothing of this one, whose own response may follow.
+        """
+        fields = self._protocol.read_response(response.status, response.headers)
+        exchange = attempt.exchange
+        if not fields.has_not_run or fields.attempt_id in ("", exchange.id):
+            return False
+        self._metrics.attempts[(exchange.service.name, "earlier_refusal")] += 1
+        log.warning(
+            "Earlier refusal skipped.",
+            id=exchange.id,
+            endpoint=attempt.placement.endpoint.id,
+            status=response.status,
+            refused=fields.attempt_id,
+        )
+        return True
+
     def _mark_sent(self, attempt):
         """Prepare for the first byte of the request, if it may still be sent."""
         self._check_placement(attempt)
--- a/vanillareach/gateway/upstream.py
+++ b/vanillareach/gateway/upstream.py
@@ -2,8 +2,9 @@
 
 Each attempt has a connection of its own, so that leftover bytes of an earlier response
 can't be taken for this one's, and a stale connection can't leave it uncertain whether a
-request was run. A response may arrive before the request body has been read, so both
-directions run concurrently.
+request was run. A faulty endpoint may still write an earlier response first, which the
+caller of this module tells by its headers. A response may arrive before the request
+body has been read, so both directions run concurrently.
 """
 
 from contextlib import asynccontextmanager
@@ -11,7 +12,11 @@
 import h11
 import trio
 
-from vanillareach.endpoints.base import EndpointBrokenError, EndpointUnreachableError
+from vanillareach.endpoints.base import (
+    EndpointBrokenError,
+    EndpointConnectionLostError,
+    EndpointUnreachableError,
+)
 from vanillareach.gateway.response_reader import (
     MAX_RESPONSE_HEAD_BYTES,
     ResponseReader,
@@ -27,6 +32,9 @@
 # own.
 MAX_INLINE_BODY_BYTES = 8_192
 STATUSES_WITHOUT_BODY = (204, 304)
+# Responses to other requests that are skipped, and the size of their bodies.
+MAX_FOREIGN_RESPONSES = 4
+MAX_FOREIGN_BODY_BYTES = 64 * 1024
 # Without packet loss a connection takes milliseconds. The kernel retransmits a lost
 # packet only after 1 s; another endpoint is tried before that.
 CONNECT_TIMEOUT_MS = 400.0
@@ -120,8 +128,12 @@
         return b"".join(parts)
 
 
+def _accept_all(response):
+    return False
+
+
 @asynccontextmanager
-async def open_upstream(request, on_connected):
+async def open_upstream(request, on_connected, is_foreign=_accept_all):
     """Send a request and yield its `UpstreamResponse` once its headers have arrived.
 
     Parameters
@@ -129,6 +141,9 @@
     request : UpstreamRequest
     on_connected : callable
         Called before the first byte is sent.
+    is_foreign : callable
+        Whether an `UpstreamResponse` is to be skipped, since it is one to another
+        request and the one to this request may follow.
 
     Raises
     ------
@@ -154,20 +169,52 @@
         head = _encode_head(connection, request)
         if is_inline:
             await _send(stream, head + _encode_body(connection, body))
-            yield await _read_head(connection, stream, request.method)
+            yield await _read_response(connection, stream, request, is_foreign)
             return
         # At the end of the block the rest of the request body is no longer needed.
         async with open_background_nursery() as nursery:
             nursery.start_soon(_send, stream, head + _encode_body(connection, body))
-            yield await _read_head(connection, stream, request.method)
+            yield await _read_response(connection, stream, request, is_foreign)
     finally:
         # Closes at once: an aborted exchange must not wait for the endpoint.
         stream.socket.close()
 
 
-async def _read_head(connection, stream, method):
-    reader = ResponseReader(connection, stream)
-    return UpstreamResponse(await reader.read_head(), reader, method)
+async def _read_response(connection, stream, request, is_foreign):
+    """Return the first `UpstreamResponse` that isn't foreign."""
+    for _ in range(MAX_FOREIGN_RESPONSES + 1):
+        reader = ResponseReader(connection, stream)
+        response = UpstreamResponse(await reader.read_head(), reader, request.method)
+        if not is_foreign(response):
+            return response
+        await response.read(MAX_FOREIGN_BODY_BYTES)
+        connection = _next_cycle(connection, request)
+    raise EndpointBrokenError(
+        f"more than {MAX_FOREIGN_RESPONSES} responses to other requests"
+    )
+
+
+def _next_cycle(connection, request):
+    """Return a connection that reads another response to a request sent already."""
+    data, is_closed = connection.trailing_data
+    if connection.their_state is not h11.DONE:
+        raise EndpointConnectionLostError("connection closed after another's response")
+    following = h11.Connection(
+        h11.CLIENT, max_incomplete_event_size=MAX_RESPONSE_HEAD_BYTES
+    )
+    following.send(
+        h11.Request(
+            method=request.method,
+            target=request.target,
+            headers=[(b"Host", request.host)],
+        )
+    )
+    following.send(h11.EndOfMessage())
+    if data:
+        following.receive_data(data)
+    if is_closed:
+        following.receive_data(b"")
+    return following
 
 
 def _encode_head(connection, request):
