Break a stream whose continuation has no event

Cause: the end of a body at an event boundary counted as the end of the stream. A continuation is at a boundary before its first byte.

Evidence: on the old logic five examples of the new scenario of gateway.feature fail: 204, a body of length 0, an empty chunked one, one with comments only, and a connection that closes after the head. An error, a refusal, an unsigned answer and a reset hold.

Change: a continuation has to bring an event; without one the attempt is broken. Peers use the same function. A scenario of upstream.feature for heads that stop midway held before and holds now.

Why it works: what was passed on last is known to be the end only if the engine that wrote it said so, and that one broke off.

Measured: gateway, peer_forwarding, streams, response_fuzz, response_limits, attempts and upstream features, 203 passed, 0 failed; the scenario of cut heads passed after that.

--- a/vanillareach/features/gateway.feature
+++ b/vanillareach/features/gateway.feature
@@ -81,6 +81,26 @@
       | /book/a | refuse_twice              | 200, complete and signed | 2     |
       | /book/a | refuse_earlier_endlessly  | 502                      | 1     |
 
+  # Guards against a broken stream that looks complete since its continuation is empty.
+  Scenario Outline: A continuation without an event doesn't end a stream as complete
+    Given the first endpoint called will "torn"
+    And later ones will "<answer>"
+    When a caller sends "/ask/a" with a prompt of 1000 tokens
+    Then the response is 200 but incomplete
+    And its events are 1 to 3, each once
+
+    Examples:
+      | answer        |
+      | no_content    |
+      | no_length     |
+      | no_chunk      |
+      | no_body       |
+      | only_comments |
+      | fail          |
+      | shed          |
+      | unsigned      |
+      | reset         |
+
   Scenario: A request that reaches no endpoint in time is refused with Retry-After
     Given no connection to any service can be made
     When a caller calls "/book/a" with "Vanillareach-Deadline-Ms" set to "300"
--- a/vanillareach/features/peer_forwarding.feature
+++ b/vanillareach/features/peer_forwarding.feature
@@ -39,6 +39,15 @@
       | /ask/a  | as usual                   | torn   | a whole stream             | 2    |
       | /once/a | as usual                   | stream | a whole stream             | 1    |
 
+  # Guards against a peer that lets a broken stream look complete.
+  Scenario: A stream that is handed on isn't complete without its last events
+    Given the first gateway has lost its links to all endpoints
+    And the first endpoint called will "torn"
+    And later ones will "no_chunk"
+    When a caller sends "/ask/a" as usual
+    Then the response is 200 but incomplete
+    And its events are 1 to 3, each once
+
   Scenario Outline: The loss of the peer leaves the same promises
     Given the first gateway has lost its links to all endpoints
     And the first endpoint called will "<step>"
--- a/vanillareach/features/steps/upstream.py
+++ b/vanillareach/features/steps/upstream.py
@@ -18,6 +18,8 @@
 # For what an endpoint has sent to reach the gateway.
 SETTLE_S = 0.1
 STREAM = encode_events(1, 3)
+# No head of an answer is shorter.
+MIN_HEAD_BYTES = 100
 
 
 @given("no endpoint is taken for silent before the deadline")
@@ -173,3 +175,28 @@
         assert len(requests) == 2, (offset, len(requests))
         last_event = requests[1].values_by_name.get(b"last-event-id", "0")
         assert int(last_event) == whole_count, (offset, last_event)
+
+
+@given("all endpoints will stop within the heads of their answers")
+def step_cut_heads(context):
+    for endpoint in endpoints(context):
+        endpoint.default_step = "cut_head"
+
+
+@when('callers send "{path}", with heads cut at every {step:d}th byte')
+def step_send_for_cut_heads(context, path, step):
+    stage, context.responses = context.platform, []
+
+    async def call():
+        for length in range(0, MIN_HEAD_BYTES, step):
+            for endpoint in endpoints(context):
+                endpoint.head_bytes = length
+            context.responses.append(await stage.call(path))
+
+    context.run(call)
+
+
+@then("all responses are {status:d}")
+def step_check_all_statuses(context, status):
+    statuses = {response.status for response in context.responses}
+    assert context.responses and statuses == {status}, statuses
--- a/vanillareach/features/upstream.feature
+++ b/vanillareach/features/upstream.feature
@@ -65,6 +65,12 @@
       | long_chunk_extensions |
       | announced_too_long    |
 
+  # Guards against a 200 with an empty or short body from an engine that stopped early.
+  Scenario: A head that stops midway is no answer, wherever it stops
+    Given all endpoints will stop within the heads of their answers
+    When callers send "/book/a", with heads cut at every 7th byte
+    Then all responses are 502
+
   Scenario Outline: Bytes that complete no event don't hold a stream
     Given the first endpoint called will "<fault>"
     And later ones will "stream"
--- a/vanillareach/features/users_platform/endpoint_faults.py
+++ b/vanillareach/features/users_platform/endpoint_faults.py
@@ -43,6 +43,8 @@
     ----------
     raw_body : bytes
         Body of the steps that end with the connection.
+    head_bytes : int
+        Length at which a head is cut.
     is_reset : bool
         Whether those end with a reset.
     """
@@ -50,6 +52,7 @@
     def __init__(self):
         super().__init__()
         self.raw_body = b""
+        self.head_bytes = 0
         self.is_reset = False
 
     def _encode_head(self, received, fields=b"", version=b"1.1"):
@@ -70,6 +73,37 @@
             await self._send_raw(responder, part)
             await trio.sleep(interval_s)
 
+    async def _cut_head(self, received, responder):
+        head = self._encode_head(received, b"Content-Length: 4\r\n")
+        await self._send_raw(responder, head[: self.head_bytes])
+        await responder._stream.send_eof()
+        raise ResponseAbortedError("closed within the head")
+
+    async def _no_content(self, received, responder):
+        await responder.start(204, self._response_headers(received))
+        await responder.finish()
+
+    async def _no_length(self, received, responder):
+        """Answer with a body of length 0."""
+        await responder.answer(200, self._response_headers(received), b"")
+
+    async def _no_chunk(self, received, responder):
+        await self._send_raw(responder, self._encode_head(received, CHUNKED))
+        await self._send_raw(responder, encode_chunk(b""))
+        raise ResponseAbortedError("closed after its answer")
+
+    async def _no_body(self, received, responder):
+        """End the connection after the head, which tells no length."""
+        await self._send_raw(responder, self._encode_head(received))
+        await responder._stream.send_eof()
+        raise ResponseAbortedError("closed after its answer")
+
+    async def _only_comments(self, received, responder):
+        await self._send_raw(responder, self._encode_head(received, CHUNKED))
+        chunks = encode_chunk(b": comment\n\n") + encode_chunk(b"")
+        await self._send_raw(responder, chunks)
+        raise ResponseAbortedError("closed after its answer")
+
     async def _endless_head(self, received, responder):
         await self._send_endless(responder, b"HTTP/1.1 200 OK\r\nA: ", b"x" * 1_000)
 
--- a/vanillareach/gateway/relay.py
+++ b/vanillareach/gateway/relay.py
@@ -55,9 +55,11 @@
     ------
     EndpointBrokenError
         If the stream is aborted, lacks an event, ends within one or exceeds a limit;
-        the complete events before that have been forwarded.
+        the complete events before that have been forwarded. Also if it continues a
+        stream that has broken off, and has no event itself.
     """
     events = EventSplitter(exchange.last_event_id)
+    is_continuation, has_event = responder.is_started, False
     while True:
         data = await share.next_data(response, events.buffered_bytes)
         if data is None:
@@ -65,6 +67,7 @@
         try:
             complete_events = events.feed(data)
             if complete_events:
+                has_event = True
                 observer.on_events()
                 exchange.last_event_id = events.last_id
                 await _ensure_started(response, responder)
@@ -75,8 +78,11 @@
             raise EndpointBrokenError(str(error)) from error
     if not events.is_at_event_boundary:
         raise EndpointBrokenError("the stream ended within an event")
-    has_event = responder.is_started or exchange.last_event_id is not None
-    if response.is_ended_by_close and not has_event:
+    if is_continuation and not has_event:
+        # Nothing shows that the event passed on last was the last one.
+        raise EndpointBrokenError("the continuation has no event")
+    has_begun = has_event or exchange.last_event_id is not None
+    if response.is_ended_by_close and not has_begun:
         # An endpoint that is lost after the head ends its stream in the same way.
         raise EndpointBrokenError("the connection ended before the first event")
     observer.on_end()
