Decode a list of the store item by item if one can't be decoded

Cause: a page of the list is decoded as one document. One string with half of a surrogate pair, one name that is a number, or nesting beyond the interpreter's stack makes all of it invalid, for as long as the entry exists.

Evidence: on the old logic three of four examples of the new scenario of gateway_fleet.feature fail; the nested one by a RecursionError that ended the follower's tasks each time. Bytes that are no UTF-8 hold.

Change: a page that can't be decoded is split into its items, each of which is decoded by itself. Those that can't be are left out and logged. The same for evacuations, instances and responses to watches.

Why it works: nothing of an item is looked at before it is separated from the others but strings and brackets.

--- a/vanillareach/features/gateway_fleet.feature
+++ b/vanillareach/features/gateway_fleet.feature
@@ -33,6 +33,26 @@
     And a caller sends 6 requests for "/read/a" after the change reached the gateway
     Then only "d2" received requests
 
+  # Guards against an entry that makes the whole list unreadable, so that a draining
+  # endpoint goes on getting requests and a gateway that starts alone is never ready.
+  Scenario Outline: An entry that can't be decoded hides no change of the list
+    When another client writes an entry with <text>
+    And the endpoint "d1" starts draining
+    And a caller sends 6 requests for "/read/a" after the change reached the gateway
+    Then only "d2" received requests
+    When a gateway that knows no other starts
+    Then it gets ready
+
+    Examples:
+      | text                     |
+      | half of a surrogate pair |
+      | values nested too deep   |
+      | bytes that are no UTF-8  |
+      | a number as its name     |
+
+  Scenario: JSON text is split where its decoded parts begin and end
+    Then 500 random objects and arrays are split into the parts that decoding gives
+
   Scenario: Gateways know each other's requests in flight
     Given a second gateway
     And all endpoints will "mute"
--- a/vanillareach/features/steps/gateway_fleet.py
+++ b/vanillareach/features/steps/gateway_fleet.py
@@ -1,5 +1,8 @@
 """Steps about the state that gateways share, and about stopping a gateway."""
 
+import json
+import random
+
 import msgspec
 import trio
 from behave import given, then, when
@@ -13,8 +16,21 @@
 from vanillareach.gateway.report import InstanceReport
 from vanillareach.gateways_cli import endpoints_table, instances_table
 from vanillareach.platform.documents import decode_configuration
+from vanillareach.platform.json_text import split_elements, split_members
 from vanillareach.utils import split_address
 
+NESTING_DEPTH = 3_000
+# Shape of random JSON values.
+MAX_DEPTH, MAX_SIZE = 3, 5
+LEAF_SHARE, ARRAY_SHARE = 0.4, 0.7
+AWKWARD_VALUES = (1, -2.5, None, True, "a", 'x"y', "{[,", "\\", "\u00e9\n", "")
+AWKWARD_KEYS = ("a", 'b"', "c,", "{d", "e:")
+UNDECODABLE_SPECS_BY_NAME = {
+    "half of a surrogate pair": rb'{"backend":"desk","owner":"\udcff, [\"{"}',
+    "values nested too deep": b"[" * NESTING_DEPTH + b"]" * NESTING_DEPTH,
+    "bytes that are no UTF-8": b'{"backend":"\xff"}',
+}
+
 
 @when('the operator writes version {version:d} without the route "{name}"')
 def step_write_without_route(context, version, name):
@@ -104,6 +120,65 @@
     context.run(put)
 
 
+@when("another client writes an entry with {text}")
+def step_undecodable_entry(context, text):
+    async def put():
+        store = context.platform.store
+        store.put("servers", "foreign", {})
+        item = store.objects_by_kind["servers"]["foreign"]
+        if text == "a number as its name":
+            item["metadata"] = {**item["metadata"], "name": 7}
+        else:
+            item["spec"] = msgspec.Raw(UNDECODABLE_SPECS_BY_NAME[text])
+
+    context.run(put)
+
+
+def draw_value(draw, depth=0):
+    """Return a random value that JSON can encode."""
+    kind = draw.random()
+    if depth > MAX_DEPTH or kind < LEAF_SHARE:
+        return draw.choice(AWKWARD_VALUES)
+    size = draw.randrange(MAX_SIZE)
+    if kind < ARRAY_SHARE:
+        return [draw_value(draw, depth + 1) for _ in range(size)]
+    keys = [f"{draw.choice(AWKWARD_KEYS)}{number}" for number in range(size)]
+    return {key: draw_value(draw, depth + 1) for key in keys}
+
+
+@then(
+    "{count:d} random objects and arrays are split into the parts that decoding gives"
+)
+def step_split_random(context, count):
+    for seed in range(count):
+        draw = random.Random(seed)
+        values = [draw_value(draw) for _ in range(draw.randrange(MAX_SIZE))]
+        members = {f"k{number}": value for number, value in enumerate(values)}
+        indent = draw.choice((None, 1))
+        parts = split_elements(json.dumps(values, indent=indent).encode())
+        assert [json.loads(part) for part in parts] == values, values
+        parts_by_key = split_members(json.dumps(members, indent=indent).encode())
+        decoded = {json.loads(k): json.loads(v) for k, v in parts_by_key.items()}
+        assert decoded == members, members
+
+
+@when("a gateway that knows no other starts")
+def step_start_alone(context):
+    async def start():
+        platform = context.platform
+        for gateway in platform.gateways:
+            platform.kill_gateway(gateway.settings.name)
+        platform.store.objects_by_kind.pop("vanillareach-instances", None)
+        context.new_gateway = await platform.start_gateway("g-alone")
+
+    context.run(start)
+
+
+@then("it gets ready")
+def step_check_ready(context):
+    assert context.new_gateway.state.is_ready
+
+
 @when(
     'a caller sends {count:d} requests for "{path}" after the change reached the '
     "gateway"
--- a/vanillareach/platform/documents.py
+++ b/vanillareach/platform/documents.py
@@ -1,7 +1,7 @@
 """Decodes the objects of the platform's store into the types of the core."""
 
 import re
-from typing import Any
+from typing import Any, ClassVar
 
 import msgspec
 
@@ -15,6 +15,7 @@
     RoutedTeam,
     RouteTable,
 )
+from vanillareach.platform.json_text import split_elements, split_members
 from vanillareach.utils import parse_address
 
 KINDS_BY_ROUTE_TYPE = {
@@ -28,6 +29,12 @@
 HEALTH_PATH_PATTERN = re.compile(r"/[!-~]*")
 
 
+# What decoding may raise. Values that are nested deep exceed the interpreter's stack.
+UNDECODABLE = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
+# Of an object that can't be read.
+MAX_DESCRIBED_BYTES = 80
+
+
 class DocumentError(ValueError):
     """An object of the store is invalid."""
 
@@ -198,6 +205,8 @@
 class PageDocument(msgspec.Struct):
     """One page of a list; `at` is the store's revision, `more` that one follows."""
 
+    ITEM_TYPE: ClassVar = ObjectDocument
+
     items: list[ObjectDocument]
     more: bool = False
     at: int = 0
@@ -213,6 +222,8 @@
 class WatchDocument(msgspec.Struct):
     """Response to a watch; the next watch starts from revision `at`."""
 
+    ITEM_TYPE: ClassVar = EventDocument
+
     events: list[EventDocument]
     at: int
 
@@ -220,6 +231,8 @@
 class RawPageDocument(msgspec.Struct):
     """One page of a list, whose objects are decoded one by one."""
 
+    ITEM_TYPE: ClassVar = msgspec.Raw
+
     items: list[msgspec.Raw]
     at: int
     more: bool = False
@@ -235,6 +248,8 @@
 class RawWatchDocument(msgspec.Struct):
     """Response to a watch whose objects are decoded one by one."""
 
+    ITEM_TYPE: ClassVar = RawEventDocument
+
     events: list[RawEventDocument]
     at: int
 
@@ -251,6 +266,57 @@
     name: str
 
 
+def decode_page(data, page_type):
+    """Decode a page of a list, or a response to a watch, without unreadable items.
+
+    Another writer may have stored an object that isn't decodable, such as half of a
+    surrogate pair, or values that are nested too deep. The others hold.
+
+    Parameters
+    ----------
+    data : bytes
+    page_type : type
+        Its first field is the list, of the type `ITEM_TYPE`.
+
+    Returns
+    -------
+    page : page_type
+    unreadable : list of str
+        Descriptions of the items that were left out.
+
+    Raises
+    ------
+    DocumentError
+        If it is no page.
+    """
+    try:
+        return msgspec.json.decode(data, type=page_type), []
+    except UNDECODABLE:
+        pass
+    try:
+        return _decode_by_item(data, page_type)
+    except (ValueError, *UNDECODABLE) as error:
+        raise DocumentError(str(error)) from error
+
+
+def _decode_by_item(data, page_type):
+    values_by_key = split_members(data)
+    list_name = page_type.__struct_fields__[0]
+    texts = split_elements(values_by_key.pop(f'"{list_name}"'.encode(), b"[]"))
+    others = [key + b":" + value for key, value in values_by_key.items()]
+    empty = f'"{list_name}":[]'.encode()
+    page = msgspec.json.decode(b"{%s}" % b",".join([empty, *others]), type=page_type)
+    items, unreadable = [], []
+    for text in texts:
+        try:
+            items.append(msgspec.json.decode(text, type=page_type.ITEM_TYPE))
+        except UNDECODABLE as error:
+            beginning = text[:MAX_DESCRIBED_BYTES].decode("utf-8", "replace")
+            unreadable.append(f"{beginning}: {error}")
+    setattr(page, list_name, items)
+    return page, unreadable
+
+
 def decode_name(data):
     """Return the name of an object in JSON, whatever else the object says.
 
@@ -261,7 +327,7 @@
     """
     try:
         return msgspec.json.decode(data, type=NamedDocument).metadata.name
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except UNDECODABLE as error:
         raise DocumentError(str(error)) from error
 
 
@@ -305,7 +371,7 @@
     """
     try:
         entry = msgspec.json.decode(stored.spec, type=EndpointDocument)
-    except msgspec.MsgspecError as error:
+    except UNDECODABLE as error:
         raise DocumentError(f"{stored.metadata.name}: {error}") from error
     if entry.state not in (DRAINING_STATE, READY_STATE):
         raise DocumentError(f"{stored.metadata.name}: state {entry.state!r}")
--- a/vanillareach/platform/store.py
+++ b/vanillareach/platform/store.py
@@ -28,6 +28,7 @@
     decode_configuration,
     decode_endpoint,
     decode_name,
+    decode_page,
 )
 from vanillareach.utils import parse_address
 
@@ -104,7 +105,7 @@
             raise PlatformGoneError(
                 "the store no longer has the history of the configuration"
             )
-        answer = _decode(response, WatchDocument)
+        answer, _ = _decode_page(response, WatchDocument)
         configuration = None
         for event in answer.events:
             stored = event.object
@@ -115,8 +116,8 @@
 
     async def list_endpoints(self):
         """List the endpoints; see `DeploymentStore`."""
-        items, position = await self._list(names.ENDPOINT_KIND)
-        listed, unreadable = [], []
+        items, unreadable, position = await self._list(names.ENDPOINT_KIND)
+        listed = []
         for item in items:
             try:
                 listed.append(decode_endpoint(item))
@@ -126,11 +127,11 @@
 
     async def list_evacuations(self):
         """List the evacuated domains; see `DeploymentStore`."""
-        items, position = await self._list(
+        items, unreadable, position = await self._list(
             names.EVACUATION_KIND, page_type=RawPageDocument
         )
-        domains, unreadable = _decode_names(items)
-        return position, domains, unreadable
+        domains, nameless = _decode_names(items)
+        return position, domains, [*unreadable, *nameless]
 
     async def wait_for_evacuations(self, position, wait_ms):
         """Watch the evacuated domains; see `DeploymentStore`."""
@@ -141,7 +142,7 @@
             raise PlatformGoneError(
                 "the store no longer has the history of the evacuations"
             )
-        answer = _decode(response, RawWatchDocument)
+        answer, _ = _decode_page(response, RawWatchDocument)
         is_evacuated_by_domain = {}
         for event in answer.events:
             for domain in _decode_names([event.object])[0]:
@@ -150,7 +151,9 @@
 
     async def list_instances(self, may_be_stale=False):
         """List the instances; see `DeploymentStore`."""
-        items, _ = await self._list(INSTANCE_KIND, may_be_stale)
+        items, unreadable, _ = await self._list(INSTANCE_KIND, may_be_stale)
+        for cause in unreadable:
+            log.warning("Skipped an unreadable instance entry.", cause=cause)
         instances = []
         for item in items:
             try:
@@ -205,22 +208,25 @@
             ) from error
 
     async def _list_pages(self, kind, may_be_stale, page_type):
-        items, query = [], "allow_stale=1" if may_be_stale else ""
+        items, unreadable = [], []
+        query = "allow_stale=1" if may_be_stale else ""
         path = f"{kind}?{query}" if query else kind
         era = None
         while True:
             response = await self._call("GET", path)
-            page, page_era = _decode(response, page_type), _read_era(response)
+            page, skipped = _decode_page(response, page_type)
+            page_era = _read_era(response)
             if era not in (None, page_era):
                 raise PlatformUnavailableError(f"{kind}: era changed between pages")
             era = page_era
             items += page.items
+            unreadable += skipped
             if len(items) > MAX_LISTED_OBJECTS:
                 raise PlatformUnavailableError(
                     f"{kind}: more than {MAX_LISTED_OBJECTS} objects"
                 )
-            if not page.more or not page.items:
-                return items, StorePosition(era, page.at)
+            if not page.more or not (page.items or skipped):
+                return items, unreadable, StorePosition(era, page.at)
             path = f"{kind}?after={_last_name(kind, page.items)}"
             if query:
                 path += f"&{query}"
@@ -270,7 +276,7 @@
 
 def _last_name(kind, items):
     """Return the name after which the next page of a list begins."""
-    if isinstance(items[-1], ObjectDocument):
+    if items and isinstance(items[-1], ObjectDocument):
         return items[-1].metadata.name
     readable, _ = _decode_names(items)
     if not readable:
@@ -295,6 +301,15 @@
         raise PlatformUnavailableError(f"invalid response: {error}") from error
 
 
+def _decode_page(response, page_type):
+    """Return a page, and descriptions of what of it can't be read."""
+    _raise_for_status(response)
+    try:
+        return decode_page(response.content, page_type)
+    except DocumentError as error:
+        raise PlatformUnavailableError(f"invalid response: {error}") from error
+
+
 def _decode_route_table(stored):
     try:
         return decode_configuration(stored.spec)
