Hold bodies of requests once, and within a budget

Cause: a body was held as the joined parts and once more as it was encoded for the engine, and nothing bounded what is held of bodies together.

Change: a body grows in one buffer and is sent as it is. Gauges show bytes and refusals.

Why it works: what one request adds is its body, once, and the sum is bounded. A request that is refused was never passed on.

--- a/vanillareach/features/connections.feature
+++ b/vanillareach/features/connections.feature
@@ -84,3 +84,20 @@
     Given the first endpoint called will "torn"
     When an HTTP/1.0 caller sends "/once/a"
     Then its connection is reset after the first events
+
+  # Guards against bodies that slow endpoints don't read and that take all memory.
+  Scenario: Bodies for which there is no memory are refused at once
+    Given the gateway may hold 250000 bytes of request bodies
+    And all endpoints will "mute"
+    When 3 callers send bodies of 100000 bytes one after another
+    Then the last of them is refused with 503 and may come back
+    And no endpoint got the request of the last one
+    When these callers leave
+    Then no bytes of request bodies are held
+    And another body of 100000 bytes is accepted
+
+  Scenario: A body in chunks is counted as it grows
+    Given the gateway may hold 250000 bytes of request bodies
+    When a caller sends chunks of 50000 bytes until it gets a response
+    Then it is refused with 503 after at most 400000 bytes
+    And no bytes of request bodies are held
--- a/vanillareach/features/steps/connections.py
+++ b/vanillareach/features/steps/connections.py
@@ -8,6 +8,7 @@
 import trio
 from behave import given, then, when
 
+from vanillareach.features.support import endpoints, received
 from vanillareach.features.users_platform.stage import Caller, configuration
 from vanillareach.utils import split_address
 
@@ -17,6 +18,7 @@
 SETTLE_S = 0.05
 HEADER_BYTES = 1_000
 BODY_BYTES = 2_000
+MAX_LARGE_BODY_BYTES = 1_000_000
 
 
 async def connect_callers(context, count):
@@ -330,3 +332,89 @@
 @then("its connection is reset after the first events")
 def step_check_reset(context):
     assert context.is_reset, context.data
+
+
+@given("the gateway may hold {size:d} bytes of request bodies")
+def step_set_body_budget(context, size):
+    gateway = context.platform.gateways[0]
+    gateway.body_budget.max_bytes = size
+    limits = {**configuration(2)["limits"], "max_body_bytes": MAX_LARGE_BODY_BYTES}
+
+    async def allow():
+        context.platform.store.put("config", "main", configuration(2, limits=limits))
+        await context.platform.until(lambda: gateway.state.configuration.version == 2)
+
+    context.run(allow)
+
+
+@when("{count:d} callers send bodies of {size:d} bytes one after another")
+def step_send_bodies(context, count, size):
+    async def send():
+        context.callers = [await context.platform.connect() for _ in range(count)]
+        for caller in context.callers:
+            await caller.send("/book/a", body=bytes(size))
+            await trio.sleep(SETTLE_S)
+        context.response = await context.callers[-1].receive()
+
+    context.run(send)
+
+
+@then("the last of them is refused with {status:d} and may come back")
+def step_check_body_refused(context, status):
+    assert context.response.status == status, context.response.status
+    assert float(context.response.values_by_name[b"retry-after"]) > 0
+
+
+@then("no endpoint got the request of the last one")
+def step_check_not_passed_on(context):
+    assert len(received(context)) == len(context.callers) - 1
+
+
+@when("these callers leave")
+def step_leave(context):
+    async def leave():
+        for caller in context.callers:
+            await caller.__aexit__()
+
+    context.run(leave)
+
+
+@then("no bytes of request bodies are held")
+def step_check_none_held(context):
+    budget = context.platform.gateways[0].body_budget
+    context.run(context.platform.until, lambda: not budget.held_bytes)
+
+
+@then("another body of {size:d} bytes is accepted")
+def step_accept_another(context, size):
+    for endpoint in endpoints(context):
+        endpoint.script = []
+
+    async def send():
+        return await context.platform.call("/read/a", body=bytes(size))
+
+    assert context.run(send).status == 200
+
+
+@when("a caller sends chunks of {size:d} bytes until it gets a response")
+def step_send_chunks(context, size):
+    chunk = b"%x\r\n%s\r\n" % (size, bytes(size))
+
+    async def send():
+        async with await context.platform.connect() as caller:
+            head = caller.encode("/book/a", body=b"").partition(b"\r\n\r\n")[0]
+            await caller.send_raw(head + b"\r\nTransfer-Encoding: chunked\r\n\r\n")
+            context.sent_bytes = 0
+            while not caller.has_data():
+                await caller.send_raw(chunk)
+                context.sent_bytes += size
+                await trio.sleep(SETTLE_S)
+            context.response = await caller.receive()
+
+    context.run(send)
+
+
+@then("it is refused with {status:d} after at most {size:d} bytes")
+def step_check_chunks_refused(context, status, size):
+    assert context.response.status == status, context.response.status
+    assert context.sent_bytes <= size, context.sent_bytes
--- a/vanillareach/gateway/app.py
+++ b/vanillareach/gateway/app.py
@@ -11,6 +11,7 @@
 from vanillareach.core.engine_policies import POLICIES_BY_NAME
 from vanillareach.core.ordered_placing import OrderedPlacement
 from vanillareach.core.routing import CallerLimits
+from vanillareach.gateway.body_budget import budget_of_memory
 from vanillareach.gateway.following import StoreFollower
 from vanillareach.gateway.forwarded_requests import ForwardedRequestHandler
 from vanillareach.gateway.forwarder import Forwarder
@@ -100,6 +101,7 @@
         settings, clock = self.settings, self.clock
         self.state = GatewayState(settings, clock)
         self.stall_detector = StallDetector(self.state, clock)
+        self.body_budget = budget_of_memory(settings.memory_mb)
         self.link = NngLink(settings.peer_listen, settings.peer_key, ControlTraffic())
         self.gossip = Gossip(settings, self.state, self.link, clock)
         self.follower = StoreFollower(self.store, self.state, self.gossip, clock)
@@ -147,7 +149,12 @@
 
     def _make_listener(self, address, limits, handle):
         return CallerListener(
-            address, self.clock, limits, handle, lambda: self.state.is_stopping
+            address,
+            self.clock,
+            limits,
+            handle,
+            lambda: self.state.is_stopping,
+            self.body_budget,
         )
 
     def _add_cost_gauges(self):
@@ -283,6 +290,16 @@
             "Time since the store confirmed the list.",
             state.endpoints_age_ms,
         )
+        add(
+            "request_body_bytes",
+            "Bytes of request bodies that are held.",
+            lambda: self.body_budget.held_bytes,
+        )
+        add(
+            "request_bodies_refused",
+            "Requests refused since there was no memory for their body.",
+            lambda: self.body_budget.refused_count,
+        )
         add(
             "connections",
             "Open connections of callers.",
--- a/vanillareach/gateway/connections.py
+++ b/vanillareach/gateway/connections.py
@@ -160,8 +160,14 @@
             h11.SERVER,
             max_incomplete_event_size=NO_LIMIT_BYTES,
         )
+        self._body_share = listener.body_budget.share()
         self._reader = RequestReader(
-            self._connection, stream, listener.clock, listener.limits, queued_since_ms
+            self._connection,
+            stream,
+            listener.clock,
+            listener.limits,
+            queued_since_ms,
+            self._body_share,
         )
         self._pipelined_bytes = 0
 
@@ -173,6 +179,7 @@
         """Serve requests until the connection ends."""
         try:
             while await self._serve_request():
+                self._body_share.release()
                 self._connection.start_next_cycle()
         except (CallerDisconnectedError, ResponseAbortedError):
             pass
@@ -182,6 +189,8 @@
             pass
         except Exception:
             log.exception("Unhandled error while serving a request.")
+        finally:
+            self._body_share.release()
         await self._close()
 
     async def _serve_request(self):
@@ -288,8 +297,11 @@
         if self._connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         responder = Responder(self._connection, self._stream, lambda: True)
+        headers = []
+        if error.retry_after_s is not None:
+            headers.append((b"Retry-After", str(error.retry_after_s).encode()))
         try:
-            await responder.answer(error.status, [], b"")
+            await responder.answer(error.status, headers, b"")
         except (CallerDisconnectedError, h11.LocalProtocolError):
             return
 
--- a/vanillareach/gateway/forwarded_requests.py
+++ b/vanillareach/gateway/forwarded_requests.py
@@ -48,6 +48,8 @@
             if not isinstance(message, ForwardedRequest):
                 raise MessageError(f"unexpected {type(message).__name__}")
             forwarded = self._unpack(message)
+            # The message holds the body once more.
+            request.body = None
         except (MessageError, h11.LocalProtocolError) as error:
             log.warning("Invalid request of a peer rejected.", cause=str(error))
             await responder.answer(400, [], b"")
--- a/vanillareach/gateway/listener.py
+++ b/vanillareach/gateway/listener.py
@@ -3,6 +3,7 @@
 import trio
 
 from vanillareach.early_sockets import pop_early_socket
+from vanillareach.gateway.body_budget import BodyBudget
 from vanillareach.gateway.connections import CallerConnection
 from vanillareach.gateway.sockets import (
     CALLER_UNACKED_TIMEOUT_MS,
@@ -54,6 +55,8 @@
         Coroutine function of (request, responder).
     is_stopping : callable
         Whether responses tell callers to close the connection.
+    body_budget : BodyBudget or None
+        Shared with other listeners; None for one of its own.
 
     Attributes
     ----------
@@ -63,8 +66,9 @@
         Set once the listener and all connections have been closed after that.
     """
 
-    def __init__(self, address, clock, limits, handle, is_stopping):
+    def __init__(self, address, clock, limits, handle, is_stopping, body_budget=None):
         self._address = address
+        self.body_budget = body_budget or BodyBudget()
         self.clock = clock
         self.limits = limits
         self.handle = handle
--- a/vanillareach/gateway/request_reader.py
+++ b/vanillareach/gateway/request_reader.py
@@ -8,6 +8,8 @@
 RECEIVE_BUFFER_BYTES = 65_536
 # `RequestReader` applies the limit, which h11 could not change later.
 NO_LIMIT_BYTES = sys.maxsize
+# Retry-After of a request for whose body there is no memory.
+BODY_RETRY_AFTER_S = 0.5
 
 
 class CallerDisconnectedError(Exception):
@@ -21,11 +23,14 @@
     ----------
     status : int
     detail : str
+    retry_after_s : float or None
+        When the caller may try again; None if that won't help.
     """
 
-    def __init__(self, status, detail):
+    def __init__(self, status, detail, retry_after_s=None):
         super().__init__(detail)
         self.status = status
+        self.retry_after_s = retry_after_s
 
 
 class CallerRequest:
@@ -78,9 +83,11 @@
     queued_since_ms : float or None
         Earliest time at which the caller may have connected, if it waited in the listen
         queue while this instance started.
+    body_share : BodyShare
     """
 
     __slots__ = (
+        "_body_share",
         "_clock",
         "_connection",
         "_idle_scope",
@@ -91,7 +98,8 @@
         "_stream",
     )
 
-    def __init__(self, connection, stream, clock, limits, queued_since_ms):
+    def __init__(self, connection, stream, clock, limits, queued_since_ms, body_share):
+        self._body_share = body_share
         self._connection = connection
         self._stream = stream
         self._clock = clock
@@ -125,8 +133,24 @@
         received_ms = self._clock.now_ms()
         if self._queued_since_ms is not None:
             received_ms, self._queued_since_ms = self._queued_since_ms, None
+        self._reserve_body(head)
         return CallerRequest(head, await self._read_body(), received_ms)
 
+    def _reserve_body(self, head):
+        """Refuse a request at once if there is no room for the body it announces.
+
+        One that exceeds the limits is counted as it arrives: they may change meanwhile.
+        """
+        lengths = [int(v) for n, v in head.headers if n == b"content-length"]
+        if lengths and lengths[0] <= self._limits().body_bytes:
+            self._hold_body(lengths[0])
+
+    def _hold_body(self, size):
+        if not self._body_share.grow_to(size):
+            raise BadRequestError(
+                503, "no memory for the request body", BODY_RETRY_AFTER_S
+            )
+
     def _limits(self):
         return self._limits_at_begin.union(self._limits_in_force())
 
@@ -183,7 +207,7 @@
 
     async def _read_body(self):
         """Return the body, or None if the request has none."""
-        parts, size, has_body = [], 0, False
+        body, has_body = bytearray(), False
         if self._connection.they_are_waiting_for_100_continue:
             await self._stream.send_all(
                 self._connection.send(
@@ -199,12 +223,12 @@
                 if not await self._receive():
                     raise CallerDisconnectedError("closed within the request body")
             elif isinstance(event, h11.Data):
-                parts.append(bytes(event.data))
-                size += len(event.data)
-                if size > self._limits().body_bytes:
+                body += event.data
+                if len(body) > self._limits().body_bytes:
                     raise BadRequestError(413, "request body exceeds the size limit")
+                self._hold_body(len(body))
             elif isinstance(event, h11.EndOfMessage):
-                return b"".join(parts) if parts or has_body else None
+                return bytes(body) if body or has_body else None
             else:
                 raise CallerDisconnectedError("closed within the request body")
 
--- a/vanillareach/gateway/settings.py
+++ b/vanillareach/gateway/settings.py
@@ -63,6 +63,15 @@
         "Window of the retry budget.",
         check_between(0.1, 3_600.0),
     ),
+    Setting(
+        "memory_mb",
+        float,
+        0.0,
+        "MB",
+        "Memory of the machine, of which a share is used for the bodies of requests; 0 "
+        "if unknown.",
+        check_between(0.0, 1e7),
+    ),
     Setting(
         "evacuation_ms",
         float,
--- a/vanillareach/gateway/upstream.py
+++ b/vanillareach/gateway/upstream.py
@@ -173,7 +173,10 @@
             return
         # At the end of the block the rest of the request body is no longer needed.
         async with open_background_nursery() as nursery:
-            nursery.start_soon(_send, stream, head + _encode_body(connection, body))
+            connection.send_with_data_passthrough(h11.Data(data=body))
+            connection.send(h11.EndOfMessage())
+            # A body with a length is sent as it is, so that it is held only once.
+            nursery.start_soon(_send, stream, head, body)
             yield await _read_response(connection, stream, request, is_foreign)
     finally:
         # Closes at once: an aborted exchange must not wait for the endpoint.
@@ -231,9 +234,10 @@
     return data + connection.send(h11.EndOfMessage())
 
 
-async def _send(stream, data):
+async def _send(stream, *parts):
     try:
-        await stream.send_all(data)
+        for part in parts:
+            await stream.send_all(part)
     except trio.BrokenResourceError:
         # The endpoint may have responded before closing; reading shows whether it did.
         return
