Let an engine's end of a stream complete one whose end was lost

Cause: every continuation without an event was taken for broken, also the answer of a sound engine that has nothing to add.

The new scenario of gateway.feature has that case and fails on the code before.

Change: a signed 200 in chunks whose last chunk was sent ends a stream. A 204, a body of length 0 and one that ends with its connection don't. The examples no_chunk and only_comments of the scenario before say the contrary of this and go over to the new one, where the stream must be whole. A peer that continues a stream knows that it has begun, so it doesn't turn such an answer into an end in chunks.

Why it works: an end that is sent is the engine's word; the others look the same as an engine that was lost.

--- a/vanillareach/features/gateway.feature
+++ b/vanillareach/features/gateway.feature
@@ -89,17 +89,29 @@
     Then the response is 200 but incomplete
     And its events are 1 to 3, each once
 
+    Examples:
+      | answer     |
+      | no_content |
+      | no_length  |
+      | no_body    |
+      | fail       |
+      | shed       |
+      | unsigned   |
+      | reset      |
+
+  # Guards against whole streams that are cut since only their end was lost.
+  Scenario Outline: A continuation that only sends the end of the stream completes it
+    Given the first endpoint called will "torn_at_end"
+    And later ones will "<answer>"
+    When a caller sends "/ask/a" with a prompt of 1000 tokens
+    Then the response is 200, complete and signed
+    And its events are 1 to 6, each once
+
     Examples:
       | answer        |
-      | no_content    |
-      | no_length     |
+      | stream        |
       | no_chunk      |
-      | no_body       |
       | only_comments |
-      | fail          |
-      | shed          |
-      | unsigned      |
-      | reset         |
 
   Scenario: A request that reaches no endpoint in time is refused with Retry-After
     Given no connection to any service can be made
--- a/vanillareach/features/peer_forwarding.feature
+++ b/vanillareach/features/peer_forwarding.feature
@@ -43,7 +43,7 @@
   Scenario: A stream that is handed on isn't complete without its last events
     Given the first gateway has lost its links to all endpoints
     And the first endpoint called will "torn"
-    And later ones will "no_chunk"
+    And later ones will "no_length"
     When a caller sends "/ask/a" as usual
     Then the response is 200 but incomplete
     And its events are 1 to 3, each once
--- a/vanillareach/features/scripted_attempts.py
+++ b/vanillareach/features/scripted_attempts.py
@@ -59,6 +59,7 @@
     reason = b""
     content_length = None
     is_ended_by_close = False
+    is_event_stream = True
 
     def __init__(self, number, script, first_event, is_stream):
         self.status = {"refuse": 503, "fail": 500}.get(script.kind, 200)
--- a/vanillareach/features/steps/gateway_core.py
+++ b/vanillareach/features/steps/gateway_core.py
@@ -367,7 +367,7 @@
 
 @given("an attempt that is superseded while event 1 arrives")
 def step_supersede_attempt_during_event(context):
-    context.exchange = SimpleNamespace(last_event_id=None)
+    context.exchange = SimpleNamespace(last_event_id=None, has_events=False)
     context.responder = CountingResponder()
     attempt = Attempt(context.exchange, None, None)
 
--- a/vanillareach/features/steps/response_fuzz.py
+++ b/vanillareach/features/steps/response_fuzz.py
@@ -230,7 +230,7 @@
 async def relay(stream, last_event_id):
     """Relay a stream; return the responder and whether the response was broken."""
     responder = RecordingResponder()
-    exchange = SimpleNamespace(last_event_id=last_event_id)
+    exchange = SimpleNamespace(last_event_id=last_event_id, has_events=False)
 
     async def connect(*arguments):
         return stream
--- a/vanillareach/features/users_platform/endpoint.py
+++ b/vanillareach/features/users_platform/endpoint.py
@@ -258,6 +258,10 @@
     async def _torn(self, received, responder):
         await self._stream(received, responder, last=3, is_torn=True)
 
+    async def _torn_at_end(self, received, responder):
+        """Send all events, but not the end of the stream."""
+        await self._stream(received, responder, is_torn=True)
+
     async def _gap(self, received, responder):
         """Send a stream without its second event."""
         await responder.start(
--- a/vanillareach/gateway/exchange.py
+++ b/vanillareach/gateway/exchange.py
@@ -207,6 +207,11 @@
         """Return whether another attempt than this one may have run the request."""
         return self.possible_runs > attempt.may_have_run
 
+    @property
+    def has_events(self):
+        """Whether events were passed on, here or by the peer that handed it on."""
+        return self.last_event_id != self.fields.last_event_id
+
     def take_from_peer(self, message):
         """Take over what a peer tells of a request that it hands on.
 
--- a/vanillareach/gateway/relay.py
+++ b/vanillareach/gateway/relay.py
@@ -56,10 +56,10 @@
     EndpointBrokenError
         If the stream is aborted, lacks an event, ends within one or exceeds a limit;
         the complete events before that have been forwarded. Also if it continues a
-        stream that has broken off, and has no event itself.
+        stream that has broken off, and neither has an event nor ends as a stream does.
     """
     events = EventSplitter(exchange.last_event_id)
-    is_continuation, has_event = responder.is_started, False
+    is_continuation, has_event = exchange.has_events, False
     while True:
         data = await share.next_data(response, events.buffered_bytes)
         if data is None:
@@ -78,7 +78,7 @@
             raise EndpointBrokenError(str(error)) from error
     if not events.is_at_event_boundary:
         raise EndpointBrokenError("the stream ended within an event")
-    if is_continuation and not has_event:
+    if is_continuation and not has_event and not response.is_event_stream:
         # Nothing shows that the event passed on last was the last one.
         raise EndpointBrokenError("the continuation has no event")
     has_begun = has_event or exchange.last_event_id is not None
--- a/vanillareach/gateway/upstream.py
+++ b/vanillareach/gateway/upstream.py
@@ -32,6 +32,7 @@
 # own.
 MAX_INLINE_BODY_BYTES = 8_192
 STATUSES_WITHOUT_BODY = (204, 304)
+STREAM_STATUS = 200
 # Responses to other requests that are skipped, and the size of their bodies.
 MAX_FOREIGN_RESPONSES = 4
 MAX_FOREIGN_BODY_BYTES = 64 * 1024
@@ -85,6 +86,8 @@
         Announced length of the body that follows.
     is_ended_by_close : bool
         Whether only the end of the connection tells where the body ends.
+    is_event_stream : bool
+        Whether it has the status and framing of a stream, whose end is sent.
     next_data : callable
         See `ResponseReader.next_data`.
     """
@@ -93,6 +96,7 @@
         "content_length",
         "headers",
         "is_ended_by_close",
+        "is_event_stream",
         "next_data",
         "reason",
         "status",
@@ -109,6 +113,8 @@
         names = [name for name, _ in head.headers]
         is_framed = b"transfer-encoding" in names or b"content-length" in names
         self.is_ended_by_close = has_body and not is_framed
+        is_chunked = b"transfer-encoding" in names
+        self.is_event_stream = self.status == STREAM_STATUS and is_chunked
         self.next_data = reader.next_data
 
     async def read(self, max_bytes):
@@ -128,12 +134,12 @@
         return b"".join(parts)
 
 
-def _accept_all(response):
+def _is_never_foreign(response):
     return False
 
 
 @asynccontextmanager
-async def open_upstream(request, on_connected, is_foreign=_accept_all):
+async def open_upstream(request, on_connected, is_foreign=_is_never_foreign):
     """Send a request and yield its `UpstreamResponse` once its headers have arrived.
 
     Parameters
