Split the verdict on recurring crashes, learn only from answers of some length

Found by reading the diff: the time of the last crash of a request moved each time that the evidence was told again, which put off its trials; it is that of the crash now. The verdict is split into its steps. Answers with a nominal time under 200 ms no longer count for what a stopping instance accepts: their time is mostly waiting.

--- a/vanillareach/core/crash_recurrence.py
+++ b/vanillareach/core/crash_recurrence.py
@@ -215,7 +215,8 @@
 
     def last_crash_ms(self, fingerprint):
         """Return when the last crash of a request was learned."""
-        return max((run.learned_ms for run in self._runs(fingerprint)), default=0.0)
+        keys = self._keys_by_fingerprint.get(fingerprint, ())
+        return max((self.crashes_by_key[key].learned_ms for key in keys), default=0.0)
 
     def verdict(self, fingerprint, endpoint_count, now_ms):
         """Return the `Verdict` on a request.
@@ -234,31 +235,43 @@
         if max((run.round for run in runs), default=0) < MIN_ROUNDS:
             return Verdict.SOUND
         chance = self._chance(runs, endpoint_count)
-        runs_by_crash = [self.crashes_by_key[key].runs_by_fingerprint for key in keys]
-        # Any request at one of the crashes could have met the others, and any of the
-        # recent crashes could have been the first.
+        total_chance = chance * self._choices(keys, now_ms)
+        if total_chance > MAX_CHANCE:
+            return Verdict.SOUND
+        rival_chance = self._rival_chance(fingerprint, keys, endpoint_count)
+        if rival_chance > RIVAL_FACTOR * chance:
+            return Verdict.GUILTY
+        is_explained = rival_chance * BETTER_RIVAL_FACTOR < chance
+        if is_explained or total_chance > MAX_CHANCE_WITH_RIVAL:
+            return Verdict.SOUND
+        return Verdict.SUSPECT
+
+    def _choices(self, keys, now_ms):
+        """Return how many requests could have been the one that met these crashes.
+
+        Any request at one of the crashes could have met the others, and any of the
+        recent crashes could have been the first.
+        """
         recent_count = sum(
             now_ms - crash.learned_ms < RECENT_MS
             for crash in self.crashes_by_key.values()
         )
-        choices = max(1.0, recent_count / len(keys))
-        total_chance = chance * choices * min(map(len, runs_by_crash))
-        if total_chance > MAX_CHANCE:
-            return Verdict.SOUND
-        rivals = set.intersection(*map(set, runs_by_crash)) - {fingerprint}
-        rival_chance = min(
+        suspect_count = min(
+            len(self.crashes_by_key[key].runs_by_fingerprint) for key in keys
+        )
+        return suspect_count * max(1.0, recent_count / len(keys))
+
+    def _rival_chance(self, fingerprint, keys, endpoint_count):
+        """Return the least chance of another request that met the same crashes."""
+        met = [set(self.crashes_by_key[key].runs_by_fingerprint) for key in keys]
+        rivals = set.intersection(*met) - {fingerprint}
+        return min(
             (
                 self._chance([self._run(key, rival) for key in keys], endpoint_count)
                 for rival in rivals
             ),
             default=1.0,
         )
-        if rival_chance > RIVAL_FACTOR * chance:
-            return Verdict.GUILTY
-        is_explained = rival_chance * BETTER_RIVAL_FACTOR < chance
-        if is_explained or total_chance > MAX_CHANCE_WITH_RIVAL:
-            return Verdict.SOUND
-        return Verdict.SUSPECT
 
     def chance(self, fingerprint, endpoint_count):
         """Return how likely a sound request would have met as many crashes."""
--- a/vanillareach/core/shutdown_admission.py
+++ b/vanillareach/core/shutdown_admission.py
@@ -6,6 +6,9 @@
 from vanillareach.core.engine_time import decode_ms, prefill_ms
 from vanillareach.core.routing import RequestKind
 
+# Of shorter answers the time tells more of waiting than of the pace.
+MIN_NOMINAL_MS = 200.0
+
 
 class ShutdownAdmission:
     """Compares the time that requests need with the time until the instance ends.
@@ -63,17 +66,20 @@
         sent = [a for a in exchange.attempts if a.may_have_been_sent]
         if not exchange.is_answered or len(sent) != 1:
             return
-        first_event_id = exchange.fields.last_event_id or 0
-        tokens = 0
-        if exchange.service.engine is not None and exchange.last_event_id:
-            event_count = exchange.last_event_id - first_event_id
-            tokens = event_count * exchange.service.engine.steps_per_pass
-        nominal_ms = _nominal_ms(exchange, tokens)
-        if nominal_ms > 0:
+        nominal_ms = _nominal_ms(exchange, _answered_tokens(exchange))
+        if nominal_ms >= MIN_NOMINAL_MS:
             slowdown = (now_ms - sent[0].sent_ms) / nominal_ms
             self._answer_times.record(exchange.route.name, slowdown, now_ms)
 
 
+def _answered_tokens(exchange):
+    """Return the tokens of the events that a request got; 0 for a plain call."""
+    if exchange.service.engine is None or not exchange.last_event_id:
+        return 0
+    event_count = exchange.last_event_id - (exchange.fields.last_event_id or 0)
+    return event_count * exchange.service.engine.steps_per_pass
+
+
 def is_generation(exchange):
     """Return whether the length of a request's prompt and answer are known."""
     return exchange.service.engine is not None and bool(exchange.fields.prompt_tokens)
--- a/vanillareach/gateway/body_budget.py
+++ b/vanillareach/gateway/body_budget.py
@@ -6,7 +6,7 @@
 
 # Less isn't counted: it is no more than the buffer of one read.
 MIN_COUNTED_BYTES = 64 * 1024
-# Half of the memory of a small machine of 256 MB, and the share of a known memory.
+# Budget if the memory of the machine isn't known, and its share of it otherwise.
 DEFAULT_MAX_BYTES = 128 * 1024 * 1024
 MEMORY_SHARE = 0.4
 BYTES_PER_MB = 1_000_000
