Record no survival of an attempt that was never sent

Callers would have seen nothing, or a connection closed without an answer: found by reading the change, not seen in a run.

Cause: an attempt that another one supersedes in the same turn of the event loop in which its caller leaves ends with a result, though it may still have been connecting. Its time of sending is None then, and the time that it survived raised a TypeError in the clean-up.

Evidence: the new scenario of quarantine.feature ends with that TypeError before. A scenario over scripted endpoints doesn't reach the turn in question and wasn't kept.

Change: the check stands in record_survival, as it does in record_abandoned beside it, and both ends of an attempt call it alike.

--- a/vanillareach/features/quarantine.feature
+++ b/vanillareach/features/quarantine.feature
@@ -100,6 +100,12 @@
     And the caller of a request with "dead" leaves, and 5 ms later "e3" is lost
     Then the quarantine refuses a request with "dead"
 
+  # Guards against an error as an attempt that was never sent ends with its request.
+  Scenario: An attempt that was never sent tells nothing of its endpoint
+    Given a quarantine
+    When an attempt is superseded before it was sent, as its caller leaves
+    Then nothing is known of its request
+
   Scenario Outline: Only the output of an engine speaks for the parts of a prompt
     Given a quarantine
     When the caller of a request with "part" leaves, and 5 ms later "e1" is lost
--- a/vanillareach/features/steps/quarantine.py
+++ b/vanillareach/features/steps/quarantine.py
@@ -12,6 +12,8 @@
 from vanillareach.features.steps.signal_properties import FixedClock
 from vanillareach.features.support import endpoints, received
 from vanillareach.features.users_platform.crashing_endpoint import CrashingEndpoint
+from vanillareach.gateway.attempt_group import Attempt
+from vanillareach.gateway.exchange import AttemptResult
 from vanillareach.gateway.settings import GatewaySettings
 from vanillareach.gateway.state import GatewayState
 
@@ -214,6 +216,24 @@
     context.quarantine.record_loss(beside)
 
 
+@when("an attempt is superseded before it was sent, as its caller leaves")
+def step_supersede_unsent(context):
+    suspect = suspect_with(context, "part")
+    context.exchange = SimpleNamespace(id="id", suspect=suspect)
+    attempt = Attempt(context.exchange, SimpleNamespace(), None)
+    attempt.supersede()
+    attempt.set_interrupted_result(is_delivered=False)
+    assert attempt.result is AttemptResult.SUPERSEDED
+    context.quarantine.record_survival(attempt)
+
+
+@then("nothing is known of its request")
+def step_check_unknown(context):
+    evidence = context.quarantine.evidence
+    assert context.exchange.suspect.fingerprint not in evidence.recurrences
+    assert not evidence.has_any
+
+
 @when('a request with "{parts}" gets output of the service "{service}"')
 def step_service_output(context, parts, service):
     attempt = attempt_with(context, parts, service=service)
--- a/vanillareach/gateway/attempts.py
+++ b/vanillareach/gateway/attempts.py
@@ -151,7 +151,7 @@
         self._record_result(attempt, detail)
         if attempt.result is AttemptResult.BROKEN:
             await self._loss_checker.check(attempt)
-        elif attempt.may_have_run:
+        else:
             self._state.quarantine.record_survival(attempt)
 
     def _begin(self, attempt):
--- a/vanillareach/gateway/quarantine.py
+++ b/vanillareach/gateway/quarantine.py
@@ -174,6 +174,8 @@
 
     def record_survival(self, attempt):
         """Record that an attempt has ended, and its endpoint goes on."""
+        if not attempt.may_have_run:
+            return
         now_ms = self._clock.now_ms()
         self.evidence.recurrences.record_survival(
             attempt.exchange.suspect.fingerprint,
