--- a/vanillareach/platform/documents.py
+++ b/vanillareach/platform/documents.py
@@ -228,42 +228,42 @@
     at: int
 
 
-class RawPageDocument(msgspec.Struct):
-    """One page of a list, whose objects are decoded one by one."""
+class NameDocument(msgspec.Struct):
+    """Name of an object."""
 
-    ITEM_TYPE: ClassVar = msgspec.Raw
+    name: str
 
-    items: list[msgspec.Raw]
-    at: int
-    more: bool = False
 
+class NamedDocument(msgspec.Struct):
+    """An object of which only the name matters, whatever else it says."""
 
-class RawEventDocument(msgspec.Struct):
-    """One change to an object that is decoded by itself."""
+    metadata: NameDocument
 
-    object: msgspec.Raw
-    deleted: bool = False
 
+class NamedPageDocument(msgspec.Struct):
+    """One page of a list of which only the names matter; see `PageDocument`."""
 
-class RawWatchDocument(msgspec.Struct):
-    """Response to a watch whose objects are decoded one by one."""
+    ITEM_TYPE: ClassVar = NamedDocument
 
-    ITEM_TYPE: ClassVar = RawEventDocument
-
-    events: list[RawEventDocument]
+    items: list[NamedDocument]
     at: int
+    more: bool = False
 
 
-class NamedDocument(msgspec.Struct):
-    """An object of which only the name matters."""
+class NamedEventDocument(msgspec.Struct):
+    """One change to an object of which only the name matters."""
 
-    metadata: "NameDocument"
+    object: NamedDocument
+    deleted: bool = False
 
 
-class NameDocument(msgspec.Struct):
-    """Name of an object."""
+class NamedWatchDocument(msgspec.Struct):
+    """Response to a watch of which only the names matter; see `WatchDocument`."""
 
-    name: str
+    ITEM_TYPE: ClassVar = NamedEventDocument
+
+    events: list[NamedEventDocument]
+    at: int
 
 
 def decode_page(data, page_type):
@@ -317,20 +317,6 @@
     return page, unreadable
 
 
-def decode_name(data):
-    """Return the name of an object in JSON, whatever else the object says.
-
-    Raises
-    ------
-    DocumentError
-        If it has no name.
-    """
-    try:
-        return msgspec.json.decode(data, type=NamedDocument).metadata.name
-    except UNDECODABLE as error:
-        raise DocumentError(str(error)) from error
-
-
 def decode_configuration(data):
     """Decode a `RouteTable` from JSON `data`.
 
--- a/vanillareach/platform/store.py
+++ b/vanillareach/platform/store.py
@@ -20,14 +20,13 @@
 from vanillareach.platform import names
 from vanillareach.platform.documents import (
     DocumentError,
+    NamedPageDocument,
+    NamedWatchDocument,
     ObjectDocument,
     PageDocument,
-    RawPageDocument,
-    RawWatchDocument,
     WatchDocument,
     decode_configuration,
     decode_endpoint,
-    decode_name,
     decode_page,
 )
 from vanillareach.utils import parse_address
@@ -128,10 +127,9 @@
     async def list_evacuations(self):
         """List the evacuated domains; see `DeploymentStore`."""
         items, unreadable, position = await self._list(
-            names.EVACUATION_KIND, page_type=RawPageDocument
+            names.EVACUATION_KIND, page_type=NamedPageDocument
         )
-        domains, nameless = _decode_names(items)
-        return position, domains, [*unreadable, *nameless]
+        return position, [item.metadata.name for item in items], unreadable
 
     async def wait_for_evacuations(self, position, wait_ms):
         """Watch the evacuated domains; see `DeploymentStore`."""
@@ -142,11 +140,10 @@
             raise PlatformGoneError(
                 "the store no longer has the history of the evacuations"
             )
-        answer, _ = _decode_page(response, RawWatchDocument)
-        is_evacuated_by_domain = {}
-        for event in answer.events:
-            for domain in _decode_names([event.object])[0]:
-                is_evacuated_by_domain[domain] = not event.deleted
+        answer, _ = _decode_page(response, NamedWatchDocument)
+        is_evacuated_by_domain = {
+            event.object.metadata.name: not event.deleted for event in answer.events
+        }
         return StorePosition(position.era, answer.at), is_evacuated_by_domain
 
     async def list_instances(self, may_be_stale=False):
@@ -227,7 +224,11 @@
                 )
             if not page.more or not (page.items or skipped):
                 return items, unreadable, StorePosition(era, page.at)
-            path = f"{kind}?after={_last_name(kind, page.items)}"
+            if not page.items:
+                raise PlatformUnavailableError(
+                    f"{kind}: no object of a page can be read"
+                )
+            path = f"{kind}?after={page.items[-1].metadata.name}"
             if query:
                 path += f"&{query}"
 
@@ -263,27 +264,6 @@
     return 0
 
 
-def _decode_names(items):
-    """Return the names of objects in JSON, and descriptions of those without one."""
-    readable, unreadable = [], []
-    for item in items:
-        try:
-            readable.append(decode_name(item))
-        except DocumentError as error:
-            unreadable.append(str(error))
-    return readable, unreadable
-
-
-def _last_name(kind, items):
-    """Return the name after which the next page of a list begins."""
-    if items and isinstance(items[-1], ObjectDocument):
-        return items[-1].metadata.name
-    readable, _ = _decode_names(items)
-    if not readable:
-        raise PlatformUnavailableError(f"{kind}: no object of a page can be read")
-    return readable[-1]
-
-
 def _raise_for_status(response):
     if response.status == 409:
         raise PlatformConflictError("the revision of the object has changed")
