Keep abandoned attempts once, and look for news only at crashes that have any

The two records of crashes each kept a list of abandoned attempts, with the same times and limits, and the quarantine asked both in two places. core/abandoned_attempts keeps them once; what they share of limits is defined once. "Crash reported by peer." is now logged for crashes of which only written runs are told, too, as OPERATIONS.md says of it.

Beacons went through all runs of the last ten minutes, up to 8,192 after many crashes, to find those of the last six seconds; now only through crashes with such a run.

--- a/vanillareach/core/crash_evidence.py
+++ b/vanillareach/core/crash_evidence.py
@@ -12,22 +12,20 @@
 import math
 from collections import Counter
 
-from vanillareach.core.crash_recurrence import CrashRecurrences
+from vanillareach.core.crash_recurrence import (
+    MAX_CRASHES,
+    RETENTION_MS,
+    CrashRecurrences,
+)
 from vanillareach.core.crash_trials import TrialRecord
 from vanillareach.core.hashing import hash64
 
 # Reports kept; the one least needed is dropped first.
-MAX_CRASHES = 128
 MAX_SUSPECTS_PER_CRASH = 64
 MAX_PARTS_PER_SUSPECT = 32
-# A crash counts for this long after it, or after the last refusal because of it.
-RETENTION_MS = 600_000.0
 # Parts and requests known to be sound. Only those of the last seconds matter, since a
 # report may arrive after the output that refutes it.
 MAX_SOUND_TRAITS = 8_192
-# Attempts that their callers have left are suspects of a crash this soon afterwards.
-ABANDONED_TTL_MS = 500.0
-MAX_ABANDONED = 64
 
 
 class Suspect:
@@ -166,7 +164,6 @@
     """
 
     __slots__ = (
-        "_abandoned",
         "_cleared_ms_by_trait",
         "_sound_ms_by_trait",
         "crashes_by_key",
@@ -184,7 +181,6 @@
         self.recurrences = CrashRecurrences()
         self._sound_ms_by_trait = {}
         self._cleared_ms_by_trait = {}
-        self._abandoned = []
 
     @property
     def has_any(self):
@@ -280,23 +276,6 @@
         }
         return {t: self._sound_ms_by_trait[t] for t in self._cleared_ms_by_trait}
 
-    def record_abandoned(self, report, now_ms):
-        """Record that a caller left before an endpoint wrote anything.
-
-        Its request may crash the endpoint all the same, and is reported then.
-        """
-        self._abandoned.append((report, now_ms))
-        del self._abandoned[:-MAX_ABANDONED]
-
-    def abandoned_reports(self, endpoint_key, now_ms):
-        """Return the reports of requests that were abandoned just before a crash."""
-        return [
-            report
-            for report, abandoned_ms in self._abandoned
-            if report.endpoint_key == endpoint_key
-            and now_ms - abandoned_ms <= ABANDONED_TTL_MS
-        ]
-
     def crash_keys(self, trait):
         """Return the keys of the crashes that speak against a part or fingerprint."""
         return self.marks_by_trait.get(trait, {}).keys()
--- a/vanillareach/core/crash_recurrence.py
+++ b/vanillareach/core/crash_recurrence.py
@@ -34,9 +34,6 @@
 MAX_CRASHES = 128
 MAX_RUNS_PER_CRASH = 64
 RETENTION_MS = 600_000.0
-# A run that its caller has left counts if its endpoint crashes this soon afterwards.
-ABANDONED_TTL_MS = 500.0
-MAX_ABANDONED = 64
 
 
 class CrashedRun:
@@ -103,14 +100,17 @@
     learned_ms : float
     needed_ms : float
         When it was last the reason of a refusal, or else `learned_ms`.
+    newest_run_ms : float
+        The latest `learned_ms` of its runs.
     runs_by_fingerprint : dict of int to CrashedRun
     """
 
-    __slots__ = ("learned_ms", "needed_ms", "runs_by_fingerprint")
+    __slots__ = ("learned_ms", "needed_ms", "newest_run_ms", "runs_by_fingerprint")
 
     def __init__(self, learned_ms):
         self.learned_ms = learned_ms
         self.needed_ms = learned_ms
+        self.newest_run_ms = learned_ms
         self.runs_by_fingerprint = {}
 
 
@@ -140,7 +140,6 @@
     """
 
     __slots__ = (
-        "_abandoned",
         "_keys_by_fingerprint",
         "_survivals_by_fingerprint",
         "crashes_by_key",
@@ -151,7 +150,6 @@
         self._keys_by_fingerprint = {}
         # By fingerprint, then by the instance of the runs.
         self._survivals_by_fingerprint = {}
-        self._abandoned = []
 
     def __contains__(self, fingerprint):
         return fingerprint in self._keys_by_fingerprint
@@ -163,7 +161,7 @@
         runs = crash.runs_by_fingerprint
         if run.fingerprint in runs or len(runs) >= MAX_RUNS_PER_CRASH:
             return False
-        run.learned_ms = now_ms
+        run.learned_ms = crash.newest_run_ms = now_ms
         runs[run.fingerprint] = run
         keys = self._keys_by_fingerprint.setdefault(run.fingerprint, {})
         keys[run.endpoint_key] = None
@@ -186,20 +184,6 @@
         by_instance[instance] = Survivals(total_ms, now_ms)
         return True
 
-    def record_abandoned(self, run, now_ms):
-        """Record that the caller of a run has left, and its endpoint may yet crash."""
-        self._abandoned.append((run, now_ms))
-        del self._abandoned[:-MAX_ABANDONED]
-
-    def abandoned_runs(self, endpoint_key, now_ms):
-        """Return the runs that were abandoned just before a crash."""
-        return [
-            run
-            for run, abandoned_ms in self._abandoned
-            if run.endpoint_key == endpoint_key
-            and now_ms - abandoned_ms <= ABANDONED_TTL_MS
-        ]
-
     def count_rounds(self, fingerprint):
         """Return how many crashes in turn a request has met."""
         return max((run.round for run in self._runs(fingerprint)), default=0)
@@ -309,6 +293,7 @@
         recent = [
             run
             for crash in self.crashes_by_key.values()
+            if crash.newest_run_ms >= since_ms
             for run in crash.runs_by_fingerprint.values()
             if run.learned_ms >= since_ms
         ]
@@ -330,6 +315,7 @@
     def tell_again(self, now_ms):
         """Let all evidence be told to peers again, as one of them knows none."""
         for crash in self.crashes_by_key.values():
+            crash.newest_run_ms = now_ms
             for run in crash.runs_by_fingerprint.values():
                 run.learned_ms = now_ms
         for by_instance in self._survivals_by_fingerprint.values():
--- a/vanillareach/gateway/quarantine.py
+++ b/vanillareach/gateway/quarantine.py
@@ -1,5 +1,6 @@
 """Refusal of requests that have crashed endpoints, or share a part with such ones."""
 
+from vanillareach.core.abandoned_attempts import AbandonedAttempts
 from vanillareach.core.crash_evidence import CrashEvidence, CrashReport
 from vanillareach.core.crash_news import apply_news
 from vanillareach.core.crash_recurrence import CrashedRun, Verdict
@@ -31,6 +32,7 @@
     def __init__(self, state, instance_name, clock):
         self._state = state
         self.evidence = CrashEvidence()
+        self._abandoned = AbandonedAttempts()
         self._instance_name = instance_name
         self._clock = clock
 
@@ -156,21 +158,17 @@
             round=attempt.round,
             prompt_parts=exchange.fields.prompt_parts[:MAX_LOGGED_PARTS],
         )
-        runs = self.evidence.recurrences.abandoned_runs(endpoint.key, now_ms)
-        self._record_own_runs([*runs, run_of(attempt, now_ms)])
-        reports = self.evidence.abandoned_reports(endpoint.key, now_ms)
-        if not attempt.has_written:
-            reports.append(report_of(attempt))
-        self._record_own(reports)
+        self._record_abandoned_before(endpoint.key, now_ms)
+        report = None if attempt.has_written else report_of(attempt)
+        self._record_own(run_of(attempt, now_ms), report, now_ms)
 
     def record_abandoned(self, attempt):
         """Record that an attempt was cancelled, and may still crash its endpoint."""
         if attempt.sent_ms is None:
             return
         now_ms = self._clock.now_ms()
-        self.evidence.recurrences.record_abandoned(run_of(attempt, now_ms), now_ms)
-        if not attempt.has_written:
-            self.evidence.record_abandoned(report_of(attempt), now_ms)
+        report = None if attempt.has_written else report_of(attempt)
+        self._abandoned.record(run_of(attempt, now_ms), report, now_ms)
 
     def record_survival(self, attempt):
         """Record that an attempt has ended, and its endpoint goes on."""
@@ -189,35 +187,32 @@
         if not news:
             return False
         evidence, now_ms = self.evidence, self._clock.now_ms()
-        recurrences = evidence.recurrences
-        known = set(evidence.crashes_by_key)
-        known_runs = set(recurrences.crashes_by_key)
+        known = self._crash_keys()
         is_news = apply_news(news, evidence, now_ms)
-        for key in recurrences.crashes_by_key.keys() - known_runs:
-            self._record_own_runs(recurrences.abandoned_runs(key, now_ms))
-        for key in evidence.crashes_by_key.keys() - known:
+        for key in self._crash_keys() - known:
             log.info("Crash reported by peer.", endpoint=key[0], peer=peer_name)
-            self._record_own(evidence.abandoned_reports(key, now_ms))
+            self._record_abandoned_before(key, now_ms)
         return is_news
 
-    def _record_own(self, reports):
-        now_ms = self._clock.now_ms()
-        is_news = False
-        for report in reports:
+    def _crash_keys(self):
+        evidence = self.evidence
+        return evidence.crashes_by_key.keys() | evidence.recurrences.crashes_by_key
+
+    def _record_abandoned_before(self, endpoint_key, now_ms):
+        """Record the attempts of this instance that were abandoned before a crash."""
+        for attempt in self._abandoned.just_before(endpoint_key, now_ms):
+            self._record_own(attempt.run, attempt.report, now_ms)
+
+    def _record_own(self, run, report, now_ms):
+        """Record a run of this instance that met a crash; `report` may be None."""
+        run.is_own = True
+        is_news = self.evidence.recurrences.record_run(run, now_ms)
+        if report is not None:
             report.is_own = True
             is_news |= self.evidence.record_report(report, now_ms)
         if is_news:
             self._state.publish()
 
-    def _record_own_runs(self, runs):
-        now_ms = self._clock.now_ms()
-        is_news = False
-        for run in runs:
-            run.is_own = True
-            is_news |= self.evidence.recurrences.record_run(run, now_ms)
-        if is_news:
-            self._state.publish()
-
 
 def run_of(attempt, now_ms):
     """Return the `CrashedRun` of an attempt whose endpoint was lost by now."""
