Say once what a generation is, and inherit the settings of simulated worlds

Placement, costs and the check of a stopping instance each asked for an engine's figures and the length of the prompt; the exchange answers that now. The settings of worlds with recurring crashes repeated fields of WorldSettings and copied them over.

--- a/vanillareach/core/dispatching.py
+++ b/vanillareach/core/dispatching.py
@@ -147,7 +147,7 @@
     def generation_request(self, exchange, now_ms):
         """Return the `GenerationRequest` to place, or None for a plain call."""
         fields, route = exchange.fields, exchange.route
-        if exchange.service.engine is None or not fields.prompt_tokens:
+        if not exchange.is_generation:
             return None
         waited_ms = now_ms - exchange.request.received_ms
         predicted_tokens, high_tokens = self._predicted_work(exchange, now_ms)
@@ -592,7 +592,7 @@
     """Return the `CostTraits` of a request."""
     fields, team = exchange.fields, exchange.team
     traits = CostTraits(exchange.route.name, team=team.name if team else "")
-    if exchange.service.engine is not None and fields.prompt_tokens:
+    if exchange.is_generation:
         traits.size_class = fields.prompt_tokens.bit_length()
         traits.part = fields.prompt_parts[-1] if fields.prompt_parts else ""
         traits.hint_tokens = fields.length_hint
--- a/vanillareach/core/shutdown_admission.py
+++ b/vanillareach/core/shutdown_admission.py
@@ -80,18 +80,13 @@
     return event_count * exchange.service.engine.steps_per_pass
 
 
-def is_generation(exchange):
-    """Return whether the length of a request's prompt and answer are known."""
-    return exchange.service.engine is not None and bool(exchange.fields.prompt_tokens)
-
-
 def _is_length_unknown(exchange):
-    return exchange.route.kind is RequestKind.STREAM and not is_generation(exchange)
+    return exchange.route.kind is RequestKind.STREAM and not exchange.is_generation
 
 
 def _nominal_ms(exchange, answer_tokens):
     """Return the time of an answer as published: on an idle engine, or on the route."""
-    if not is_generation(exchange):
+    if not exchange.is_generation:
         return exchange.route.objective_ms
     figures, tokens = exchange.service.engine, exchange.fields.prompt_tokens
     return prefill_ms(figures, tokens) + decode_ms(figures, answer_tokens, 1, tokens)
--- a/vanillareach/features/recurrence_world.py
+++ b/vanillareach/features/recurrence_world.py
@@ -18,8 +18,8 @@
 
 
 @dataclass(slots=True)
-class RecurrenceSettings:
-    """What happens in a `RecurrenceWorld`.
+class RecurrenceSettings(WorldSettings):
+    """What happens in a `RecurrenceWorld`; of `WorldSettings` the numbers and times.
 
     Attributes
     ----------
@@ -47,7 +47,6 @@
     engine_count: int = 6
     instance_count: int = 2
     latency_ms: float = 50.0
-    duration_ms: float = 40_000.0
 
 
 @dataclass(slots=True, eq=False)
@@ -94,16 +93,7 @@
     """
 
     def __init__(self, settings, seed):
-        super().__init__(
-            WorldSettings(
-                instance_count=settings.instance_count,
-                engine_count=settings.engine_count,
-                latency_ms=settings.latency_ms,
-                duration_ms=settings.duration_ms,
-            ),
-            seed,
-        )
-        self._plan = settings
+        super().__init__(settings, seed)
         after_ms = [*settings.crash_after_ms, *[None] * settings.sound_count]
         self.streams = [
             Stream(Suspect(f"stream {number}"), crash_ms, [], [], [])
@@ -112,16 +102,16 @@
 
     def _arrive(self):
         for stream in self.streams:
-            self._at(self._uniform(0, self._plan.stream_ms), self._enter, stream)
-        for at_ms, how in self._plan.kills:
+            self._at(self._uniform(0, self._settings.stream_ms), self._enter, stream)
+        for at_ms, how in self._settings.kills:
             self._at(at_ms, self._kill, how)
 
     def _enter(self, stream):
-        instance = self._random.randrange(self._plan.instance_count)
-        self._send_run(stream, instance, 1, self._plan.stream_ms)
+        instance = self._random.randrange(self._settings.instance_count)
+        self._send_run(stream, instance, 1, self._settings.stream_ms)
 
     def _send_again(self, stream):
-        pause_ms = self._uniform(0.5, 1.5) * self._plan.pause_ms
+        pause_ms = self._uniform(0.5, 1.5) * self._settings.pause_ms
         self._at(pause_ms, self._enter, stream)
 
     def _refuses_stream(self, stream, instance):
@@ -130,7 +120,7 @@
         if stream.is_trial:
             return False
         verdict = evidence.recurrences.verdict(
-            fingerprint, self._plan.engine_count, now_ms
+            fingerprint, self._settings.engine_count, now_ms
         )
         if verdict is Verdict.SOUND:
             return False
@@ -170,7 +160,7 @@
         is_deadly = (
             stream.crash_after_ms is not None
             and stream.crash_after_ms < left_ms
-            and self._random.random() < self._plan.crash_share
+            and self._random.random() < self._settings.crash_share
         )
         if is_deadly:
             self._at(stream.crash_after_ms, self._crash_by, run, engine)
--- a/vanillareach/gateway/exchange.py
+++ b/vanillareach/gateway/exchange.py
@@ -207,6 +207,11 @@
         """Return whether another attempt than this one may have run the request."""
         return self.possible_runs > attempt.may_have_run
 
+    @property
+    def is_generation(self):
+        """Whether the lengths of prompt and answer are known, and so their time."""
+        return self.service.engine is not None and self.fields.prompt_tokens > 0
+
     @property
     def has_events(self):
         """Whether events were passed on, here or by the peer that handed it on."""
--- a/vanillareach/gateway/forwarder.py
+++ b/vanillareach/gateway/forwarder.py
@@ -6,7 +6,6 @@
 import msgspec
 
 from vanillareach.core.crash_evidence import Suspect
-from vanillareach.core.shutdown_admission import is_generation
 from vanillareach.gateway.attempt_group import AttemptGroup
 from vanillareach.gateway.attempts import AttemptRunner
 from vanillareach.gateway.connections import ResponseAbortedError
@@ -307,7 +306,7 @@
                 return PlacementDecision(None, QUARANTINE_RETRY_AFTER_MS, "quarantined")
             peer_placement = self._peer_chooser.choose(exchange)
             # The placement of a generation here counts the load of the engine as well.
-            is_unchecked = peer_placement is not None or not is_generation(exchange)
+            is_unchecked = peer_placement is not None or not exchange.is_generation
             now_ms = self._clock.now_ms()
             if is_unchecked and self._dispatcher.shutdown.ends_too_late(
                 exchange, now_ms
--- a/vanillareach/gateway/upstream.py
+++ b/vanillareach/gateway/upstream.py
@@ -111,9 +111,9 @@
         has_body = method != b"HEAD" and self.status not in STATUSES_WITHOUT_BODY
         self.content_length = lengths[0] if lengths and has_body else None
         names = [name for name, _ in head.headers]
-        is_framed = b"transfer-encoding" in names or b"content-length" in names
-        self.is_ended_by_close = has_body and not is_framed
         is_chunked = b"transfer-encoding" in names
+        is_framed = is_chunked or b"content-length" in names
+        self.is_ended_by_close = has_body and not is_framed
         self.is_event_stream = self.status == STREAM_STATUS and is_chunked
         self.next_data = reader.next_data
 
