--- a/vanillareach/features/steps/signal_properties.py
+++ b/vanillareach/features/steps/signal_properties.py
@@ -155,6 +155,7 @@
         while True:
             exchange = SimpleNamespace(
                 service=SimpleNamespace(name="s", engine=None),
+                is_generation=False,
                 excluded_endpoints=excluded,
                 fields=None,
                 route=None,
