Reject lists of the store that have no items member

Callers would have been refused with no_endpoint: a response of the store that is an object without a list counted as an empty list of endpoints.

--- a/vanillareach/features/response_limits.feature
+++ b/vanillareach/features/response_limits.feature
@@ -115,6 +115,17 @@
     Given a store that sends the same page again and again
     Then listing the endpoints fails with PlatformUnavailableError
 
+  # Would otherwise count as a list without endpoints.
+  Scenario Outline: A response of the store that is no list is a failure of the store
+    Given a store that sends <response>
+    Then listing the endpoints fails with PlatformUnavailableError
+
+    Examples:
+      | response                       |
+      | an object                      |
+      | an object with a position      |
+      | a page whose items are no list |
+
   Scenario Outline: A response of the object API that never ends is a failure of the API
     Given an object API that sends <fault>
     Then listing a collection fails with PlatformUnavailableError
--- a/vanillareach/features/steps/store_limits.py
+++ b/vanillareach/features/steps/store_limits.py
@@ -35,6 +35,13 @@
     "one line without end": (UNFRAMED_HEAD, b"x" * 65_536, 0.0),
     "empty lines without end": (UNFRAMED_HEAD, b"\n" * 65_536, 0.0),
     "a line that is no event": (UNFRAMED_HEAD + b"[1]\n", b"", 0.0),
+    "an object": (UNFRAMED_HEAD + STORED_OBJECT, b"", 0.0),
+    "an object with a position": (UNFRAMED_HEAD + b'{"at": 1}', b"", 0.0),
+    "a page whose items are no list": (
+        UNFRAMED_HEAD + b'{"items": {}, "at": 1}',
+        b"",
+        0.0,
+    ),
 }
 
 
--- a/vanillareach/platform/documents.py
+++ b/vanillareach/platform/documents.py
@@ -302,9 +302,12 @@
 def _decode_by_item(data, page_type):
     values_by_key = split_members(data)
     list_name = page_type.__struct_fields__[0]
-    texts = split_elements(values_by_key.pop(f'"{list_name}"'.encode(), b"[]"))
+    list_key = f'"{list_name}"'.encode()
+    if list_key not in values_by_key:
+        raise ValueError(f"{list_name} missing")
+    texts = split_elements(values_by_key.pop(list_key))
     others = [key + b":" + value for key, value in values_by_key.items()]
-    empty = f'"{list_name}":[]'.encode()
+    empty = list_key + b":[]"
     page = msgspec.json.decode(b"{%s}" % b",".join([empty, *others]), type=page_type)
     items, unreadable = [], []
     for text in texts:
