Keep connections with bytes beyond a response from being used again

Callers of the own interface would get the answer to another caller's request, and a keyed call could run twice: a conditional write that never happened counted as done. Instances would take the answer to one read of the store for the next one's.

Cause: httpcore asks whether the socket is readable before it uses a kept connection again. Bytes that came in one piece with the end of a response are in its parser by then, and become the beginning of the next response; every answer on that connection is one behind from then on.

Change: the pools follow the framing of responses and close a connection with bytes beyond one. Callers' requests have a connection of their own. The response to a conditional write has to name the object and a new version, else the write is ambiguous.

--- a/vanillareach/control/object_api.py
+++ b/vanillareach/control/object_api.py
@@ -15,6 +15,7 @@
 
 from vanillareach.bounded_reads import BoundedBackend
 from vanillareach.clock import MS_PER_SECOND
+from vanillareach.connection_reuse import ReuseCheckBackend
 from vanillareach.core.buckets import TokenBucket
 from vanillareach.traffic import ControlTraffic, CountingBackend
 
@@ -147,7 +148,9 @@
             max_connections=32,
             max_keepalive_connections=8,
             keepalive_expiry=60,
-            network_backend=BoundedBackend(backend, MAX_RESPONSE_BYTES),
+            network_backend=ReuseCheckBackend(
+                BoundedBackend(backend, MAX_RESPONSE_BYTES)
+            ),
         )
         # A watch goes on for as long as it yields events.
         self._watch_pool = httpcore.AsyncConnectionPool(
@@ -208,7 +211,7 @@
             raise PlatformAmbiguousError(
                 f"platform responded with status {response.status}"
             )
-        return _decode(response, StoredObject).metadata.resourceVersion
+        return _written_version(response, name, base_version)
 
     async def watch(self, collection, version):
         """Yield the changes of a collection made after `version`."""
@@ -264,6 +267,24 @@
 )
 
 
+def _written_version(response, name, base_version):
+    """Return the version that a response to a write names.
+
+    Raises
+    ------
+    PlatformAmbiguousError
+        If it isn't the response to this write, such as that to the one before, or can't
+        be decoded.
+    """
+    try:
+        metadata = _decode(response, StoredObject).metadata
+    except PlatformUnavailableError as error:
+        raise PlatformAmbiguousError(f"write of {name}: {error}") from error
+    if metadata.name != name or metadata.resourceVersion in ("", base_version):
+        raise PlatformAmbiguousError(f"write of {name}: response is of {metadata}")
+    return metadata.resourceVersion
+
+
 def _decode(response, expected_type):
     return _decode_json(response.content, expected_type)
 
--- a/vanillareach/endpoints/base.py
+++ b/vanillareach/endpoints/base.py
@@ -75,9 +75,9 @@
     gap_limit_ms : float
         Idle timeout while waiting for the response headers or between chunks.
     can_reuse_connection : bool
-        Whether the call may use a kept-alive connection. A call that must not run twice
-        gets a new one: if a kept-alive connection turns out to be closed, it is unknown
-        whether the call ran.
+        Whether the call may use a kept-alive connection. A caller's request gets a new
+        one: an answer that arrives late on a kept-alive one can't be told from its own,
+        and if that turns out to be closed, it is unknown whether the request ran.
     """
 
     __slots__ = (
@@ -98,7 +98,7 @@
         headers,
         body,
         gap_limit_ms,
-        can_reuse_connection=True,
+        can_reuse_connection=False,
     ):
         self.method = method
         self.address = address
--- a/vanillareach/endpoints/engine.py
+++ b/vanillareach/endpoints/engine.py
@@ -166,7 +166,13 @@
 
     async def _call(self, method, address, path, expected_type, body=b""):
         call = EndpointCall(
-            method, address, path, JSON_HEADERS, body, CONTROL_CALL_TIMEOUT_MS
+            method,
+            address,
+            path,
+            JSON_HEADERS,
+            body,
+            CONTROL_CALL_TIMEOUT_MS,
+            can_reuse_connection=True,
         )
         try:
             with trio.fail_after(CONTROL_CALL_TIMEOUT_MS / MS_PER_SECOND):
--- a/vanillareach/endpoints/http.py
+++ b/vanillareach/endpoints/http.py
@@ -6,6 +6,7 @@
 
 from vanillareach.clock import MS_PER_SECOND
 from vanillareach.connection_headers import CONNECTION_HEADERS
+from vanillareach.connection_reuse import ReuseCheckBackend
 from vanillareach.endpoints.base import (
     EndpointBrokenError,
     EndpointPort,
@@ -40,7 +41,7 @@
             max_connections=MAX_CONNECTIONS,
             max_keepalive_connections=MAX_CONNECTIONS // 8,
             keepalive_expiry=KEEP_ALIVE_TIMEOUT_S,
-            network_backend=backend,
+            network_backend=ReuseCheckBackend(backend),
         )
         self._single_use_pool = httpcore.AsyncConnectionPool(
             max_connections=MAX_CONNECTIONS,
--- a/vanillareach/entry/services.py
+++ b/vanillareach/entry/services.py
@@ -187,7 +187,6 @@
             self._request_headers(span),
             self._body,
             self._remaining_ms(),
-            self._repeatable,
         )
         async with self._components.endpoints.open(call) as response:
             # A call that may run only once is not given up before its deadline.
--- a/vanillareach/features/steps/response_limits.py
+++ b/vanillareach/features/steps/response_limits.py
@@ -11,6 +11,7 @@
 from vanillareach.endpoints.base import EndpointCall, EndpointError
 from vanillareach.endpoints.http import HttpEndpoints
 from vanillareach.features.harness import SERVICE_DOCUMENTS
+from vanillareach.features.raw_server import open_raw_server
 from vanillareach.features.support import first_entry
 
 MIB = 1024 * 1024
@@ -209,16 +210,10 @@
             await stream.receive_some(65_536)
             await send_response(stream)
         context.was_closed.set()
-        await stream.aclose()
 
-    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
-    port = listeners[0].socket.getsockname()[1]
     endpoints = HttpEndpoints(1000)
-    call = EndpointCall(
-        "POST", f"127.0.0.1:{port}", "/", [], b"", CALL_TIMEOUT_S * 1000, False
-    )
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(trio.serve_listeners, serve, listeners)
+    async with open_raw_server(serve) as address:
+        call = EndpointCall("POST", address, "/", [], b"", CALL_TIMEOUT_S * 1000)
         with trio.fail_after(CALL_TIMEOUT_S):
             try:
                 async with endpoints.open(call) as response:
@@ -226,7 +221,6 @@
             except EndpointError as error:
                 context.error = error
             await context.was_closed.wait()
-        nursery.cancel_scope.cancel()
     await endpoints.close()
 
 
--- a/vanillareach/features/steps/store_limits.py
+++ b/vanillareach/features/steps/store_limits.py
@@ -2,7 +2,6 @@
 
 import tracemalloc
 import zlib
-from contextlib import suppress
 from unittest import mock
 
 import trio
@@ -12,6 +11,7 @@
 from vanillareach.control import object_api
 from vanillareach.control.object_api import HttpPlatform, PlatformError
 from vanillareach.core.messages import MessageError, unpack_configuration
+from vanillareach.features.raw_server import open_raw_server
 from vanillareach.platform.store import PlatformStore
 
 MIB = 1024 * 1024
@@ -66,24 +66,15 @@
 def run_with_server(context, make_client, call):
     """Call a client of a server on loopback; return the name of the error or None."""
 
-    async def serve(stream):
-        with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
-            await context.send_response(stream)
-        await stream.aclose()
-
     async def main():
-        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
-        port = listeners[0].socket.getsockname()[1]
-        client = make_client(f"127.0.0.1:{port}")
         error_name = None
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(trio.serve_listeners, serve, listeners)
+        async with open_raw_server(context.send_response) as address:
+            client = make_client(address)
             with trio.fail_after(CALL_TIMEOUT_S):
                 try:
                     await call(client)
                 except PlatformError as error:
                     error_name = type(error).__name__
-            nursery.cancel_scope.cancel()
         await client.close()
         return error_name
 
--- a/vanillareach/platform/store.py
+++ b/vanillareach/platform/store.py
@@ -6,6 +6,7 @@
 
 from vanillareach.bounded_reads import BoundedBackend
 from vanillareach.clock import MS_PER_SECOND
+from vanillareach.connection_reuse import ReuseCheckBackend
 from vanillareach.control.object_api import (
     PlatformConflictError,
     PlatformGoneError,
@@ -75,7 +76,9 @@
             max_connections=8,
             max_keepalive_connections=3,
             keepalive_expiry=20,
-            network_backend=BoundedBackend(httpcore.TrioBackend(), MAX_RESPONSE_BYTES),
+            network_backend=ReuseCheckBackend(
+                BoundedBackend(httpcore.TrioBackend(), MAX_RESPONSE_BYTES)
+            ),
         )
         self.calls = 0
         self._era = 0
