Wait for peers that meet a common fault later than others

Cause: 200 ms after a check that reached no endpoint, an instance took its links for lost unless every peer had reported a fault by then. Peers meet a common fault as their callers do.

Evidence: a trace of the reports at each decision, at load 17 on 8 cores: one peer had reported six endpoints, two others none; 250 to 400 ms later these had reported three each.

Change: it waits as long as any peer has reported a fault, 1 s until each has, and 1.8 s until each has reported as many as show the same trouble. Without any report it decides after 200 ms as before.

--- /dev/null
+++ b/vanillareach/features/link_checks.feature
@@ -0,0 +1,31 @@
+Feature: Lost links are told from endpoints that are down by what peers report
+
+  # Callers of some instances meet a common fault later than those of others.
+  Scenario Outline: An instance that reaches no endpoint waits for the reports of its peers
+    Given an instance with peers "p1,p2,p3" that reaches no endpoint
+    When the peers report faults of 3 endpoints after "<times>" ms, one each 100 ms
+    Then its links are <result>
+
+    Examples: All peers report faults
+      | times          | result |
+      | 0,0,0          | kept   |
+      | 100,400,600    | kept   |
+      | 100,900,900    | kept   |
+      | 100,900,1500   | lost   |
+
+    Examples: Some have links, or another one is cut off as well
+      | times          | result |
+      | -,-,-          | lost   |
+      | 0,-,-          | lost   |
+      | 0,0,-          | lost   |
+
+  Scenario Outline: Lost links are known in time though a peer reports faults of its own
+    Given an instance with peers "p1,p2,p3" that reaches no endpoint
+    When the peers report faults of <count> endpoints after "<times>" ms, one each 100 ms
+    Then it takes its links for lost within <most> ms
+
+    Examples:
+      | count | times | most |
+      | 3     | -,-,- | 250  |
+      | 3     | 0,-,- | 1100 |
+      | 1     | 0,0,0 | 1900 |
