Take no stall of the instance for the silence of endpoints or paths

Cause: silence was told 50 ms after a stall by idle timeouts, 100 ms after it by the watch for unanswered requests. The event loop of a busy process has more to receive than that.

Evidence: traces of what put paths in doubt in dead_paths.feature: an idle timeout 70 ms and an unanswered request 118 ms after a pause of 1.5 s.

Change: idle timeouts wait until the event loop has run on time for 100 ms, at most 400 ms. Unanswered requests get their time once more, as none of it was the path's for certain.

Measured: one example of link_checks.feature and two of attempts.feature failed before, on a mock clock.

--- a/vanillareach/core/path_evidence.py
+++ b/vanillareach/core/path_evidence.py
@@ -38,17 +38,20 @@
         Id and incarnation of the endpoint.
     flight : InFlightRequest
     sent_ms : float
+    silence_ms : float
+        Time after which it counts as unanswered.
     due_ms : float
         From when on it counts as unanswered; infinite once that is recorded.
     """
 
-    __slots__ = ("due_ms", "flight", "key", "sent_ms")
+    __slots__ = ("due_ms", "flight", "key", "sent_ms", "silence_ms")
 
-    def __init__(self, key, flight, sent_ms, due_ms):
+    def __init__(self, key, flight, sent_ms, silence_ms):
         self.key = key
         self.flight = flight
         self.sent_ms = sent_ms
-        self.due_ms = due_ms
+        self.silence_ms = silence_ms
+        self.due_ms = sent_ms + silence_ms
 
 
 class PathEvidence:
@@ -84,7 +87,7 @@
     def record_sent(self, flight, key, silence_ms, now_ms):
         """Record that a request is sent; it is unanswered after `silence_ms`."""
         self.waiting_by_id[flight.id] = UnansweredRequest(
-            key, flight, now_ms, now_ms + silence_ms
+            key, flight, now_ms, silence_ms
         )
 
     def record_bytes(self, flight, key, sent_ms):
@@ -135,6 +138,11 @@
             since_ms = max(since_ms, known[1])
         _put_latest(self._swallowed_by_key, key, (now_ms, since_ms), MAX_ENDPOINTS)
 
+    def restart_waiting(self, now_ms):
+        """Give all requests without an answer their time once more."""
+        for waiting in self.waiting_by_id.values():
+            waiting.due_ms = max(waiting.due_ms, now_ms + waiting.silence_ms)
+
     def overdue(self, now_ms):
         """Return the `UnansweredRequest` records that now count as unanswered."""
         return [w for w in self.waiting_by_id.values() if w.due_ms <= now_ms]
--- a/vanillareach/features/attempts.feature
+++ b/vanillareach/features/attempts.feature
@@ -31,6 +31,17 @@
     When an instance is stalled for 2000 ms while an endpoint answers
     Then no endpoint counts as silent
 
+  # The event loop still has other data to receive for a while after a stall.
+  Scenario Outline: An event that is received some time after a stall counts as in time
+    When an instance is stalled for 2000 ms, and 60 ms again, and receives an event <time> ms later
+    Then the idle timeout of its attempt <has> expired
+
+    Examples:
+      | time | has     |
+      | 10   | has not |
+      | 90   | has not |
+      | 500  | has     |
+
   Scenario: Memory stays reserved while its engine is silent
     Then memory stays reserved at an engine that is silent for 2.5 s
 
--- a/vanillareach/features/dead_paths.feature
+++ b/vanillareach/features/dead_paths.feature
@@ -52,8 +52,4 @@
       | all engines reset all requests         | 100    |
       | all engines are down                   | 100    |
       | all endpoints are down                 | 100    |
-
-    @known_red
-    Examples: Listed in KNOWN-RED.txt
-      | event                                  | checks |
       | the gateways are paused for 1500 ms    | 0      |
--- a/vanillareach/features/link_checks.feature
+++ b/vanillareach/features/link_checks.feature
@@ -19,6 +19,18 @@
       | 0,-,-          | lost   |
       | 0,0,-          | lost   |
 
+  Scenario Outline: A stall of the instance isn't taken for the silence of its paths
+    Given an instance with peers "p1,p2,p3" that reaches no endpoint
+    When it is stalled for <stall> ms with requests at 3 endpoints, answered <time> ms later
+    Then it has made <checks>
+
+    Examples:
+      | stall | time | checks    |
+      | 1500  | 20   | no check  |
+      | 1500  | 250  | no check  |
+      | 1500  | 700  | a check   |
+      | 0     | 250  | a check   |
+
   Scenario Outline: Lost links are known in time though a peer reports faults of its own
     Given an instance with peers "p1,p2,p3" that reaches no endpoint
     When the peers report faults of <count> endpoints after "<times>" ms, one each 100 ms
--- a/vanillareach/features/steps/attempts.py
+++ b/vanillareach/features/steps/attempts.py
@@ -11,7 +11,7 @@
 from hypothesis import given as generated
 from hypothesis import strategies as st
 
-from vanillareach.clock import TrioClock
+from vanillareach.clock import MS_PER_SECOND, TrioClock
 from vanillareach.core.endpoint_limits import EndpointLimits
 from vanillareach.core.endpoint_list import ListedEndpoint
 from vanillareach.features.attempt_cases import (
@@ -27,11 +27,13 @@
 from vanillareach.features.steps.properties import CHECKED
 from vanillareach.gateway.attempt_group import Attempt
 from vanillareach.gateway.exchange import GatewayExchange
+from vanillareach.gateway.idle_timeouts import MAX_CHECK_INTERVAL_MS, IdleTimeoutMonitor
 from vanillareach.gateway.reservations import (
     RESERVATION_REQUEST_TIMEOUT_MS,
     RESERVATION_TTL_MS,
     ReservationManager,
 )
+from vanillareach.gateway.stalls import SETTLING_MS
 from vanillareach.gateway.upstream import UpstreamRequest, open_upstream
 
 REQUEST_TYPES = (GatewayExchange, Attempt)
@@ -189,6 +191,44 @@
         assert not run.metrics.attempts[("desk", "silent")]
 
 
+@when(
+    "an instance is stalled for {stall_ms:d} ms, and {again_ms:d} ms again, and "
+    "receives an event {time_ms:d} ms later"
+)
+def step_stall_twice(context, stall_ms, again_ms, time_ms):
+    mock_clock = trio.testing.MockClock()
+    context.expiries = []
+
+    async def stall(duration_ms):
+        mock_clock.jump(duration_ms / MS_PER_SECOND)
+        await trio.testing.wait_all_tasks_blocked()
+
+    async def run():
+        clock = TrioClock()
+        monitor = IdleTimeoutMonitor(None, clock)
+        timeout_ms = 2 * MAX_CHECK_INTERVAL_MS
+        idle_timeout = monitor.watch(
+            None, clock.now_ms() + timeout_ms, lambda: context.expiries.append(1)
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(monitor.run)
+            await trio.testing.wait_all_tasks_blocked()
+            await stall(stall_ms)
+            await stall(SETTLING_MS + again_ms)
+            mock_clock.autojump_threshold = 0
+            await clock.sleep_ms(time_ms)
+            idle_timeout.extend(clock.now_ms() + timeout_ms)
+            await clock.sleep_ms(timeout_ms / 2)
+            nursery.cancel_scope.cancel()
+
+    trio.run(run, clock=mock_clock)
+
+
+@then("the idle timeout of its attempt {has} expired")
+def step_check_expiry(context, has):
+    assert bool(context.expiries) == (has == "has"), context.expiries
+
+
 class SilentHolder(ReservationManager):
     """Reservations at an engine that is silent for a while.
 
--- a/vanillareach/features/steps/link_checks.py
+++ b/vanillareach/features/steps/link_checks.py
@@ -6,7 +6,8 @@
 import trio
 from behave import given, then, when
 
-from vanillareach.clock import TrioClock
+from vanillareach.clock import MS_PER_SECOND, TrioClock
+from vanillareach.core.path_evidence import PLAIN_SILENCE_MS
 from vanillareach.features.steps.gateway_core import make_endpoint
 from vanillareach.gateway import link_monitor
 from vanillareach.gateway.link_monitor import LinkMonitor
@@ -24,6 +25,19 @@
     raise OSError(address)
 
 
+def make_monitor(peer_names, clock):
+    """Return state and link monitor of an instance with endpoints and peers."""
+    state = GatewayState(GatewaySettings(name="i1"), clock)
+    endpoints = [make_endpoint(name) for name in ENGINES]
+    state.apply_endpoints(endpoints, StorePosition(1, 1), clock.now_ms(), "store")
+    service = SimpleNamespace(name="s", health_path="/health")
+    state.configuration = SimpleNamespace(services_by_name={"s": service})
+    peers = [SimpleNamespace(name=name) for name in peer_names]
+    gossip = SimpleNamespace(peers=SimpleNamespace(forwarding_candidates=lambda: peers))
+    chooser = PeerChooser(state, gossip, clock)
+    return state, LinkMonitor(state, "a", clock, None, chooser)
+
+
 @given('an instance with peers "{names}" that reaches no endpoint')
 def step_instance(context, names):
     context.peer_names = names.split(",")
@@ -43,17 +57,7 @@
 
     async def check():
         clock = TrioClock()
-        state = GatewayState(GatewaySettings(name="i1"), clock)
-        endpoints = [make_endpoint(name) for name in ENGINES]
-        state.apply_endpoints(endpoints, StorePosition(1, 1), clock.now_ms(), "store")
-        service = SimpleNamespace(name="s", health_path="/health")
-        state.configuration = SimpleNamespace(services_by_name={"s": service})
-        peers = [SimpleNamespace(name=name) for name in context.peer_names]
-        gossip = SimpleNamespace(
-            peers=SimpleNamespace(forwarding_candidates=lambda: peers)
-        )
-        chooser = PeerChooser(state, gossip, clock)
-        monitor = LinkMonitor(state, "a", clock, None, chooser)
+        state, monitor = make_monitor(context.peer_names, clock)
         async with trio.open_nursery() as nursery:
             for name, after_ms in zip(
                 context.peer_names, times.split(","), strict=True
@@ -70,6 +74,51 @@
         trio.run(check, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
+@when(
+    "it is stalled for {stall_ms:d} ms with requests at 3 endpoints, answered "
+    "{time_ms:d} ms later"
+)
+def step_stall(context, stall_ms, time_ms):
+    """Let the time pass at once, as for a process that is stopped and continued."""
+    mock_clock = trio.testing.MockClock()
+
+    async def stall():
+        clock = TrioClock()
+        state, monitor = make_monitor(context.peer_names, clock)
+        attempts = [
+            SimpleNamespace(
+                flight=SimpleNamespace(id=number, prompt_tokens=0),
+                placement=SimpleNamespace(endpoint=endpoint),
+                exchange=SimpleNamespace(service=SimpleNamespace(engine=None)),
+                sent_ms=clock.now_ms(),
+            )
+            for number, endpoint in enumerate(list(state.endpoints.by_id.values())[:3])
+        ]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(monitor.run)
+            await trio.testing.wait_all_tasks_blocked()
+            for attempt in attempts:
+                monitor.record_sent(attempt)
+            await trio.testing.wait_all_tasks_blocked()
+            mock_clock.jump((PLAIN_SILENCE_MS + stall_ms) / MS_PER_SECOND)
+            await trio.testing.wait_all_tasks_blocked()
+            mock_clock.autojump_threshold = 0
+            await clock.sleep_ms(time_ms)
+            for attempt in attempts:
+                monitor.record_bytes(attempt)
+            await clock.sleep_ms(1_000)
+            nursery.cancel_scope.cancel()
+
+    with mock.patch.object(link_monitor, "connect", side_effect=refuse) as connect:
+        trio.run(stall, clock=mock_clock)
+    context.has_checked = connect.called
+
+
+@then("it has made {what}")
+def step_check_made(context, what):
+    assert context.has_checked == (what == "a check")
+
+
 @then("its links are {result}")
 def step_check_result(context, result):
     assert context.is_lost == (result == "lost"), context.lasted_ms
--- a/vanillareach/gateway/idle_timeouts.py
+++ b/vanillareach/gateway/idle_timeouts.py
@@ -4,6 +4,8 @@
 
 import trio
 
+from vanillareach.gateway.stalls import wait_until_settled
+
 # Bounds of the interval between two checks. A timeout is never shorter than the upper
 # one, so a check finds each in time.
 MIN_CHECK_INTERVAL_MS = 50.0
@@ -90,9 +92,7 @@
             due_ms = self._clock.now_ms() + interval_ms
             await self._clock.sleep_ms(interval_ms)
             if self._clock.now_ms() > due_ms + STALL_MS:
-                # The silence may be this instance's own: data that has arrived
-                # meanwhile is received first.
-                await self._clock.sleep_ms(MIN_CHECK_INTERVAL_MS)
+                await wait_until_settled(self._clock)
             now_ms = self._clock.now_ms()
             for idle_timeout in [x for x in self._timeouts if x.deadline_ms <= now_ms]:
                 await self._expire_or_extend(idle_timeout, now_ms)
--- a/vanillareach/gateway/link_monitor.py
+++ b/vanillareach/gateway/link_monitor.py
@@ -43,7 +43,6 @@
 # A check or a wait that takes longer than its limit by this was stalled together with
 # the whole instance. What it saw tells nothing.
 STALL_MS = 150.0
-STALL_SETTLING_MS = 100.0
 # Times in which peers report faults if the endpoints are the cause, which they meet as
 # their callers call: until any has reported one, until each has, and until each has
 # reported as many as show the same trouble.
@@ -366,8 +365,8 @@
             wait_ms = max(MIN_WATCH_INTERVAL_MS, due_ms - now_ms)
             await self._clock.sleep_ms(wait_ms)
             if self._clock.now_ms() > now_ms + wait_ms + STALL_MS:
-                # Answers that have arrived meanwhile are received first.
-                await self._clock.sleep_ms(STALL_SETTLING_MS)
+                # No answer was received in a stall, whatever the paths have passed.
+                paths.restart_waiting(self._clock.now_ms())
             await self._record_overdue()
 
     async def _record_overdue(self):
--- a/vanillareach/gateway/stalls.py
+++ b/vanillareach/gateway/stalls.py
@@ -13,9 +13,28 @@
 STALL_THRESHOLD_MS = 400.0
 CHECK_INTERVAL_MS = 3_000.0
 
+# Time in which data that has arrived during a stall is received, if the event loop runs
+# on time meanwhile, and the longest time that is waited for that.
+SETTLING_MS = 100.0
+MAX_SETTLING_MS = 400.0
+ON_TIME_MS = 20.0
+
 log = get_logger("gateway")
 
 
+async def wait_until_settled(clock):
+    """Wait after a stall until the data that has arrived meanwhile is received.
+
+    Silence that is found before may be that of this instance.
+    """
+    until_ms = clock.now_ms() + MAX_SETTLING_MS
+    is_on_time = False
+    while not is_on_time and clock.now_ms() < until_ms:
+        due_ms = clock.now_ms() + SETTLING_MS
+        await clock.sleep_ms(SETTLING_MS)
+        is_on_time = clock.now_ms() <= due_ms + ON_TIME_MS
+
+
 class StallDetector:
     """Marks the state as stale after a stall.
 
