Count answers that callers don't read in the budget of answers

Cause: only incomplete answers counted. A complete one was copied together with its head and held until the caller had read it, or the kernel ended the connection after 15 s.

Evidence: 80 callers that don't read, gateway and endpoint in one process (a trial): 40 MB before them, 714 MB with them, some 8 MB each, so nothing bounds it and each answer is held twice.

Change: what callers haven't read counts in the same 64 MiB. Beyond it those that have waited longest without progress are broken off. Bodies over 64 KiB are sent without a copy.

The new scenario of connections.feature fails with the count switched off. connections, upstream, attempts, gateway, project, peer_forwarding, response_fuzz, gateway_core, stopping and emulation features, 290 passed.

--- a/vanillareach/features/attempt_cases.py
+++ b/vanillareach/features/attempt_cases.py
@@ -24,6 +24,7 @@
 )
 from vanillareach.features.users_platform.stage import HOST, configuration, route
 from vanillareach.gateway import attempts, forwarder, loss_checks
+from vanillareach.gateway.buffer_budget import BufferBudget
 from vanillareach.gateway.connections import ResponseAbortedError
 from vanillareach.gateway.forwarder import Forwarder
 from vanillareach.gateway.ports import StorePosition
@@ -173,6 +174,7 @@
             ScriptedPlacement(dispatcher, clock, self.case.placements),
             StallDetector(state, clock),
             SimpleNamespace(choose=lambda exchange: None),
+            BufferBudget(),
             settings,
         )
 
--- a/vanillareach/features/connections.feature
+++ b/vanillareach/features/connections.feature
@@ -96,6 +96,17 @@
     Then no bytes of request bodies are held
     And another body of 100000 bytes is accepted
 
+  # Guards against answers that callers don't read and that take all memory.
+  Scenario: Answers that callers don't read give way to those that are read
+    Given the gateway may hold 5000000 bytes of answers
+    And all endpoints will "answer_large"
+    When 6 callers send "/read/a" one after another and don't read the answers
+    Then at most 5000000 bytes of answers are held
+    And a caller that reads gets its answer whole
+    And the caller that has waited longest has an incomplete answer
+    When these callers leave
+    Then no bytes of answers are held
+
   Scenario: A body in chunks is counted as it grows
     Given the gateway may hold 250000 bytes of request bodies
     When a caller sends chunks of 50000 bytes until it gets a response
--- a/vanillareach/features/steps/connections.py
+++ b/vanillareach/features/steps/connections.py
@@ -19,6 +19,7 @@
 HEADER_BYTES = 1_000
 BODY_BYTES = 2_000
 MAX_LARGE_BODY_BYTES = 1_000_000
+SMALL_BUFFER_BYTES = 4_096
 
 
 async def connect_callers(context, count):
@@ -334,6 +335,58 @@
     assert context.is_reset, context.data
 
 
+@given("the gateway may hold {size:d} bytes of answers")
+def step_set_answer_budget(context, size):
+    context.platform.gateways[0].buffer_budget.max_bytes = size
+
+
+async def connect_with_small_buffer(context):
+    """Return a caller whose kernel takes little that it doesn't read."""
+    address = split_address(context.platform.gateways[0].settings.front_listen)
+    sock = trio.socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+    await sock.connect(address)
+    return Caller(context.platform, trio.SocketStream(sock))
+
+
+@when('{count:d} callers send "{path}" one after another and don\'t read the answers')
+def step_leave_unread(context, count, path):
+    async def call():
+        context.callers = []
+        for _ in range(count):
+            caller = await connect_with_small_buffer(context)
+            context.callers.append(caller)
+            await caller.send(path)
+            await context.platform.until(caller.has_data)
+            await trio.sleep(SETTLE_S)
+
+    context.run(call)
+
+
+@then("at most {size:d} bytes of answers are held")
+def step_check_answers_held(context, size):
+    held = context.platform.gateways[0].buffer_budget.total_bytes
+    assert 0 < held <= size, held
+
+
+@then("a caller that reads gets its answer whole")
+def step_check_whole_answer(context):
+    response = context.run(context.platform.call, "/read/a")
+    assert response.status == 200 and response.is_complete, response.status
+
+
+@then("the caller that has waited longest has an incomplete answer")
+def step_check_cut(context):
+    response = context.run(context.callers[0].receive)
+    assert not response.is_complete
+
+
+@then("no bytes of answers are held")
+def step_check_no_answers_held(context):
+    budget = context.platform.gateways[0].buffer_budget
+    context.run(context.platform.until, lambda: not budget.total_bytes)
+
+
 @given("the gateway may hold {size:d} bytes of request bodies")
 def step_set_body_budget(context, size):
     gateway = context.platform.gateways[0]
--- a/vanillareach/features/steps/upstream.py
+++ b/vanillareach/features/steps/upstream.py
@@ -47,8 +47,7 @@
 
 @given("the gateway may hold {size:d} bytes of incomplete events and answers")
 def step_set_buffer_budget(context, size):
-    runner = context.platform.gateways[0].forwarder._attempt_runner
-    runner.buffer_budget.max_bytes = size
+    context.platform.gateways[0].buffer_budget.max_bytes = size
 
 
 @when('{count:d} callers send "{path}" one after another and wait')
--- a/vanillareach/gateway/app.py
+++ b/vanillareach/gateway/app.py
@@ -12,6 +12,7 @@
 from vanillareach.core.ordered_placing import OrderedPlacement
 from vanillareach.core.routing import CallerLimits
 from vanillareach.gateway.body_budget import budget_of_memory
+from vanillareach.gateway.buffer_budget import BufferBudget
 from vanillareach.gateway.following import StoreFollower
 from vanillareach.gateway.forwarded_requests import ForwardedRequestHandler
 from vanillareach.gateway.forwarder import Forwarder
@@ -102,6 +103,7 @@
         self.state = GatewayState(settings, clock)
         self.stall_detector = StallDetector(self.state, clock)
         self.body_budget = budget_of_memory(settings.memory_mb)
+        self.buffer_budget = BufferBudget()
         self.link = NngLink(settings.peer_listen, settings.peer_key, ControlTraffic())
         self.gossip = Gossip(settings, self.state, self.link, clock)
         self.follower = StoreFollower(self.store, self.state, self.gossip, clock)
@@ -128,6 +130,7 @@
             placement_client,
             self.stall_detector,
             PeerChooser(self.state, self.gossip, clock),
+            self.buffer_budget,
             settings,
         )
         forwarded = ForwardedRequestHandler(
@@ -155,6 +158,7 @@
             handle,
             lambda: self.state.is_stopping,
             self.body_budget,
+            self.buffer_budget,
         )
 
     def _add_cost_gauges(self):
@@ -300,6 +304,16 @@
             "Requests refused since there was no memory for their body.",
             lambda: self.body_budget.refused_count,
         )
+        add(
+            "answer_bytes",
+            "Bytes of answers that are held: incomplete, or not read by callers.",
+            lambda: self.buffer_budget.total_bytes,
+        )
+        add(
+            "answers_broken_off",
+            "Answers that had to make room for others.",
+            lambda: self.buffer_budget.revoked_count,
+        )
         add(
             "connections",
             "Open connections of callers.",
--- a/vanillareach/gateway/attempts.py
+++ b/vanillareach/gateway/attempts.py
@@ -11,7 +11,6 @@
 )
 from vanillareach.gateway.answers import AnswerProgress, read_answer
 from vanillareach.gateway.attempt_group import AttemptSupersededError
-from vanillareach.gateway.buffer_budget import BufferBudget
 from vanillareach.gateway.exchange import (
     POSSIBLY_RUN_RESULTS,
     AttemptResult,
@@ -78,9 +77,6 @@
     reservations : ReservationManager
     clock : Clock
     metrics : Metrics
-
-    Attributes
-    ----------
     buffer_budget : BufferBudget
     """
 
@@ -96,6 +92,7 @@
         reservations,
         clock,
         metrics,
+        buffer_budget,
     ):
         self._state = state
         self._dispatcher = dispatcher
@@ -107,7 +104,7 @@
         self._reservations = reservations
         self._clock = clock
         self._metrics = metrics
-        self.buffer_budget = BufferBudget()
+        self._buffer_budget = buffer_budget
 
     async def run(self, attempt, responder):
         """Run one attempt; set and record its result."""
@@ -257,12 +254,12 @@
         if response.status >= 300:
             body = await self._read_answer(attempt, response)
             failure = FailureResponse(response, body)
-            exchange.keep_failure(failure, self.buffer_budget)
+            exchange.keep_failure(failure, self._buffer_budget)
             return AttemptResult.FAILED
         if exchange.route.kind is RequestKind.STREAM:
             attempt.weights_version = fields.weights_version
             observer = AttemptObserver(self, attempt)
-            share = self.buffer_budget.share()
+            share = self._buffer_budget.share()
             await relay_events(exchange, response, responder, observer, share)
         else:
             body = await self._read_answer(attempt, response)
@@ -277,7 +274,7 @@
     async def _read_answer(self, attempt, response):
         idle_timeout_ms = self._dispatcher.event_gap_timeout_ms(attempt.exchange)
         progress = AnswerProgress(attempt, idle_timeout_ms, self._clock)
-        return await read_answer(response, self.buffer_budget.share(), progress)
+        return await read_answer(response, self._buffer_budget.share(), progress)
 
     def _upstream_request(self, attempt, reservation):
         exchange, placement = attempt.exchange, attempt.placement
--- a/vanillareach/gateway/buffer_budget.py
+++ b/vanillareach/gateway/buffer_budget.py
@@ -1,9 +1,11 @@
-"""Limits what all attempts of an instance hold of events and answers.
+"""Limits what an instance holds of events and answers.
 
-Incomplete ones count, and error responses that are kept while another attempt runs.
+Incomplete ones count, error responses that are kept while another attempt runs, and
+what callers haven't read.
 """
 
 import itertools
+from functools import partial
 
 import trio
 
@@ -15,27 +17,40 @@
 MIN_COUNTED_BYTES = 64 * 1024
 
 
+class BufferRevokedError(Exception):
+    """What is held must make room for others."""
+
+
 class BufferBudget:
-    """Budget of bytes that are held while the rest of an event or answer is awaited.
+    """Budget of bytes that are held while the rest is awaited, or a caller that reads.
 
-    When it is exceeded, the attempts that have waited longest are broken off: what is
-    sound is complete soon.
+    When it is exceeded, those that have waited longest are broken off: what is sound is
+    complete soon, and read soon.
 
     Attributes
     ----------
-    max_bytes : int
+    max_bytes, total_bytes : int
+    revoked_count : int
+        Shares that had to make room for others.
     """
 
-    __slots__ = ("_bytes_by_share", "_numbers", "_total_bytes", "max_bytes")
+    __slots__ = (
+        "_bytes_by_share",
+        "_numbers",
+        "max_bytes",
+        "revoked_count",
+        "total_bytes",
+    )
 
     def __init__(self, max_bytes=MAX_BUFFERED_BYTES):
         self.max_bytes = max_bytes
+        self.total_bytes = 0
+        self.revoked_count = 0
         self._bytes_by_share = {}
-        self._total_bytes = 0
         self._numbers = itertools.count()
 
     def share(self):
-        """Return the `BufferShare` of one attempt."""
+        """Return the `BufferShare` of one attempt, or of one response to a caller."""
         return BufferShare(self)
 
     def next_number(self):
@@ -45,19 +60,20 @@
     def add(self, share, buffered_bytes):
         """Count what a share holds while it waits."""
         self._bytes_by_share[share] = buffered_bytes
-        self._total_bytes += buffered_bytes
-        while self._total_bytes > self.max_bytes:
+        self.total_bytes += buffered_bytes
+        while self.total_bytes > self.max_bytes:
             oldest = min(self._bytes_by_share, key=lambda share: share.number)
             self.remove(oldest)
+            self.revoked_count += 1
             oldest.revoke()
 
     def remove(self, share):
         """Cease to count a share."""
-        self._total_bytes -= self._bytes_by_share.pop(share, 0)
+        self.total_bytes -= self._bytes_by_share.pop(share, 0)
 
 
 class BufferShare:
-    """What one attempt holds of an incomplete event or answer.
+    """What one attempt holds of an incomplete event or answer, or one response unread.
 
     Parameters
     ----------
@@ -89,16 +105,44 @@
             return await response.next_data()
         if self.number is None:
             self.number = self._budget.next_number()
+        try:
+            return await self._hold(buffered_bytes, response.next_data)
+        except BufferRevokedError as error:
+            message = "too many incomplete events and answers"
+            raise EndpointBrokenError(message) from error
+
+    async def send(self, sock, data, unsent_bytes):
+        """Send some of `data` to a caller; return how many bytes.
+
+        Parameters
+        ----------
+        sock : trio.socket.SocketType
+        data : bytes-like
+        unsent_bytes : int
+            What is held of the response.
+
+        Raises
+        ------
+        BufferRevokedError
+            If the caller hasn't read for too long.
+        """
+        if unsent_bytes < MIN_COUNTED_BYTES:
+            return await sock.send(data)
+        # A caller that has read some begins to wait anew.
+        self.number = self._budget.next_number()
+        return await self._hold(unsent_bytes, partial(sock.send, data))
+
+    async def _hold(self, held_bytes, wait):
         with trio.CancelScope() as self._scope:
-            self._budget.add(self, buffered_bytes)
+            self._budget.add(self, held_bytes)
             try:
-                return await response.next_data()
+                return await wait()
             finally:
                 self._budget.remove(self)
-        raise EndpointBrokenError("too many incomplete events and answers")
+        raise BufferRevokedError(f"{held_bytes} bytes held")
 
     def revoke(self):
-        """End the wait for the next bytes."""
+        """End the wait."""
         self._scope.cancel()
 
 
--- a/vanillareach/gateway/connections.py
+++ b/vanillareach/gateway/connections.py
@@ -1,9 +1,12 @@
 """Connections of callers: requests, responses and the detection of disconnects."""
 
+from collections import deque
+
 import h11
 import trio
 
 from vanillareach.clock import MS_PER_SECOND
+from vanillareach.gateway.buffer_budget import BufferRevokedError
 from vanillareach.gateway.request_outcome import RequestOutcome
 from vanillareach.gateway.request_reader import (
     NO_LIMIT_BYTES,
@@ -18,6 +21,8 @@
 
 # Bytes of pipelined requests that are read while a response is in progress.
 MAX_PIPELINED_BYTES = 65_536
+# A body up to this size is sent together with its head; a larger one isn't copied.
+MAX_JOINED_BYTES = 65_536
 # Time for a caller to close its side of the connection after the last response.
 LINGER_TIMEOUT_MS = 500.0
 # The request may have run, as after any 500.
@@ -39,6 +44,8 @@
     stream : trio.SocketStream
     is_last : callable
         Whether the connection is to be closed after this response.
+    buffer_share : BufferShare
+        Counts what the caller hasn't read.
     is_head : bool
         Whether the request's method is HEAD, so that the response has no body.
 
@@ -53,7 +60,9 @@
     """
 
     __slots__ = (
+        "_buffer_share",
         "_connection",
+        "_is_cut",
         "_is_head",
         "_is_last",
         "_stream",
@@ -63,12 +72,14 @@
         "outcome",
     )
 
-    def __init__(self, connection, stream, is_last, is_head=False):
+    def __init__(self, connection, stream, is_last, buffer_share, is_head=False):
         self._connection = connection
         self._stream = stream
         self._is_last = is_last
+        self._buffer_share = buffer_share
         self._is_head = is_head
-        self._unsent = memoryview(b"")
+        self._is_cut = False
+        self._unsent = deque()
         self.is_started = False
         self.is_complete = False
         self.outcome = RequestOutcome()
@@ -76,7 +87,7 @@
     @property
     def is_delivered(self):
         """Whether the response is complete and all of it was sent."""
-        return self.is_complete and not self._unsent
+        return self.is_complete and not self._unsent and not self._is_cut
 
     async def start(self, status, headers, reason=b""):
         """Send the status and headers, which include the framing."""
@@ -108,26 +119,45 @@
     async def answer(self, status, headers, body, reason=b""):
         """Send a complete response."""
         headers = [*headers, (b"Content-Length", str(len(body)).encode())]
-        data = self._head(status, headers, reason)
+        parts = [self._head(status, headers, reason)]
         if body and not self._is_head:
-            data += self._connection.send(h11.Data(data=body))
-        data += self._connection.send(h11.EndOfMessage())
+            parts.append(self._connection.send(h11.Data(data=body)))
+        parts.append(self._connection.send(h11.EndOfMessage()))
+        if len(body) <= MAX_JOINED_BYTES:
+            parts = [b"".join(parts)]
         self.is_started = True
         self.is_complete = True
-        await self._write(data)
+        await self._write(*parts)
 
     async def flush(self):
         """Send what a cancelled call has left unsent.
 
         A deadline that passes as a complete response is sent doesn't cut it if this is
         called outside the scope of the deadline.
+
+        Raises
+        ------
+        ResponseAbortedError
+            If the caller hasn't read for too long, so that what it left had to make
+            room for others.
         """
+        if self._is_cut:
+            raise ResponseAbortedError("unread")
         while self._unsent:
             try:
-                sent_bytes = await self._stream.socket.send(self._unsent)
+                sent_bytes = await self._buffer_share.send(
+                    self._stream.socket, self._unsent[0], sum(map(len, self._unsent))
+                )
             except OSError as error:
                 raise CallerDisconnectedError(str(error)) from error
-            self._unsent = self._unsent[sent_bytes:]
+            except BufferRevokedError as error:
+                self._is_cut = True
+                self._unsent.clear()
+                raise ResponseAbortedError("unread") from error
+            if sent_bytes == len(self._unsent[0]):
+                self._unsent.popleft()
+            else:
+                self._unsent[0] = self._unsent[0][sent_bytes:]
 
     def _head(self, status, headers, reason):
         if self._is_last():
@@ -136,8 +166,8 @@
             h11.Response(status_code=status, headers=headers, reason=reason)
         )
 
-    async def _write(self, data):
-        self._unsent = memoryview(bytes(self._unsent) + data)
+    async def _write(self, *parts):
+        self._unsent.extend(memoryview(part) for part in parts if part)
         await self.flush()
 
 
@@ -226,12 +256,7 @@
         ResponseAbortedError
             If the response has begun and isn't complete.
         """
-        responder = Responder(
-            self._connection,
-            self._stream,
-            self._is_last_response,
-            is_head=request.method == b"HEAD",
-        )
+        responder = self._make_responder(self._is_last_response, request)
         try:
             await self._listener.handle(request, responder)
         except CallerDisconnectedError:
@@ -255,6 +280,15 @@
         else:
             await self._send_error(request)
 
+    def _make_responder(self, is_last, request=None):
+        return Responder(
+            self._connection,
+            self._stream,
+            is_last,
+            self._listener.buffer_budget.share(),
+            is_head=request is not None and request.method == b"HEAD",
+        )
+
     def _is_last_response(self):
         """Return whether the connection closes after the response in progress.
 
@@ -266,12 +300,7 @@
         """Send an error response in place of one that the handler could not send."""
         # The state of the current one may allow no response after a failed one.
         self._connection = h11.Connection(h11.SERVER)
-        responder = Responder(
-            self._connection,
-            self._stream,
-            lambda: True,
-            is_head=request.method == b"HEAD",
-        )
+        responder = self._make_responder(lambda: True, request)
         headers = [(b"Content-Type", b"application/json")]
         await responder.answer(500, headers, ERROR_BODY)
 
@@ -296,7 +325,7 @@
         log.info("Request refused.", status=error.status, cause=str(error))
         if self._connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        responder = Responder(self._connection, self._stream, lambda: True)
+        responder = self._make_responder(lambda: True)
         headers = []
         if error.retry_after_s is not None:
             headers.append((b"Retry-After", str(error.retry_after_s).encode()))
--- a/vanillareach/gateway/forwarder.py
+++ b/vanillareach/gateway/forwarder.py
@@ -71,6 +71,8 @@
     placement_client : PlacementClient
     stall_detector : StallDetector
     peer_chooser : PeerChooser
+    buffer_budget : BufferBudget
+        What all attempts hold of answers counts in it.
     settings : GatewaySettings
     """
 
@@ -86,6 +88,7 @@
         placement_client,
         stall_detector,
         peer_chooser,
+        buffer_budget,
         settings,
     ):
         self._state = state
@@ -119,6 +122,7 @@
             reservations,
             clock,
             metrics,
+            buffer_budget,
         )
         self._peer_chooser = peer_chooser
         self._peer_runner = PeerAttemptRunner(
@@ -126,7 +130,7 @@
             dispatcher,
             self.idle_timeouts,
             protocol,
-            self._attempt_runner.buffer_budget,
+            buffer_budget,
             settings.peer_key,
             clock,
             metrics,
--- a/vanillareach/gateway/listener.py
+++ b/vanillareach/gateway/listener.py
@@ -4,6 +4,7 @@
 
 from vanillareach.early_sockets import pop_early_socket
 from vanillareach.gateway.body_budget import BodyBudget
+from vanillareach.gateway.buffer_budget import BufferBudget
 from vanillareach.gateway.connections import CallerConnection
 from vanillareach.gateway.sockets import (
     CALLER_UNACKED_TIMEOUT_MS,
@@ -56,6 +57,7 @@
     is_stopping : callable
         Whether responses tell callers to close the connection.
     body_budget : BodyBudget or None
+    buffer_budget : BufferBudget or None
         Shared with other listeners; None for one of its own.
 
     Attributes
@@ -66,9 +68,19 @@
         Set once the listener and all connections have been closed after that.
     """
 
-    def __init__(self, address, clock, limits, handle, is_stopping, body_budget=None):
+    def __init__(
+        self,
+        address,
+        clock,
+        limits,
+        handle,
+        is_stopping,
+        body_budget=None,
+        buffer_budget=None,
+    ):
         self._address = address
         self.body_budget = body_budget or BodyBudget()
+        self.buffer_budget = buffer_budget or BufferBudget()
         self.clock = clock
         self.limits = limits
         self.handle = handle
