End an attempt at its endpoint once its answer has been read

Callers would have been refused for lack of room: a plain call counted as in flight, and kept its connection to the endpoint, until its caller had read the answer or its deadline had passed.

Cause: the answer was sent within the attempt.

Change: the connection closes and the flight ends as the answer is complete; then it is sent. The end of a flight that has ended is told to no peer again.

--- a/vanillareach/core/dispatching.py
+++ b/vanillareach/core/dispatching.py
@@ -465,9 +465,9 @@
         self._state.publish(ChangeKind.FLIGHTS)
 
     def record_end(self, flight):
-        """Record that an in-flight request has ended."""
-        self._state.load_state.remove(flight.id)
-        self._state.publish(ChangeKind.FLIGHTS)
+        """Record that a request is no longer in flight, if it still was."""
+        if self._state.load_state.remove(flight.id):
+            self._state.publish(ChangeKind.FLIGHTS)
 
     def endpoint_priority(self, exchange):
         """Return the priority number for the endpoint, or None for the default.
--- a/vanillareach/core/load_state.py
+++ b/vanillareach/core/load_state.py
@@ -195,10 +195,13 @@
         self._changes.decoding_ids.add(flight.id)
 
     def remove(self, flight_id):
-        """Record the end of an own request."""
+        """Record the end of an own request; return whether it was in flight."""
+        if flight_id not in self._own_flights.by_id:
+            return False
         self._own_flights.remove(flight_id)
         if self._changes.started_by_id.pop(flight_id, None) is None:
             self._changes.ended_ids.add(flight_id)
+        return True
 
     def peer_flight_count(self, peer):
         """Return the number of a peer's in-flight requests."""
--- a/vanillareach/features/connections.feature
+++ b/vanillareach/features/connections.feature
@@ -107,6 +107,12 @@
     When these callers leave
     Then no bytes of answers are held
 
+  # Guards against refusals since answers that callers don't read count as load.
+  Scenario: An endpoint is done with a request whose answer isn't read
+    Given all endpoints will "answer_large"
+    When 2 callers send "/read/a" one after another and don't read the answers
+    Then within 1000 ms no request is in flight, and no endpoint has a connection
+
   Scenario: A body in chunks is counted as it grows
     Given the gateway may hold 250000 bytes of request bodies
     When a caller sends chunks of 50000 bytes until it gets a response
--- a/vanillareach/features/steps/connections.py
+++ b/vanillareach/features/steps/connections.py
@@ -340,21 +340,12 @@
     context.platform.gateways[0].buffer_budget.max_bytes = size
 
 
-async def connect_with_small_buffer(context):
-    """Return a caller whose kernel takes little that it doesn't read."""
-    address = split_address(context.platform.gateways[0].settings.front_listen)
-    sock = trio.socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
-    await sock.connect(address)
-    return Caller(context.platform, trio.SocketStream(sock))
-
-
 @when('{count:d} callers send "{path}" one after another and don\'t read the answers')
 def step_leave_unread(context, count, path):
     async def call():
         context.callers = []
         for _ in range(count):
-            caller = await connect_with_small_buffer(context)
+            caller = await context.platform.connect(buffer_bytes=SMALL_BUFFER_BYTES)
             context.callers.append(caller)
             await caller.send(path)
             await context.platform.until(caller.has_data)
@@ -369,6 +360,26 @@
     assert 0 < held <= size, held
 
 
+@then(
+    "within {limit_ms:d} ms no request is in flight, and no endpoint has a connection"
+)
+def step_check_endpoints_done(context, limit_ms):
+    platform = context.platform
+
+    def is_done():
+        has_connections = any(
+            listener.open_connections for listener in platform.endpoint_listeners
+        )
+        flights = platform.gateways[0].state.load_state.own_flight_count
+        return not has_connections and not flights
+
+    async def wait():
+        with trio.fail_after(limit_ms / 1000):
+            await platform.until(is_done)
+
+    context.run(wait)
+
+
 @then("a caller that reads gets its answer whole")
 def step_check_whole_answer(context):
     response = context.run(context.platform.call, "/read/a")
--- a/vanillareach/features/users_platform/stage.py
+++ b/vanillareach/features/users_platform/stage.py
@@ -159,6 +159,7 @@
         self.store = StandinStore()
         self.store_address = free_address()
         self.endpoints_by_name = {}
+        self.endpoint_listeners = []
         self.links = EndpointLinks(self.endpoints_by_name)
         self.gateways = []
         self.scopes_by_gateway = {}
@@ -176,6 +177,7 @@
                 await listener.run(task_status)
 
         await self._nursery.start(run)
+        return listener
 
     async def open(self, services_by_name, make_endpoint=StandinEndpoint):
         """Start the store and one endpoint for each name, and list the endpoints."""
@@ -186,7 +188,9 @@
             endpoint.address = free_address()
             self.endpoints_by_name[name] = endpoint
             scope = getattr(endpoint, "scope", None)
-            await self.listen(endpoint.address, endpoint.handle, scope)
+            self.endpoint_listeners.append(
+                await self.listen(endpoint.address, endpoint.handle, scope)
+            )
             self.put_endpoint(name, service)
 
     def put_endpoint(self, name, service, state="ready", **values):
--- a/vanillareach/gateway/attempts.py
+++ b/vanillareach/gateway/attempts.py
@@ -192,7 +192,12 @@
             mark_sent = partial(self._mark_sent, attempt)
             is_foreign = partial(self._is_earlier_refusal, attempt)
             async with open_upstream(request, mark_sent, is_foreign) as response:
-                return await self._relay_response(attempt, response, responder)
+                result, body = await self._relay_response(attempt, response, responder)
+        if body is not None:
+            # The endpoint is done, however slowly the caller reads.
+            self._dispatcher.record_end(attempt.flight)
+            await send_buffered(response, body, responder)
+        return result
 
     def _is_earlier_refusal(self, attempt, response):
         """Return whether a response refuses another request than that of an attempt.
@@ -240,13 +245,14 @@
             raise EndpointWithdrawnError(f"{limited[0].id}: limited")
 
     async def _relay_response(self, attempt, response, responder):
+        """Return the result, and the body of an answer in one piece to be sent."""
         exchange = attempt.exchange
         self._link_monitor.record_bytes(attempt)
         fields = self._protocol.read_response(response.status, response.headers)
         self._record_signals(attempt, fields)
         if fields.has_not_run:
             self._record_refusal(attempt, fields)
-            return AttemptResult.NOT_RUN
+            return AttemptResult.NOT_RUN, None
         if fields.attempt_id != exchange.id:
             raise EndpointBrokenError("answer to another request")
         if not fields.is_signed:
@@ -255,21 +261,20 @@
             body = await self._read_answer(attempt, response)
             failure = FailureResponse(response, body)
             exchange.keep_failure(failure, self._buffer_budget)
-            return AttemptResult.FAILED
+            return AttemptResult.FAILED, None
         if exchange.route.kind is RequestKind.STREAM:
             attempt.weights_version = fields.weights_version
             observer = AttemptObserver(self, attempt)
             share = self._buffer_budget.share()
             await relay_events(exchange, response, responder, observer, share)
-        else:
-            body = await self._read_answer(attempt, response)
-            attempt.idle_timeout.pause()
-            attempt.take_over()
-            self._record_output(attempt)
-            if not attempt.placement.wait_ms:
-                exchange.service_ms = self._clock.now_ms() - attempt.sent_ms
-            await send_buffered(response, body, responder)
-        return AttemptResult.ANSWERED
+            return AttemptResult.ANSWERED, None
+        body = await self._read_answer(attempt, response)
+        attempt.idle_timeout.pause()
+        attempt.take_over()
+        self._record_output(attempt)
+        if not attempt.placement.wait_ms:
+            exchange.service_ms = self._clock.now_ms() - attempt.sent_ms
+        return AttemptResult.ANSWERED, body
 
     async def _read_answer(self, attempt, response):
         idle_timeout_ms = self._dispatcher.event_gap_timeout_ms(attempt.exchange)
