Ask paths that nothing proves once most others to their service are dead

Cause: a path was asked only after it had swallowed a request. Known as dead were two paths 1.7 s after the cut, and three after 3.4 s; the six streams that came next all went to the fourth. The later ones were predicted to wait for the earlier ones there, so their silence was told after 3.6 s, and they were handed to a peer 0.3 s before their deadline.

No path was forgotten, and what was handed to a peer in time was served.

Change: once half of the paths to a service, two at least, are dead or in doubt, the check also asks up to two paths from which nothing has come back for a second. The limit of eight checks a second stands. So the last path is known before requests gather there.

Measured: link_checks.feature, two of four new examples fail before.

--- a/vanillareach/core/path_evidence.py
+++ b/vanillareach/core/path_evidence.py
@@ -27,6 +27,10 @@
 MAX_ENDPOINTS = 2_048
 # An unanswered generation that pending prefill explains is looked at again after this.
 BUSY_EXTENSION_MS = 200.0
+# A path is unproven if this share of the paths to its service is dead or in doubt, and
+# nothing that was sent over it in this time was answered.
+UNPROVEN_SHARE = 0.5
+PROVEN_MS = 1_000.0
 
 
 class UnansweredRequest:
@@ -180,6 +184,31 @@
             return set()
         return {key[0] for key in (*self.dead_keys, *self.suspects(now_ms))}
 
+    def unproven(self, keys, bad_keys, now_ms):
+        """Return the paths to a service that may be dead like others of them.
+
+        Parameters
+        ----------
+        keys : collection of tuple
+            All endpoints of the service.
+        bad_keys : set of tuple
+            Endpoints whose paths are dead or in doubt.
+        now_ms : float
+
+        Returns
+        -------
+        list of tuple
+        """
+        bad_count = sum(key in bad_keys for key in keys)
+        if bad_count < max(MIN_SUSPECTS, UNPROVEN_SHARE * len(keys)):
+            return []
+        return [
+            key
+            for key in keys
+            if key not in bad_keys
+            and now_ms - self._answered_ms_by_key.get(key, -math.inf) >= PROVEN_MS
+        ]
+
     def record_unanswered_check(self, key, now_ms):
         """Record that a health check of an endpoint got no answer."""
         self.dead_keys.add(key)
--- a/vanillareach/features/link_checks.feature
+++ b/vanillareach/features/link_checks.feature
@@ -40,3 +40,16 @@
       | 3     | -,-,- | 250  |
       | 3     | 0,-,- | 250  |
       | 1     | 0,0,0 | 1000 |
+
+  # Requests that all met the one path that wasn't asked waited there until their deadline.
+  Scenario Outline: Paths are asked before requests meet them if others to their service are dead
+    Given an instance with peers "p1,p2,p3" that reaches "<reached>" only
+    When its requests to "<asked>" get no answer for 1000 ms
+    Then the paths to "<dead>" are dead
+
+    Examples:
+      | reached        | asked | dead        |
+      | t0,t1,t2       | e0,e1 | e0,e1,e2,e3 |
+      | t0,t1,t2,e3    | e0,e1 | e0,e1,e2    |
+      | t0,t1,t2,e2,e3 | e0,e1 | e0,e1       |
+      | t0,t1,t2       | e0    | none        |
--- a/vanillareach/features/steps/link_checks.py
+++ b/vanillareach/features/steps/link_checks.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 
 from vanillareach.clock import MS_PER_SECOND, TrioClock
+from vanillareach.core.endpoint_list import ListedEndpoint
 from vanillareach.core.path_evidence import PLAIN_SILENCE_MS
 from vanillareach.features.steps.gateway_core import make_endpoint
 from vanillareach.gateway import link_monitor
@@ -25,21 +26,32 @@
     raise OSError(address)
 
 
-def make_monitor(peer_names, clock):
+async def answer(address, timeout_ms):
+    """Return a connection on which one byte comes back."""
+    stream = mock.AsyncMock()
+    stream.socket = mock.Mock()
+    stream.receive_some.return_value = b"H"
+    return stream
+
+
+def make_monitor(peer_names, clock, endpoints=None):
     """Return state and link monitor of an instance with endpoints and peers."""
     state = GatewayState(GatewaySettings(name="i1"), clock)
-    endpoints = [make_endpoint(name) for name in ENGINES]
+    endpoints = endpoints or [make_endpoint(name) for name in ENGINES]
     state.apply_endpoints(endpoints, StorePosition(1, 1), clock.now_ms(), "store")
-    service = SimpleNamespace(name="s", health_path="/health")
-    state.configuration = SimpleNamespace(services_by_name={"s": service})
+    services = {
+        name: SimpleNamespace(name=name, health_path="/health")
+        for name in {endpoint.service for endpoint in endpoints}
+    }
+    state.configuration = SimpleNamespace(services_by_name=services)
     peers = [SimpleNamespace(name=name) for name in peer_names]
     gossip = SimpleNamespace(peers=SimpleNamespace(forwarding_candidates=lambda: peers))
     chooser = PeerChooser(state, gossip, clock)
     return state, LinkMonitor(state, "a", clock, None, chooser)
 
 
-async def start_with_requests(nursery, state, monitor):
-    """Run a monitor, and let it wait for answers of three endpoints."""
+async def start_with_requests(nursery, state, monitor, names=ENGINES[:3]):
+    """Run a monitor, and let it wait for answers of some endpoints."""
     nursery.start_soon(monitor.run)
     await trio.testing.wait_all_tasks_blocked()
     attempts = [
@@ -49,7 +61,7 @@
             exchange=SimpleNamespace(service=SimpleNamespace(engine=None)),
             sent_ms=TrioClock().now_ms(),
         )
-        for number, endpoint in enumerate(list(state.endpoints.by_id.values())[:3])
+        for number, endpoint in enumerate(map(state.endpoints.by_id.get, names))
     ]
     for attempt in attempts:
         monitor.record_sent(attempt)
@@ -140,6 +152,41 @@
     context.has_checked = connect.called
 
 
+@given('an instance with peers "{names}" that reaches "{reached}" only')
+def step_reaches_some(context, names, reached):
+    """Give it endpoints of two services, each at an address that is its name."""
+    context.peer_names, context.reached = names.split(","), reached.split(",")
+    context.endpoints = [
+        ListedEndpoint(name, 1, name[0], name, "a", 8, False)
+        for name in (*ENGINES, "t0", "t1", "t2")
+    ]
+
+
+@when('its requests to "{names}" get no answer for {for_ms:d} ms')
+def step_no_answer(context, names, for_ms):
+    async def connect(address, timeout_ms):
+        connect = answer if address in context.reached else refuse
+        return await connect(address, timeout_ms)
+
+    async def run():
+        clock = TrioClock()
+        state, monitor = make_monitor(context.peer_names, clock, context.endpoints)
+        async with trio.open_nursery() as nursery:
+            await start_with_requests(nursery, state, monitor, names.split(","))
+            await clock.sleep_ms(for_ms)
+            context.dead = sorted(key[0] for key in state.paths.dead_keys)
+            nursery.cancel_scope.cancel()
+
+    with mock.patch.object(link_monitor, "connect", connect):
+        trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+@then('the paths to "{names}" are dead')
+def step_dead_paths(context, names):
+    expected = [] if names == "none" else names.split(",")
+    assert context.dead == expected, context.dead
+
+
 @then("it has made {what}")
 def step_check_made(context, what):
     assert context.has_checked == (what == "a check")
--- a/vanillareach/gateway/link_monitor.py
+++ b/vanillareach/gateway/link_monitor.py
@@ -36,8 +36,10 @@
 MAX_HEALTH_CHECKS_PER_S = 8
 LOST_HEALTH_CHECK_INTERVAL_MS = 500.0
 HEALTH_CHECK_INTERVAL_MS = 1_000.0
-# Dead paths and those in doubt that one check asks besides the four endpoints.
+# Paths that one check asks besides the four endpoints, and how many of these may be
+# unproven ones, so that dead ones are asked again, too.
 MAX_CHECKED_PATHS = 4
+MAX_UNPROVEN_PATHS = 2
 # Interval at which unanswered requests are looked for while some are waited for.
 MIN_WATCH_INTERVAL_MS = 50.0
 # A check or a wait that takes longer than its limit by this was stalled together with
@@ -265,7 +267,7 @@
         return True
 
     async def _check_paths(self):
-        """Ask some of the dead paths and of those in doubt for an answer."""
+        """Ask some paths that are dead, in doubt or unproven for an answer."""
         state, paths = self._state, self._state.paths
         # Without a health path there is no proof that a path is dead, or isn't.
         by_key = {
@@ -275,17 +277,9 @@
         }
         paths.keep_only(by_key.keys())
         now_ms = self._clock.now_ms()
-        in_doubt = set(paths.suspects(now_ms))
-        if len(in_doubt) < MIN_SUSPECTS:
-            # A single one may have failed itself.
-            in_doubt.clear()
-        keys = list(in_doubt | paths.dead_keys)
-        # Those that aren't known as dead come first.
-        self._random.shuffle(keys)
-        keys.sort(key=paths.dead_keys.__contains__)
         asked = [
             by_key[key]
-            for key in keys[:MAX_CHECKED_PATHS]
+            for key in self._paths_to_check(by_key, now_ms)
             if self._budget.try_acquire(1, now_ms)
         ]
         reached = await self._reached(asked)
@@ -305,6 +299,29 @@
                 before=before,
             )
 
+    def _paths_to_check(self, endpoints_by_key, now_ms):
+        """Return the keys of the paths that the next check asks.
+
+        Those in doubt come first, then unproven ones, then dead ones.
+        """
+        paths = self._state.paths
+        suspects = set(paths.suspects(now_ms))
+        if len(suspects) < MIN_SUSPECTS:
+            # A single one may have failed itself.
+            suspects.clear()
+        keys_by_service = {}
+        for key, endpoint in endpoints_by_key.items():
+            keys_by_service.setdefault(endpoint.service, []).append(key)
+        unproven = [
+            key
+            for keys in keys_by_service.values()
+            for key in paths.unproven(keys, suspects | paths.dead_keys, now_ms)
+        ]
+        in_doubt, dead = list(suspects - paths.dead_keys), list(paths.dead_keys)
+        for keys in (in_doubt, unproven, dead):
+            self._random.shuffle(keys)
+        return [*in_doubt, *unproven[:MAX_UNPROVEN_PATHS], *dead][:MAX_CHECKED_PATHS]
+
     async def _reached(self, endpoints):
         """Return which endpoints were reached; None if the instance was stalled."""
         reached, started_ms = [], self._clock.now_ms()
