Hand requests to a peer if only dead paths lead to room

Callers of an instance that couldn't reach three of four engines got 503, no_room, while its peers had room at all of them; an instance that asks placers sent the request over a dead path instead.

Cause: a request was handed on only if all paths to its service were dead or in doubt, the links were lost, or it had met two unreachable endpoints. With fewer dead paths its room was that behind the rest.

Change: if the paths that are whole lead to no room, and a path to the service is dead here alone, the request is handed to a peer (PeerChooser.choose_for_room); not during a stop that it would outlast. A peer that has no room refuses it, and that refusal goes to the caller. What placers refuse stands, since they choose among all endpoints.

--- a/vanillareach/features/peer_forwarding.feature
+++ b/vanillareach/features/peer_forwarding.feature
@@ -87,6 +87,24 @@
     And it took less than 300 ms, and tells when to return
     And 0 requests reached endpoints
 
+  # Guards against refusals for want of room at the few endpoints whose paths are whole.
+  Scenario Outline: A request is handed on if only dead paths lead to room
+    Given the first gateway's paths to "<dead>" are dead, and "<full>" are full there
+    When a caller sends "/ask/a" as usual
+    Then the response is a whole stream
+    And it was handed on: <handed on>
+
+    Examples:
+      | dead     | full        | handed on |
+      | m1,m2,m3 | m4          | yes       |
+      | m1,m2,m3 | none        | no        |
+      | m1       | m1,m2,m3,m4 | yes       |
+
+  Scenario: A request without room is refused if no path is dead
+    Given the first gateway's paths to "none" are dead, and "m1,m2,m3,m4" are full there
+    When a caller sends "/ask/a" as usual
+    Then the response is 503
+
   Scenario: Links that are back are used again
     Given the first gateway has lost its links to all endpoints
     When the first gateway's links are whole again
--- a/vanillareach/features/steps/dead_paths.py
+++ b/vanillareach/features/steps/dead_paths.py
@@ -7,9 +7,11 @@
 from behave import given, then, when
 
 from bench.soak.proxy import FaultProxy
-from vanillareach.core.load_state import InFlightRequest
 from vanillareach.features.steps.gateway import start_another
-from vanillareach.features.steps.peer_forwarding import CONNECTING_MODULES
+from vanillareach.features.steps.peer_forwarding import (
+    CONNECTING_MODULES,
+    add_long_prompt,
+)
 from vanillareach.features.users_platform.endpoint import HEALTH_PATH
 from vanillareach.features.users_platform.stage import (
     ENGINE_PARAMETERS,
@@ -216,23 +218,8 @@
     """Let all engines be silent, each with a long prompt that is still read."""
     script_all(platform, "m", "late_stream")
     for gateway in platform.gateways:
-        state, now_ms = gateway.state, gateway.clock.now_ms()
         for number in range(1, 5):
-            flight = InFlightRequest(
-                id=-number,
-                engine=f"m{number}",
-                helpers=(),
-                reserved_tokens=(),
-                prompt_tokens=9_000,
-                memory_tokens=9_000,
-                part_prefill_ms=20_000.0,
-                objective_ms=30_000.0,
-                pause_limit_ms=0.0,
-                worth=0.0,
-                is_prefilling=True,
-                age_ms=0.0,
-            )
-            state.load_state.add(flight, now_ms)
+            add_long_prompt(gateway, f"m{number}", 9_000)
 
 
 def script_all(platform, prefix, step):
--- a/vanillareach/features/steps/peer_forwarding.py
+++ b/vanillareach/features/steps/peer_forwarding.py
@@ -5,9 +5,13 @@
 import trio
 from behave import given, then, when
 
+from vanillareach.core.load_state import InFlightRequest
 from vanillareach.features.support import received
 from vanillareach.features.users_platform.endpoint import EVENTS
-from vanillareach.features.users_platform.stage import CallerResponse
+from vanillareach.features.users_platform.stage import (
+    ENGINE_PARAMETERS,
+    CallerResponse,
+)
 from vanillareach.gateway import (
     connections,
     link_monitor,
@@ -18,6 +22,8 @@
 from vanillareach.gateway.upstream import UpstreamRequest
 
 MAX_BODY_BYTES = 1_000
+# Fills the memory of an engine.
+MEMORY_TOKENS = ENGINE_PARAMETERS["kv_tokens"]
 CONNECTING_MODULES = (upstream, probing, loss_checks, link_monitor)
 
 
@@ -69,6 +75,50 @@
     context.run(lose_links, context.platform, context.platform.gateways[:1])
 
 
+@given('the first gateway\'s paths to "{dead}" are dead, and "{full}" are full there')
+def step_dead_and_full(context, dead, full):
+    """Let the first gateway know of requests that fill some engines."""
+    gateway = context.platform.gateways[0]
+    endpoints_by_id = gateway.state.endpoints.by_id
+
+    async def record():
+        if dead != "none":
+            gateway.state.paths.dead_keys = {
+                endpoints_by_id[name].key for name in dead.split(",")
+            }
+        for name in full.split(",") if full != "none" else ():
+            add_long_prompt(gateway, name, MEMORY_TOKENS)
+
+    context.run(record)
+
+
+def add_long_prompt(gateway, engine, tokens):
+    """Let a gateway know of a prompt that an engine reads for a long time."""
+    state, now_ms = gateway.state, gateway.clock.now_ms()
+    flight = InFlightRequest(
+        id=-1 - state.load_state.own_flight_count,
+        engine=engine,
+        helpers=(),
+        reserved_tokens=(),
+        prompt_tokens=tokens,
+        memory_tokens=tokens,
+        part_prefill_ms=20_000.0,
+        objective_ms=30_000.0,
+        pause_limit_ms=0.0,
+        worth=0.0,
+        is_prefilling=True,
+        age_ms=0.0,
+    )
+    state.load_state.add(flight, now_ms)
+
+
+@then("it was handed on: {answer}")
+def step_handed_on(context, answer):
+    attempts = context.platform.gateways[0].metrics.attempts
+    was_handed_on = any("peer" in result for _, result in attempts)
+    assert was_handed_on == (answer == "yes"), attempts
+
+
 @given("all gateways have lost their links to all endpoints")
 def step_all_lost_links(context):
     step_cut_links(context, "refuse")
--- a/vanillareach/gateway/forwarder.py
+++ b/vanillareach/gateway/forwarder.py
@@ -324,6 +324,9 @@
             ):
                 return PlacementDecision(None, NOT_READY_RETRY_AFTER_MS, "links_lost")
             decision = await self._placement_client.choose(exchange)
+            peer_placement = self._choose_peer_for_room(exchange, decision)
+            if peer_placement is not None:
+                return PlacementDecision(peer_placement)
             if decision.placement is not None or group.is_running:
                 return decision
             if decision.is_final:
@@ -332,6 +335,19 @@
                 return decision
             await self._clock.sleep_ms(CAPACITY_CHECK_INTERVAL_MS)
 
+    def _choose_peer_for_room(self, exchange, decision):
+        """Return the `PeerPlacement` of a request that has no room over whole paths.
+
+        A refusal by a placer, which knows more paths than this instance, stands.
+        """
+        is_decided_here = decision.retry_after_ms is None and not decision.reason
+        now_ms = self._clock.now_ms()
+        if not is_decided_here or self._dispatcher.shutdown.ends_too_late(
+            exchange, now_ms
+        ):
+            return None
+        return self._peer_chooser.choose_for_room(exchange, decision.placement)
+
     def _may_try_again(self, exchange, result):
         now_ms = self._clock.now_ms()
         remaining_ms = exchange.deadline_ms - now_ms
--- a/vanillareach/gateway/peer_choice.py
+++ b/vanillareach/gateway/peer_choice.py
@@ -69,8 +69,7 @@
 
         None if the request isn't to be handed on, or no peer can take it.
         """
-        # The response to HEAD has no body, whose end would show that it is complete.
-        if exchange.is_forwarded or exchange.request.method == b"HEAD":
+        if not self._may_hand_on(exchange):
             return None
         unreachable_count = sum(
             attempt.result is AttemptResult.UNREACHABLE for attempt in exchange.attempts
@@ -78,6 +77,34 @@
         is_cut_off = self._state.reach.is_lost or self._is_in_doubt(exchange)
         if not is_cut_off and unreachable_count < MAX_UNREACHABLE_ATTEMPTS:
             return None
+        return self._choose(exchange)
+
+    def choose_for_room(self, exchange, placement):
+        """Return the `PeerPlacement` of a request for which whole paths have no room.
+
+        None if no path to its service is dead here alone, or no peer can take it.
+
+        Parameters
+        ----------
+        exchange : GatewayExchange
+        placement : Placement or None
+            What has room here, which may be an endpoint beyond a dead path.
+        """
+        dead_keys = self._state.paths.dead_keys
+        if not dead_keys or not self._may_hand_on(exchange):
+            return None
+        if placement is not None and placement.endpoint.key not in dead_keys:
+            return None
+        usable = self._state.endpoints.usable(exchange.service.name)
+        if not any(e.key in dead_keys for e in usable) or self.has_shared_faults():
+            return None
+        return self._choose(exchange)
+
+    def _may_hand_on(self, exchange):
+        # The response to HEAD has no body, whose end would show that it is complete.
+        return not exchange.is_forwarded and exchange.request.method != b"HEAD"
+
+    def _choose(self, exchange):
         peer = self._least_loaded(exchange)
         return None if peer is None else PeerPlacement(peer)
 
