Refuse what a stopping instance reads after its connections should be closed

Cause: an instance that is paused closes no connection. As it wakes it reads what has arrived meanwhile and accepted it if the prediction fitted, late in the grace period, where nothing is left for an engine that falls silent.

In a stop without a pause idle connections close after 2.5 s and none is accepted after 3.2 s, so nothing arrives later.

Change: requests that are read more than half a second after the last accept are refused with "stopping" and its short Retry-After. A refusal costs one repeated request, a cut stream its answer.

--- a/vanillareach/features/steps/stop_admission.py
+++ b/vanillareach/features/steps/stop_admission.py
@@ -58,6 +58,22 @@
     context.outcomes = context.run(context.trial.run, context.callers, times_ms)
 
 
+@given("engines that are silent for {silence_ms:d} ms after their first event")
+def step_silent(context, silence_ms):
+    for endpoint in context.platform.endpoints_by_name.values():
+        endpoint.silence_s = silence_ms / MS_PER_S
+
+
+@when(
+    "it stops and is paused from {from_ms:d} to {until_ms:d} ms later, while requests "
+    "come on these connections"
+)
+def step_pause(context, from_ms, until_ms):
+    context.outcomes = context.run(
+        context.trial.run_paused, context.callers, from_ms, until_ms
+    )
+
+
 @then("each of them is whole, refused, or came to a closed connection")
 def step_check_none_cut(context):
     names = {outcome.name for outcome in context.outcomes}
--- a/vanillareach/features/stop_trial.py
+++ b/vanillareach/features/stop_trial.py
@@ -1,6 +1,7 @@
 """Requests sent to a gateway on kept connections while it stops, and how they end."""
 
 import math
+import time
 
 import trio
 
@@ -87,6 +88,25 @@
                 nursery.start_soon(self._call, caller, begin_s, at_ms, outcomes)
         return sorted(outcomes, key=lambda outcome: outcome.sent_ms)
 
+    async def run_paused(self, callers, from_ms, until_ms):
+        """Stop the gateway and pause it with a request on each connection unread.
+
+        Returns
+        -------
+        list of StopOutcome
+        """
+        await trio.sleep(SETTLE_S)
+        outcomes, gateway = [], self._platform.gateways[0]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._stop, gateway)
+            await trio.sleep(from_ms / 1000)
+            attempt_ids = [c.send_at_once(self._path, **self._values) for c in callers]
+            # Stops the loop that runs the gateway, as a signal does.
+            time.sleep((until_ms - from_ms) / 1000)  # noqa: ASYNC251
+            for caller, attempt_id in zip(callers, attempt_ids, strict=True):
+                nursery.start_soon(self._receive, caller, attempt_id, from_ms, outcomes)
+        return outcomes
+
     async def _stop(self, gateway):
         """Stop a gateway, then end all its tasks as the end of the process does."""
         await gateway.stop()
@@ -101,6 +121,9 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             outcomes.append(StopOutcome(sent_ms, "closed"))
             return
+        await self._receive(caller, attempt_id, sent_ms, outcomes)
+
+    async def _receive(self, caller, attempt_id, sent_ms, outcomes):
         response = await caller.receive()
         outcomes.append(StopOutcome(sent_ms, self._outcome(attempt_id, response)))
 
--- a/vanillareach/features/stopping.feature
+++ b/vanillareach/features/stopping.feature
@@ -83,6 +83,23 @@
     When it stops and calls come on these connections from 1200 to 1300 ms later
     Then each of them is whole, refused, or came to a closed connection
 
+  # Guards against streams that a gateway takes as it wakes, long after its connections
+  # should have been closed, and cuts at its end.
+  @platform
+  Scenario Outline: A stopping gateway that was paused cuts no stream that comes meanwhile
+    Given a gateway with 6 s to stop, a peer, and engines of busy pace 1.0
+    And 6 streams of 500 ms were served on connections that are kept
+    And engines that are silent for <silence> ms after their first event
+    When it stops and is paused from <from> to <until> ms later, while requests come on these connections
+    Then each of them is whole, refused, or came to a closed connection
+    And at least <whole> of them are whole
+
+    Examples:
+      | silence | from | until | whole |
+      | 2500    | 2000 | 4200  | 0     |
+      | 2500    | 2300 | 4600  | 0     |
+      | 0       | 1000 | 2200  | 6     |
+
   Scenario: The slowest recent answer counts for what a stopping instance accepts
     Given answers of a route at slowdowns of 1.0, 2.4 and 1.5
     Then a stopping instance reckons with 2640 ms for an answer of 1000 ms
--- a/vanillareach/features/users_platform/paced_endpoint.py
+++ b/vanillareach/features/users_platform/paced_endpoint.py
@@ -18,12 +18,15 @@
     full_pace : float
         Factor by which it is slower while `busy_count` requests run.
     busy_count : int
+    silence_s : float
+        Time without an event after the first one.
     running_count : int
     """
 
     figures: EngineFigures | None = None
     full_pace = 1.0
     busy_count = 1
+    silence_s = 0.0
 
     def __init__(self, name):
         super().__init__(name)
@@ -45,6 +48,8 @@
                 await trio.sleep(self._gap_s())
                 event = f"id: {number}\ndata: piece {number}\n\n"
                 await responder.send(event.encode())
+                if number == first:
+                    await trio.sleep(self.silence_s)
             await responder.finish()
         finally:
             self.running_count -= 1
--- a/vanillareach/features/users_platform/stage.py
+++ b/vanillareach/features/users_platform/stage.py
@@ -353,6 +353,13 @@
         await self.send(path, Vanillareach_Attempt_Id=attempt_id, **values)
         return attempt_id
 
+    def send_at_once(self, path, **values):
+        """Send a request before any other task runs, and return its attempt id."""
+        attempt_id = self._stage.next_id()
+        data = self.encode(path, Vanillareach_Attempt_Id=attempt_id, **values)
+        assert os.write(self._stream.socket.fileno(), data) == len(data)
+        return attempt_id
+
     async def call(self, path, method="POST", body=b"body", **values):
         """Send a request and receive its response."""
         await self.send(path, method, body, **values)
--- a/vanillareach/gateway/app.py
+++ b/vanillareach/gateway/app.py
@@ -38,6 +38,8 @@
 # connections are closed; new ones are accepted for longer, for a balancer that is slow.
 IDLE_CLOSE_S = 2.5
 BALANCER_REMOVAL_S = 3.2
+# Time for the requests of the connections that are accepted last.
+LAST_REQUEST_S = 0.5
 # Time for closing connections at the end of a grace period that is shorter than that.
 FINAL_CLOSE_S = 0.6
 # Part of the grace period that is reserved for the exit of the process.
@@ -351,12 +353,13 @@
         log.info("Stopping.", flights=self.state.load_state.own_flight_count)
         remaining_s = self.settings.grace_s - EXIT_MARGIN_S
         remaining_ms = remaining_s * MS_PER_SECOND - FINAL_RESPONSE_MARGIN_MS
-        final_deadline_ms = self.clock.now_ms() + remaining_ms
-        self.state.mark_stopping(final_deadline_ms)
-        self.forwarder.set_final_deadline(final_deadline_ms)
-        listeners = (self.caller_listener, self.forward_listener)
+        now_ms = self.clock.now_ms()
         accept_s = min(BALANCER_REMOVAL_S, max(0.0, remaining_s - FINAL_CLOSE_S))
         idle_s = min(IDLE_CLOSE_S, accept_s)
+        last_request_ms = now_ms + (accept_s + LAST_REQUEST_S) * MS_PER_SECOND
+        self.state.mark_stopping(now_ms + remaining_ms, last_request_ms)
+        self.forwarder.set_final_deadline(now_ms + remaining_ms)
+        listeners = (self.caller_listener, self.forward_listener)
         with trio.move_on_after(remaining_s):
             await trio.sleep(idle_s)
             for listener in listeners:
--- a/vanillareach/gateway/forwarder.py
+++ b/vanillareach/gateway/forwarder.py
@@ -236,6 +236,12 @@
         if service is None:
             await self._refuse(fields, responder, 503, "no_service", 1_000.0)
             return None
+        if request.received_ms > state.last_request_ms:
+            # All connections should have been closed: this instance was paused.
+            await self._refuse(
+                fields, responder, 503, STOPPING, self._stopping_retry_after_ms()
+            )
+            return None
         exchange = GatewayExchange(request, fields, route, service, team, configuration)
         exchange.suspect = Suspect(fingerprint_of(request, fields), fields.prompt_parts)
         if state.quarantine.refuses(exchange):
@@ -286,9 +292,12 @@
         if not reason:
             reason = self._refusal_reason(responder)
         if reason == STOPPING:
-            retry_after_ms = STOPPING_RETRY_AFTER_MS * (1 + self._random.random())
+            retry_after_ms = self._stopping_retry_after_ms()
         await self._send_final_failure(exchange, responder, reason, retry_after_ms)
 
+    def _stopping_retry_after_ms(self):
+        return STOPPING_RETRY_AFTER_MS * (1 + self._random.random())
+
     def _runner_of(self, placement):
         is_peer = isinstance(placement, PeerPlacement)
         return self._peer_runner if is_peer else self._attempt_runner
