Escape the names of objects in the addresses of calls to the store

One entry of another writer whose name has a space, a letter beyond ASCII, "#", "&" or "%" and which ends a page of a list hid all later entries: a draining endpoint went on getting requests, and a gateway that starts alone was never ready.

Cause: a list goes on with ?after=NAME, and the name wasn't escaped. The HTTP library refused some names (one by a TypeError, which ends the task), others let the store answer with the same page.

Change: names are escaped in all addresses of the store's client. The stand-in of the store lists in pages, if a test says so.

--- a/vanillareach/features/gateway_fleet.feature
+++ b/vanillareach/features/gateway_fleet.feature
@@ -50,6 +50,21 @@
       | bytes that are no UTF-8  |
       | a number as its name     |
 
+  # Guards against names of other writers that end the list at the page which they end.
+  Scenario Outline: The name of an entry at the end of a page hides no later entries
+    Given the store lists objects in pages of 1
+    When another client writes an entry named "<name>"
+    And a gateway that knows no other starts
+    Then it knows the endpoints "d1,d2"
+
+    Examples:
+      | name    |
+      | a b     |
+      | a#b     |
+      | a&after |
+      | aé      |
+      | a%20b   |
+
   Scenario: JSON text is split where its decoded parts begin and end
     Then 500 random objects and arrays are split into the parts that decoding gives
 
--- a/vanillareach/features/steps/gateway_fleet.py
+++ b/vanillareach/features/steps/gateway_fleet.py
@@ -174,6 +174,29 @@
     context.run(start)
 
 
+@given("the store lists objects in pages of {size:d}")
+def step_page_size(context, size):
+    context.platform.store.page_size = size
+
+
+@when('another client writes an entry named "{name}"')
+def step_named_entry(context, name):
+    async def put():
+        context.platform.store.put("servers", name, {})
+
+    context.run(put)
+
+
+@then('it knows the endpoints "{names}"')
+def step_knows_endpoints(context, names):
+    async def wait():
+        known = context.new_gateway.state.endpoints
+        await context.platform.until(lambda: known.usable("desk"))
+        assert {e.id for e in known.usable("desk")} == set(names.split(","))
+
+    context.run(wait)
+
+
 @then("it gets ready")
 def step_check_ready(context):
     assert context.new_gateway.state.is_ready
--- a/vanillareach/platform/standin_store.py
+++ b/vanillareach/platform/standin_store.py
@@ -1,7 +1,7 @@
 """Stand-in for the platform's store, with objects by kind, revisions and watches."""
 
 from copy import deepcopy
-from urllib.parse import parse_qs
+from urllib.parse import parse_qs, unquote
 
 import msgspec
 import trio
@@ -23,6 +23,8 @@
         Empty, "busy" (responds with 503) or "lost" (closes the connection).
     calls : int
         Number of requests handled, including failed ones.
+    page_size : int or None
+        Most objects of one page of a list; None for all.
     """
 
     def __init__(self):
@@ -33,6 +35,7 @@
         self.history_start = 0
         self.failure = ""
         self.calls = 0
+        self.page_size = None
         self._changed = trio.Event()
 
     def put(self, kind, name, spec):
@@ -74,17 +77,22 @@
             raise ResponseAbortedError("the store is unavailable")
         rest = request.path.removeprefix(names.OBJECTS_PATH).strip("/")
         kind, _, name = rest.partition("/")
+        name = unquote(name)
         query = parse_qs(request.target.decode().partition("?")[2])
         if request.method == b"GET" and "watch" in query:
             return await self._watch(kind, query, responder)
         if request.method == b"GET":
-            return await self._read(kind, name, responder)
+            return await self._read(kind, name, query, responder)
         return await self._write(request, kind, name, responder)
 
-    async def _read(self, kind, name, responder):
+    async def _read(self, kind, name, query, responder):
         objects = self.objects_by_kind.get(kind, {})
         if not name:
-            page = {"items": list(objects.values()), "more": False, "at": self.revision}
+            after = query.get("after", [""])[0]
+            listed = [objects[name] for name in sorted(objects) if name > after]
+            items = listed[: self.page_size]
+            is_partial = len(items) < len(listed)
+            page = {"items": items, "more": is_partial, "at": self.revision}
             return await self._answer(responder, 200, page)
         if name not in objects:
             return await self._answer(responder, 404, {})
--- a/vanillareach/platform/store.py
+++ b/vanillareach/platform/store.py
@@ -1,5 +1,7 @@
 """HTTP client of the platform's store."""
 
+from urllib.parse import quote
+
 import httpcore
 import msgspec
 import trio
@@ -180,6 +182,7 @@
     async def register_instance(self, instance):
         """Write this instance's entry; see `DeploymentStore`."""
         name = instance.name
+        path = f"{INSTANCE_KIND}/{quote(name, safe='')}"
         spec = InstanceSpec(
             instance.address,
             instance.domain,
@@ -189,12 +192,13 @@
         body = {"metadata": {"name": name}, "spec": msgspec.to_builtins(spec)}
         response = await self._call("POST", INSTANCE_KIND, body=body)
         if response.status == 409:
-            response = await self._call("PUT", f"{INSTANCE_KIND}/{name}", body=body)
+            response = await self._call("PUT", path, body=body)
         _raise_for_status(response)
 
     async def remove_instance(self, name):
         """Remove an instance's entry; see `DeploymentStore`."""
-        response = await self._call("DELETE", f"{INSTANCE_KIND}/{name}")
+        path = f"{INSTANCE_KIND}/{quote(name, safe='')}"
+        response = await self._call("DELETE", path)
         if response.status != 404:
             _raise_for_status(response)
 
@@ -231,7 +235,8 @@
                 raise PlatformUnavailableError(
                     f"{kind}: no object of a page can be read"
                 )
-            path = f"{kind}?after={page.items[-1].metadata.name}"
+            # Any writer may have chosen the name.
+            path = f"{kind}?after={quote(page.items[-1].metadata.name, safe='')}"
             if query:
                 path += f"&{query}"
 
