--- a/vanillareach/bounded_reads.py
+++ b/vanillareach/bounded_reads.py
@@ -2,12 +2,14 @@
 
 import httpcore
 
+from vanillareach.wrapped_streams import WrappingBackend, WrappingStream
+
 
 class ResponseTooLongError(httpcore.ReadError):
     """A response, its head included, exceeds the connection's limit."""
 
 
-class BoundedBackend(httpcore.AsyncNetworkBackend):
+class BoundedBackend(WrappingBackend):
     """Network backend whose connections read a limited number of bytes per request.
 
     Parameters
@@ -18,31 +20,22 @@
     """
 
     def __init__(self, inner, max_response_bytes):
-        self._inner = inner
+        super().__init__(inner)
         self._max_response_bytes = max_response_bytes
 
-    async def connect_tcp(
-        self, host, port, timeout=None, local_address=None, socket_options=None
-    ):
-        """Connect and wrap the stream."""
-        stream = await self._inner.connect_tcp(
-            host, port, timeout, local_address, socket_options
-        )
+    def wrap(self, stream):
+        """Return a stream that counts the bytes read for each request."""
         return _BoundedStream(stream, self._max_response_bytes)
 
-    async def sleep(self, seconds):
-        """Suspend the calling task."""
-        await self._inner.sleep(seconds)
-
 
-class _BoundedStream(httpcore.AsyncNetworkStream):
+class _BoundedStream(WrappingStream):
     def __init__(self, inner, max_response_bytes):
-        self._inner = inner
+        super().__init__(inner)
         self._max_response_bytes = max_response_bytes
         self._read_bytes = 0
 
     async def read(self, max_bytes, timeout=None):
-        data = await self._inner.read(max_bytes, timeout)
+        data = await super().read(max_bytes, timeout)
         self._read_bytes += len(data)
         if self._read_bytes > self._max_response_bytes:
             raise ResponseTooLongError(
@@ -52,10 +45,4 @@
 
     async def write(self, buffer, timeout=None):
         self._read_bytes = 0
-        await self._inner.write(buffer, timeout)
-
-    async def aclose(self):
-        await self._inner.aclose()
-
-    def get_extra_info(self, info):
-        return self._inner.get_extra_info(info)
+        await super().write(buffer, timeout)
--- a/vanillareach/connection_reuse.py
+++ b/vanillareach/connection_reuse.py
@@ -6,13 +6,14 @@
 """
 
 import h11
-import httpcore
+
+from vanillareach.wrapped_streams import WrappingBackend, WrappingStream
 
 # Size of a response head up to which httpcore reads.
 MAX_HEAD_BYTES = 100 * 1024
 
 
-class ReuseCheckBackend(httpcore.AsyncNetworkBackend):
+class ReuseCheckBackend(WrappingBackend):
     """Network backend whose connections are readable if bytes beyond a response came.
 
     Parameters
@@ -20,30 +21,18 @@
     inner : httpcore.AsyncNetworkBackend
     """
 
-    def __init__(self, inner):
-        self._inner = inner
-
-    async def connect_tcp(
-        self, host, port, timeout=None, local_address=None, socket_options=None
-    ):
-        """Connect and wrap the stream."""
-        stream = await self._inner.connect_tcp(
-            host, port, timeout, local_address, socket_options
-        )
+    def wrap(self, stream):
+        """Return a stream that is readable if bytes beyond a response came."""
         return _ReuseCheckStream(stream)
 
-    async def sleep(self, seconds):
-        """Suspend the calling task."""
-        await self._inner.sleep(seconds)
 
-
-class _ReuseCheckStream(httpcore.AsyncNetworkStream):
+class _ReuseCheckStream(WrappingStream):
     def __init__(self, inner):
-        self._inner = inner
+        super().__init__(inner)
         self._framing = None
 
     async def read(self, max_bytes, timeout=None):
-        data = await self._inner.read(max_bytes, timeout)
+        data = await super().read(max_bytes, timeout)
         if self._framing is not None:
             self._framing.receive(data)
         return data
@@ -52,16 +41,13 @@
         # A request is written whole before its response is read.
         if self._framing is None or self._framing.has_begun:
             self._framing = _ResponseFraming(method=buffer.partition(b" ")[0])
-        await self._inner.write(buffer, timeout)
-
-    async def aclose(self):
-        await self._inner.aclose()
+        await super().write(buffer, timeout)
 
     def get_extra_info(self, info):
         has_excess = self._framing is not None and self._framing.has_excess
         if info == "is_readable" and has_excess:
             return True
-        return self._inner.get_extra_info(info)
+        return super().get_extra_info(info)
 
 
 class _ResponseFraming:
--- a/vanillareach/endpoints/limits.py
+++ b/vanillareach/endpoints/limits.py
@@ -7,6 +7,7 @@
 
 from vanillareach.clock import MS_PER_SECOND
 from vanillareach.endpoints.base import EndpointLimitError
+from vanillareach.wrapped_streams import WrappingBackend, WrappingStream
 
 # Interim responses and head together; common servers allow 8 to 64 KiB for a head.
 MAX_HEAD_BYTES = 65_536
@@ -80,7 +81,7 @@
             raise EndpointLimitError(f"response head exceeds {MAX_HEAD_BYTES} bytes")
 
 
-class HeadLimitBackend(httpcore.AsyncNetworkBackend):
+class HeadLimitBackend(WrappingBackend):
     """Network backend that applies the `HeadLimit` of the reading task.
 
     Parameters
@@ -88,48 +89,24 @@
     inner : httpcore.AsyncNetworkBackend
     """
 
-    def __init__(self, inner):
-        self._inner = inner
-
-    async def connect_tcp(
-        self, host, port, timeout=None, local_address=None, socket_options=None
-    ):
-        """Connect and wrap the stream."""
-        stream = await self._inner.connect_tcp(
-            host, port, timeout, local_address, socket_options
-        )
+    def wrap(self, stream):
+        """Return a stream that applies the limit to what it reads."""
         return _HeadLimitStream(stream)
 
-    async def sleep(self, seconds):
-        """Suspend the calling task."""
-        await self._inner.sleep(seconds)
-
-
-class _HeadLimitStream(httpcore.AsyncNetworkStream):
-    def __init__(self, inner):
-        self._inner = inner
 
+class _HeadLimitStream(WrappingStream):
     async def read(self, max_bytes, timeout=None):
         limit = _head_limit.get()
         if limit is None:
-            return await self._inner.read(max_bytes, timeout)
+            return await super().read(max_bytes, timeout)
         try:
-            data = await self._inner.read(max_bytes, limit.remaining_s(timeout))
+            data = await super().read(max_bytes, limit.remaining_s(timeout))
         except httpcore.ReadTimeout:
             limit.check_time()
             raise
         limit.record(data)
         return data
 
-    async def write(self, buffer, timeout=None):
-        await self._inner.write(buffer, timeout)
-
-    async def aclose(self):
-        await self._inner.aclose()
-
-    def get_extra_info(self, info):
-        return self._inner.get_extra_info(info)
-
 
 async def read_answer(chunks, on_data, time_limit_ms):
     """Return a complete answer.
--- a/vanillareach/traffic.py
+++ b/vanillareach/traffic.py
@@ -2,6 +2,8 @@
 
 import httpcore
 
+from vanillareach.wrapped_streams import WrappingBackend, WrappingStream
+
 
 class ControlTraffic:
     """Bytes and messages received and sent.
@@ -37,7 +39,7 @@
         return self.bytes_in + self.bytes_out
 
 
-class CountingBackend(httpcore.AsyncNetworkBackend):
+class CountingBackend(WrappingBackend):
     """Network backend that counts the bytes read and written on its connections.
 
     Parameters
@@ -46,43 +48,28 @@
     """
 
     def __init__(self, traffic):
+        super().__init__(httpcore.TrioBackend())
         self._traffic = traffic
-        self._inner = httpcore.TrioBackend()
-
-    async def connect_tcp(
-        self, host, port, timeout=None, local_address=None, socket_options=None
-    ):
-        """Connect and wrap the stream."""
-        stream = await self._inner.connect_tcp(
-            host, port, timeout, local_address, socket_options
-        )
-        return _CountingStream(stream, self._traffic)
 
-    async def sleep(self, seconds):
-        """Suspend the calling task."""
-        await self._inner.sleep(seconds)
+    def wrap(self, stream):
+        """Return a stream that counts its traffic."""
+        return _CountingStream(stream, self._traffic)
 
 
-class _CountingStream(httpcore.AsyncNetworkStream):
+class _CountingStream(WrappingStream):
     def __init__(self, inner, traffic):
-        self._inner = inner
+        super().__init__(inner)
         self._traffic = traffic
 
     async def read(self, max_bytes, timeout=None):
-        data = await self._inner.read(max_bytes, timeout)
+        data = await super().read(max_bytes, timeout)
         self._traffic.count_received(len(data))
         return data
 
     async def write(self, buffer, timeout=None):
         self._traffic.count_sent(len(buffer))
-        await self._inner.write(buffer, timeout)
-
-    async def aclose(self):
-        await self._inner.aclose()
+        await super().write(buffer, timeout)
 
     async def start_tls(self, ssl_context, server_hostname=None, timeout=None):
         stream = await self._inner.start_tls(ssl_context, server_hostname, timeout)
         return _CountingStream(stream, self._traffic)
-
-    def get_extra_info(self, info):
-        return self._inner.get_extra_info(info)
