--- a/vanillareach/features/attempt_cases.py
+++ b/vanillareach/features/attempt_cases.py
@@ -173,7 +173,10 @@
             dispatcher,
             ScriptedPlacement(dispatcher, clock, self.case.placements),
             StallDetector(state, clock),
-            SimpleNamespace(choose=lambda exchange: None),
+            SimpleNamespace(
+                choose=lambda exchange: None,
+                choose_for_room=lambda exchange, placement: None,
+            ),
             BufferBudget(),
             settings,
         )
--- a/vanillareach/features/steps/evacuation_fleet.py
+++ b/vanillareach/features/steps/evacuation_fleet.py
@@ -218,10 +218,10 @@
     store = context.platform.store
     read = store._read
 
-    async def fail(kind, name, responder):
+    async def fail(kind, name, query, responder):
         if kind == "evacuations":
             return await store._answer(responder, 503, {})
-        return await read(kind, name, responder)
+        return await read(kind, name, query, responder)
 
     store._read = fail
     start_another(context, "g4", "zone-a", **SETTINGS)
