Wake the watch for silence if a request is due before it ends

Callers of an instance with dead paths would have got 502 and 504 for up to 12 s longer while one long prompt waited for its first event; without any other failure nothing told that paths pass nothing.

Cause: the watch slept until the first due time that it knew as it began to sleep. Requests that were sent meanwhile and due earlier, such as plain calls after 0.5 s, didn't wake it.

Change: a request that is due before the watch ends wakes it.

--- a/vanillareach/features/link_checks.feature
+++ b/vanillareach/features/link_checks.feature
@@ -53,3 +53,15 @@
       | t0,t1,t2,e3    | e0,e1 | e0,e1,e2    |
       | t0,t1,t2,e2,e3 | e0,e1 | e0,e1       |
       | t0,t1,t2       | e0    | none        |
+
+  # A request with a long prediction kept the watch asleep while later calls were swallowed.
+  Scenario Outline: Calls that are swallowed are noticed beside a long prompt
+    Given an instance with peers "p1,p2,p3" that reaches "t0,t1,t2,e2,e3" only
+    And a generation at "e2" whose first event is predicted after <predicted> ms
+    When its requests to "e0,e1" get no answer for 1000 ms
+    Then the paths to "e0,e1" are dead
+
+    Examples:
+      | predicted |
+      | 2000      |
+      | 8000      |
--- a/vanillareach/features/steps/link_checks.py
+++ b/vanillareach/features/steps/link_checks.py
@@ -162,6 +162,28 @@
     ]
 
 
+@given(
+    'a generation at "{name}" whose first event is predicted after {predicted_ms:d} ms'
+)
+def step_generation(context, name, predicted_ms):
+    context.generation = (name, float(predicted_ms))
+
+
+async def start_generation(context, state, monitor):
+    """Let a monitor wait for the answer of the scenario's generation."""
+    name, first_event_ms = context.generation
+    now_ms = TrioClock().now_ms()
+    flight = SimpleNamespace(id=100, prompt_tokens=1_000_000)
+    endpoint = state.endpoints.by_id[name]
+    attempt = SimpleNamespace(
+        flight=flight,
+        placement=SimpleNamespace(endpoint=endpoint, first_event_ms=first_event_ms),
+        exchange=SimpleNamespace(service=SimpleNamespace(engine="figures")),
+        sent_ms=now_ms,
+    )
+    monitor.record_sent(attempt)
+
+
 @when('its requests to "{names}" get no answer for {for_ms:d} ms')
 def step_no_answer(context, names, for_ms):
     async def connect(address, timeout_ms):
@@ -172,6 +194,8 @@
         clock = TrioClock()
         state, monitor = make_monitor(context.peer_names, clock, context.endpoints)
         async with trio.open_nursery() as nursery:
+            if "generation" in context:
+                await start_generation(context, state, monitor)
             await start_with_requests(nursery, state, monitor, names.split(","))
             await clock.sleep_ms(for_ms)
             context.dead = sorted(key[0] for key in state.paths.dead_keys)
--- a/vanillareach/gateway/link_monitor.py
+++ b/vanillareach/gateway/link_monitor.py
@@ -82,7 +82,9 @@
         # Endpoints that may be unreachable, of which peers are told after a check.
         self._suspects = []
         self._suspect_event = trio.Event()
+        # Set when a request is sent that is due before the watch for silence wakes.
         self._sent_event = trio.Event()
+        self._watch_until_ms = math.inf
         self._check_event = None
         self._configuration = None
         self._paths_by_service = {}
@@ -126,7 +128,8 @@
         self._state.paths.record_sent(
             attempt.flight, placement.endpoint.key, silence_ms, attempt.sent_ms
         )
-        self._sent_event.set()
+        if attempt.sent_ms + silence_ms < self._watch_until_ms:
+            self._sent_event.set()
 
     def record_bytes(self, attempt):
         """Record that the head of an answer arrived."""
@@ -368,13 +371,13 @@
         paths = self._state.paths
         while True:
             now_ms = self._clock.now_ms()
-            due_ms = paths.next_due_ms()
-            if due_ms == math.inf:
-                self._sent_event = trio.Event()
+            self._sent_event = trio.Event()
+            wait_ms = max(MIN_WATCH_INTERVAL_MS, paths.next_due_ms() - now_ms)
+            self._watch_until_ms = now_ms + wait_ms
+            with self._clock.scope_until(self._watch_until_ms):
                 await self._sent_event.wait()
+            if self._sent_event.is_set():
                 continue
-            wait_ms = max(MIN_WATCH_INTERVAL_MS, due_ms - now_ms)
-            await self._clock.sleep_ms(wait_ms)
             if self._clock.now_ms() > now_ms + wait_ms + STALL_MS:
                 # No answer was received in a stall, whatever the paths have passed.
                 paths.restart_waiting(self._clock.now_ms())
