Take requests for silent that wait beyond a path found dead

Cause: silence was told by time alone, and pending prefill at the engine explained it. What a check found changed only where later requests went.

Change: requests without a byte of an answer beyond a path that a check finds dead are reported as silent at once, so another endpoint or a peer may be tried beside them. The log line of dead paths says how many wait there.

--- a/vanillareach/core/path_evidence.py
+++ b/vanillareach/core/path_evidence.py
@@ -166,6 +166,10 @@
         """Return the `UnansweredRequest` records that now count as unanswered."""
         return [w for w in self.waiting_by_id.values() if w.due_ms <= now_ms]
 
+    def waiting_flights(self, key):
+        """Return the flights at an endpoint from which no byte has come back."""
+        return [w.flight for w in self.waiting_by_id.values() if w.key == key]
+
     def next_due_ms(self):
         """Return when the next request becomes unanswered; infinite without any."""
         return min((w.due_ms for w in self.waiting_by_id.values()), default=math.inf)
--- a/vanillareach/features/link_checks.feature
+++ b/vanillareach/features/link_checks.feature
@@ -65,3 +65,17 @@
       | predicted |
       | 2000      |
       | 8000      |
+
+  # A long prompt waited beyond a path that was known as dead, by its own prediction.
+  Scenario Outline: A request that waits beyond a dead path is silent whatever was predicted
+    Given an instance with peers "p1,p2,p3" that reaches "<reached>" only
+    And a generation at "<engine>" whose first event is predicted after 8000 ms
+    When its requests to "e0,e1" get no answer for <for> ms
+    Then the generation is <what>
+
+    Examples:
+      | reached        | engine | for  | what       |
+      | t0,t1,t2       | e1     | 1000 | silent     |
+      | t0,t1,t2       | e3     | 4000 | silent     |
+      | t0,t1,t2,e3    | e3     | 4000 | waited for |
+      | t0,t1,t2,e2,e3 | e2     | 1000 | waited for |
--- a/vanillareach/features/steps/link_checks.py
+++ b/vanillareach/features/steps/link_checks.py
@@ -11,6 +11,7 @@
 from vanillareach.core.path_evidence import PLAIN_SILENCE_MS
 from vanillareach.features.steps.gateway_core import make_endpoint
 from vanillareach.gateway import link_monitor
+from vanillareach.gateway.idle_timeouts import IdleTimeoutMonitor
 from vanillareach.gateway.link_monitor import LinkMonitor
 from vanillareach.gateway.peer_choice import PeerChooser
 from vanillareach.gateway.ports import StorePosition
@@ -47,7 +48,8 @@
     peers = [SimpleNamespace(name=name) for name in peer_names]
     gossip = SimpleNamespace(peers=SimpleNamespace(forwarding_candidates=lambda: peers))
     chooser = PeerChooser(state, gossip, clock)
-    return state, LinkMonitor(state, "a", clock, None, chooser)
+    idle_timeouts = IdleTimeoutMonitor(None, clock)
+    return state, LinkMonitor(state, "a", clock, None, chooser, idle_timeouts)
 
 
 async def start_with_requests(nursery, state, monitor, names=ENGINES[:3]):
@@ -181,7 +183,11 @@
         exchange=SimpleNamespace(service=SimpleNamespace(engine="figures")),
         sent_ms=now_ms,
     )
+    context.silent = []
     monitor.record_sent(attempt)
+    monitor._idle_timeouts.watch(
+        flight, now_ms + 2 * first_event_ms, lambda: context.silent.append(name)
+    )
 
 
 @when('its requests to "{names}" get no answer for {for_ms:d} ms')
@@ -205,6 +211,11 @@
         trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
+@then("the generation is {what}")
+def step_generation_silent(context, what):
+    assert len(context.silent) == (what == "silent"), context.silent
+
+
 @then('the paths to "{names}" are dead')
 def step_dead_paths(context, names):
     expected = [] if names == "none" else names.split(",")
--- a/vanillareach/gateway/forwarder.py
+++ b/vanillareach/gateway/forwarder.py
@@ -106,7 +106,12 @@
             state, dispatcher, placement_client, clock
         )
         self.link_monitor = LinkMonitor(
-            state, settings.domain, clock, placement_client, peer_chooser
+            state,
+            settings.domain,
+            clock,
+            placement_client,
+            peer_chooser,
+            self.idle_timeouts,
         )
         self.loss_checker = EndpointLossChecker(
             state, placement_client, self.link_monitor, clock
--- a/vanillareach/gateway/idle_timeouts.py
+++ b/vanillareach/gateway/idle_timeouts.py
@@ -81,6 +81,15 @@
         """Stop monitoring an attempt that has ended."""
         self._timeouts.discard(idle_timeout)
 
+    def expire(self, flights):
+        """Report attempts as silent before their timeouts, unless they are paused."""
+        flight_ids = {flight.id for flight in flights}
+        for idle_timeout in list(self._timeouts):
+            flight = idle_timeout.flight
+            is_paused = idle_timeout.deadline_ms == math.inf
+            if flight is not None and flight.id in flight_ids and not is_paused:
+                idle_timeout.expire()
+
     async def run(self):
         """Check the timeouts until cancelled."""
         while True:
--- a/vanillareach/gateway/link_monitor.py
+++ b/vanillareach/gateway/link_monitor.py
@@ -66,18 +66,23 @@
         Knows which engines have prefill pending.
     peer_chooser : PeerChooser
         Knows which peers have links.
+    idle_timeouts : IdleTimeoutMonitor
+        Told of requests that wait beyond a dead path.
 
     Attributes
     ----------
     health_check_count : int
     """
 
-    def __init__(self, state, domain, clock, placement_client, peer_chooser):
+    def __init__(
+        self, state, domain, clock, placement_client, peer_chooser, idle_timeouts
+    ):
         self._state = state
         self._domain = domain
         self._clock = clock
         self._placement_client = placement_client
         self._peer_chooser = peer_chooser
+        self._idle_timeouts = idle_timeouts
         self._random = random.Random()
         # Endpoints that may be unreachable, of which peers are told after a check.
         self._suspects = []
@@ -291,16 +296,20 @@
         if self._peer_chooser.has_shared_faults():
             paths.forget_dead()
             return
-        before = len(paths.dead_keys)
+        before, unanswered = len(paths.dead_keys), []
         for endpoint in asked:
             if endpoint not in reached:
                 paths.record_unanswered_check(endpoint.key, self._clock.now_ms())
+                unanswered += paths.waiting_flights(endpoint.key)
         if len(paths.dead_keys) != before:
             log.warning(
                 "Paths to endpoints dead.",
                 endpoints=sorted(key[0] for key in paths.dead_keys),
                 before=before,
+                unanswered=len(unanswered),
             )
+        # Neither pending prefill nor a long prediction explains their silence.
+        self._idle_timeouts.expire(unanswered)
 
     def _paths_to_check(self, endpoints_by_key, now_ms):
         """Return the keys of the paths that the next check asks.
