Hand on requests without room only if half of the paths are dead

Callers of an overloaded fleet would have got their refusals a hop later, and every instance would have paid for it: with two engines that crashed, their paths are dead at all instances, and each request without room was handed to a peer, which refuses it, too.

Cause: since the repair of refusals for want of room, any dead path to the service was enough.

Evidence: read only; the new example with one dead path of four and no room was handed on before.

Change: at least half of the paths to the service must be dead. With fewer, the room behind them is small beside that behind the others.

Measured: peer_forwarding.feature, 31 passed.

--- a/vanillareach/features/peer_forwarding.feature
+++ b/vanillareach/features/peer_forwarding.feature
@@ -98,13 +98,18 @@
       | dead     | full        | handed on |
       | m1,m2,m3 | m4          | yes       |
       | m1,m2,m3 | none        | no        |
-      | m1       | m1,m2,m3,m4 | yes       |
+      | m1,m2    | m1,m2,m3,m4 | yes       |
 
-  Scenario: A request without room is refused if no path is dead
-    Given the first gateway's paths to "none" are dead, and "m1,m2,m3,m4" are full there
+  Scenario Outline: A request without room is refused if most paths are whole
+    Given the first gateway's paths to "<dead>" are dead, and "m1,m2,m3,m4" are full there
     When a caller sends "/ask/a" as usual
     Then the response is 503
 
+    Examples:
+      | dead |
+      | none |
+      | m1   |
+
   Scenario: Links that are back are used again
     Given the first gateway has lost its links to all endpoints
     When the first gateway's links are whole again
--- a/vanillareach/gateway/peer_choice.py
+++ b/vanillareach/gateway/peer_choice.py
@@ -7,6 +7,8 @@
 
 # A request that has met this many unreachable endpoints is handed on.
 MAX_UNREACHABLE_ATTEMPTS = 2
+# A request without room is handed on if this share of the paths to its service is dead.
+MIN_DEAD_SHARE = 0.5
 # A peer that could not help is left out for this time.
 UNABLE_TTL_MS = 1_000.0
 # The own domain is left out while this many of its peers could not help.
@@ -82,7 +84,8 @@
     def choose_for_room(self, exchange, placement):
         """Return the `PeerPlacement` of a request for which whole paths have no room.
 
-        None if no path to its service is dead here alone, or no peer can take it.
+        None if most paths to its service are whole, peers report the same faults, or no
+        peer can take it.
 
         Parameters
         ----------
@@ -96,7 +99,10 @@
         if placement is not None and placement.endpoint.key not in dead_keys:
             return None
         usable = self._state.endpoints.usable(exchange.service.name)
-        if not any(e.key in dead_keys for e in usable) or self.has_shared_faults():
+        dead_count = sum(endpoint.key in dead_keys for endpoint in usable)
+        if not dead_count or dead_count < MIN_DEAD_SHARE * len(usable):
+            return None
+        if self.has_shared_faults():
             return None
         return self._choose(exchange)
 
