Take the silence of a full endpoint for no sign of a dead path

Callers would have got refusals, or their request run a second time beside its wait in a queue, where half of a service's engines are lost and the others are full.

Cause: a health check waits for a slot like any request. Since its silence counted for paths that had swallowed nothing, and ended the wait of requests there.

Change: unproven paths are asked, and waiting requests taken for silent, only at endpoints that are known to have a free slot. An instance that isn't told of all loads knows none.

Measured: link_checks.feature, both new examples fail before, 25 pass now, five times.

--- a/vanillareach/features/link_checks.feature
+++ b/vanillareach/features/link_checks.feature
@@ -54,6 +54,20 @@
       | t0,t1,t2,e2,e3 | e0,e1 | e0,e1       |
       | t0,t1,t2       | e0    | none        |
 
+  # Guards against full endpoints whose paths are taken for dead, since they let checks wait.
+  Scenario Outline: The silence of a full endpoint shows nothing of its path
+    Given an instance with peers "p1,p2,p3" that reaches "t0,t1,t2" only
+    And requests that fill "<full>"
+    And a generation at "<engine>" whose first event is predicted after 8000 ms
+    When its requests to "e0,e1" get no answer for 4000 ms
+    Then the paths to "<dead>" are dead
+    And the generation is waited for
+
+    Examples:
+      | full     | engine | dead     |
+      | e2,e3    | e3     | e0,e1    |
+      | e1,e3    | e1     | e0,e1,e2 |
+
   # A request with a long prediction kept the watch asleep while later calls were swallowed.
   Scenario Outline: Calls that are swallowed are noticed beside a long prompt
     Given an instance with peers "p1,p2,p3" that reaches "t0,t1,t2,e2,e3" only
--- a/vanillareach/features/steps/link_checks.py
+++ b/vanillareach/features/steps/link_checks.py
@@ -10,6 +10,7 @@
 from vanillareach.core.endpoint_list import ListedEndpoint
 from vanillareach.core.path_evidence import PLAIN_SILENCE_MS
 from vanillareach.features.steps.gateway_core import make_endpoint
+from vanillareach.features.steps.peer_forwarding import add_long_prompt
 from vanillareach.gateway import link_monitor
 from vanillareach.gateway.idle_timeouts import IdleTimeoutMonitor
 from vanillareach.gateway.link_monitor import LinkMonitor
@@ -48,8 +49,9 @@
     peers = [SimpleNamespace(name=name) for name in peer_names]
     gossip = SimpleNamespace(peers=SimpleNamespace(forwarding_candidates=lambda: peers))
     chooser = PeerChooser(state, gossip, clock)
-    idle_timeouts = IdleTimeoutMonitor(None, clock)
-    return state, LinkMonitor(state, "a", clock, None, chooser, idle_timeouts)
+    client = SimpleNamespace(knows_all_loads=True)
+    idle_timeouts = IdleTimeoutMonitor(client, clock)
+    return state, LinkMonitor(state, "a", clock, client, chooser, idle_timeouts)
 
 
 async def start_with_requests(nursery, state, monitor, names=ENGINES[:3]):
@@ -164,6 +166,19 @@
     ]
 
 
+@given('requests that fill "{names}"')
+def step_full(context, names):
+    context.full = names.split(",")
+
+
+def fill(context, state):
+    """Let an instance know of requests in all slots of some endpoints."""
+    instance = SimpleNamespace(state=state, clock=TrioClock())
+    for name in context.full:
+        for _ in range(state.endpoints.by_id[name].slots):
+            add_long_prompt(instance, name, 1_000)
+
+
 @given(
     'a generation at "{name}" whose first event is predicted after {predicted_ms:d} ms'
 )
@@ -200,6 +215,8 @@
         clock = TrioClock()
         state, monitor = make_monitor(context.peer_names, clock, context.endpoints)
         async with trio.open_nursery() as nursery:
+            if "full" in context:
+                fill(context, state)
             if "generation" in context:
                 await start_generation(context, state, monitor)
             await start_with_requests(nursery, state, monitor, names.split(","))
--- a/vanillareach/gateway/link_monitor.py
+++ b/vanillareach/gateway/link_monitor.py
@@ -285,9 +285,10 @@
         }
         paths.keep_only(by_key.keys())
         now_ms = self._clock.now_ms()
+        free_keys = self._free_keys(by_key, now_ms)
         asked = [
             by_key[key]
-            for key in self._paths_to_check(by_key, now_ms)
+            for key in self._paths_to_check(by_key, free_keys, now_ms)
             if self._budget.try_acquire(1, now_ms)
         ]
         reached = await self._reached(asked)
@@ -300,7 +301,8 @@
         for endpoint in asked:
             if endpoint not in reached:
                 paths.record_unanswered_check(endpoint.key, self._clock.now_ms())
-                unanswered += paths.waiting_flights(endpoint.key)
+                if endpoint.key in free_keys:
+                    unanswered += paths.waiting_flights(endpoint.key)
         if len(paths.dead_keys) != before:
             log.warning(
                 "Paths to endpoints dead.",
@@ -311,10 +313,25 @@
         # Neither pending prefill nor a long prediction explains their silence.
         self._idle_timeouts.expire(unanswered)
 
-    def _paths_to_check(self, endpoints_by_key, now_ms):
+    def _free_keys(self, endpoints_by_key, now_ms):
+        """Return the keys of the endpoints that are known to have a free slot.
+
+        A health check waits for a slot like any request, so the silence of a full
+        endpoint shows nothing of its path.
+        """
+        if not self._placement_client.knows_all_loads:
+            return set()
+        loads = self._state.load_state.loads_by_engine(now_ms)
+        return {
+            key
+            for key, endpoint in endpoints_by_key.items()
+            if endpoint.id not in loads or loads[endpoint.id].running < endpoint.slots
+        }
+
+    def _paths_to_check(self, endpoints_by_key, free_keys, now_ms):
         """Return the keys of the paths that the next check asks.
 
-        Those in doubt come first, then unproven ones, then dead ones.
+        Those in doubt come first, then unproven ones of free endpoints, then dead ones.
         """
         paths = self._state.paths
         suspects = set(paths.suspects(now_ms))
@@ -328,6 +345,7 @@
             key
             for keys in keys_by_service.values()
             for key in paths.unproven(keys, suspects | paths.dead_keys, now_ms)
+            if key in free_keys
         ]
         in_doubt, dead = list(suspects - paths.dead_keys), list(paths.dead_keys)
         for keys in (in_doubt, unproven, dead):
