Share what the tests of links and stops repeated

Cause: two steps built the same kind of attempt, and two trials stopped a gateway in the same way. Change: make_attempt and StopTrial._stop_beside have it once; no check differs.

--- a/vanillareach/features/steps/link_checks.py
+++ b/vanillareach/features/steps/link_checks.py
@@ -54,18 +54,24 @@
     return state, LinkMonitor(state, "a", clock, client, chooser, idle_timeouts)
 
 
+def make_attempt(number, endpoint, prompt_tokens=0, first_event_ms=0.0):
+    """Return an attempt that is sent now, a plain call without a prompt."""
+    engine = "figures" if prompt_tokens else None
+    return SimpleNamespace(
+        flight=SimpleNamespace(id=number, prompt_tokens=prompt_tokens),
+        placement=SimpleNamespace(endpoint=endpoint, first_event_ms=first_event_ms),
+        exchange=SimpleNamespace(service=SimpleNamespace(engine=engine)),
+        sent_ms=TrioClock().now_ms(),
+    )
+
+
 async def start_with_requests(nursery, state, monitor, names=ENGINES[:3]):
     """Run a monitor, and let it wait for answers of some endpoints."""
     nursery.start_soon(monitor.run)
     await trio.testing.wait_all_tasks_blocked()
     attempts = [
-        SimpleNamespace(
-            flight=SimpleNamespace(id=number, prompt_tokens=0),
-            placement=SimpleNamespace(endpoint=endpoint),
-            exchange=SimpleNamespace(service=SimpleNamespace(engine=None)),
-            sent_ms=TrioClock().now_ms(),
-        )
-        for number, endpoint in enumerate(map(state.endpoints.by_id.get, names))
+        make_attempt(number, state.endpoints.by_id[name])
+        for number, name in enumerate(names)
     ]
     for attempt in attempts:
         monitor.record_sent(attempt)
@@ -186,22 +192,17 @@
     context.generation = (name, float(predicted_ms))
 
 
-async def start_generation(context, state, monitor):
+def start_generation(context, state, monitor):
     """Let a monitor wait for the answer of the scenario's generation."""
     name, first_event_ms = context.generation
-    now_ms = TrioClock().now_ms()
-    flight = SimpleNamespace(id=100, prompt_tokens=1_000_000)
     endpoint = state.endpoints.by_id[name]
-    attempt = SimpleNamespace(
-        flight=flight,
-        placement=SimpleNamespace(endpoint=endpoint, first_event_ms=first_event_ms),
-        exchange=SimpleNamespace(service=SimpleNamespace(engine="figures")),
-        sent_ms=now_ms,
-    )
+    attempt = make_attempt(100, endpoint, 1_000_000, first_event_ms)
     context.silent = []
     monitor.record_sent(attempt)
     monitor._idle_timeouts.watch(
-        flight, now_ms + 2 * first_event_ms, lambda: context.silent.append(name)
+        attempt.flight,
+        attempt.sent_ms + 2 * first_event_ms,
+        lambda: context.silent.append(name),
     )
 
 
@@ -218,7 +219,7 @@
             if "full" in context:
                 fill(context, state)
             if "generation" in context:
-                await start_generation(context, state, monitor)
+                start_generation(context, state, monitor)
             await start_with_requests(nursery, state, monitor, names.split(","))
             await clock.sleep_ms(for_ms)
             context.dead = sorted(key[0] for key in state.paths.dead_keys)
--- a/vanillareach/features/stop_trial.py
+++ b/vanillareach/features/stop_trial.py
@@ -79,13 +79,13 @@
         -------
         list of StopOutcome
         """
-        await trio.sleep(SETTLE_S)
-        outcomes, gateway = [], self._platform.gateways[0]
-        async with trio.open_nursery() as nursery:
+
+        async def send(nursery, outcomes):
             begin_s = trio.current_time()
-            nursery.start_soon(self._stop, gateway)
             for caller, at_ms in zip(callers, times_ms, strict=True):
                 nursery.start_soon(self._call, caller, begin_s, at_ms, outcomes)
+
+        outcomes = await self._stop_beside(send)
         return sorted(outcomes, key=lambda outcome: outcome.sent_ms)
 
     async def run_paused(self, callers, from_ms, until_ms):
@@ -95,16 +95,24 @@
         -------
         list of StopOutcome
         """
-        await trio.sleep(SETTLE_S)
-        outcomes, gateway = [], self._platform.gateways[0]
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._stop, gateway)
+
+        async def send(nursery, outcomes):
             await trio.sleep(from_ms / 1000)
             attempt_ids = [c.send_at_once(self._path, **self._values) for c in callers]
             # Stops the loop that runs the gateway, as a signal does.
             time.sleep((until_ms - from_ms) / 1000)  # noqa: ASYNC251
             for caller, attempt_id in zip(callers, attempt_ids, strict=True):
                 nursery.start_soon(self._receive, caller, attempt_id, from_ms, outcomes)
+
+        return await self._stop_beside(send)
+
+    async def _stop_beside(self, send):
+        """Stop the gateway beside `send`, which starts tasks that add outcomes."""
+        await trio.sleep(SETTLE_S)
+        outcomes = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._stop, self._platform.gateways[0])
+            await send(nursery, outcomes)
         return outcomes
 
     async def _stop(self, gateway):
