Keep quiet that an engine asked for just before its restart is listed

Cause: quiet holds for one incarnation. The engine had restarted, and its new incarnation answered before the list had it, so the quiet was put down to the former one and gone with it.

Evidence: the log of the gateway: connections refused, quiet recorded, twelve requests refused for it, the engine listed anew 0.45 s later, and the first of the four sent after 0.15 s more.

Change: an incarnation that is listed within 3 s of the answer keeps the period. The model of properties.feature took each restart for the end of quiet, which this shows to be wrong; it has the same bound now and checks as strictly that endpoints stay out so long, and are used after that.

--- a/vanillareach/features/gateway_core.feature
+++ b/vanillareach/features/gateway_core.feature
@@ -196,6 +196,19 @@
     And the list shows "e2" at the address of "e1"
     Then "e2" is usable
 
+  # Guards against quiet that is forgotten as the list shows the restart of an endpoint
+  # that has asked for it since then.
+  Scenario Outline: Quiet asked just before a new incarnation is listed holds for it
+    Given an instance that an endpoint has asked for 5000 ms of quiet
+    When its next incarnation is listed <lag> ms later
+    Then the endpoint is quiet for <left> ms more
+
+    Examples:
+      | lag  | left |
+      | 450  | 4550 |
+      | 3000 | 2000 |
+      | 4000 | 0    |
+
   Scenario Outline: Times of quiet are whole seconds or fractions, up to an hour
     Then a <status> with Retry-After "<value>" asks for <ms> ms of quiet
 
--- a/vanillareach/features/steps/signal_properties.py
+++ b/vanillareach/features/steps/signal_properties.py
@@ -1,15 +1,16 @@
 """Property test of leaving and quiet over lists, restarts, restores and time."""
 
+import math
 import random
 from types import SimpleNamespace
 
-from behave import then
-from hypothesis import given
+import hypothesis
+from behave import given, then, when
 from hypothesis import strategies as st
 
 from vanillareach.clock import Clock
 from vanillareach.core.dispatching import Dispatcher
-from vanillareach.core.quiet_periods import MAX_EXTENSION_MS
+from vanillareach.core.quiet_periods import LISTING_LAG_MS, MAX_EXTENSION_MS
 from vanillareach.features.steps.gateway_core import make_endpoint
 from vanillareach.features.steps.properties import CHECKED
 from vanillareach.gateway.ports import EndpointSignals, StorePosition
@@ -74,7 +75,7 @@
     ----------
     left_keys : set of tuple
         Incarnations of which the instance knows that they leave.
-    quiet_until_ms_by_key : dict of tuple to float
+    quiet_until_ms_by_key, quiet_asked_ms_by_key : dict of tuple to float
     """
 
     def __init__(self):
@@ -82,7 +83,8 @@
         self.state = GatewayState(GatewaySettings(name="i1"), self.clock)
         self.dispatcher = Dispatcher(self.state, "a", random.Random(1), None)
         self.entries_by_id = {name: make_endpoint(name) for name in ENGINES}
-        self.left_keys, self.quiet_until_ms_by_key = set(), {}
+        self.left_keys = set()
+        self.quiet_until_ms_by_key, self.quiet_asked_ms_by_key = {}, {}
         self.era, self.revision = 1, 10
         self.copy = dict(self.entries_by_id)
         self._list(0, 0)
@@ -120,10 +122,17 @@
         until_ms = self.clock.time_ms + quiet_ms
         known_ms = self.quiet_until_ms_by_key.get(key, 0.0)
         self.quiet_until_ms_by_key[key] = max(known_ms, until_ms)
+        self.quiet_asked_ms_by_key[key] = self.clock.time_ms
 
     def _restart(self, engine, _):
         entry = self._entry(engine)
-        self.entries_by_id[entry.id] = make_endpoint(entry.id, entry.incarnation + 1)
+        new = make_endpoint(entry.id, entry.incarnation + 1)
+        self.entries_by_id[entry.id] = new
+        asked_ms = self.quiet_asked_ms_by_key.get(entry.key, -math.inf)
+        if self.clock.time_ms - asked_ms <= LISTING_LAG_MS:
+            # The answer that asked may have been the new incarnation's.
+            self.quiet_asked_ms_by_key[new.key] = asked_ms
+            self.quiet_until_ms_by_key[new.key] = self.quiet_until_ms_by_key[entry.key]
         self.revision += 1
         self._list(0, 0)
 
@@ -185,8 +194,30 @@
 @then("no sequence of answers, lists, restarts and restores breaks leaving or quiet")
 def step_signals(context):
     @CHECKED
-    @given(EVENTS)
+    @hypothesis.given(EVENTS)
     def check(events):
         SignalModel().run(events)
 
     check()
+
+
+@given("an instance that an endpoint has asked for {quiet_ms:d} ms of quiet")
+def step_asked_for_quiet(context, quiet_ms):
+    context.model = SignalModel()
+    signals = EndpointSignals(False, float(quiet_ms))
+    context.model.state.record_signals(context.model._entry(0), signals)
+
+
+@when("its next incarnation is listed {lag_ms:d} ms later")
+def step_list_next(context, lag_ms):
+    context.model.clock.time_ms += lag_ms
+    context.model._restart(0, 0)
+
+
+@then("the endpoint is quiet for {left_ms:d} ms more")
+def step_quiet_left(context, left_ms):
+    model = context.model
+    key = model.state.endpoints.by_id[ENGINES[0]].key
+    assert key == model._entry(0).key
+    left = model.state.quiet_periods.remaining_ms(key, model.clock.time_ms)
+    assert left_ms <= left <= left_ms + MAX_EXTENSION_MS * (left_ms > 0), left
--- a/vanillareach/gateway/state.py
+++ b/vanillareach/gateway/state.py
@@ -518,6 +518,7 @@
         listed = [e for e in listed if by_id.get(e.id) is e]
         self.cold_engines.record_list(listed, confirmed_ms, now_ms, is_first)
         self._apply_cold(listed, "list")
+        self.quiet_periods.apply_list(by_id, now_ms)
         self._signal_initial_state()
         if changes:
             log.info(
