Let the core choose the paths that a check asks

Cause: the link monitor decided which paths are asked, and had the rule that a single suspect isn't in doubt twice.

Change: PathEvidence.in_doubt and to_check have both, with their constants.

--- a/vanillareach/core/path_evidence.py
+++ b/vanillareach/core/path_evidence.py
@@ -31,6 +31,10 @@
 # nothing that was sent over it in this time was answered.
 UNPROVEN_SHARE = 0.5
 PROVEN_MS = 1_000.0
+# Paths that one check asks, and how many of these may be unproven ones, so that dead
+# ones are asked again, too.
+MAX_CHECKED_PATHS = 4
+MAX_UNPROVEN_PATHS = 2
 
 
 class UnansweredRequest:
@@ -188,21 +192,48 @@
             return set()
         return {key[0] for key in (*self.dead_keys, *self.suspects(now_ms))}
 
-    def unproven(self, keys, bad_keys, now_ms):
-        """Return the paths to a service that may be dead like others of them.
+    def in_doubt(self, now_ms):
+        """Return the keys of the endpoints whose paths are in doubt.
+
+        There are none if a single one has swallowed a request: it may have failed.
+        """
+        suspects = self.suspects(now_ms)
+        return suspects if len(suspects) >= MIN_SUSPECTS else []
+
+    def to_check(self, endpoints_by_key, free_keys, random, now_ms):
+        """Return the keys of the paths that the next check asks.
+
+        Those in doubt come first, then unproven ones of free endpoints, then dead ones.
 
         Parameters
         ----------
-        keys : collection of tuple
-            All endpoints of the service.
-        bad_keys : set of tuple
-            Endpoints whose paths are dead or in doubt.
+        endpoints_by_key : dict of tuple to ListedEndpoint
+        free_keys : set of tuple
+            Endpoints that are known to have a free slot.
+        random : random.Random
         now_ms : float
 
         Returns
         -------
         list of tuple
         """
+        in_doubt = [k for k in self.in_doubt(now_ms) if k not in self.dead_keys]
+        dead = list(self.dead_keys)
+        keys_by_service = {}
+        for key, endpoint in endpoints_by_key.items():
+            keys_by_service.setdefault(endpoint.service, []).append(key)
+        unproven = [
+            key
+            for keys in keys_by_service.values()
+            for key in self._unproven(keys, {*in_doubt, *dead}, now_ms)
+            if key in free_keys
+        ]
+        for keys in (in_doubt, unproven, dead):
+            random.shuffle(keys)
+        return [*in_doubt, *unproven[:MAX_UNPROVEN_PATHS], *dead][:MAX_CHECKED_PATHS]
+
+    def _unproven(self, keys, bad_keys, now_ms):
+        """Return the paths to one service that may be dead like its `bad_keys`."""
         bad_count = sum(key in bad_keys for key in keys)
         if bad_count < max(MIN_SUSPECTS, UNPROVEN_SHARE * len(keys)):
             return []
--- a/vanillareach/gateway/link_monitor.py
+++ b/vanillareach/gateway/link_monitor.py
@@ -20,7 +20,6 @@
 from vanillareach.core.messages import EndpointFault
 from vanillareach.core.path_evidence import (
     BUSY_EXTENSION_MS,
-    MIN_SUSPECTS,
     PLAIN_SILENCE_MS,
     STREAM_SILENCE_FACTOR,
     STREAM_SILENCE_SLACK_MS,
@@ -36,10 +35,6 @@
 MAX_HEALTH_CHECKS_PER_S = 8
 LOST_HEALTH_CHECK_INTERVAL_MS = 500.0
 HEALTH_CHECK_INTERVAL_MS = 1_000.0
-# Paths that one check asks besides the four endpoints, and how many of these may be
-# unproven ones, so that dead ones are asked again, too.
-MAX_CHECKED_PATHS = 4
-MAX_UNPROVEN_PATHS = 2
 # Interval at which unanswered requests are looked for while some are waited for.
 MIN_WATCH_INTERVAL_MS = 50.0
 # A check or a wait that takes longer than its limit by this was stalled together with
@@ -168,8 +163,7 @@
         """Return whether links are lost, or several endpoints swallowed requests."""
         if self._state.reach.is_lost:
             return True
-        suspects = self._state.paths.suspects(self._clock.now_ms())
-        return len(suspects) >= MIN_SUSPECTS
+        return bool(self._state.paths.in_doubt(self._clock.now_ms()))
 
     def _wake_if_in_doubt(self):
         if not self._state.reach.is_lost and self.is_in_doubt():
@@ -288,7 +282,7 @@
         free_keys = self._free_keys(by_key, now_ms)
         asked = [
             by_key[key]
-            for key in self._paths_to_check(by_key, free_keys, now_ms)
+            for key in paths.to_check(by_key, free_keys, self._random, now_ms)
             if self._budget.try_acquire(1, now_ms)
         ]
         reached = await self._reached(asked)
@@ -328,30 +322,6 @@
             if endpoint.id not in loads or loads[endpoint.id].running < endpoint.slots
         }
 
-    def _paths_to_check(self, endpoints_by_key, free_keys, now_ms):
-        """Return the keys of the paths that the next check asks.
-
-        Those in doubt come first, then unproven ones of free endpoints, then dead ones.
-        """
-        paths = self._state.paths
-        suspects = set(paths.suspects(now_ms))
-        if len(suspects) < MIN_SUSPECTS:
-            # A single one may have failed itself.
-            suspects.clear()
-        keys_by_service = {}
-        for key, endpoint in endpoints_by_key.items():
-            keys_by_service.setdefault(endpoint.service, []).append(key)
-        unproven = [
-            key
-            for keys in keys_by_service.values()
-            for key in paths.unproven(keys, suspects | paths.dead_keys, now_ms)
-            if key in free_keys
-        ]
-        in_doubt, dead = list(suspects - paths.dead_keys), list(paths.dead_keys)
-        for keys in (in_doubt, unproven, dead):
-            self._random.shuffle(keys)
-        return [*in_doubt, *unproven[:MAX_UNPROVEN_PATHS], *dead][:MAX_CHECKED_PATHS]
-
     async def _reached(self, endpoints):
         """Return which endpoints were reached; None if the instance was stalled."""
         reached, started_ms = [], self._clock.now_ms()
