Say once how names are escaped and how the instance of a scenario runs

Cause: three addresses escaped a name in place, four steps of link_checks repeated the frame that runs an instance on a mock clock, and three of kept_connections differed in a word. Change: _escape and _instance_path in the store's client, run_instance and REPEATS_BY_TEXT in the steps. Assertions and bounds are as they were.

--- a/vanillareach/features/steps/kept_connections.py
+++ b/vanillareach/features/steps/kept_connections.py
@@ -20,6 +20,11 @@
     "metadata": {"name": "main", "rev": 7},
     "spec": {"version": 3, "routes": [], "backends": []},
 }
+REPEATS_BY_TEXT = {
+    "in one piece": "in one piece",
+    "the second time 50 ms later": "later",
+    "the second time at the next call": "next",
+}
 
 
 class RepeatingServer:
@@ -96,19 +101,9 @@
     context.server = RepeatingServer("never")
 
 
-@given("a server that writes its first answer twice, in one piece")
-def step_server_in_one_piece(context):
-    context.server = RepeatingServer("in one piece")
-
-
-@given("a server that writes its first answer twice, the second time 50 ms later")
-def step_server_later(context):
-    context.server = RepeatingServer("later")
-
-
-@given("a server that writes its first answer twice, the second time at the next call")
-def step_server_next(context):
-    context.server = RepeatingServer("next")
+@given("a server that writes its first answer twice, {when}")
+def step_repeating_server(context, when):
+    context.server = RepeatingServer(REPEATS_BY_TEXT[when])
 
 
 def run_calls(context, make_client, *calls):
--- a/vanillareach/features/steps/link_checks.py
+++ b/vanillareach/features/steps/link_checks.py
@@ -36,10 +36,9 @@
     return stream
 
 
-def make_monitor(peer_names, clock, endpoints=None):
+def make_monitor(peer_names, clock, endpoints):
     """Return state and link monitor of an instance with endpoints and peers."""
     state = GatewayState(GatewaySettings(name="i1"), clock)
-    endpoints = endpoints or [make_endpoint(name) for name in ENGINES]
     state.apply_endpoints(endpoints, StorePosition(1, 1), clock.now_ms(), "store")
     services = {
         name: SimpleNamespace(name=name, health_path="/health")
@@ -79,9 +78,39 @@
     return attempts
 
 
+def run_instance(context, play, mock_clock=None):
+    """Play a scenario with an instance on a mock clock.
+
+    Parameters
+    ----------
+    context : behave.runner.Context
+    play : callable
+        Coroutine function of (nursery, clock, state, monitor).
+    mock_clock : trio.testing.MockClock or None
+        None for one that jumps to the next deadline by itself.
+    """
+
+    async def connect(address, timeout_ms):
+        context.has_checked = True
+        is_reached = address in context.reached
+        return await (answer if is_reached else refuse)(address, timeout_ms)
+
+    async def main():
+        clock = TrioClock()
+        state, monitor = make_monitor(context.peer_names, clock, context.endpoints)
+        async with trio.open_nursery() as nursery:
+            await play(nursery, clock, state, monitor)
+            nursery.cancel_scope.cancel()
+
+    context.has_checked = False
+    with mock.patch.object(link_monitor, "connect", connect):
+        trio.run(main, clock=mock_clock or trio.testing.MockClock(autojump_threshold=0))
+
+
 @given('an instance with peers "{names}" that reaches no endpoint')
 def step_instance(context, names):
-    context.peer_names = names.split(",")
+    context.peer_names, context.reached = names.split(","), ()
+    context.endpoints = [make_endpoint(name) for name in ENGINES]
 
 
 @when(
@@ -96,23 +125,16 @@
             paths.record_peer_fault(name, engine, clock.now_ms())
             await clock.sleep_ms(REPORT_INTERVAL_MS)
 
-    async def check():
-        clock = TrioClock()
-        state, monitor = make_monitor(context.peer_names, clock)
-        async with trio.open_nursery() as nursery:
-            for name, after_ms in zip(
-                context.peer_names, times.split(","), strict=True
-            ):
-                if after_ms != "-":
-                    reporting = (report, state.paths, clock, name, float(after_ms))
-                    nursery.start_soon(*reporting)
-            began_ms = clock.now_ms()
-            context.is_lost = await monitor.check()
-            context.lasted_ms = clock.now_ms() - began_ms
-            nursery.cancel_scope.cancel()
+    async def check(nursery, clock, state, monitor):
+        for name, after_ms in zip(context.peer_names, times.split(","), strict=True):
+            if after_ms != "-":
+                reporting = (report, state.paths, clock, name, float(after_ms))
+                nursery.start_soon(*reporting)
+        began_ms = clock.now_ms()
+        context.is_lost = await monitor.check()
+        context.lasted_ms = clock.now_ms() - began_ms
 
-    with mock.patch.object(link_monitor, "connect", refuse):
-        trio.run(check, clock=trio.testing.MockClock(autojump_threshold=0))
+    run_instance(context, check)
 
 
 @when(
@@ -123,43 +145,31 @@
     """Let the time pass at once, as for a process that is stopped and continued."""
     mock_clock = trio.testing.MockClock()
 
-    async def stall():
-        clock = TrioClock()
-        state, monitor = make_monitor(context.peer_names, clock)
-        async with trio.open_nursery() as nursery:
-            attempts = await start_with_requests(nursery, state, monitor)
-            mock_clock.jump((PLAIN_SILENCE_MS + stall_ms) / MS_PER_SECOND)
-            await trio.testing.wait_all_tasks_blocked()
-            mock_clock.autojump_threshold = 0
-            await clock.sleep_ms(time_ms)
-            for attempt in attempts:
-                monitor.record_bytes(attempt)
-            await clock.sleep_ms(1_000)
-            nursery.cancel_scope.cancel()
+    async def stall(nursery, clock, state, monitor):
+        attempts = await start_with_requests(nursery, state, monitor)
+        mock_clock.jump((PLAIN_SILENCE_MS + stall_ms) / MS_PER_SECOND)
+        await trio.testing.wait_all_tasks_blocked()
+        mock_clock.autojump_threshold = 0
+        await clock.sleep_ms(time_ms)
+        for attempt in attempts:
+            monitor.record_bytes(attempt)
+        await clock.sleep_ms(1_000)
 
-    with mock.patch.object(link_monitor, "connect", side_effect=refuse) as connect:
-        trio.run(stall, clock=mock_clock)
-    context.has_checked = connect.called
+    run_instance(context, stall, mock_clock)
 
 
 @when("its event loop is late by {late_ms:d} ms again and again for {for_ms:d} ms")
 def step_always_late(context, late_ms, for_ms):
     mock_clock = trio.testing.MockClock()
 
-    async def run():
-        clock = TrioClock()
-        state, monitor = make_monitor(context.peer_names, clock)
-        async with trio.open_nursery() as nursery:
-            await start_with_requests(nursery, state, monitor)
-            end_ms = clock.now_ms() + for_ms
-            while clock.now_ms() < end_ms:
-                mock_clock.jump((PLAIN_SILENCE_MS + late_ms) / MS_PER_SECOND)
-                await trio.testing.wait_all_tasks_blocked()
-            nursery.cancel_scope.cancel()
+    async def run_late(nursery, clock, state, monitor):
+        await start_with_requests(nursery, state, monitor)
+        end_ms = clock.now_ms() + for_ms
+        while clock.now_ms() < end_ms:
+            mock_clock.jump((PLAIN_SILENCE_MS + late_ms) / MS_PER_SECOND)
+            await trio.testing.wait_all_tasks_blocked()
 
-    with mock.patch.object(link_monitor, "connect", side_effect=refuse) as connect:
-        trio.run(run, clock=mock_clock)
-    context.has_checked = connect.called
+    run_instance(context, run_late, mock_clock)
 
 
 @given('an instance with peers "{names}" that reaches "{reached}" only')
@@ -208,25 +218,16 @@
 
 @when('its requests to "{names}" get no answer for {for_ms:d} ms')
 def step_no_answer(context, names, for_ms):
-    async def connect(address, timeout_ms):
-        connect = answer if address in context.reached else refuse
-        return await connect(address, timeout_ms)
-
-    async def run():
-        clock = TrioClock()
-        state, monitor = make_monitor(context.peer_names, clock, context.endpoints)
-        async with trio.open_nursery() as nursery:
-            if "full" in context:
-                fill(context, state)
-            if "generation" in context:
-                start_generation(context, state, monitor)
-            await start_with_requests(nursery, state, monitor, names.split(","))
-            await clock.sleep_ms(for_ms)
-            context.dead = sorted(key[0] for key in state.paths.dead_keys)
-            nursery.cancel_scope.cancel()
-
-    with mock.patch.object(link_monitor, "connect", connect):
-        trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+    async def wait(nursery, clock, state, monitor):
+        if "full" in context:
+            fill(context, state)
+        if "generation" in context:
+            start_generation(context, state, monitor)
+        await start_with_requests(nursery, state, monitor, names.split(","))
+        await clock.sleep_ms(for_ms)
+        context.dead = sorted(key[0] for key in state.paths.dead_keys)
+
+    run_instance(context, wait)
 
 
 @then("the generation is {what}")
--- a/vanillareach/platform/store.py
+++ b/vanillareach/platform/store.py
@@ -182,7 +182,6 @@
     async def register_instance(self, instance):
         """Write this instance's entry; see `DeploymentStore`."""
         name = instance.name
-        path = f"{INSTANCE_KIND}/{quote(name, safe='')}"
         spec = InstanceSpec(
             instance.address,
             instance.domain,
@@ -192,13 +191,12 @@
         body = {"metadata": {"name": name}, "spec": msgspec.to_builtins(spec)}
         response = await self._call("POST", INSTANCE_KIND, body=body)
         if response.status == 409:
-            response = await self._call("PUT", path, body=body)
+            response = await self._call("PUT", _instance_path(name), body=body)
         _raise_for_status(response)
 
     async def remove_instance(self, name):
         """Remove an instance's entry; see `DeploymentStore`."""
-        path = f"{INSTANCE_KIND}/{quote(name, safe='')}"
-        response = await self._call("DELETE", path)
+        response = await self._call("DELETE", _instance_path(name))
         if response.status != 404:
             _raise_for_status(response)
 
@@ -235,8 +233,7 @@
                 raise PlatformUnavailableError(
                     f"{kind}: no object of a page can be read"
                 )
-            # Any writer may have chosen the name.
-            path = f"{kind}?after={quote(page.items[-1].metadata.name, safe='')}"
+            path = f"{kind}?after={_escape(page.items[-1].metadata.name)}"
             if query:
                 path += f"&{query}"
 
@@ -261,6 +258,15 @@
         return response
 
 
+def _escape(name):
+    """Return an object's name, which any writer may have chosen, for an address."""
+    return quote(name, safe="")
+
+
+def _instance_path(name):
+    return f"{INSTANCE_KIND}/{_escape(name)}"
+
+
 def _read_era(response):
     """Return the store's era that a response tells; 0 without one."""
     for name, value in response.headers:
