Place requests on free engines whatever was refused before

Callers of less urgent routes were kept waiting, or got a 503, while engines were free: a priority that had been served more often than a more urgent one, or with more of its benefit, had to give way until both looked alike.

Cause: `ServedShares` compared shares of served requests and refused by the difference. What was refused before says nothing about the room that there is now, and a request that is held back frees no slot for one that isn't there.

Change: `ServedShares`, its margins and the reason `gives_way` are gone. The order of those that wait decides who gets an engine, and who asks while nobody waits gets one at once.

--- a/vanillareach/core/ordered_placing.py
+++ b/vanillareach/core/ordered_placing.py
@@ -10,11 +10,9 @@
 from vanillareach.core.priorities import PriorityIndex
 from vanillareach.core.routing import RoutedService
 from vanillareach.core.waiting import (
-    GIVE_WAY_WAIT_MS,
     RefusalReason,
     RetryBook,
     ReturningCallers,
-    ServedShares,
     WaitingQueue,
     WaitingRequest,
     engine_time_ms,
@@ -88,12 +86,11 @@
 class ServiceOrder:
     """Queue and records of one service."""
 
-    __slots__ = ("queue", "retries", "returning", "shares")
+    __slots__ = ("queue", "retries", "returning")
 
     def __init__(self):
         self.queue = WaitingQueue()
         self.returning = ReturningCallers()
-        self.shares = ServedShares()
         self.retries = RetryBook()
 
 
@@ -210,34 +207,28 @@
             reason = RefusalReason.QUEUE_FULL
             return self._refuse(order, service, request, reason, wait_ms, now_ms)
         ahead = order.queue.ahead_of(entry)
-        gives_way = order.shares.gives_way(request.priority, now_ms)
-        placement = None
-        if not gives_way:
-            placement = self._place_behind(service, request, ahead, now_ms)
+        placement = self._place_behind(service, request, ahead, now_ms)
         if placement is not None:
             order.queue.discard(request.key)
-            is_in_time = (
-                placement.first_event_ms <= request.generation.time_to_objective_ms
-            )
-            was_refused = order.returning.forget(digest)
-            order.shares.record_served(
-                request.priority, is_in_time, was_refused, now_ms
-            )
+            order.returning.forget(digest)
             return OrderedDecision(placement, ahead=len(ahead))
         room = self._free_room(service, request, now_ms)
         wait_ms = self._predicted_wait_ms(room, ahead)
-        # An older version goes on asking after a refusal, which would count each time.
+        # An older version goes on asking after a refusal.
         may_wait = request.is_older_version or not self._comes_too_late(
             service, room, request, wait_ms
         )
         if may_wait:
             return OrderedDecision(predicted_wait_ms=wait_ms, ahead=len(ahead))
         order.queue.discard(request.key)
-        reason = RefusalReason.TOO_LATE
-        if gives_way:
-            reason, wait_ms = RefusalReason.GIVES_WAY, max(wait_ms, GIVE_WAY_WAIT_MS)
         return self._refuse(
-            order, service, request, reason, wait_ms, now_ms, len(ahead)
+            order,
+            service,
+            request,
+            RefusalReason.TOO_LATE,
+            wait_ms,
+            now_ms,
+            len(ahead),
         )
 
     def _place_behind(self, service, request, ahead, now_ms):
@@ -313,9 +304,7 @@
     def _refuse(self, order, service, request, reason, wait_ms, now_ms, ahead=0):
         generation = request.generation
         engine_count = max(1, len(self._state.endpoints.usable(service.name)))
-        self._record_refused(
-            order, service, request, now_ms - request.waited_ms, now_ms
-        )
+        order.returning.record(request.digest, now_ms - request.waited_ms, now_ms)
         retry_after_ms = order.retries.retry_after_ms(
             request.priority,
             wait_ms,
@@ -332,17 +321,6 @@
             ahead=ahead,
         )
 
-    def _record_refused(self, order, service, request, arrival_ms, now_ms):
-        is_first = order.returning.record(request.digest, arrival_ms, now_ms)
-        engine_count = len(self._state.endpoints.usable(service.name))
-        is_servable = (
-            min_first_event_ms(service.engine, request.generation, engine_count)
-            <= request.generation.time_to_deadline_ms
-        )
-        # One that no engine could answer in time says nothing about its priority.
-        if is_first and is_servable:
-            order.shares.record_refused(request.priority, now_ms)
-
     def _expire(self, order, now_ms):
         for entry in order.queue.expire(now_ms):
             # Its caller has left, or asks elsewhere; if it comes back it is known.
--- a/vanillareach/core/waiting.py
+++ b/vanillareach/core/waiting.py
@@ -48,22 +48,6 @@
 RETRY_AFTER_SPREAD = 0.25
 # A caller waits for no longer than this share of its remaining time.
 MAX_RETRY_AFTER_TIME_SHARE = 1 / 3
-# Time in which the counts of served and refused requests fall to half.
-SHARES_HALF_LIFE_MS = 5_000.0
-# A less urgent priority gives way once it is served more often than a more urgent one
-# by the first share, or has earned more of its benefit by the second one. Both are
-# under the allowed 0.05 and 0.15, since the counts lag behind.
-SERVED_SHARE_MARGIN = 0.02
-BENEFIT_SHARE_MARGIN = 0.08
-# Requests of the more urgent priority that its share must be based on.
-MIN_COUNTED_REQUESTS = 8.0
-# A priority whose served share is below this doesn't give way: what the more urgent one
-# lacks may have another cause than load.
-MIN_YIELDING_SHARE = 0.25
-# Predicted wait of a request that gives way; the shares change within seconds.
-GIVE_WAY_WAIT_MS = 1_000.0
-# Share of its benefit that a response earns after its latency objective.
-LATE_BENEFIT_SHARE = 0.25
 
 
 class RefusalReason(StrEnum):
@@ -73,8 +57,6 @@
     TOO_LATE = "too_late"
     # All places of the queue are taken by requests ahead of it.
     QUEUE_FULL = "queue_full"
-    # Its priority is served better than a more urgent one; see `ServedShares`.
-    GIVES_WAY = "gives_way"
 
 
 class WaitingRequest(msgspec.Struct, frozen=True):
@@ -463,16 +445,15 @@
         return len(self._by_digest)
 
     def record(self, digest, arrival_ms, now_ms):
-        """Record a refusal; return whether it is the first one of this request."""
+        """Record a refusal."""
         if not digest:
-            return True
+            return
         before = self._by_digest.pop(digest, None)
         is_first = before is None or now_ms - before[1] > REMEMBERED_MS
         first_ms = arrival_ms if is_first else min(before[0], arrival_ms)
         self._by_digest[digest] = (first_ms, now_ms)
         if len(self._by_digest) > MAX_REMEMBERED_CALLERS:
             self._by_digest.popitem(last=False)
-        return is_first
 
     def first_arrival_ms(self, digest, now_ms):
         """Return when a refused caller sent its request first; None for a newcomer."""
@@ -482,72 +463,8 @@
         return found[0]
 
     def forget(self, digest):
-        """Forget a request that is served; return whether it was known."""
-        return self._by_digest.pop(digest, None) is not None
-
-
-class ServedShares:
-    """How often, and how well, the priorities of a service were served lately."""
-
-    __slots__ = ("_counts_by_priority",)
-
-    def __init__(self):
-        # Served, benefit, refused, and when they were counted.
-        self._counts_by_priority = {}
-
-    def record_served(self, priority, is_in_time, was_refused, now_ms):
-        """Count a request that is placed.
-
-        Parameters
-        ----------
-        priority : int
-        is_in_time : bool
-            Whether its first event is predicted within its objective.
-        was_refused : bool
-            Whether it was counted as refused before its caller came back.
-        now_ms : float
-        """
-        counts = self._counts(priority, now_ms)
-        counts[0] += 1.0
-        counts[1] += 1.0 if is_in_time else LATE_BENEFIT_SHARE
-        if was_refused:
-            counts[2] = max(0.0, counts[2] - 1.0)
-
-    def record_refused(self, priority, now_ms):
-        """Count a request that is refused."""
-        self._counts(priority, now_ms)[2] += 1.0
-
-    def gives_way(self, priority, now_ms):
-        """Return whether a priority is served better than a more urgent one."""
-        more_urgent = [p for p in self._counts_by_priority if p < priority]
-        if not more_urgent:
-            return False
-        served, benefit, refused = self._counts(priority, now_ms)
-        # The request itself would be served.
-        total = served + refused + 1.0
-        served_share, benefit_share = (served + 1.0) / total, (benefit + 1.0) / total
-        if served_share < MIN_YIELDING_SHARE:
-            return False
-        for other in more_urgent:
-            other_served, other_benefit, other_refused = self._counts(other, now_ms)
-            other_total = other_served + other_refused
-            if other_total < MIN_COUNTED_REQUESTS:
-                continue
-            served_lead = served_share - other_served / other_total
-            benefit_lead = benefit_share - other_benefit / other_total
-            if served_lead > SERVED_SHARE_MARGIN or benefit_lead > BENEFIT_SHARE_MARGIN:
-                return True
-        return False
-
-    def _counts(self, priority, now_ms):
-        """Return served, benefit and refused as a list, reduced by their age."""
-        counts, counted_ms = self._counts_by_priority.get(
-            priority, ([0.0, 0.0, 0.0], now_ms)
-        )
-        factor = 0.5 ** ((now_ms - counted_ms) / SHARES_HALF_LIFE_MS)
-        counts = [count * factor for count in counts]
-        self._counts_by_priority[priority] = (counts, now_ms)
-        return counts
+        """Forget a request that is served."""
+        self._by_digest.pop(digest, None)
 
 
 class RetryBook:
--- a/vanillareach/features/waiting.feature
+++ b/vanillareach/features/waiting.feature
@@ -37,9 +37,11 @@
     Then a long prompt avoids an engine that decodes more urgent prompts
     And a short prompt isn't kept from an engine by the prefill of a less urgent one
 
-  Scenario: A kind that is served better than a more urgent one gives way
-    Given urgent requests half of which were refused lately, and 40 served less urgent ones
-    Then less urgent ones give way, until the urgent ones are served as often again
+  # Guards against requests that are held back while engines are free.
+  Scenario: Refusals of urgent requests keep nobody from a free engine
+    Given 20 urgent prompts that were refused while all slots were taken
+    When 40 medium prompts ask for an engine one after another
+    Then all of them are placed at once
 
   Scenario: The queue of each instance is shown by priority
     Given 7 medium prompts of a large team wait, then one of each of 23 small teams
