Let requests that were refused before wait like first ones

Callers on their first try were overtaken by those that came back: a repeat was known by its digest, and its wait counted from its first arrival, so it went before all newcomers of its priority.

A caller that comes back has less time left, and that alone is a reason to serve it sooner.

Change: the records of refused requests are gone.

--- a/vanillareach/core/messages.py
+++ b/vanillareach/core/messages.py
@@ -475,7 +475,7 @@
     team : str
         Name of the team; empty without one.
     digest : int
-        The same when the caller sends the request again; 0 if it isn't known.
+        Sent by instances of older versions, whose placers read it; otherwise 0.
     waiting_id : int
         The same in all queries for one request, unique at the sender; 0 in a query of
         an older version.
--- a/vanillareach/core/ordered_placing.py
+++ b/vanillareach/core/ordered_placing.py
@@ -12,7 +12,6 @@
 from vanillareach.core.waiting import (
     RefusalReason,
     RetryBook,
-    ReturningCallers,
     WaitingQueue,
     WaitingRequest,
     engine_time_ms,
@@ -36,7 +35,7 @@
         Whether the request may be refused or has to wait; see `Dispatcher.place`.
     sender : str
         Name of the instance that asks.
-    waiting_id, priority, team, digest
+    waiting_id, priority, team
         See `PlacementQuery`.
     objective_ms, pause_limit_ms : float
         Limits of the request's route.
@@ -52,7 +51,6 @@
     waiting_id: int
     priority: int
     team: str
-    digest: int
     objective_ms: float
     pause_limit_ms: float
     call_ms: float = 0.0
@@ -86,11 +84,10 @@
 class ServiceOrder:
     """Queue and records of one service."""
 
-    __slots__ = ("queue", "retries", "returning")
+    __slots__ = ("queue", "retries")
 
     def __init__(self):
         self.queue = WaitingQueue()
-        self.returning = ReturningCallers()
         self.retries = RetryBook()
 
 
@@ -124,7 +121,7 @@
         """Return the number of waiting requests by priority, by service."""
         counts_by_service = {}
         for service, order in self._orders_by_service.items():
-            self._expire(order, now_ms)
+            order.queue.expire(now_ms)
             if len(order.queue):
                 counts_by_service[service] = dict(order.queue.counts_by_priority())
         return counts_by_service
@@ -155,7 +152,7 @@
                 )
             )
         order = self._order(service.name)
-        self._expire(order, now_ms)
+        order.queue.expire(now_ms)
         return self._decide_in_order(order, service, request, now_ms)
 
     def _order(self, service):
@@ -183,7 +180,6 @@
             priority=priority,
             is_priority_known=is_known,
             team=ask.team,
-            digest=ask.digest,
             objective_ms=ask.objective_ms,
             waited_ms=max(0.0, waited_ms),
             engine_ms=engine_time_ms(ask.service.engine, generation),
@@ -193,12 +189,7 @@
         )
 
     def _decide_in_order(self, order, service, request, now_ms):
-        digest = request.digest
-        first_ms = order.returning.first_arrival_ms(digest, now_ms)
-        arrival_ms = now_ms - request.waited_ms
-        if first_ms is not None:
-            arrival_ms = min(arrival_ms, first_ms)
-        entry = order.queue.renew(request, arrival_ms, now_ms)
+        entry = order.queue.renew(request, now_ms - request.waited_ms, now_ms)
         if entry is None and request.is_older_version:
             return OrderedDecision()
         if entry is None:
@@ -210,7 +201,6 @@
         placement = self._place_behind(service, request, ahead, now_ms)
         if placement is not None:
             order.queue.discard(request.key)
-            order.returning.forget(digest)
             return OrderedDecision(placement, ahead=len(ahead))
         room = self._free_room(service, request, now_ms)
         wait_ms = self._predicted_wait_ms(room, ahead)
@@ -304,7 +294,6 @@
     def _refuse(self, order, service, request, reason, wait_ms, now_ms, ahead=0):
         generation = request.generation
         engine_count = max(1, len(self._state.endpoints.usable(service.name)))
-        order.returning.record(request.digest, now_ms - request.waited_ms, now_ms)
         retry_after_ms = order.retries.retry_after_ms(
             request.priority,
             wait_ms,
@@ -321,11 +310,6 @@
             ahead=ahead,
         )
 
-    def _expire(self, order, now_ms):
-        for entry in order.queue.expire(now_ms):
-            # Its caller has left, or asks elsewhere; if it comes back it is known.
-            order.returning.record(entry.request.digest, entry.arrival_ms, now_ms)
-
 
 def _engines(placement):
     return {placement.endpoint.id, *(helper.id for helper in placement.helpers)}
--- a/vanillareach/core/waiting.py
+++ b/vanillareach/core/waiting.py
@@ -16,7 +16,7 @@
 
 import math
 from bisect import insort
-from collections import Counter, OrderedDict
+from collections import Counter
 from enum import StrEnum
 
 import msgspec
@@ -39,9 +39,6 @@
 # Share of its latency objective after which a request of unknown priority no longer
 # comes last: half of the time for which a request may wait.
 UNKNOWN_LAST_OBJECTIVE_SHARE = 0.125
-# Refused callers that are remembered, and for how long; deadlines are 10 to 15 s.
-MAX_REMEMBERED_CALLERS = 4_096
-REMEMBERED_MS = 15_000.0
 # Bounds of Retry-After, and the share of it that is added at random.
 MIN_RETRY_AFTER_MS = 100.0
 MAX_RETRY_AFTER_MS = 3_000.0
@@ -70,8 +67,6 @@
     is_priority_known : bool
         False if an instance of an older version has asked.
     team : str
-    digest : int
-        The same when a caller sends the request again; 0 if it isn't known.
     objective_ms : float
     waited_ms : float
         Time since the request arrived.
@@ -88,7 +83,6 @@
     priority: int
     is_priority_known: bool
     team: str
-    digest: int
     objective_ms: float
     waited_ms: float
     engine_ms: float
@@ -128,7 +122,7 @@
     request : WaitingRequest
         As it asked last.
     arrival_ms : float
-        When the caller sent it first, also if it was refused since.
+        When it arrived.
     renewed_ms : float
         When it asked last.
     rank : tuple
@@ -433,40 +427,6 @@
         return waits_ms[turn] + sum(ahead_engine_ms) / len(waits_ms)
 
 
-class ReturningCallers:
-    """Requests that were refused, by digest, and when their callers sent them first."""
-
-    __slots__ = ("_by_digest",)
-
-    def __init__(self):
-        self._by_digest = OrderedDict()
-
-    def __len__(self):
-        return len(self._by_digest)
-
-    def record(self, digest, arrival_ms, now_ms):
-        """Record a refusal."""
-        if not digest:
-            return
-        before = self._by_digest.pop(digest, None)
-        is_first = before is None or now_ms - before[1] > REMEMBERED_MS
-        first_ms = arrival_ms if is_first else min(before[0], arrival_ms)
-        self._by_digest[digest] = (first_ms, now_ms)
-        if len(self._by_digest) > MAX_REMEMBERED_CALLERS:
-            self._by_digest.popitem(last=False)
-
-    def first_arrival_ms(self, digest, now_ms):
-        """Return when a refused caller sent its request first; None for a newcomer."""
-        found = self._by_digest.get(digest)
-        if found is None or now_ms - found[1] > REMEMBERED_MS:
-            return None
-        return found[0]
-
-    def forget(self, digest):
-        """Forget a request that is served."""
-        self._by_digest.pop(digest, None)
-
-
 class RetryBook:
     """When refused callers of one service were told to come back.
 
--- a/vanillareach/features/waiting.feature
+++ b/vanillareach/features/waiting.feature
@@ -51,13 +51,11 @@
     Given 100 medium prompts of a large team wait, then one of each of 23 small teams
     Then the small teams come before the second prompt of the large one
 
-  Scenario: A caller that returns after a refusal isn't placed behind newcomers
-    Given engines with all slots taken
-    And 40 medium prompts that wait for an engine
-    When a medium prompt asks for an engine
-    Then the asking prompt is refused: too_late
-    When its caller returns 1500 ms later, after 5 newcomers
-    Then it is ahead of the newcomers
+  # Guards against callers that are served late because of others that were refused.
+  Scenario: A request that was refused before waits like a first one
+    Given a medium prompt that was refused 1500 ms ago, and 5 newcomers
+    When its caller returns with as much time left as the newcomers have
+    Then 5 newcomers are ahead of it
 
   Scenario: A request of little worth per engine time isn't starved by better ones
     Given a prompt of little worth, and better ones that arrive every 20 ms
--- a/vanillareach/gateway/placing.py
+++ b/vanillareach/gateway/placing.py
@@ -73,11 +73,6 @@
     return exchange.team.name if exchange.team is not None else ""
 
 
-def digest_of(exchange):
-    """Return a digest that is the same when the caller sends the request again."""
-    return exchange.suspect.fingerprint if exchange.suspect is not None else 0
-
-
 def log_refusal(decision, ask):
     """Log an `OrderedDecision` that refuses a request."""
     if decision.is_final:
@@ -175,7 +170,6 @@
             waiting_id=self._waiting_id(exchange),
             priority=exchange.priority,
             team=team_name(exchange),
-            digest=digest_of(exchange),
             objective_ms=exchange.route.objective_ms,
             pause_limit_ms=exchange.route.pause_limit_ms,
         )
@@ -326,7 +320,6 @@
             flight=flight,
             priority=exchange.priority,
             team=team_name(exchange),
-            digest=digest_of(exchange),
             waiting_id=self._waiting_id(exchange),
         )
 
@@ -438,7 +431,6 @@
             waiting_id=query.waiting_id,
             priority=query.priority,
             team=query.team,
-            digest=query.digest,
             objective_ms=query.flight.objective_ms,
             pause_limit_ms=query.flight.pause_limit_ms,
             call_ms=query.flight.predicted_work,
