Order waiting requests by when they have to start

Callers whose time ran out were passed over for others that could have waited: within a priority the order was by worth per engine time, the formula of a generation's benefit, raised by the time waited as a multiple of the objective.

Cause: neither the benefit of a request nor its objective says when it has to start. Its deadline does, less the time that its answer takes at least (`least_answer_ms`).

Change: `WaitingEntry.latest_start_ms` is the order within a priority and a turn of the teams. A request whose priority isn't known, from a member of an older version, is taken for the least urgent that its limits allow, and isn't put last for a share of its objective besides. Turns are counted again when a request comes in before others of its team; until then several of one team had the first turn.

--- a/vanillareach/core/ordered_placing.py
+++ b/vanillareach/core/ordered_placing.py
@@ -15,6 +15,7 @@
     WaitingQueue,
     WaitingRequest,
     engine_time_ms,
+    least_answer_ms,
     min_first_event_ms,
 )
 
@@ -161,12 +162,9 @@
 
     def _waiting_request(self, ask, priorities):
         generation = ask.generation
-        is_known = ask.priority in priorities.values
-        priority = (
-            ask.priority
-            if is_known
-            else priorities.guess(ask.objective_ms, ask.pause_limit_ms)
-        )
+        priority = ask.priority
+        if priority not in priorities.values:
+            priority = priorities.guess(ask.objective_ms, ask.pause_limit_ms)
         key = (ask.sender, ask.waiting_id)
         if not ask.waiting_id:
             # An older version doesn't name its requests; like ones share an entry.
@@ -178,18 +176,22 @@
         return WaitingRequest(
             key=key,
             priority=priority,
-            is_priority_known=is_known,
             team=ask.team,
             objective_ms=ask.objective_ms,
             waited_ms=max(0.0, waited_ms),
             engine_ms=engine_time_ms(ask.service.engine, generation),
+            answer_ms=least_answer_ms(
+                ask.service.engine,
+                generation,
+                len(self._state.endpoints.usable(ask.service.name)),
+            ),
             generation=msgspec.structs.replace(generation, priority=priority),
             excluded=frozenset(ask.excluded),
             is_older_version=not ask.waiting_id,
         )
 
     def _decide_in_order(self, order, service, request, now_ms):
-        entry = order.queue.renew(request, now_ms - request.waited_ms, now_ms)
+        entry = order.queue.renew(request, now_ms)
         if entry is None and request.is_older_version:
             return OrderedDecision()
         if entry is None:
--- a/vanillareach/core/waiting.py
+++ b/vanillareach/core/waiting.py
@@ -6,9 +6,9 @@
 ahead of it would still find room.
 
 The order is by priority. Within a priority, the teams take turns: the first request of
-each team goes before the second one of any. Between those, the one with the most worth
-per engine time goes first; this quotient grows with the time waited, so that none waits
-forever.
+each team goes before the second one of any. Between those, the one that has to start
+first goes first: its deadline less the time that its answer takes. A request that waits
+gets no later start, so those that arrive after it don't overtake it for ever.
 
 State is soft: an entry lives only as long as its member asks, and nothing is lost with
 the instance that holds the queue.
@@ -33,12 +33,6 @@
 MAX_ENTRIES = 256
 # The order is sorted again after this time; new entries are inserted at once.
 ORDER_TTL_MS = 20.0
-# A request that has waited for its whole objective counts as this many times more worth
-# per engine time, plus one.
-WAITED_OBJECTIVE_GAIN = 4.0
-# Share of its latency objective after which a request of unknown priority no longer
-# comes last: half of the time for which a request may wait.
-UNKNOWN_LAST_OBJECTIVE_SHARE = 0.125
 # Bounds of Retry-After, and the share of it that is added at random.
 MIN_RETRY_AFTER_MS = 100.0
 MAX_RETRY_AFTER_MS = 3_000.0
@@ -64,14 +58,15 @@
     key : tuple
         The same each time that the request asks.
     priority : int
-    is_priority_known : bool
-        False if an instance of an older version has asked.
+        The least urgent one of its limits if an instance of an older version has asked.
     team : str
     objective_ms : float
     waited_ms : float
         Time since the request arrived.
     engine_ms : float
         Predicted time of one engine that it takes; see `engine_time_ms`.
+    answer_ms : float
+        Least time from its placement to the end of its answer; see `least_answer_ms`.
     generation : GenerationRequest
     excluded : frozenset of str
         Ids of engines that it may not use.
@@ -81,11 +76,11 @@
 
     key: tuple
     priority: int
-    is_priority_known: bool
     team: str
     objective_ms: float
     waited_ms: float
     engine_ms: float
+    answer_ms: float
     generation: GenerationRequest
     excluded: frozenset = frozenset()
     is_older_version: bool = False
@@ -114,6 +109,17 @@
     return prefill_ms(figures, generation.prompt_tokens, parts)
 
 
+def least_answer_ms(figures, generation, engine_count):
+    """Return the least time to the end of an answer, on engines without other load.
+
+    The answer is as long as predicted, else as the request allows.
+    """
+    answer_tokens = generation.predicted_tokens or generation.answer_tokens
+    return min_first_event_ms(figures, generation, engine_count) + decode_ms(
+        figures, answer_tokens, 1, generation.prompt_tokens
+    )
+
+
 class WaitingEntry:
     """A place in a queue.
 
@@ -121,22 +127,28 @@
     ----------
     request : WaitingRequest
         As it asked last.
-    arrival_ms : float
-        When it arrived.
     renewed_ms : float
         When it asked last.
+    latest_start_ms : float
+        Latest time of its placement at which it can be answered by its deadline.
     rank : tuple
         Place in the order when it was sorted last; the lowest goes first.
     """
 
-    __slots__ = ("arrival_ms", "number", "rank", "renewed_ms", "request")
+    __slots__ = ("latest_start_ms", "number", "rank", "renewed_ms", "request")
 
-    def __init__(self, request, arrival_ms, number, now_ms):
-        self.request = request
-        self.arrival_ms = arrival_ms
-        self.renewed_ms = now_ms
+    def __init__(self, request, number, now_ms):
         self.number = number
         self.rank = ()
+        self.renew(request, now_ms)
+
+    def renew(self, request, now_ms):
+        """Record that the request has asked, with the time that it has left."""
+        self.request = request
+        self.renewed_ms = now_ms
+        self.latest_start_ms = (
+            now_ms + request.generation.time_to_deadline_ms - request.answer_ms
+        )
 
     def generation_at(self, now_ms):
         """Return the generation with the times that are left now."""
@@ -147,20 +159,6 @@
             time_to_deadline_ms=generation.time_to_deadline_ms - passed_ms,
         )
 
-    def score(self, now_ms):
-        """Return the worth per engine time, raised by the time waited."""
-        request = self.request
-        waited_objectives = (now_ms - self.arrival_ms) / max(1.0, request.objective_ms)
-        return (request.generation.worth / request.engine_ms) * (
-            1.0 + WAITED_OBJECTIVE_GAIN * max(0.0, waited_objectives)
-        )
-
-    def comes_last(self, now_ms):
-        """Return whether it goes behind the requests whose priority is known."""
-        request = self.request
-        last_ms = UNKNOWN_LAST_OBJECTIVE_SHARE * request.objective_ms
-        return not request.is_priority_known and now_ms - self.arrival_ms < last_ms
-
 
 class WaitingQueue:
     """Requests that wait for one service, in their order."""
@@ -194,7 +192,7 @@
             self.discard(entry.request.key)
         return expired
 
-    def renew(self, request, arrival_ms, now_ms):
+    def renew(self, request, now_ms):
         """Add a request, or record that it has asked again; return its entry.
 
         None if the queue is full of requests that go before it. A request that goes
@@ -202,18 +200,22 @@
         """
         entry = self._entries_by_key.get(request.key)
         if entry is not None:
-            entry.request, entry.renewed_ms = request, now_ms
+            entry.renew(request, now_ms)
             self._sort_if_due(now_ms)
             return entry
         self._last_number += 1
-        entry = WaitingEntry(request, arrival_ms, self._last_number, now_ms)
+        entry = WaitingEntry(request, self._last_number, now_ms)
         self._sort_if_due(now_ms)
-        entry.rank = self._rank(entry, self._better_of_team(entry, now_ms), now_ms)
+        earlier, later = self._of_same_team(entry)
+        entry.rank = self._rank(entry, earlier)
         if len(self._entries_by_key) >= MAX_ENTRIES:
             last = self._order[-1]
             if last.rank < entry.rank:
                 return None
             self.discard(last.request.key)
+        if later:
+            # Their turns come one later.
+            self._sorted_ms = -math.inf
         self._entries_by_key[request.key] = entry
         insort(self._order, entry, key=lambda other: other.rank)
         return entry
@@ -232,35 +234,28 @@
         if now_ms - self._sorted_ms < ORDER_TTL_MS:
             return
         self._sorted_ms = now_ms
-        # The best entries of each team come first, so counting gives their turns.
+        # The first entries of each team come first, so counting gives their turns.
         turns = Counter()
-        scored = [(-e.score(now_ms), e.number, e) for e in self._order]
-        scored.sort(key=lambda item: item[:2])
-        for _, _, entry in scored:
+        for entry in sorted(self._order, key=lambda e: (e.latest_start_ms, e.number)):
             group = (entry.request.priority, entry.request.team)
-            entry.rank = self._rank(entry, turns[group], now_ms)
+            entry.rank = self._rank(entry, turns[group])
             turns[group] += 1
         self._order.sort(key=lambda other: other.rank)
 
-    def _better_of_team(self, entry, now_ms):
-        """Return how many requests of the same team and priority go before one."""
-        request, score = entry.request, entry.score(now_ms)
-        return sum(
-            other.request.team == request.team
-            and other.request.priority == request.priority
-            and other.score(now_ms) >= score
+    def _of_same_team(self, entry):
+        """Return how many of a request's team and priority go before and behind it."""
+        group = (entry.request.priority, entry.request.team)
+        starts_ms = [
+            other.latest_start_ms
             for other in self._order
-        )
+            if (other.request.priority, other.request.team) == group
+        ]
+        earlier = sum(start_ms <= entry.latest_start_ms for start_ms in starts_ms)
+        return earlier, len(starts_ms) - earlier
 
     @staticmethod
-    def _rank(entry, turn, now_ms):
-        return (
-            entry.request.priority,
-            entry.comes_last(now_ms),
-            turn,
-            -entry.score(now_ms),
-            entry.number,
-        )
+    def _rank(entry, turn):
+        return (entry.request.priority, turn, entry.latest_start_ms, entry.number)
 
 
 class EngineRoom(msgspec.Struct):
--- a/vanillareach/features/waiting.feature
+++ b/vanillareach/features/waiting.feature
@@ -57,13 +57,28 @@
     When its caller returns with as much time left as the newcomers have
     Then 5 newcomers are ahead of it
 
-  Scenario: A request of little worth per engine time isn't starved by better ones
-    Given a prompt of little worth, and better ones that arrive every 20 ms
-    Then the prompt of little worth is first within 10000 ms
+  # Guards against an order by size or gain, in which a caller's time runs out while
+  # others that could have waited are served.
+  Scenario Outline: Of two requests of one priority, the one whose time ends first goes first
+    Given a <one> prompt that has <ample> ms left, of a team of its own
+    And a <other> prompt that has <little> ms left, of a team of its own
+    Then the second one goes first
 
-  Scenario: A request of an older version is last of its class, for a while
+    Examples:
+      | one    | ample | other  | little |
+      | short  | 9000  | short  | 8000   |
+      | medium | 9000  | short  | 8000   |
+      | short  | 9000  | medium | 8000   |
+      # Both have to end at the same time, but the long answer takes longer.
+      | short  | 9000  | long   | 9000   |
+
+  Scenario: A request isn't overtaken for ever by shorter ones that arrive later
+    Given a medium prompt, and short ones of its priority that arrive every 20 ms
+    Then it is first within 10000 ms, though each short one takes less time
+
+  Scenario: A request of an older version goes by its time, in the last class it can have
     Given a prompt of unknown priority, and prompts of the same kind that follow it
-    Then it is behind all of them, and after 200 ms before them
+    Then it goes by its time among those of the least urgent priority of its limits
 
   Scenario: Small prompts don't take for ever the memory that a large one waits for
     Given engines that lack the memory for a long prompt
