Count a delay alike whatever the priority of the caller delayed

Callers of a less urgent route got no engine, or a far one, because of streams that would have been delayed by a few milliseconds: what a prefill costs others counted 16 times if they were more urgent and 0.05 times if they were less urgent.

The order of those that wait keeps the rank.

Change: `protection` and its factors are gone.

Test: a long prompt takes the same engines, whether those that decode there are more urgent, less urgent or alike; before, with more urgent ones it found none. placement_load 21, engine_choice 13, remaining_work 14, waiting 29 passed.

--- a/vanillareach/core/blocking_cost.py
+++ b/vanillareach/core/blocking_cost.py
@@ -1,7 +1,5 @@
 """Cost of long prefills that leave too few engines clear for short prompts."""
 
-from vanillareach.core.priorities import UNKNOWN_PRIORITY, protection
-
 # Enough engines are kept clear of long prefills to run as many short prompts as decode
 # now, each filled to this share of its slots.
 CLEAR_SLOT_SHARE = 0.6
@@ -28,20 +26,15 @@
     figures : EngineFigures
     views : list of EngineView
         All engines.
-    priority : int
-        Priority of the request whose prefill is weighed.
     """
 
     __slots__ = ("_arrivals_per_second", "_position", "_prefills", "_worth_per_second")
 
-    def __init__(self, figures, views, priority=UNKNOWN_PRIORITY):
+    def __init__(self, figures, views):
         decoding_count, worth = 0, 0.0
         for view in views:
             decoding_count += len(view.load.decoding_requests)
-            worth += sum(
-                flight.worth * protection(priority, flight.priority)
-                for flight in view.load.decoding_requests
-            )
+            worth += sum(flight.worth for flight in view.load.decoding_requests)
         self._prefills = sorted(
             (view.load.pending_prefill_ms, view.endpoint.id)
             for view in views
--- a/vanillareach/core/priorities.py
+++ b/vanillareach/core/priorities.py
@@ -1,28 +1,7 @@
-"""Priorities of requests: which ones a service has, and how they protect each other."""
+"""Priorities of requests: which ones the requests of a service can have."""
 
 # Priority of a request whose sender doesn't tell it, or where priorities don't apply.
 UNKNOWN_PRIORITY = -1
-# Factors on the worth of a request that would lose by another one: if it is less urgent
-# than that one, and if it is more urgent. The first isn't 0, so that of two engines the
-# one that costs others less is still preferred. The second is a result of replays; see
-# docs/design/waiting.md.
-LESS_URGENT_PROTECTION = 0.05
-MORE_URGENT_PROTECTION = 16.0
-
-
-def protection(urgency, other):
-    """Return the factor on the worth of a request that another one would cost.
-
-    Parameters
-    ----------
-    urgency : int
-        Priority of the request to place; `UNKNOWN_PRIORITY` protects all alike.
-    other : int
-        Priority of the request that would lose.
-    """
-    if urgency == other or UNKNOWN_PRIORITY in (urgency, other):
-        return 1.0
-    return LESS_URGENT_PROTECTION if other > urgency else MORE_URGENT_PROTECTION
 
 
 class ServicePriorities:
--- a/vanillareach/core/remaining_work.py
+++ b/vanillareach/core/remaining_work.py
@@ -116,7 +116,7 @@
     SLOT_WAIT_MS = 900.0
 
     def protected_worths(self, figures, view):
-        """Return the worths that late events lose, with pause limit and priority.
+        """Return the worths that late events lose, with their pause limits.
 
         None stands for each decoding request with all of its worth.
         """
@@ -217,7 +217,7 @@
         gap_ms = pass_ms(figures, len(decoding), load.context_tokens) * view.pace
         tokens_per_pass = figures.steps_per_pass
         tokens_per_ms = tokens_per_pass / gap_ms if gap_ms > 0.0 else 0.0
-        worth_by_kind, times_ms, share_sum = {}, [], 0.0
+        worth_by_limit, times_ms, share_sum = Counter(), [], 0.0
         count_by_limit = Counter()
         for flight, decoding_ms in zip(decoding, load.decoding_ms, strict=False):
             predicted = flight.predicted_work
@@ -232,10 +232,9 @@
             share = passes / (passes + HALF_WORTH_PASSES)
             share_sum += share
             count_by_limit[flight.pause_limit_ms] += share
-            kind = (flight.pause_limit_ms, flight.priority)
-            worth_by_kind[kind] = worth_by_kind.get(kind, 0.0) + share * flight.worth
+            worth_by_limit[flight.pause_limit_ms] += share * flight.worth
             times_ms.append(max(MIN_REMAINING_MS, passes * gap_ms))
-        worths = [(*kind, worth) for kind, worth in worth_by_kind.items()]
+        worths = list(worth_by_limit.items())
         work = (worths, share_sum, times_ms, gap_ms, list(count_by_limit.items()))
         self._work_by_engine[view.endpoint.id] = work
         return work
--- a/vanillareach/core/span_placement.py
+++ b/vanillareach/core/span_placement.py
@@ -20,7 +20,6 @@
 from vanillareach.core.engine_shortlist import shortlist
 from vanillareach.core.engine_time import decode_ms, pass_ms, prefill_ms
 from vanillareach.core.placement_types import Placement
-from vanillareach.core.priorities import protection
 from vanillareach.core.remaining_work import COUNTED_WORK
 
 # Maximum number of helpers that an endpoint accepts for one request.
@@ -100,7 +99,7 @@
         candidates = shortlist(figures, views)
     # Cold engines take too few requests to keep others clear.
     warm_views = [view for view in views if not view.is_cold]
-    blocking = BlockingCost(figures, warm_views, request.priority)
+    blocking = BlockingCost(figures, warm_views)
     best = None
     for width in _widths(request, len(views)):
         placement = _place_span(
@@ -442,47 +441,38 @@
 
 
 def _interference_cost(request, figures, view, part_prefill_ms, work):
-    """Return the worth that the requests at an engine lose by a further prefill.
-
-    What less urgent requests lose counts little, and what more urgent ones lose counts
-    more; see `protection`.
-    """
+    """Return the worth that the requests at an engine lose by a further prefill."""
     load = view.load
     if not load.decoding_requests and not load.prefilling_requests:
         return 0.0
     pass_before_ms, pass_after_ms = _passes_around(figures, view, part_prefill_ms)
-    lost_worth = _pause_loss(
-        request, figures, view, pass_before_ms, pass_after_ms, work
-    )
+    lost_worth = _pause_loss(figures, view, pass_before_ms, pass_after_ms, work)
     for flight, age_ms in load.prefilling_requests:
         time_to_first_event_ms = age_ms + pass_before_ms
         limit_ms = max(1.0, flight.objective_ms)
         delay_ms = part_prefill_ms * view.pace
-        worth = flight.worth * protection(request.priority, flight.priority)
-        lost_worth += worth * (
+        lost_worth += flight.worth * (
             miss_risk(time_to_first_event_ms + delay_ms, limit_ms)
             - miss_risk(time_to_first_event_ms, limit_ms)
         )
-        lost_worth += worth * DELAY_LOSS_SHARE * min(1.0, delay_ms / limit_ms)
+        lost_worth += flight.worth * DELAY_LOSS_SHARE * min(1.0, delay_ms / limit_ms)
     return LATE_LOSS_SHARE * lost_worth
 
 
-def _pause_loss(request, figures, view, pass_before_ms, pass_after_ms, work):
+def _pause_loss(figures, view, pass_before_ms, pass_after_ms, work):
     """Return the worth that decoding requests lose by a longer pass."""
     lost_worth = 0.0
     worths = work.protected_worths(figures, view)
     if worths is None:
         worths = [
-            (flight.pause_limit_ms, flight.priority, flight.worth)
+            (flight.pause_limit_ms, flight.worth)
             for flight in view.load.decoding_requests
         ]
-    for limit_ms, priority, worth in worths:
+    for limit_ms, worth in worths:
         # Without a risk afterwards, or without a limit, the risk doesn't grow.
         if limit_ms <= 0 or pass_after_ms / limit_ms <= RISK_START_SHARE:
             continue
-        lost_worth += (
-            worth
-            * protection(request.priority, priority)
-            * (miss_risk(pass_after_ms, limit_ms) - miss_risk(pass_before_ms, limit_ms))
+        lost_worth += worth * (
+            miss_risk(pass_after_ms, limit_ms) - miss_risk(pass_before_ms, limit_ms)
         )
     return lost_worth
--- a/vanillareach/features/steps/remaining_work.py
+++ b/vanillareach/features/steps/remaining_work.py
@@ -37,7 +37,7 @@
 
 def protected_worth(tokens, done):
     """Return the worth that a late event loses at an engine."""
-    ((_, _, worth),) = PredictedWork().protected_worths(FIGURES, view_of(tokens, done))
+    ((_, worth),) = PredictedWork().protected_worths(FIGURES, view_of(tokens, done))
     return worth
 
 
--- a/vanillareach/features/steps/waiting.py
+++ b/vanillareach/features/steps/waiting.py
@@ -182,6 +182,19 @@
         assert not used & set(decoding), (priority, used)
 
 
+@then("a long prompt takes the same engines whoever decodes there")
+def step_whoever_decodes(context):
+    used = set()
+    for decoding_priority in (0, 1, 2):
+        world = WaitingWorld()
+        for number in range(18):
+            flight = blocker(number, f"e{number % 6}", priority=decoding_priority)
+            world.state.load_state.add(flight, 0.0)
+        placement = ask(world, "long", priority=1).placement
+        used.add(tuple(sorted(h.id for h in (placement.endpoint, *placement.helpers))))
+    assert len(used) == 1, used
+
+
 @then("a short prompt is placed beside prefills of any priority")
 def step_short_beside(context):
     for priority in (0, 2):
--- a/vanillareach/features/waiting.feature
+++ b/vanillareach/features/waiting.feature
@@ -38,6 +38,7 @@
   # are idle, and short prompts that wait for prefills which they don't delay.
   Scenario: A placement makes as few callers late as it can
     Then a long prompt avoids the engines that decode, whatever its own priority
+    And a long prompt takes the same engines whoever decodes there
     And a short prompt is placed beside prefills of any priority
 
   # Guards against requests that are held back while engines are free.
