Keep an order of waiting requests for every service

Callers lost their place to whoever happened to ask first after an engine had become free: without the setting `waiting` there was no order, and with it only for services whose routes differ in priority.

Change: the order is kept for all services with engines, and the setting is gone. The queue of a service that isn't configured any longer is dropped once it is empty.

--- a/vanillareach/core/ordered_placing.py
+++ b/vanillareach/core/ordered_placing.py
@@ -1,4 +1,4 @@
-"""Placement in the order of `core.waiting`, for services with several priorities."""
+"""Placement in the order of `core.waiting`."""
 
 import msgspec
 
@@ -7,7 +7,7 @@
     MAX_WAIT_OBJECTIVE_SHARE,
 )
 from vanillareach.core.placement_types import GenerationRequest, Placement
-from vanillareach.core.priorities import PriorityIndex
+from vanillareach.core.priorities import UNKNOWN_PRIORITY, LeastUrgentIndex
 from vanillareach.core.routing import RoutedService
 from vanillareach.core.waiting import (
     RefusalReason,
@@ -100,42 +100,38 @@
     state : GatewayState
     dispatcher : Dispatcher
     random : random.Random
-    is_enabled : bool
-        Whether services with several priorities have an order.
     """
 
-    def __init__(self, state, dispatcher, random, is_enabled=True):
-        self._is_enabled = is_enabled
+    def __init__(self, state, dispatcher, random):
         self._state = state
         self._dispatcher = dispatcher
         self._random = random
-        self._index = PriorityIndex()
+        self._least_urgent = LeastUrgentIndex()
         self._orders_by_service = {}
 
-    def priorities(self, service):
-        """Return the `ServicePriorities` of a service, or None without an order."""
-        if not self._is_enabled:
-            return None
-        return self._index.of(self._state.configuration, service)
-
     def waiting_counts(self, now_ms):
         """Return the number of waiting requests by priority, by service."""
         counts_by_service = {}
-        for service, order in self._orders_by_service.items():
+        for service, order in list(self._orders_by_service.items()):
             order.queue.expire(now_ms)
             if len(order.queue):
                 counts_by_service[service] = dict(order.queue.counts_by_priority())
+            elif not self._is_configured(service):
+                del self._orders_by_service[service]
         return counts_by_service
 
+    def _is_configured(self, service):
+        configuration = self._state.configuration
+        return configuration is not None and service in configuration.services_by_name
+
     def decide(self, ask, now_ms):
         """Return the `OrderedDecision` of one question.
 
-        Without several priorities, and for a stream that has begun, it is that of the
-        dispatcher alone.
+        For a plain call, and for a stream that has begun, it is that of the dispatcher
+        alone.
         """
         service, generation = ask.service, ask.generation
-        priorities = self.priorities(service.name)
-        if priorities is None or generation is None or service.engine is None:
+        if generation is None or service.engine is None:
             placement = self._dispatcher.place(
                 service,
                 generation,
@@ -145,7 +141,7 @@
                 ask.call_ms,
             )
             return OrderedDecision(placement)
-        request = self._waiting_request(ask, priorities)
+        request = self._waiting_request(ask)
         if not ask.may_be_refused:
             return OrderedDecision(
                 self._place(
@@ -157,14 +153,17 @@
         return self._decide_in_order(order, service, request, now_ms)
 
     def _order(self, service):
-        # Only services of the configuration in force get here, so this is bounded.
         return self._orders_by_service.setdefault(service, ServiceOrder())
 
-    def _waiting_request(self, ask, priorities):
+    def _waiting_request(self, ask):
         generation = ask.generation
         priority = ask.priority
-        if priority not in priorities.values:
-            priority = priorities.guess(ask.objective_ms, ask.pause_limit_ms)
+        if priority == UNKNOWN_PRIORITY:
+            priority = self._least_urgent.of(
+                self._state.configuration,
+                ask.service.name,
+                (ask.objective_ms, ask.pause_limit_ms),
+            )
         key = (ask.sender, ask.waiting_id)
         if not ask.waiting_id:
             # An older version doesn't name its requests; like ones share an entry.
--- a/vanillareach/features/waiting.feature
+++ b/vanillareach/features/waiting.feature
@@ -105,9 +105,17 @@
     Then queue and records keep their bounds
     And a medium prompt that asks then is first
 
-  Scenario: With one priority nothing is queued
+  # Guards against callers who lose their place to others that happen to ask first.
+  Scenario Outline: With one priority, too, the prompt that has to start first is placed
     Given a service whose requests have one priority
-    Then its prompts are placed or not as the dispatcher alone decides
+    And a prompt with 5000 ms left waits, all slots but one being taken
+    When one with <left> ms left asks
+    Then it <outcome>
+
+    Examples:
+      | left | outcome       |
+      | 9000 | has to wait   |
+      | 4000 | gets the slot |
 
   Scenario: A placer that dies with a full queue loses nobody and runs nothing twice
     Given a fleet of 30 instances in domains "abc"
--- a/vanillareach/gateway/settings.py
+++ b/vanillareach/gateway/settings.py
@@ -113,15 +113,6 @@
         "How endpoints are chosen; see docs/operators.md.",
         check_one_of(*POLICIES_BY_NAME),
     ),
-    Setting(
-        "waiting",
-        str,
-        "none",
-        "",
-        "Order in which requests wait for engines; `priority` orders those of services "
-        "with several priorities.",
-        check_one_of("none", "priority"),
-    ),
     Setting(
         "other_domain_cost",
         float,
