Choose engines by the callers that would be late, each counting alike

Cause: worth says what a request earns, not whom a placement delays.

Change: costs are in late callers. Each caller whose limit would be missed counts 1, whatever the length of its prompt, and 1 more whenever its objective passes once more; an answer that comes too late counts as one that takes until the deadline. `LATE_LOSS_SHARE` and `DELAY_LOSS_SHARE` are gone. What is left of an answer is as predicted or as its caller tells; a maximum of tokens that no engine could make in the caller's time tells nothing, so such requests aren't refused for it. `worth` is still sent, for older versions only.

Still open: `BATCHING_GAIN`, `OCCUPANCY_COST_PER_SQUARE_S`, `COLD_ENGINE_COST`, `SPAN_ENGINE_COST`, `CROWDING_COST` and `other_domain_cost` keep values that were found by worth; they have the new unit but no reason of a caller's.

Tests: a prompt of 300,000 tokens beside 60 short ones is put off with 10 s left and placed with 4.5 s; the replay of costs lets requests that are put off ask again, as callers do.

--- a/bench/cost_replay.py
+++ b/bench/cost_replay.py
@@ -21,6 +21,7 @@
 from vanillareach.core.placement_types import GenerationRequest, Placement
 from vanillareach.core.request_costs import CostModel, CostPrediction, CostTraits
 from vanillareach.core.routing import EngineFigures, RoutedService
+from vanillareach.core.start_decision import ASK_INTERVAL_MS
 from vanillareach.gateway.ports import StorePosition
 from vanillareach.gateway.settings import GatewaySettings
 from vanillareach.gateway.state import GatewayState
@@ -29,6 +30,7 @@
 SLOTS = 6
 PROMPT_TOKENS, OBJECTIVE_MS, PAUSE_LIMIT_MS, WORTH = 4_960, 321.0, 200.0, 1.4
 MAX_ANSWER_TOKENS = 16_000
+TIME_MS = 10_000.0
 TEAM_TOKENS = (260, 260, 260, 260, 260, 260, 6_500, 6_500)
 CALL_MS, TAIL_FACTOR, TAIL_SHARE, CALL_LIMIT_MS = 90.0, 5.0, 0.15, 680.0
 
@@ -160,6 +162,9 @@
         now_ms = self.clock.ms
         prediction = self.predictor(self.model, job, now_ms) or CostPrediction(0.0, 0.0)
         placement = self._place(job, prediction, now_ms)
+        if placement is None and now_ms - job.start_ms < TIME_MS:
+            self._at(now_ms + ASK_INTERVAL_MS, self._arrive, job)
+            return
         if placement is None:
             self.refused_count += 1
             return
@@ -193,16 +198,18 @@
             return self.dispatcher.place(
                 service, None, (), True, now_ms, prediction.median
             )
+        waited_ms = now_ms - job.start_ms
         request = GenerationRequest(
             PROMPT_TOKENS,
             MAX_ANSWER_TOKENS,
-            OBJECTIVE_MS,
-            10_000.0,
+            OBJECTIVE_MS - waited_ms,
+            TIME_MS - waited_ms,
             PAUSE_LIMIT_MS,
             WORTH,
             "a",
             predicted_tokens=prediction.median,
             high_tokens=prediction.high,
+            objective_ms=OBJECTIVE_MS,
         )
         service = RoutedService("s", 100, FIGURES)
         return self.dispatcher.place(service, request, (), True, now_ms)
--- a/vanillareach/core/blocking_cost.py
+++ b/vanillareach/core/blocking_cost.py
@@ -1,4 +1,6 @@
-"""Cost of long prefills that leave too few engines clear for short prompts."""
+"""Short prompts that long prefills make late by leaving too few engines clear."""
+
+from vanillareach.core.priorities import UNKNOWN_PRIORITY
 
 # Enough engines are kept clear of long prefills to run as many short prompts as decode
 # now, each filled to this share of its slots.
@@ -9,47 +11,80 @@
 SHORT_DECODE_S = 2.0
 # Factor by which more short prompts may arrive than decode now.
 BURST_FACTOR = 2.0
-# Share of the worth that a late response loses: it still earns about a quarter.
-LATE_LOSS_SHARE = 0.75
 MS_PER_SECOND = 1000.0
 
 
+class LateCallers:
+    """Number of callers that are predicted to be late by a placement.
+
+    Parameters
+    ----------
+    priority : int
+        Of the request that is placed; with an unknown one, nobody is more urgent.
+
+    Attributes
+    ----------
+    count : float
+        All of them.
+    more_urgent : float
+        Those of a more urgent priority.
+    """
+
+    __slots__ = ("_priority", "count", "more_urgent")
+
+    def __init__(self, priority=UNKNOWN_PRIORITY, count=0.0, more_urgent=0.0):
+        self._priority = priority
+        self.count = count
+        self.more_urgent = more_urgent
+
+    def add(self, count, priority):
+        """Add callers of one priority."""
+        self.count += count
+        if UNKNOWN_PRIORITY < priority < self._priority:
+            self.more_urgent += count
+
+    def __iadd__(self, other):
+        self.count += other.count
+        self.more_urgent += other.more_urgent
+        return self
+
+
 class BlockingCost:
-    """Worth that short prompts lose while too few engines are clear.
+    """Short prompts that are late since too few engines are clear.
 
     Short prompts that arrive during the prefill of a span are placed on the engines
-    with the least pending prefill. The cost counts the time by which the span delays
-    the moment when enough of these engines are clear.
+    with the least pending prefill. Counted is the time by which the span delays the
+    moment when enough of these engines are clear.
 
     Parameters
     ----------
     figures : EngineFigures
     views : list of EngineView
         All engines.
+    priority : int
+        Of the request whose prefill is weighed.
     """
 
-    __slots__ = ("_arrivals_per_second", "_position", "_prefills", "_worth_per_second")
+    __slots__ = ("_decoding", "_position", "_prefills")
 
-    def __init__(self, figures, views):
-        decoding_count, worth = 0, 0.0
+    def __init__(self, figures, views, priority=UNKNOWN_PRIORITY):
+        decoding = LateCallers(priority)
         for view in views:
-            decoding_count += len(view.load.decoding_requests)
-            worth += sum(flight.worth for flight in view.load.decoding_requests)
+            for flight in view.load.decoding_requests:
+                decoding.add(1.0, flight.priority)
         self._prefills = sorted(
             (view.load.pending_prefill_ms, view.endpoint.id)
             for view in views
             if view.load.running < figures.slots
         )
         clear_engines_wanted = 1 + int(
-            decoding_count / (CLEAR_SLOT_SHARE * figures.slots)
+            decoding.count / (CLEAR_SLOT_SHARE * figures.slots)
         )
         self._position = min(clear_engines_wanted, len(self._prefills)) - 1
-        self._worth_per_second = worth / SHORT_DECODE_S
-        # As many arrive as end.
-        self._arrivals_per_second = decoding_count / SHORT_DECODE_S
+        self._decoding = decoding
 
-    def cost(self, span, part_prefill_ms):
-        """Return the cost of a span, in worth.
+    def late_callers(self, span, part_prefill_ms):
+        """Return the `LateCallers` that arrive while a span blocks too many engines.
 
         Parameters
         ----------
@@ -58,15 +93,12 @@
             Prefill that the span adds to each of its engines.
         """
         blocked_s = self._blocked_s(span, part_prefill_ms)
-        return BURST_FACTOR * LATE_LOSS_SHARE * self._worth_per_second * blocked_s
-
-    def delay_ms(self, span, part_prefill_ms):
-        """Return the time that short prompts wait for a clear engine, together.
-
-        Those that arrive while too few are clear wait for half of that time on average.
-        """
-        blocked_s = self._blocked_s(span, part_prefill_ms)
-        return self._arrivals_per_second * blocked_s * blocked_s * MS_PER_SECOND / 2
+        # As many arrive as end.
+        factor = BURST_FACTOR * blocked_s / SHORT_DECODE_S
+        return LateCallers(
+            count=factor * self._decoding.count,
+            more_urgent=factor * self._decoding.more_urgent,
+        )
 
     def _blocked_s(self, span, part_prefill_ms):
         """Return by how much a span delays the moment when enough engines are clear."""
--- a/vanillareach/core/dispatching.py
+++ b/vanillareach/core/dispatching.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from vanillareach.core.engine_time import pass_ms
+from vanillareach.core.engine_time import decode_ms, pass_ms
 from vanillareach.core.load_state import EngineLoad, InFlightRequest
 from vanillareach.core.placement_types import (
     EngineView,
@@ -41,7 +41,7 @@
 # A plain call without a first byte after this time is sent to another endpoint, unless
 # the route's timeout is too short for two such attempts.
 PLAIN_FIRST_BYTE_TIMEOUT_MS = 700.0
-# Upper bound of the random cost added to an engine, in units of worth, per instance of
+# Upper bound of the random cost added to an engine, in late callers, per instance of
 # the fleet. It keeps instances with the same view from all choosing the same engine.
 COST_JITTER_PER_INSTANCE = 0.002
 # Number of instances above which the random cost grows no further.
@@ -62,7 +62,7 @@
 UNAVAILABLE_RETRY_JITTER_MS = 400.0
 # Pending prefill of an engine above which it explains why an event is overdue.
 BUSY_PREFILL_MS = 60.0
-# Worth of an answer token in prompt tokens, and prompt tokens per unit of worth.
+# Weights by which instances of older versions compare requests; see `worth_of`.
 PROMPT_TOKENS_PER_ANSWER_TOKEN = 10
 PROMPT_TOKENS_PER_WORTH = 13_000
 # Network latency between caller and instance, which is deducted from the latency
@@ -159,6 +159,7 @@
             domain=self._domain,
             time_to_shutdown_ms=self.shutdown.time_left_ms(exchange, now_ms),
             least_answer_ms=self.shutdown.least_answer_ms(exchange, now_ms),
+            objective_ms=route.objective_ms,
             predicted_tokens=predicted_tokens,
             high_tokens=high_tokens,
         )
@@ -166,24 +167,42 @@
     def _predicted_work(self, exchange, now_ms):
         """Return median and high quantile of a request's cost; 0 if unknown.
 
+        Where costs aren't learned, that of a generation is what its caller tells.
+
         The first prediction holds for all attempts of the request: a second attempt
         is predicted to cost what is left.
         """
         if not self._uses_costs:
-            return 0, 0
+            return self._told_work(exchange)
         if exchange.cost_traits is None:
             exchange.cost_traits = cost_traits_of(exchange)
             costs = self._state.costs.model
             exchange.cost_prediction = costs.predict(exchange.cost_traits, now_ms)
         prediction = exchange.cost_prediction
         if prediction is None:
-            return 0, 0
+            return self._told_work(exchange)
         done = self._tokens_done(exchange)
         if not done:
             return round(prediction.median), round(prediction.high)
         rest = self._state.costs.model.predict(exchange.cost_traits, now_ms, done)
         return max(1, round(rest.median - done)), max(1, round(rest.high - done))
 
+    def _told_work(self, exchange):
+        """Return twice the length of an answer that its caller tells; 0 without one.
+
+        The maximum of tokens tells nothing if no engine could make so many within the
+        time that the caller has given.
+        """
+        figures, fields = exchange.service.engine, exchange.fields
+        if figures is None or not exchange.is_generation:
+            return 0, 0
+        tokens = min(fields.length_hint, fields.answer_tokens) or fields.answer_tokens
+        time_ms = exchange.deadline_ms - exchange.request.received_ms
+        if decode_ms(figures, tokens, 1, fields.prompt_tokens) > time_ms:
+            return 0, 0
+        done = (exchange.last_event_id or 0) * figures.steps_per_pass
+        return (max(1, tokens - done),) * 2
+
     def _tokens_done(self, exchange):
         if exchange.cost_traits.size_class == 0 or not exchange.last_event_id:
             return 0
@@ -258,7 +277,7 @@
         )
         if placement is None or not may_be_refused:
             return placement
-        if is_put_off(generation, placement):
+        if is_put_off(generation, figures, placement):
             return None
         return placement if ends_in_time(generation, figures, placement) else None
 
@@ -610,11 +629,7 @@
 
 
 def worth_of(fields):
-    """Return the relative worth of a generation.
-
-    It counts prompt tokens, and ten times the answer tokens, so that requests of
-    different lengths can be compared.
-    """
+    """Return the weight by which instances of older versions compare a generation."""
     tokens = (
         fields.prompt_tokens + PROMPT_TOKENS_PER_ANSWER_TOKEN * fields.answer_tokens
     )
--- a/vanillareach/core/engine_policies.py
+++ b/vanillareach/core/engine_policies.py
@@ -49,8 +49,8 @@
         """
 
 
-class PredictedLoss(EnginePolicy):
-    """Least predicted loss of worth, with helpers; see `span_placement`."""
+class PredictedLateness(EnginePolicy):
+    """Least predicted lateness of callers, with helpers; see `span_placement`."""
 
     def place(self, request, figures, views):
         """Place; see `EnginePolicy`."""
@@ -58,7 +58,7 @@
 
 
 class RemainingWork(EnginePolicy):
-    """Least predicted loss, with what is predicted to remain of other requests."""
+    """Least predicted lateness, with what is predicted to remain of other requests."""
 
     uses_costs = True
 
@@ -164,7 +164,7 @@
 
 
 POLICIES_BY_NAME = {
-    "predicted-loss": PredictedLoss,
+    "predicted-loss": PredictedLateness,
     "remaining-work": RemainingWork,
     "random": RandomEngine,
     "round-robin": RoundRobin,
--- a/vanillareach/core/engine_time.py
+++ b/vanillareach/core/engine_time.py
@@ -52,3 +52,21 @@
     """Return the time from the first event of a response to its last one."""
     passes = max(0, math.ceil(answer_tokens / figures.steps_per_pass) - 1)
     return passes * pass_ms(figures, decoding_count, context_tokens)
+
+
+def sure_answer_ms(figures, request):
+    """Return the time that an answer takes almost surely after its first event.
+
+    It is decoded alone and is as short as one of ten is; without a prediction only the
+    first event is sure to come.
+
+    Parameters
+    ----------
+    figures : EngineFigures
+    request : GenerationRequest
+    """
+    tokens = request.predicted_tokens
+    if tokens < request.high_tokens:
+        # The length is taken as lognormal, so its quantiles are symmetric as a ratio.
+        tokens *= tokens / request.high_tokens
+    return decode_ms(figures, tokens, 1, request.prompt_tokens)
--- a/vanillareach/core/load_state.py
+++ b/vanillareach/core/load_state.py
@@ -31,8 +31,10 @@
         Length of the prompt; KV cache tokens at the responding engine.
     part_prefill_ms : float
         Predicted time to prefill one part of the prompt.
-    objective_ms, pause_limit_ms, worth : float
-        Latency objective, pause limit and relative worth of the request.
+    objective_ms, pause_limit_ms : float
+        Latency objective and pause limit of the request.
+    worth : float
+        Read by instances of older versions only.
     is_prefilling : bool
         Whether its first event is still to come.
     age_ms : float
--- a/vanillareach/core/placement_types.py
+++ b/vanillareach/core/placement_types.py
@@ -9,13 +9,13 @@
 from vanillareach.core.load_state import EngineLoad
 from vanillareach.core.priorities import UNKNOWN_PRIORITY
 
-# Cost of an engine in another failure domain, in worth, unless the settings say more.
+# Cost of an engine in another failure domain, in late callers, unless set otherwise.
 # It counts little against a late response.
 OTHER_DOMAIN_COST = 0.008
 
 
 class GenerationRequest(msgspec.Struct, array_like=True, frozen=True):
-    """A generation to place: its size, time limits and worth.
+    """A generation to place: its size and time limits.
 
     Attributes
     ----------
@@ -27,7 +27,7 @@
     pause_limit_ms : float
         Longest pause between events that counts as in time; 0 without a limit.
     worth : float
-        Relative value; see `worth_of` in `dispatching`.
+        Read by placers of older versions only.
     domain : str
         Failure domain of the instance that places the request.
     unreported_requests : float
@@ -35,11 +35,13 @@
     time_to_shutdown_ms : float
         Time left until the placing instance shuts down, which ends all its responses.
     other_domain_cost : float
-        Cost of an engine in another failure domain, in worth.
+        Cost of an engine in another failure domain, in late callers.
     priority : int
         Unknown where the service has one priority only.
     predicted_tokens, high_tokens : float
         Median and high quantile of the predicted length of the answer; 0 if unknown.
+    objective_ms : float
+        Latency objective of the route; 0 from an instance of an older version.
     least_answer_ms : float
         Time of the answer at the slowdown that others of the route had; 0 unless the
         placing instance shuts down. See `answer_times`.
@@ -59,6 +61,7 @@
     predicted_tokens: float = 0
     high_tokens: float = 0
     least_answer_ms: float = 0.0
+    objective_ms: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -74,7 +77,7 @@
     pace : float
         Factor by which the engine is slower than its published figures.
     jitter : float
-        Random cost, in worth, by which instances with the same load state choose
+        Random cost, in late callers, by which instances with the same load state choose
         different engines.
     is_limited : bool
         Whether it has a limit of requests, so that it doesn't help others.
@@ -104,7 +107,7 @@
     first_event_ms : float
         Predicted time to the first event.
     cost : float
-        Predicted loss, of this request and of others, in worth.
+        Predicted lateness of this request and of others; see `span_placement`.
     gain : float
         Sent by placers of older versions, which refuse by it; otherwise 0.
     reserved_tokens : tuple of int
@@ -118,8 +121,10 @@
         Why the endpoint was chosen, for the decision log; empty if not told.
     wait_ms : float
         Predicted wait of a plain call for a slot.
-    delay_to_others_ms : float
-        By how much it is predicted to make other callers late, together.
+    late_others : float
+        How many other callers are predicted to be late by it.
+    late_more_urgent : float
+        Those of them whose requests are more urgent.
     """
 
     endpoint: ListedEndpoint
@@ -133,7 +138,8 @@
     has_permit: bool = False
     why: str = ""
     wait_ms: float = 0
-    delay_to_others_ms: float = 0.0
+    late_others: float = 0.0
+    late_more_urgent: float = 0.0
 
     @property
     def reserved_tokens_by_helper(self):
--- a/vanillareach/core/remaining_work.py
+++ b/vanillareach/core/remaining_work.py
@@ -23,8 +23,8 @@
 DEFAULT_PASSES = 20.0
 # Time assumed of a plain call of which nothing is known.
 DEFAULT_CALL_MS = 150.0
-# Passes that remain of a stream which is protected by half its worth.
-HALF_WORTH_PASSES = 1.0
+# Passes that remain of a stream that counts as half of one that a pause delays.
+HALF_COUNT_PASSES = 1.0
 # Time within which requests that end leave their slots to those not reported yet.
 CROWDING_HORIZON_MS = 250.0
 # Wait for a slot that counts like a further request beyond the slots.
@@ -105,7 +105,7 @@
 
 
 class CountedWork:
-    """Counts each decoding request as one until it ends, as `PredictedLoss` does.
+    """Counts each decoding request as one until it ends, as `PredictedLateness` does.
 
     Subclasses predict what is left of it.
     """
@@ -115,16 +115,12 @@
     # Wait for a slot of an engine whose slots are all taken.
     SLOT_WAIT_MS = 900.0
 
-    def protected_worths(self, figures, view):
-        """Return the worths that late events lose, with their pause limits.
-
-        None stands for each decoding request with all of its worth.
-        """
-
     def protected_streams(self, figures, view):
-        """Return how many streams a longer pause delays, with their pause limits."""
-        counts = Counter(f.pause_limit_ms for f in view.load.decoding_requests)
-        return list(counts.items())
+        """Return how many streams a pause delays, by pause limit and priority."""
+        return Counter(
+            (flight.pause_limit_ms, flight.priority)
+            for flight in view.load.decoding_requests
+        ).items()
 
     def slot_wait_ms(self, figures, view):
         """Return the wait for a slot; 0 if one is free."""
@@ -152,13 +148,9 @@
         self._lasting_by_engine = {}
         self._slot_wait_ms_by_engine = {}
 
-    def protected_worths(self, figures, view):
-        """Return worths that fall as streams come to their end; see `CountedWork`."""
-        return self._work(figures, view)[0]
-
     def protected_streams(self, figures, view):
         """Return less than 1 for a stream about to end; see `CountedWork`."""
-        return self._work(figures, view)[4]
+        return self._work(figures, view)[0]
 
     def slot_wait_ms(self, figures, view):
         """Return when enough requests have ended; see `CountedWork`."""
@@ -208,7 +200,7 @@
         return times_ms
 
     def _work(self, figures, view):
-        """Return protected worths, lasting requests, times left, pass, streams."""
+        """Return protected streams, lasting requests, times left, pass duration."""
         work = self._work_by_engine.get(view.endpoint.id)
         if work is not None:
             return work
@@ -217,8 +209,7 @@
         gap_ms = pass_ms(figures, len(decoding), load.context_tokens) * view.pace
         tokens_per_pass = figures.steps_per_pass
         tokens_per_ms = tokens_per_pass / gap_ms if gap_ms > 0.0 else 0.0
-        worth_by_limit, times_ms, share_sum = Counter(), [], 0.0
-        count_by_limit = Counter()
+        count_by_kind, times_ms, share_sum = Counter(), [], 0.0
         for flight, decoding_ms in zip(decoding, load.decoding_ms, strict=False):
             predicted = flight.predicted_work
             if predicted > 0.0:
@@ -229,13 +220,11 @@
                 )
             else:
                 passes = DEFAULT_PASSES
-            share = passes / (passes + HALF_WORTH_PASSES)
+            share = passes / (passes + HALF_COUNT_PASSES)
             share_sum += share
-            count_by_limit[flight.pause_limit_ms] += share
-            worth_by_limit[flight.pause_limit_ms] += share * flight.worth
+            count_by_kind[flight.pause_limit_ms, flight.priority] += share
             times_ms.append(max(MIN_REMAINING_MS, passes * gap_ms))
-        worths = list(worth_by_limit.items())
-        work = (worths, share_sum, times_ms, gap_ms, list(count_by_limit.items()))
+        work = (list(count_by_kind.items()), share_sum, times_ms, gap_ms)
         self._work_by_engine[view.endpoint.id] = work
         return work
 
--- a/vanillareach/core/span_placement.py
+++ b/vanillareach/core/span_placement.py
@@ -2,21 +2,19 @@
 
 Designed for bursts of short prompts mixed with very long ones. The prefill of a long
 prompt lengthens the passes of all requests that decode on the same engine. So the cost
-of an engine is the worth that the requests there would lose, plus the worth that the
-new request itself would lose by its predicted time to the first event. Short prompts
-are batched on engines that decode already, which costs the requests there little and
-keeps other engines free for long prefills. A long prompt is split over a span of
-several engines, the host that responds and its helpers, which prefill its parts at
-once; the width of the span is the one with the least total cost.
-
-Costs are in units of worth, the relative value of a request; see `worth_of` in
-`dispatching`.
+of an engine is the number of callers there that would probably be late by it, plus the
+lateness of the new request itself. Short prompts are batched on engines that decode
+already, which delays the requests there little and keeps other engines free for long
+prefills. A long prompt is split over a span of several engines, the host that responds
+and its helpers, which prefill its parts at once; the width of the span is the one with
+the least total cost.
+
+Costs are in late callers: a caller whose limit is missed counts 1, whatever the length
+of its prompt, and 1 more for each time that its latency objective passes once more.
 """
 
-import msgspec
-
 from vanillareach.core.answer_times import safe_answer_ms
-from vanillareach.core.blocking_cost import LATE_LOSS_SHARE, BlockingCost
+from vanillareach.core.blocking_cost import BlockingCost, LateCallers
 from vanillareach.core.engine_shortlist import shortlist
 from vanillareach.core.engine_time import decode_ms, pass_ms, prefill_ms
 from vanillareach.core.placement_types import Placement
@@ -30,32 +28,29 @@
 # second share on, that is taken as certain. The risk grows linearly between them.
 RISK_START_SHARE = 0.7
 RISK_CERTAIN_SHARE = 1.1
-# Share of the worth of a request in prefill that is charged for a delay as long as its
-# whole objective, even if it stays in time: later requests may add to the delay.
-DELAY_LOSS_SHARE = 0.15
 # Maximum number of requests that may wait at an engine beyond its slots.
 MAX_WAITING_REQUESTS = 2
-# Gain for each request that already decodes on the engine, in worth.
+# Gain for each request that already decodes on the engine, in late callers.
 BATCHING_GAIN = 0.03
 # Requests counted at an engine for each unreported one that other instances may have
-# placed there, and the share of a new request's worth that is charged for each request
-# beyond the slots.
+# placed there, and the cost of each request beyond the slots, in late callers.
 SLOTS_PER_UNREPORTED_REQUEST = 2.0
-CROWDING_LOSS_SHARE = 0.1
-# Cost of each helper of a span, in worth.
+CROWDING_COST = 0.1
+# Cost of each helper of a span, in late callers.
 SPAN_ENGINE_COST = 0.02
-# Cost of a cold engine, in worth, and the time until a permit for it has come: the way
-# to a placer and its coordinator, and back. Permits are few, so they go to the requests
-# that gain most by an engine with little load: long ones, and short ones that would be
-# late elsewhere. The cost is that of one decoding request less to be batched with.
+# Cost of a cold engine, in late callers, and the time until a permit for it has come:
+# the way to a placer and its coordinator, and back. Permits are few, so they go to the
+# requests that gain most by an engine with little load: long ones, and short ones that
+# would be late elsewhere. The cost is that of one decoding request less to be batched
+# with.
 COLD_ENGINE_COST = 0.03
 PERMIT_WAIT_MS = 10.0
-# Cost of an engine that prefills for a second, in worth. It grows with the square of
-# the time, since all requests that arrive meanwhile wait for the rest of the prefill.
+# Cost of an engine that prefills for a second, in late callers. It grows with the
+# square of the time, since all that arrive meanwhile wait for the rest of it.
 OCCUPANCY_COST_PER_SQUARE_S = 0.3
 MS_PER_SECOND = 1000.0
-# Pending prefill of a helper, in ms, that costs one unit of worth, so it counts little.
-HELPER_WAIT_MS_PER_WORTH = 10_000.0
+# Pending prefill of a helper, in ms, that counts as a late caller.
+HELPER_WAIT_MS_PER_LATE_CALLER = 10_000.0
 # Share of each engine's memory that reservations leave to short prompts, and the
 # minimum number of tokens for which a reservation is worthwhile.
 UNRESERVED_MEMORY_SHARE = 0.15
@@ -76,7 +71,7 @@
 
 
 def place(request, figures, views, work=COUNTED_WORK):
-    """Return the `Placement` with the least predicted loss, or None if none fits.
+    """Return the `Placement` with the least cost, or None if none fits.
 
     If the prompt fits in no engine's memory, the rest of its KV cache is reserved at
     helpers.
@@ -99,7 +94,7 @@
         candidates = shortlist(figures, views)
     # Cold engines take too few requests to keep others clear.
     warm_views = [view for view in views if not view.is_cold]
-    blocking = BlockingCost(figures, warm_views)
+    blocking = BlockingCost(figures, warm_views, request.priority)
     best = None
     for width in _widths(request, len(views)):
         placement = _place_span(
@@ -107,81 +102,7 @@
         )
         if placement is not None and (best is None or placement.cost < best.cost):
             best = placement
-    if best is None:
-        return None
-    used = {best.endpoint.id, *(helper.id for helper in best.helpers)}
-    return msgspec.structs.replace(
-        best,
-        delay_to_others_ms=delay_to_others_ms(
-            request,
-            figures,
-            [view for view in views if view.endpoint.id in used],
-            best.part_prefill_ms,
-            blocking,
-            work,
-        ),
-    )
-
-
-def delay_to_others_ms(request, figures, span, part_prefill_ms, blocking, work):
-    """Return by how much a span is predicted to make other callers late, together.
-
-    A limit that may be missed counts by its length and the risk that the span adds.
-    Prompts that arrive during a long prefill count by their wait for a clear one.
-
-    Parameters
-    ----------
-    request : GenerationRequest
-    figures : EngineFigures
-    span : list of EngineView
-        Engines of the request.
-    part_prefill_ms : float
-        Prefill that it adds to each of them.
-    blocking : BlockingCost
-    work : CountedWork
-    """
-    late_ms = 0.0
-    for view in span:
-        for limit_ms, added_risk in _added_risks(figures, view, part_prefill_ms, work):
-            late_ms += added_risk * limit_ms
-    if request.prompt_tokens >= MIN_SPAN_PROMPT_TOKENS:
-        late_ms += blocking.delay_ms(span, part_prefill_ms)
-    return late_ms
-
-
-def _added_risks(figures, view, part_prefill_ms, work):
-    """Yield the limits of others at an engine, and the risks that a prefill adds."""
-    load = view.load
-    before_ms, after_ms = _passes_around(figures, view, part_prefill_ms)
-    protected = work.protected_streams(figures, view)
-    for limit_ms, count in protected:
-        if limit_ms > 0:
-            yield (
-                limit_ms,
-                count
-                * (miss_risk(after_ms, limit_ms) - miss_risk(before_ms, limit_ms)),
-            )
-    delay_ms = part_prefill_ms * view.pace
-    for flight, age_ms in load.prefilling_requests:
-        limit_ms = max(1.0, flight.objective_ms)
-        yield (
-            limit_ms,
-            miss_risk(age_ms + before_ms + delay_ms, limit_ms)
-            - miss_risk(age_ms + before_ms, limit_ms),
-        )
-
-
-def _passes_around(figures, view, part_prefill_ms):
-    """Return the next pass's duration without a further prefill and with it."""
-    load = view.load
-    decoding_count, context_tokens = len(load.decoding_requests), load.context_tokens
-    return tuple(
-        pass_ms(
-            figures, decoding_count, context_tokens, load.pending_prefill_ms + more_ms
-        )
-        * view.pace
-        for more_ms in (0.0, part_prefill_ms)
-    )
+    return best
 
 
 def views_with_room(request, figures, views):
@@ -235,23 +156,25 @@
         return None
     time_to_first_event_ms = first_event_ms(figures, host, part_prefill_ms, work)
     pause_ms = _pause_ms(figures, host)
-    cost = _host_cost(request, figures, host, part_prefill_ms, work)
+    cost = _preference_cost(request, figures, host, work)
+    late = _late_by(request, figures, host, part_prefill_ms, work)
     first_pass_ms = pass_ms(figures, 1, request.prompt_tokens / width)
     for view in helpers:
         part_end_ms = _pass_wait_ms(figures, view) + part_prefill_ms * view.pace
         time_to_first_event_ms = max(
             time_to_first_event_ms, part_end_ms + first_pass_ms
         )
-        cost += _interference_cost(request, figures, view, part_prefill_ms, work)
-        cost += request.worth * view.failure_share + SPAN_ENGINE_COST
+        late += _late_by(request, figures, view, part_prefill_ms, work)
+        cost += view.failure_share + SPAN_ENGINE_COST
     if (
         _answer_ms(request, figures, host, time_to_first_event_ms)
         > request.time_to_shutdown_ms
     ):
         return None
-    cost += _request_loss(request, time_to_first_event_ms, pause_ms)
+    cost += own_lateness(request, time_to_first_event_ms, pause_ms)
     if request.prompt_tokens >= MIN_SPAN_PROMPT_TOKENS:
-        cost += blocking.cost((host, *helpers), part_prefill_ms)
+        late += blocking.late_callers((host, *helpers), part_prefill_ms)
+    cost += late.count
     if request.prompt_tokens >= MIN_SPAN_PROMPT_TOKENS:
         cost += sum(_occupancy_cost(view, part_prefill_ms) for view in (host, *helpers))
     endpoints = tuple(view.endpoint for view in helpers)
@@ -262,6 +185,8 @@
         time_to_first_event_ms,
         cost,
         reserved_tokens=reserved_tokens,
+        late_others=late.count,
+        late_more_urgent=late.more_urgent,
     )
 
 
@@ -312,15 +237,18 @@
 def _standalone_host_cost(request, figures, view, part_prefill_ms, work):
     """Return the cost by which hosts are compared before helpers are chosen."""
     time_to_first_event_ms = first_event_ms(figures, view, part_prefill_ms, work)
-    cost = _host_cost(request, figures, view, part_prefill_ms, work)
-    cost += _request_loss(request, time_to_first_event_ms, _pause_ms(figures, view))
+    cost = _preference_cost(request, figures, view, work)
+    cost += _late_by(request, figures, view, part_prefill_ms, work).count
+    cost += own_lateness(request, time_to_first_event_ms, _pause_ms(figures, view))
     return cost + _occupancy_cost(view, part_prefill_ms)
 
 
-def _host_cost(request, figures, view, part_prefill_ms, work):
-    """Return the cost of a host without the loss of the request itself."""
-    cost = _interference_cost(request, figures, view, part_prefill_ms, work)
-    cost += request.worth * view.failure_share + view.jitter
+def _preference_cost(request, figures, view, work):
+    """Return the cost of a host without the lateness of the request and of others.
+
+    An attempt that fails makes its caller late.
+    """
+    cost = view.failure_share + view.jitter
     cost += _batching_cost(request, figures, view, work)
     if view.endpoint.domain != request.domain:
         cost += request.other_domain_cost
@@ -337,17 +265,15 @@
     )
     excess_requests = max(0.0, expected_running + 1 - figures.slots)
     batched = min(work.lasting_decoding(figures, view), figures.slots - 2)
-    return (
-        CROWDING_LOSS_SHARE * request.worth * excess_requests - BATCHING_GAIN * batched
-    )
+    return CROWDING_COST * excess_requests - BATCHING_GAIN * batched
 
 
 def _helper_cost(request, figures, view, part_prefill_ms, work):
     """Return the cost by which helpers are compared."""
     return (
-        _interference_cost(request, figures, view, part_prefill_ms, work)
+        _late_by(request, figures, view, part_prefill_ms, work).count
         + view.failure_share
-        + view.load.pending_prefill_ms / HELPER_WAIT_MS_PER_WORTH
+        + view.load.pending_prefill_ms / HELPER_WAIT_MS_PER_LATE_CALLER
         + _occupancy_cost(view, part_prefill_ms)
     )
 
@@ -358,18 +284,25 @@
     )
 
 
-def _request_loss(request, time_to_first_event_ms, pause_ms):
-    """Return the worth that the request itself is predicted to lose.
+def own_lateness(request, time_to_first_event_ms, pause_ms=0.0):
+    """Return by how much a request is predicted to be late, in late callers.
 
-    It loses all of it after its deadline, and a share if it misses its latency
-    objective or its pause limit.
+    It is the risk that it misses its latency objective or its pause limit, and the time
+    beyond the objective in multiples of it. An answer that comes too late for the
+    deadline counts as one that takes until then.
     """
-    late_loss = miss_risk(time_to_first_event_ms, request.time_to_objective_ms)
+    objective_ms = max(1.0, request.objective_ms or request.time_to_objective_ms)
+    left_ms = request.time_to_objective_ms
+    risk = miss_risk(time_to_first_event_ms, left_ms)
     if request.pause_limit_ms:
-        late_loss = max(late_loss, miss_risk(pause_ms, request.pause_limit_ms))
-    late_loss *= LATE_LOSS_SHARE
-    deadline_risk = miss_risk(time_to_first_event_ms, request.time_to_deadline_ms)
-    return request.worth * (deadline_risk + (1.0 - deadline_risk) * late_loss)
+        risk = max(risk, miss_risk(pause_ms, request.pause_limit_ms))
+    deadline_ms = request.time_to_deadline_ms
+    beyond_ms = max(0.0, min(time_to_first_event_ms, deadline_ms) - left_ms)
+    lost_risk = miss_risk(time_to_first_event_ms, deadline_ms)
+    lateness = risk + beyond_ms / objective_ms
+    return lateness + lost_risk * max(
+        0.0, 1.0 + (deadline_ms - left_ms) / objective_ms - lateness
+    )
 
 
 def _pause_ms(figures, view):
@@ -440,39 +373,35 @@
     )
 
 
-def _interference_cost(request, figures, view, part_prefill_ms, work):
-    """Return the worth that the requests at an engine lose by a further prefill."""
-    load = view.load
+def _late_by(request, figures, view, part_prefill_ms, work):
+    """Return the `LateCallers` at an engine by a further prefill."""
+    load, late = view.load, LateCallers(request.priority)
     if not load.decoding_requests and not load.prefilling_requests:
-        return 0.0
-    pass_before_ms, pass_after_ms = _passes_around(figures, view, part_prefill_ms)
-    lost_worth = _pause_loss(figures, view, pass_before_ms, pass_after_ms, work)
-    for flight, age_ms in load.prefilling_requests:
-        time_to_first_event_ms = age_ms + pass_before_ms
-        limit_ms = max(1.0, flight.objective_ms)
-        delay_ms = part_prefill_ms * view.pace
-        lost_worth += flight.worth * (
-            miss_risk(time_to_first_event_ms + delay_ms, limit_ms)
-            - miss_risk(time_to_first_event_ms, limit_ms)
+        return late
+    decoding_count, context_tokens = len(load.decoding_requests), load.context_tokens
+    before_ms, after_ms = (
+        view.pace * pass_ms(figures, decoding_count, context_tokens, prefill_ms)
+        for prefill_ms in (
+            load.pending_prefill_ms,
+            load.pending_prefill_ms + part_prefill_ms,
         )
-        lost_worth += flight.worth * DELAY_LOSS_SHARE * min(1.0, delay_ms / limit_ms)
-    return LATE_LOSS_SHARE * lost_worth
-
-
-def _pause_loss(figures, view, pass_before_ms, pass_after_ms, work):
-    """Return the worth that decoding requests lose by a longer pass."""
-    lost_worth = 0.0
-    worths = work.protected_worths(figures, view)
-    if worths is None:
-        worths = [
-            (flight.pause_limit_ms, flight.worth)
-            for flight in view.load.decoding_requests
-        ]
-    for limit_ms, worth in worths:
+    )
+    for (limit_ms, priority), count in work.protected_streams(figures, view):
         # Without a risk afterwards, or without a limit, the risk doesn't grow.
-        if limit_ms <= 0 or pass_after_ms / limit_ms <= RISK_START_SHARE:
-            continue
-        lost_worth += worth * (
-            miss_risk(pass_after_ms, limit_ms) - miss_risk(pass_before_ms, limit_ms)
+        if limit_ms > 0 and after_ms / limit_ms > RISK_START_SHARE:
+            added_risk = miss_risk(after_ms, limit_ms) - miss_risk(before_ms, limit_ms)
+            late.add(count * added_risk, priority)
+    delay_ms = part_prefill_ms * view.pace
+    for flight, age_ms in load.prefilling_requests:
+        limit_ms = max(1.0, flight.objective_ms)
+        first_event_ms = age_ms + before_ms
+        added = _lateness(first_event_ms + delay_ms, limit_ms) - _lateness(
+            first_event_ms, limit_ms
         )
-    return lost_worth
+        late.add(added, flight.priority)
+    return late
+
+
+def _lateness(predicted_ms, limit_ms):
+    """Return the risk that a limit is missed, and the time beyond it, in limits."""
+    return miss_risk(predicted_ms, limit_ms) + max(0.0, predicted_ms / limit_ms - 1.0)
--- a/vanillareach/core/waiting.py
+++ b/vanillareach/core/waiting.py
@@ -20,7 +20,7 @@
 
 import msgspec
 
-from vanillareach.core.engine_time import decode_ms, prefill_ms
+from vanillareach.core.engine_time import decode_ms, prefill_ms, sure_answer_ms
 from vanillareach.core.placement_types import GenerationRequest
 from vanillareach.core.span_placement import MAX_HELPERS, MAX_WAITING_REQUESTS
 from vanillareach.core.start_decision import ASK_INTERVAL_MS
@@ -116,13 +116,9 @@
 
 
 def least_answer_ms(figures, generation, engine_count):
-    """Return the least time to the end of an answer, on engines without other load.
-
-    The answer is as long as predicted, else as the request allows.
-    """
-    answer_tokens = generation.predicted_tokens or generation.answer_tokens
-    return min_first_event_ms(figures, generation, engine_count) + decode_ms(
-        figures, answer_tokens, 1, generation.prompt_tokens
+    """Return the least time to the end of an answer, on engines without other load."""
+    return min_first_event_ms(figures, generation, engine_count) + sure_answer_ms(
+        figures, generation
     )
 
 
--- a/vanillareach/features/placement_load.feature
+++ b/vanillareach/features/placement_load.feature
@@ -35,15 +35,15 @@
 
   # Guards against long prefills that make many callers late at once though they could
   # wait, and against those that wait for ever.
-  Scenario Outline: A prompt that would make others late waits as long as it stays in time
+  Scenario Outline: A prompt that would make others late waits while it has ample time
     When 60 short prompts arrive at once
-    And a prompt of 300000 tokens arrives that has waited for <waited> ms
+    And a prompt of 300000 tokens arrives with <left> ms left
     Then it is <outcome>
 
     Examples:
-      | waited | outcome            |
-      | 0      | put off            |
-      | 3900   | placed beside them |
+      | left  | outcome            |
+      | 10000 | put off            |
+      | 4500  | placed beside them |
 
   Scenario: A prompt that can't be answered in the remaining time is refused at once
     When 24 short prompts arrive at once
--- a/vanillareach/features/remaining_work.feature
+++ b/vanillareach/features/remaining_work.feature
@@ -16,7 +16,7 @@
       | -5     | nan   | 10    | 0     | 0     |
 
   Scenario: A stream about to end is protected less than one that begins
-    Then streams that have 950 of 1000 tokens are worth at most 0.8 of those with 100
+    Then streams that have 950 of 1000 tokens count at most 0.8 of those with 100
     And a flight of an older version is worth as much as one that begins
 
   Scenario: The wait for a slot is that until a request ends
--- a/vanillareach/features/steps/placement_load.py
+++ b/vanillareach/features/steps/placement_load.py
@@ -52,7 +52,6 @@
         self.refused_count = 0
         self.unreported_requests = 0.0
         self.time_to_deadline_ms = 10_000.0
-        self.waited_ms = 0.0
         self.time_to_shutdown_ms = math.inf
         self.answer_tokens = SHORT_ANSWER_TOKENS
         self.domain_by_id = {}
@@ -78,7 +77,7 @@
         request = GenerationRequest(
             tokens,
             self.answer_tokens,
-            OBJECTIVE_MS_BY_IS_SHORT[is_short] - self.waited_ms,
+            OBJECTIVE_MS_BY_IS_SHORT[is_short],
             self.time_to_deadline_ms,
             PAUSE_LIMIT_MS_BY_IS_SHORT[is_short],
             worth,
@@ -86,9 +85,11 @@
             self.unreported_requests,
             self.time_to_shutdown_ms,
             self.other_domain_cost,
+            predicted_tokens=self.answer_tokens,
+            objective_ms=OBJECTIVE_MS_BY_IS_SHORT[is_short],
         )
         placement = place(request, FIGURES, self.views())
-        if placement is None or is_put_off(request, placement):
+        if placement is None or is_put_off(request, FIGURES, placement):
             return None
         return placement if ends_in_time(request, FIGURES, placement) else None
 
@@ -261,12 +262,6 @@
     assert len(context.replay.placements) == 1
 
 
-@when("a prompt of {tokens:d} tokens arrives that has waited for {waited_ms:d} ms")
-def step_waited(context, tokens, waited_ms):
-    replay(context).waited_ms = waited_ms
-    replay(context).arrive(tokens)
-
-
 @then("it is put off")
 def step_put_off(context):
     assert context.replay.refused_count == 1, context.replay.placements[-1]
