Answer a prompt that no engine may take while others wait

Since the order is kept for all services, a query ended with a ValueError if others waited and all engines were left out, as cold ones without a permit are: the member then placed by itself, or the request failed.

Cause: `FreeRoom.held_engine` looked for the emptiest of no engines.

--- a/vanillareach/core/waiting.py
+++ b/vanillareach/core/waiting.py
@@ -407,7 +407,9 @@
         that small prompts don't take up for ever what a large one waits for. None if
         all requests ahead find memory.
         """
-        free_tokens = max((room.free_tokens for room in self._rooms), default=0)
+        if not self._rooms:
+            return None
+        free_tokens = max(room.free_tokens for room in self._rooms)
         for tokens in needs:
             if free_tokens < min(tokens, self._engine_tokens):
                 fullest = max(self._rooms, key=lambda room: room.free_tokens)
--- a/vanillareach/features/steps/waiting.py
+++ b/vanillareach/features/steps/waiting.py
@@ -375,6 +375,12 @@
     assert not busy.ordered.decide(asked, busy.now_ms).is_final
 
 
+@when("a prompt asks that has tried all engines")
+def step_tried_all(context):
+    engines = frozenset(f"e{n}" for n in range(ENGINE_COUNT))
+    context.decision = ask(context.world, "medium", excluded=engines)
+
+
 @when("a prompt of the same priority asks for an engine")
 def step_same_priority(context):
     context.decision = ask(context.world, "medium", priority=2)
--- a/vanillareach/features/waiting.feature
+++ b/vanillareach/features/waiting.feature
@@ -96,6 +96,13 @@
     When a prompt of the same priority asks for an engine
     Then it isn't placed on the engine with the most free memory
 
+  # Guards against a fault of the placer while requests wait and no engine may be asked.
+  Scenario: A prompt that has tried all engines gets none of those others wait for
+    Given engines with all slots taken
+    And 3 short prompts that wait for an engine
+    When a prompt asks that has tried all engines
+    Then it has to wait
+
   Scenario: Refused callers return one after another, within a third of their time
     When 30 callers with 9000 ms left are refused 100 ms before room
     Then their retry times grow, differ, and take no more than a third of 9000 ms
