Let the requests that are next ask often

Slots stayed free for up to 480 ms while callers waited for them: a long wait was predicted for the first of a queue, so they asked seldom, and streams that ended sooner were noticed late.

Cause: the interval followed the predicted wait of each request alone.

Change: the first eight of a queue ask every 60 ms, whatever is predicted.

--- a/vanillareach/core/ordered_placing.py
+++ b/vanillareach/core/ordered_placing.py
@@ -202,7 +202,7 @@
         wait_ms = self._predicted_wait_ms(room, request, ahead)
         # An older version goes on asking after a refusal.
         if request.is_older_version or not self._comes_too_late(room, request, wait_ms):
-            entry.ask_interval_ms = ask_interval_ms(wait_ms)
+            entry.ask_interval_ms = ask_interval_ms(wait_ms, len(ahead))
             return OrderedDecision(
                 predicted_wait_ms=wait_ms,
                 ahead=len(ahead),
--- a/vanillareach/core/waiting.py
+++ b/vanillareach/core/waiting.py
@@ -28,6 +28,8 @@
 # Longest interval at which a waiting request asks again, so that room that comes sooner
 # than predicted is used soon.
 MAX_ASK_INTERVAL_MS = 480.0
+# Number of requests at the head of a queue that ask at the shortest interval.
+FREQUENT_ASKERS = 8
 # An entry that is not renewed for as many of its intervals has expired. After 100 ms
 # without an answer a member asks the other placer, which is less even for the shortest.
 ENTRY_TTL_INTERVALS = 3.0
@@ -107,11 +109,20 @@
     return prefill_ms(figures, generation.prompt_tokens, parts)
 
 
-def ask_interval_ms(wait_ms):
-    """Return the interval at which a request with a predicted wait asks again.
+def ask_interval_ms(wait_ms, ahead):
+    """Return the interval at which a request asks again.
 
-    It is half of the wait, within bounds.
+    The first ones ask often, since streams may end sooner than predicted. For the
+    others it is half of the predicted wait, within bounds.
+
+    Parameters
+    ----------
+    wait_ms : float
+    ahead : int
+        Number of requests that go before it.
     """
+    if ahead < FREQUENT_ASKERS:
+        return ASK_INTERVAL_MS
     return min(MAX_ASK_INTERVAL_MS, max(ASK_INTERVAL_MS, wait_ms / 2))
 
 
--- a/vanillareach/features/steps/waiting.py
+++ b/vanillareach/features/steps/waiting.py
@@ -493,6 +493,18 @@
     assert decision.placement is None and not decision.is_final, decision
 
 
+@then(
+    "the first {count:d} of {total:d} that wait ask every {often:d} ms, the last less often"
+)
+def step_intervals(context, count, total, often):
+    decisions = [
+        ask(context.world, "medium", time_left_ms=TIME_LEFT_MS) for _ in range(total)
+    ]
+    intervals_ms = [decision.ask_interval_ms for decision in decisions]
+    assert intervals_ms[:count] == [often] * count, intervals_ms
+    assert min(intervals_ms[count:]) > often, intervals_ms
+
+
 @then("it gets the slot")
 def step_gets_slot(context):
     assert context.decision.placement is not None, context.decision
--- a/vanillareach/features/waiting.feature
+++ b/vanillareach/features/waiting.feature
@@ -121,6 +121,11 @@
     When a prompt asks that has tried all engines
     Then it has to wait
 
+  # Guards against a slot that stays free because those it is for ask seldom.
+  Scenario: Those that are next ask often, though a long wait is predicted for them
+    Given engines with all slots taken
+    Then the first 8 of 20 that wait ask every 60 ms, the last less often
+
   Scenario: Refused callers return one after another, within a third of their time
     When 30 callers with 9000 ms left are refused 100 ms before room
     Then their retry times grow, differ, and take no more than a third of 9000 ms
