Tell refused callers to return when room is predicted

Callers with ten seconds and two tries came back while all streams still ran, and were lost: Retry-After was the median of pending prefill, mostly 0, between 300 ms and 3 s with a random half, though the gateway knew when its streams end.

Cause: pending prefill says nothing about slots, and both bounds had no reason of a caller's.

Change: Retry-After is the predicted time until there is room, for plain calls until a slot is free. Refusals of a service share one `RetryBook`, in which each takes up the time of its request, so that those refused together don't return at one moment. A member that refuses works it out itself; what a placer tells beside "wait" is the wait.

--- a/vanillareach/core/dispatching.py
+++ b/vanillareach/core/dispatching.py
@@ -1,5 +1,7 @@
 """Choice of the endpoint for each attempt, and the attempt's timeouts."""
 
+import math
+
 import msgspec
 
 from vanillareach.core.engine_room import FreeRoom, engine_room
@@ -17,7 +19,7 @@
 from vanillareach.core.start_decision import ends_in_time, is_put_off
 from vanillareach.core.state_change import ChangeKind
 from vanillareach.core.unavailability import find_unavailability
-from vanillareach.core.waiting import least_answer_ms
+from vanillareach.core.waiting import RetryBook, engine_time_ms, least_answer_ms
 
 # Longest prompt that counts as short in the priority number sent to endpoints.
 SHORT_PROMPT_TOKENS = 16_000
@@ -53,11 +55,6 @@
 # Share of those that a placer doesn't know yet: the ones that other domains place,
 # which reach it within some 4 ms.
 PLACER_UNREPORTED_SHARE = 0.3
-# Bounds of Retry-After, and the maximum share of it that is added at random, so that
-# refused callers don't all return at once.
-MIN_RETRY_AFTER_MS = 300.0
-MAX_RETRY_AFTER_MS = 3_000.0
-RETRY_AFTER_JITTER = 0.5
 # Maximum time by which refused callers return later than the first endpoint takes
 # requests again.
 UNAVAILABLE_RETRY_JITTER_MS = 400.0
@@ -104,6 +101,7 @@
         self._random = random
         self._policy = policy
         self._last_flight_id = 0
+        self._retry_books_by_service = {}
         self.shutdown = ShutdownAdmission(state)
         self._uses_costs = policy is not None and policy.uses_costs
         if self._uses_costs:
@@ -571,32 +569,57 @@
     def refusal_retry_after_ms(self, exchange, now_ms):
         """Return the delay after which the caller of a refused request may try again.
 
-        Unlike `retry_after_ms` it counts the endpoints that take no request now.
+        It is when an endpoint that takes none now may be asked again, or when room is
+        predicted.
         """
         unavailability = self.unavailability(exchange)
-        if unavailability is None or unavailability.wait_ms is None:
-            return self.retry_after_ms(exchange.service.name, now_ms)
-        return (
-            unavailability.wait_ms + UNAVAILABLE_RETRY_JITTER_MS * self._random.random()
+        if unavailability is not None and unavailability.wait_ms is not None:
+            jitter_ms = UNAVAILABLE_RETRY_JITTER_MS * self._random.random()
+            return unavailability.wait_ms + jitter_ms
+        service = exchange.service
+        if unavailability is not None:
+            wait_ms, work_ms = math.inf, 0.0
+        elif service.engine is None or not exchange.is_generation:
+            wait_ms, work_ms = self._call_wait_ms(service, now_ms)
+        else:
+            generation = self.generation_request(exchange, now_ms)
+            room = self.free_room(service, frozenset(), now_ms)
+            tokens = generation.prompt_tokens + generation.answer_tokens
+            wait_ms = room.predicted_wait_ms(tokens, ())
+            work_ms = engine_time_ms(service.engine, generation)
+            work_ms /= max(1, room.engine_count)
+        return self.booked_retry_ms(
+            service.name,
+            exchange.priority,
+            wait_ms,
+            work_ms,
+            exchange.deadline_ms - now_ms,
+            now_ms,
         )
 
-    def retry_after_ms(self, service, now_ms):
-        """Return the delay after which a refused caller should try again.
-
-        It is the median of the engines' pending prefill, within bounds and with jitter.
-        """
-        engines = [e.id for e in self._state.endpoints.usable(service)]
+    def _call_wait_ms(self, service, now_ms):
+        """Return the wait of a plain call for a slot, and its time at all endpoints."""
         loads = self._state.load_state.loads_by_engine(now_ms)
-        pending_prefills_ms = sorted(
-            loads.get(engine, NO_LOAD).pending_prefill_ms for engine in engines
-        )
-        wait_ms = (
-            pending_prefills_ms[len(pending_prefills_ms) // 2]
-            if pending_prefills_ms
-            else MAX_RETRY_AFTER_MS
+        slots, waits_ms = 0, []
+        for endpoint in self._candidates(service, frozenset(), now_ms):
+            flights = loads.get(endpoint.id, NO_LOAD).prefilling_requests
+            slots += max(1, endpoint.slots)
+            waits_ms.append(queue_ms(flights, endpoint.slots)[0])
+        return min(waits_ms, default=math.inf), DEFAULT_CALL_MS / max(1, slots)
+
+    def booked_retry_ms(
+        self, service, priority, wait_ms, work_ms, time_to_deadline_ms, now_ms
+    ):
+        """Return when a refused caller should try again; see `RetryBook`."""
+        book = self._retry_books_by_service.setdefault(service, RetryBook())
+        return book.retry_after_ms(
+            priority,
+            wait_ms,
+            work_ms,
+            time_to_deadline_ms,
+            self._random.random(),
+            now_ms,
         )
-        jitter = RETRY_AFTER_JITTER * self._random.random()
-        return max(MIN_RETRY_AFTER_MS, min(MAX_RETRY_AFTER_MS, wait_ms)) * (1 + jitter)
 
 
 def explains_silence(pending_prefills_ms):
--- a/vanillareach/core/ordered_placing.py
+++ b/vanillareach/core/ordered_placing.py
@@ -8,7 +8,6 @@
 from vanillareach.core.start_decision import ASK_INTERVAL_MS
 from vanillareach.core.waiting import (
     RefusalReason,
-    RetryBook,
     WaitingQueue,
     WaitingRequest,
     ask_interval_ms,
@@ -83,13 +82,12 @@
 
 
 class ServiceOrder:
-    """Queue and records of one service."""
+    """Queue of one service."""
 
-    __slots__ = ("queue", "retries")
+    __slots__ = ("queue",)
 
     def __init__(self):
         self.queue = WaitingQueue()
-        self.retries = RetryBook()
 
 
 class OrderedPlacement:
@@ -285,12 +283,12 @@
     def _refuse(self, order, service, request, reason, wait_ms, now_ms, ahead=0):
         generation = request.generation
         engine_count = max(1, len(self._state.endpoints.usable(service.name)))
-        retry_after_ms = order.retries.retry_after_ms(
+        retry_after_ms = self._dispatcher.booked_retry_ms(
+            service.name,
             request.priority,
             wait_ms,
             request.engine_ms / engine_count,
             generation.time_to_deadline_ms,
-            self._random.random(),
             now_ms,
         )
         return OrderedDecision(
--- a/vanillareach/core/waiting.py
+++ b/vanillareach/core/waiting.py
@@ -38,9 +38,8 @@
 MAX_ENTRIES = 256
 # The order is sorted again after this time; new entries are inserted at once.
 ORDER_TTL_MS = 20.0
-# Bounds of Retry-After, and the share of it that is added at random.
+# Least Retry-After, and the share of it that is added at random.
 MIN_RETRY_AFTER_MS = 100.0
-MAX_RETRY_AFTER_MS = 3_000.0
 RETRY_AFTER_SPREAD = 0.25
 # A caller waits for no longer than this share of its remaining time.
 MAX_RETRY_AFTER_TIME_SHARE = 1 / 3
@@ -302,7 +301,7 @@
         ----------
         priority : int
         wait_ms : float
-            Predicted time until there is room for it.
+            Predicted time until there is room for it; infinite if unknown.
         engine_ms : float
             Time that its request takes of all engines together.
         time_to_deadline_ms : float
@@ -316,11 +315,12 @@
         booked_until_ms = max(
             (until for p, until in booked.items() if p <= priority), default=0.0
         )
-        latest_ms = now_ms + MAX_RETRY_AFTER_MS
-        room_ms = min(latest_ms, max(now_ms + wait_ms, booked_until_ms))
-        booked[priority] = min(latest_ms, room_ms + engine_ms)
-        delay_ms = max(MIN_RETRY_AFTER_MS, room_ms - now_ms)
         limit_ms = max(0.0, MAX_RETRY_AFTER_TIME_SHARE * time_to_deadline_ms)
+        latest_ms = now_ms + limit_ms
+        room_ms = max(now_ms + wait_ms, booked_until_ms)
+        # A caller comes back by then, whatever it is told.
+        booked[priority] = max(booked_until_ms, min(latest_ms, room_ms + engine_ms))
+        delay_ms = max(MIN_RETRY_AFTER_MS, room_ms - now_ms)
         if delay_ms * (1.0 + RETRY_AFTER_SPREAD) > limit_ms:
             return limit_ms * (1.0 - RETRY_AFTER_SPREAD * draw)
         return delay_ms * (1.0 + RETRY_AFTER_SPREAD * draw)
--- a/vanillareach/features/steps/waiting.py
+++ b/vanillareach/features/steps/waiting.py
@@ -1,6 +1,7 @@
 """Steps about the order in which requests wait for engines."""
 
 import random
+from dataclasses import replace
 from types import SimpleNamespace
 from unittest.mock import patch
 
@@ -32,10 +33,12 @@
     ENGINE_COUNT,
     KINDS,
     LOADS,
+    SERVICE,
     WaitingWorld,
     figures_by_kind,
     route_table,
 )
+from vanillareach.gateway.exchange import GatewayExchange
 from vanillareach.gateway.placing import QUERY_TIMEOUT_MS, PlacementDecision
 from vanillareach.gateway.report import InstanceReport, build_report
 from vanillareach.gateway.settings import GatewaySettings
@@ -424,6 +427,37 @@
     assert sum(delays[half:]) > 1.2 * sum(delays[:half]), delays
 
 
+@when("a caller with {time_ms:d} ms left is refused by every engine")
+def step_refused_by_all(context, time_ms):
+    world = context.world
+    short_route = world.state.configuration.routes_by_host["calls.example"][0]
+    route = replace(short_route, timeout_ms=60_000.0, is_generation=True)
+    context.delays = []
+    for _ in range(10):
+        caller = world.arrive_silently("short", "t0")
+        request = SimpleNamespace(received_ms=world.now_ms)
+        fields = SimpleNamespace(
+            attempt_id="a",
+            timeout_ms=float(time_ms),
+            prompt_tokens=caller.tokens,
+            answer_tokens=caller.answer,
+            length_hint=0,
+            last_event_id=None,
+        )
+        exchange = GatewayExchange(
+            request, fields, route, SERVICE, None, world.state.configuration
+        )
+        context.delays.append(
+            world.dispatcher.refusal_retry_after_ms(exchange, world.now_ms)
+        )
+
+
+@then("it is told to return after {least_ms:d} to {most_ms:d} ms")
+def step_told_to_return(context, least_ms, most_ms):
+    assert all(least_ms <= delay <= most_ms for delay in context.delays), context.delays
+    assert len(set(context.delays)) == len(context.delays)
+
+
 @when("a request is refused in order with a retry time of {retry_ms:d} ms")
 def step_refused_in_order(context, retry_ms):
     async def refuse(placement_client, exchange):
@@ -457,7 +491,8 @@
 def step_bounds(context):
     order = order_of(context.world)
     assert 0 < len(order.queue) <= MAX_ENTRIES
-    assert len(order.retries._booked_until_ms_by_priority) <= len(KINDS)
+    book = context.world.dispatcher._retry_books_by_service["model"]
+    assert len(book._booked_until_ms_by_priority) <= len(KINDS)
 
 
 @then("a medium prompt that asks then is first")
@@ -494,7 +529,8 @@
 
 
 @then(
-    "the first {count:d} of {total:d} that wait ask every {often:d} ms, the last less often"
+    "the first {count:d} of {total:d} that wait ask every {often:d} ms, the last less "
+    "often"
 )
 def step_intervals(context, count, total, often):
     decisions = [
--- a/vanillareach/features/waiting.feature
+++ b/vanillareach/features/waiting.feature
@@ -130,6 +130,17 @@
     When 30 callers with 9000 ms left are refused 100 ms before room
     Then their retry times grow, differ, and take no more than a third of 9000 ms
 
+  # Guards against callers who return while all streams still run, and use up their tries.
+  Scenario Outline: A refused caller returns when room is predicted, if it has the time
+    Given engines with all slots taken
+    When a caller with <left> ms left is refused by every engine
+    Then it is told to return after <least> to <most> ms
+
+    Examples:
+      | left | least | most |
+      | 9000 | 880   | 1300 |
+      | 1500 | 350   | 500  |
+
   Scenario: A request that would come too late is answered at once, though it could wait
     When a request is refused in order with a retry time of 1234 ms
     Then its caller has a 503 within 10 ms, and the refusal is counted by priority
--- a/vanillareach/features/waiting_world.py
+++ b/vanillareach/features/waiting_world.py
@@ -205,7 +205,10 @@
             self._run(caller, placement, received_ms)
         elif is_final:
             if retry_after_ms is None:
-                retry_after_ms = self.dispatcher.retry_after_ms("model", self.now_ms)
+                left_ms = caller.deadline_ms - self.now_ms
+                retry_after_ms = self.dispatcher.booked_retry_ms(
+                    "model", 0, 0.0, 0.0, left_ms, self.now_ms
+                )
             self._refuse(caller, retry_after_ms)
         else:
             self.at(
--- a/vanillareach/gateway/forwarder.py
+++ b/vanillareach/gateway/forwarder.py
@@ -293,7 +293,8 @@
         """Send the error response of a request for which there is no endpoint."""
         reason, retry_after_ms = decision.reason, decision.retry_after_ms
         if not reason:
-            reason = self._refusal_reason(responder)
+            # What a placer has told with it is the wait, not when to come back.
+            reason, retry_after_ms = self._refusal_reason(responder), None
         if reason == STOPPING:
             retry_after_ms = self._stopping_retry_after_ms()
         await self._send_final_failure(exchange, responder, reason, retry_after_ms)
--- a/vanillareach/gateway/placing.py
+++ b/vanillareach/gateway/placing.py
@@ -23,7 +23,7 @@
 )
 from vanillareach.core.ordered_placing import PlacementAsk
 from vanillareach.core.start_decision import ASK_INTERVAL_MS
-from vanillareach.core.waiting import MAX_ASK_INTERVAL_MS
+from vanillareach.core.waiting import MAX_ASK_INTERVAL_MS, MIN_RETRY_AFTER_MS
 from vanillareach.log import get_logger
 
 # A placer answers within a few milliseconds unless it is gone or suspended.
@@ -40,6 +40,8 @@
 MAX_COLD_ATTEMPTS = 2
 # An endpoint whose coordinator denies a request gets none for this time at least.
 MIN_DENIAL_MS = 20.0
+# Longest predicted wait that a member is told.
+MAX_TOLD_WAIT_MS = 3_000.0
 # After this time it is asked again, since more may be taken than was foreseen.
 MAX_DENIAL_MS = 1_000.0
 
@@ -465,7 +467,11 @@
             log_refusal(decision, ask)
             retry_after_ms = decision.retry_after_ms
             if retry_after_ms is None:
-                retry_after_ms = self._dispatcher.retry_after_ms(query.service, now_ms)
+                # Members of older versions tell it to callers that they refuse.
+                retry_after_ms = min(
+                    MAX_TOLD_WAIT_MS,
+                    max(MIN_RETRY_AFTER_MS, decision.predicted_wait_ms),
+                )
             return PlacementReply(
                 query.id,
                 True,
