Keep no order among requests for endpoints that name a limit

While all endpoints had used their limits, callers of a large fleet waited instead of being refused at once: with others ahead, a placer named no endpoint, so nobody asked for a permit and nobody learned that there was none.

Cause: the order keeps slots and memory for those ahead. What a limited endpoint lacks is permits, and its coordinator gives them to whoever asks first.

Change: a request whose engine names a limit isn't held back for those ahead. `OrderedPlacement` no longer takes a source of random numbers, which it doesn't use.

Test: endpoint_limits.feature:75 with 30 instances failed since the order is kept for all services ("" instead of "limited"), and passes again.

--- a/vanillareach/core/ordered_placing.py
+++ b/vanillareach/core/ordered_placing.py
@@ -97,13 +97,11 @@
     ----------
     state : GatewayState
     dispatcher : Dispatcher
-    random : random.Random
     """
 
-    def __init__(self, state, dispatcher, random):
+    def __init__(self, state, dispatcher):
         self._state = state
         self._dispatcher = dispatcher
-        self._random = random
         self._least_urgent = LeastUrgentIndex()
         self._orders_by_service = {}
 
@@ -230,6 +228,9 @@
         placement = self._place(service, request.generation, excluded, now_ms)
         if placement is None:
             return None
+        if self._state.limits.is_limited(placement.endpoint.key):
+            # Permits are short there, not slots; without one it is tried elsewhere.
+            return placement
         tokens = request.memory_tokens - sum(placement.reserved_tokens)
         if not room.leaves_room(needs, placement.endpoint.id, tokens):
             return None
--- a/vanillareach/features/gateway_network.py
+++ b/vanillareach/features/gateway_network.py
@@ -379,9 +379,7 @@
         self.dispatcher = Dispatcher(
             self.state, domain, random.Random(seed), POLICIES_BY_NAME[DEFAULT_POLICY]()
         )
-        self.ordered = OrderedPlacement(
-            self.state, self.dispatcher, random.Random(seed)
-        )
+        self.ordered = OrderedPlacement(self.state, self.dispatcher)
         placing = (self.state, self.dispatcher, self.gossip, self.clock, self.ordered)
         self.client = PlacementClient(*placing)
         server = PlacementServer(*placing)
--- a/vanillareach/features/waiting_world.py
+++ b/vanillareach/features/waiting_world.py
@@ -104,9 +104,7 @@
         self.dispatcher = Dispatcher(
             self.state, "a", random.Random(seed + 1), PredictedLateness()
         )
-        self.ordered = OrderedPlacement(
-            self.state, self.dispatcher, random.Random(seed + 2)
-        )
+        self.ordered = OrderedPlacement(self.state, self.dispatcher)
         self.is_ordered = is_ordered
         self.callers = []
         self.silent_count = 0
--- a/vanillareach/gateway/app.py
+++ b/vanillareach/gateway/app.py
@@ -114,7 +114,7 @@
         )
         policy = POLICIES_BY_NAME[settings.placement]()
         dispatcher = Dispatcher(self.state, settings.domain, random.Random(), policy)
-        self.ordered = OrderedPlacement(self.state, dispatcher, random.Random())
+        self.ordered = OrderedPlacement(self.state, dispatcher)
         placing = (self.state, dispatcher, self.gossip, clock, self.ordered)
         placement_client = PlacementClient(*placing)
         placement_server = PlacementServer(*placing)
