--- a/vanillareach/features/remaining_work.feature
+++ b/vanillareach/features/remaining_work.feature
@@ -17,7 +17,7 @@
 
   Scenario: A stream about to end is protected less than one that begins
     Then streams that have 950 of 1000 tokens count at most 0.8 of those with 100
-    And a flight of an older version is worth as much as one that begins
+    And a flight of an older version counts as much as one that begins
 
   Scenario: The wait for a slot is that until a request ends
     Then an engine whose 6 streams have 950 of 1000 tokens has a slot within 200 ms
--- a/vanillareach/features/steps/remaining_work.py
+++ b/vanillareach/features/steps/remaining_work.py
@@ -61,7 +61,7 @@
     assert 0 < ending <= 0.8 * beginning, (ending, beginning)
 
 
-@then("a flight of an older version is worth as much as one that begins")
+@then("a flight of an older version counts as much as one that begins")
 def step_older_flight(context):
     assert protected_count(0.0, 100) >= context.beginning
 
--- a/vanillareach/gateway/settings.py
+++ b/vanillareach/gateway/settings.py
@@ -117,9 +117,9 @@
         "other_domain_cost",
         float,
         OTHER_DOMAIN_COST,
-        "worth",
-        "Cost of an engine in another failure domain; a prompt of 13,000 tokens has "
-        "worth 1.",
+        "late callers",
+        "Cost of an engine in another failure domain; 1 is a caller whose limit is "
+        "missed.",
         check_between(0.0, 1e3),
     ),
     SETTINGS_BY_NAME["log_level"],
--- a/vanillareach/gateway/state.py
+++ b/vanillareach/gateway/state.py
@@ -63,7 +63,7 @@
     name : str
         Name of the instance.
     other_domain_cost : float
-        Cost of an engine in another failure domain, in worth.
+        Cost of an engine in another failure domain, in late callers.
     configuration : RouteTable or None
         Newest configuration received; never replaced by an older version.
     configuration_freshness, endpoints_freshness : Freshness
