Hand on requests that are refused here for want of room over whole paths

Callers got a 503 at an instance with dead paths though its peers had room: since an instance refuses what can't be served in time at once, such a refusal looked like one of a placer, which stands.

Cause: whether a decision was made here was read from whether it had a Retry-After.

Change: `PlacementDecision.is_by_placer` says so, and `lacks_room` whether room elsewhere would help.

Test: two examples of peer_forwarding.feature:93 failed with 503 since the order is kept for all services, 31 pass again.

--- a/vanillareach/gateway/forwarder.py
+++ b/vanillareach/gateway/forwarder.py
@@ -353,10 +353,13 @@
 
         A refusal by a placer, which knows more paths than this instance, stands.
         """
-        is_decided_here = decision.retry_after_ms is None and not decision.reason
         now_ms = self._clock.now_ms()
-        if not is_decided_here or self._dispatcher.shutdown.ends_too_late(
-            exchange, now_ms
+        has_room = decision.placement is not None
+        may_hand_on = has_room or decision.lacks_room
+        if (
+            decision.is_by_placer
+            or not may_hand_on
+            or self._dispatcher.shutdown.ends_too_late(exchange, now_ms)
         ):
             return None
         return self._peer_chooser.choose_for_room(exchange, decision.placement)
--- a/vanillareach/gateway/placing.py
+++ b/vanillareach/gateway/placing.py
@@ -23,7 +23,11 @@
 )
 from vanillareach.core.ordered_placing import PlacementAsk
 from vanillareach.core.start_decision import ASK_INTERVAL_MS
-from vanillareach.core.waiting import MAX_ASK_INTERVAL_MS, MIN_RETRY_AFTER_MS
+from vanillareach.core.waiting import (
+    MAX_ASK_INTERVAL_MS,
+    MIN_RETRY_AFTER_MS,
+    RefusalReason,
+)
 from vanillareach.log import get_logger
 
 # A placer answers within a few milliseconds unless it is gone or suspended.
@@ -45,6 +49,9 @@
 # After this time it is asked again, since more may be taken than was foreseen.
 MAX_DENIAL_MS = 1_000.0
 
+# Reasons of a decision without a placement that room elsewhere would change.
+ROOM_REASONS = ("", *RefusalReason)
+
 log = get_logger("placing")
 
 
@@ -63,10 +70,13 @@
         Whether the request must not wait for room.
     ask_interval_ms : float
         When a request that waits should ask again.
+    is_by_placer : bool
+        Whether a placer has decided.
     """
 
     __slots__ = (
         "ask_interval_ms",
+        "is_by_placer",
         "is_final",
         "placement",
         "reason",
@@ -80,12 +90,19 @@
         reason="",
         is_final=False,
         ask_interval_ms=ASK_INTERVAL_MS,
+        is_by_placer=False,
     ):
         self.placement = placement
         self.retry_after_ms = retry_after_ms
         self.reason = reason
         self.is_final = is_final
         self.ask_interval_ms = ask_interval_ms
+        self.is_by_placer = is_by_placer
+
+    @property
+    def lacks_room(self):
+        """Whether there is no placement for want of room at endpoints."""
+        return self.placement is None and self.reason in ROOM_REASONS
 
 
 def team_name(exchange):
@@ -324,6 +341,7 @@
                     reply.reason,
                     reply.is_final,
                     min(MAX_ASK_INTERVAL_MS, interval_ms),
+                    is_by_placer=True,
                 )
             unusable = self._unusable_ids(reply.placement)
             if not unusable:
