Let refusals of which nothing is known take up no time of an engine

Callers were told to stay away for a third of their time although room was near, after others had been refused while no endpoint could be asked: each of those booked the latest time at which it may come back.

Cause: an unknown wait was booked like a long one.

--- a/vanillareach/core/blocking_cost.py
+++ b/vanillareach/core/blocking_cost.py
@@ -1,5 +1,6 @@
 """Short prompts that long prefills make late by leaving too few engines clear."""
 
+from vanillareach.core.late_callers import LateCallers
 from vanillareach.core.priorities import UNKNOWN_PRIORITY
 
 # Enough engines are kept clear of long prefills to run as many short prompts as decode
@@ -14,41 +15,6 @@
 MS_PER_SECOND = 1000.0
 
 
-class LateCallers:
-    """Number of callers that are predicted to be late by a placement.
-
-    Parameters
-    ----------
-    priority : int
-        Of the request that is placed; with an unknown one, nobody is more urgent.
-
-    Attributes
-    ----------
-    count : float
-        All of them.
-    more_urgent : float
-        Those of a more urgent priority.
-    """
-
-    __slots__ = ("_priority", "count", "more_urgent")
-
-    def __init__(self, priority=UNKNOWN_PRIORITY, count=0.0, more_urgent=0.0):
-        self._priority = priority
-        self.count = count
-        self.more_urgent = more_urgent
-
-    def add(self, count, priority):
-        """Add callers of one priority."""
-        self.count += count
-        if UNKNOWN_PRIORITY < priority < self._priority:
-            self.more_urgent += count
-
-    def __iadd__(self, other):
-        self.count += other.count
-        self.more_urgent += other.more_urgent
-        return self
-
-
 class BlockingCost:
     """Short prompts that are late since too few engines are clear.
 
@@ -93,7 +59,7 @@
             Prefill that the span adds to each of its engines.
         """
         blocked_s = self._blocked_s(span, part_prefill_ms)
-        # As many arrive as end.
+        # As many short prompts arrive as end.
         factor = BURST_FACTOR * blocked_s / SHORT_DECODE_S
         return LateCallers(
             count=factor * self._decoding.count,
--- a/vanillareach/core/engine_room.py
+++ b/vanillareach/core/engine_room.py
@@ -80,7 +80,6 @@
     for flight, decoding_ms in zip(decoding, load.decoding_ms, strict=False):
         left_ms = _passes_left(figures, flight, decoding_ms / gap_ms) * gap_ms
         ends.append((max(MIN_REMAINING_MS, left_ms), flight.memory_tokens))
-    heapq.heapify(ends)
     begun = [end_ms for end_ms, _ in ends]
     heapq.heapify(begun)
     prefill_ms = load.pending_prefill_ms * pace
--- a/vanillareach/core/span_placement.py
+++ b/vanillareach/core/span_placement.py
@@ -14,9 +14,10 @@
 """
 
 from vanillareach.core.answer_times import safe_answer_ms
-from vanillareach.core.blocking_cost import BlockingCost, LateCallers
+from vanillareach.core.blocking_cost import BlockingCost
 from vanillareach.core.engine_shortlist import shortlist
 from vanillareach.core.engine_time import decode_ms, pass_ms, prefill_ms
+from vanillareach.core.late_callers import LateCallers
 from vanillareach.core.placement_types import Placement
 from vanillareach.core.remaining_work import COUNTED_WORK
 
--- a/vanillareach/core/waiting.py
+++ b/vanillareach/core/waiting.py
@@ -318,8 +318,9 @@
         limit_ms = max(0.0, MAX_RETRY_AFTER_TIME_SHARE * time_to_deadline_ms)
         latest_ms = now_ms + limit_ms
         room_ms = max(now_ms + wait_ms, booked_until_ms)
-        # A caller comes back by then, whatever it is told.
-        booked[priority] = max(booked_until_ms, min(latest_ms, room_ms + engine_ms))
+        if math.isfinite(wait_ms):
+            # A caller comes back by the latest time, whatever it is told.
+            booked[priority] = max(booked_until_ms, min(latest_ms, room_ms + engine_ms))
         delay_ms = max(MIN_RETRY_AFTER_MS, room_ms - now_ms)
         if delay_ms * (1.0 + RETRY_AFTER_SPREAD) > limit_ms:
             return limit_ms * (1.0 - RETRY_AFTER_SPREAD * draw)
--- a/vanillareach/features/steps/waiting.py
+++ b/vanillareach/features/steps/waiting.py
@@ -1,5 +1,6 @@
 """Steps about the order in which requests wait for engines."""
 
+import math
 import random
 from dataclasses import replace
 from types import SimpleNamespace
@@ -458,6 +459,19 @@
     assert len(set(context.delays)) == len(context.delays)
 
 
+@when("{count:d} callers are refused while nothing is known of room")
+def step_refused_unknown(context, count):
+    context.book = RetryBook()
+    for _ in range(count):
+        context.book.retry_after_ms(1, math.inf, 30.0, TIME_LEFT_MS, 0.5, 0.0)
+
+
+@then("one refused {wait_ms:d} ms before room is told to return by {most_ms:d} ms")
+def step_refused_after_unknown(context, wait_ms, most_ms):
+    delay_ms = context.book.retry_after_ms(1, wait_ms, 30.0, TIME_LEFT_MS, 1.0, 0.0)
+    assert wait_ms <= delay_ms <= most_ms, delay_ms
+
+
 @when("a request is refused in order with a retry time of {retry_ms:d} ms")
 def step_refused_in_order(context, retry_ms):
     async def refuse(placement_client, exchange):
--- a/vanillareach/features/waiting.feature
+++ b/vanillareach/features/waiting.feature
@@ -141,6 +141,11 @@
       | 9000 | 880   | 1300 |
       | 1500 | 350   | 500  |
 
+  # Guards against callers who are sent away for long by others of which nothing is known.
+  Scenario: Refusals without a prediction take up no time of an engine
+    When 5 callers are refused while nothing is known of room
+    Then one refused 200 ms before room is told to return by 260 ms
+
   Scenario: A request that would come too late is answered at once, though it could wait
     When a request is refused in order with a retry time of 1234 ms
     Then its caller has a 503 within 10 ms, and the refusal is counted by priority
