Let the requests of fleets in memory ask again, as members do

cold_engines.feature:120 and :121 failed since requests may wait: the harness asked once and took "wait" for a refusal, and what it left in the queue of a placer held others back.

Change: `run_request` asks again after the interval that it is told, as the forwarder does, until it has a placement, is refused, or may wait no longer. The check that nobody is refused whom warm engines serve is unchanged; both examples hold.

--- a/vanillareach/features/gateway_network.py
+++ b/vanillareach/features/gateway_network.py
@@ -425,11 +425,18 @@
         )
 
     async def run_request(self, duration_ms, prompt_tokens=1_000):
-        """Place a request and let it run; return its `Placement` or None."""
+        """Place a request and let it run; return its `Placement` or None.
+
+        Like the forwarder it asks again while it may wait.
+        """
         exchange = self.exchange(prompt_tokens)
         decision = await self.client.choose(exchange)
-        if decision.placement is None:
-            return None
+        while decision.placement is None:
+            now_ms = self.clock.now_ms()
+            if decision.is_final or not self.dispatcher.may_wait(exchange, now_ms):
+                return None
+            await self.clock.sleep_ms(decision.ask_interval_ms)
+            decision = await self.client.choose(exchange)
         sent_ms = self.clock.now_ms()
         flight = self.dispatcher.record_dispatch(exchange, decision.placement, sent_ms)
         await self.clock.sleep_ms(LATENCY_MS)
