--- a/vanillareach/core/dispatching.py
+++ b/vanillareach/core/dispatching.py
@@ -187,10 +187,10 @@
         return max(1, round(rest.median - done)), max(1, round(rest.high - done))
 
     def _told_work(self, exchange):
-        """Return twice the length of an answer that its caller tells; 0 without one.
+        """Return the length of an answer that its caller tells, as median and quantile.
 
-        The maximum of tokens tells nothing if no engine could make so many within the
-        time that the caller has given.
+        Both are 0 if it tells none. The maximum of tokens tells nothing if no engine
+        could make so many within the time that the caller has given.
         """
         figures, fields = exchange.service.engine, exchange.fields
         if figures is None or not exchange.is_generation:
