Let callers of an overloaded fleet in memory ask once

With callers that ask again, the load of cold_engines.feature:123 and :124 (480 streams for 288 warm slots) took minutes of processor time: each question costs a placement. There they ask once, as before; where the warm engines have slots for all, they ask again for up to their objective. cold_engines.feature:120, :121 hold; :123, :124 weren't run to their end on this commit (over 40 s).

--- a/vanillareach/features/gateway_network.py
+++ b/vanillareach/features/gateway_network.py
@@ -44,6 +44,9 @@
 FAST_INSTANCES_PER_DOMAIN = 3
 ENGINES_PER_DOMAIN = 4
 CALLER_TIMEOUT_MS = 10_000.0
+# Objectives of the first deployment, after which callers here leave.
+PATIENCE_MS, LONG_PATIENCE_MS = 300.0, 8_000.0
+LONG_PROMPT_TOKENS = 100_000
 
 
 class MemoryNetwork:
@@ -424,16 +427,20 @@
             request, fields, route, service, None, self.state.configuration
         )
 
-    async def run_request(self, duration_ms, prompt_tokens=1_000):
+    async def run_request(self, duration_ms, prompt_tokens=1_000, waits=False):
         """Place a request and let it run; return its `Placement` or None.
 
-        Like the forwarder it asks again while it may wait.
+        With `waits` it asks again like the forwarder, but leaves after a while.
         """
         exchange = self.exchange(prompt_tokens)
         decision = await self.client.choose(exchange)
         while decision.placement is None:
             now_ms = self.clock.now_ms()
-            if decision.is_final or not self.dispatcher.may_wait(exchange, now_ms):
+            is_long = prompt_tokens >= LONG_PROMPT_TOKENS
+            patience_ms = LONG_PATIENCE_MS if is_long else PATIENCE_MS
+            is_leaving = now_ms - exchange.request.received_ms > patience_ms
+            may_wait = self.dispatcher.may_wait(exchange, now_ms)
+            if not waits or decision.is_final or is_leaving or not may_wait:
                 return None
             await self.clock.sleep_ms(decision.ask_interval_ms)
             decision = await self.client.choose(exchange)
--- a/vanillareach/features/steps/cold_engines.py
+++ b/vanillareach/features/steps/cold_engines.py
@@ -272,8 +272,13 @@
                 # Stands in for an evacuation.
                 state.quiet_periods.record(endpoint.key, unused_ms, now_ms)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(send_requests, fleet, short, SHORT_TOKENS, short_ms)
-            nursery.start_soon(send_requests, fleet, long, LONG_TOKENS, LONG_MS)
+            # Beyond the slots of the warm engines, callers ask once.
+            slots = 8 * (len(fleet.store.endpoints) - len(returning))
+            waits = short * short_ms / 1000 <= slots
+            nursery.start_soon(
+                send_requests, fleet, short, SHORT_TOKENS, short_ms, waits
+            )
+            nursery.start_soon(send_requests, fleet, long, LONG_TOKENS, LONG_MS, waits)
             await trio.sleep(unused_ms / 1000)
             begin_cold(fleet, returning, False)
             for gateway in fleet.gateways_by_name.values():
@@ -283,12 +288,12 @@
             nursery.cancel_scope.cancel()
 
 
-async def send_requests(fleet, rate, tokens, duration_ms):
+async def send_requests(fleet, rate, tokens, duration_ms, waits):
     """Send requests of one kind until cancelled; record those that were refused."""
     random, gateways = Random(rate), list(fleet.gateways_by_name.values())
 
     async def send(gateway):
-        placement = await gateway.run_request(duration_ms, tokens)
+        placement = await gateway.run_request(duration_ms, tokens, waits)
         if placement is None:
             fleet.memory["refused"].append((trio.current_time(), tokens))
 
