Take out what the order of waiting requests carried along

The class around each queue had nothing else left in it, refusals were handed a queue that they don't use, the tokens made were counted in two places, a streams' check of its service repeated `is_generation`, and a request was described before it was known whether it may wait. What is decided stays the same. bench/placement_time.py asks for the loads at a moment of its own each time, since they are kept for one.

--- a/bench/placement_time.py
+++ b/bench/placement_time.py
@@ -52,7 +52,8 @@
 def place_once(policy, load_state, engines, rng, prompt):
     """Place one prompt, from the in-flight requests to the decision."""
     tokens, objective_ms, pause_ms = prompt
-    loads = load_state.loads_by_engine(10.0)
+    # Loads are kept for a moment, so each decision is made at one of its own.
+    loads = load_state.loads_by_engine(10.0 + rng.random())
     views = [
         EngineView(engine, loads.get(engine.id, EngineLoad()), jitter=rng.random())
         for engine in engines
--- a/vanillareach/core/dispatching.py
+++ b/vanillareach/core/dispatching.py
@@ -192,18 +192,18 @@
         Both are 0 if it tells none. The maximum of tokens tells nothing if no engine
         could make so many within the time that the caller has given.
         """
-        figures, fields = exchange.service.engine, exchange.fields
-        if figures is None or not exchange.is_generation:
+        if not exchange.is_generation:
             return 0, 0
+        figures, fields = exchange.service.engine, exchange.fields
         tokens = min(fields.length_hint, fields.answer_tokens) or fields.answer_tokens
         time_ms = exchange.deadline_ms - exchange.request.received_ms
         if decode_ms(figures, tokens, 1, fields.prompt_tokens) > time_ms:
             return 0, 0
-        done = (exchange.last_event_id or 0) * figures.steps_per_pass
-        return (max(1, tokens - done),) * 2
+        tokens_left = max(1, tokens - self._tokens_done(exchange))
+        return tokens_left, tokens_left
 
     def _tokens_done(self, exchange):
-        if exchange.cost_traits.size_class == 0 or not exchange.last_event_id:
+        if not exchange.is_generation or not exchange.last_event_id:
             return 0
         return exchange.last_event_id * exchange.service.engine.steps_per_pass
 
@@ -426,18 +426,16 @@
         It may while it can still be answered by its deadline. There is nothing to wait
         for without an endpoint that may be asked.
         """
-        service, generation = (
-            exchange.service,
-            self.generation_request(exchange, now_ms),
-        )
-        if generation is None or service.engine is None or self._state.is_stopping:
+        if not exchange.is_generation or self._state.is_stopping:
             return False
         if self.unavailability(exchange) is not None:
             return False
+        service = exchange.service
         excluded = self.excluded_ids(exchange, frozenset(), now_ms)
         candidates = self._candidates(service, excluded, now_ms)
         if not candidates:
             return False
+        generation = self.generation_request(exchange, now_ms)
         answer_ms = least_answer_ms(service.engine, generation, len(candidates))
         return answer_ms <= generation.time_to_deadline_ms
 
@@ -579,7 +577,7 @@
         service = exchange.service
         if unavailability is not None:
             wait_ms, work_ms = math.inf, 0.0
-        elif service.engine is None or not exchange.is_generation:
+        elif not exchange.is_generation:
             wait_ms, work_ms = self._call_wait_ms(service, now_ms)
         else:
             generation = self.generation_request(exchange, now_ms)
--- a/vanillareach/core/ordered_placing.py
+++ b/vanillareach/core/ordered_placing.py
@@ -81,15 +81,6 @@
     ask_interval_ms: float = ASK_INTERVAL_MS
 
 
-class ServiceOrder:
-    """Queue of one service."""
-
-    __slots__ = ("queue",)
-
-    def __init__(self):
-        self.queue = WaitingQueue()
-
-
 class OrderedPlacement:
     """Places the requests of this instance, or of its domain, in their order.
 
@@ -103,17 +94,17 @@
         self._state = state
         self._dispatcher = dispatcher
         self._least_urgent = LeastUrgentIndex()
-        self._orders_by_service = {}
+        self._queues_by_service = {}
 
     def waiting_counts(self, now_ms):
         """Return the number of waiting requests by priority, by service."""
         counts_by_service = {}
-        for service, order in list(self._orders_by_service.items()):
-            order.queue.expire(now_ms)
-            if len(order.queue):
-                counts_by_service[service] = dict(order.queue.counts_by_priority())
+        for service, queue in list(self._queues_by_service.items()):
+            queue.expire(now_ms)
+            if len(queue):
+                counts_by_service[service] = dict(queue.counts_by_priority())
             elif not self._is_configured(service):
-                del self._orders_by_service[service]
+                del self._queues_by_service[service]
         return counts_by_service
 
     def _is_configured(self, service):
@@ -144,12 +135,9 @@
                     ask.service, request.generation, ask.excluded, now_ms, False
                 )
             )
-        order = self._order(service.name)
-        order.queue.expire(now_ms)
-        return self._decide_in_order(order, service, request, now_ms)
-
-    def _order(self, service):
-        return self._orders_by_service.setdefault(service, ServiceOrder())
+        queue = self._queues_by_service.setdefault(service.name, WaitingQueue())
+        queue.expire(now_ms)
+        return self._decide_in_order(queue, service, request, now_ms)
 
     def _waiting_request(self, ask):
         generation = ask.generation
@@ -180,20 +168,20 @@
             is_older_version=not ask.waiting_id,
         )
 
-    def _decide_in_order(self, order, service, request, now_ms):
-        entry = order.queue.renew(request, now_ms)
+    def _decide_in_order(self, queue, service, request, now_ms):
+        entry = queue.renew(request, now_ms)
         if entry is None and request.is_older_version:
             return OrderedDecision()
         if entry is None:
             room = self._free_room(service, request, now_ms)
-            wait_ms = self._predicted_wait_ms(room, request, order.queue)
+            wait_ms = self._predicted_wait_ms(room, request, queue)
             reason = RefusalReason.QUEUE_FULL
-            return self._refuse(order, service, request, reason, wait_ms, now_ms)
-        ahead = order.queue.ahead_of(entry)
+            return self._refuse(service, request, reason, wait_ms, now_ms)
+        ahead = queue.ahead_of(entry)
         room = self._free_room(service, request, now_ms)
         placement = self._place_behind(service, request, ahead, room, now_ms)
         if placement is not None:
-            order.queue.discard(request.key)
+            queue.discard(request.key)
             return OrderedDecision(placement, ahead=len(ahead))
         wait_ms = self._predicted_wait_ms(room, request, ahead)
         # An older version goes on asking after a refusal.
@@ -204,16 +192,9 @@
                 ahead=len(ahead),
                 ask_interval_ms=entry.ask_interval_ms,
             )
-        order.queue.discard(request.key)
-        return self._refuse(
-            order,
-            service,
-            request,
-            RefusalReason.TOO_LATE,
-            wait_ms,
-            now_ms,
-            len(ahead),
-        )
+        queue.discard(request.key)
+        reason = RefusalReason.TOO_LATE
+        return self._refuse(service, request, reason, wait_ms, now_ms, len(ahead))
 
     def _place_behind(self, service, request, ahead, room, now_ms):
         """Return the `Placement` of a request unless those ahead would lose by it."""
@@ -282,7 +263,7 @@
             return False
         return wait_ms + request.answer_ms > request.generation.time_to_deadline_ms
 
-    def _refuse(self, order, service, request, reason, wait_ms, now_ms, ahead=0):
+    def _refuse(self, service, request, reason, wait_ms, now_ms, ahead=0):
         generation = request.generation
         engine_count = max(1, len(self._state.endpoints.usable(service.name)))
         retry_after_ms = self._dispatcher.booked_retry_ms(
--- a/vanillareach/core/waiting.py
+++ b/vanillareach/core/waiting.py
@@ -102,12 +102,6 @@
     return max(1.0, own_prefill_ms + decoding_ms / max(1, figures.slots))
 
 
-def min_first_event_ms(figures, generation, engine_count):
-    """Return the least time to the first event, on engines without other load."""
-    parts = max(1, min(engine_count, MAX_HELPERS + 1))
-    return prefill_ms(figures, generation.prompt_tokens, parts)
-
-
 def ask_interval_ms(wait_ms, ahead):
     """Return the interval at which a request asks again.
 
@@ -127,7 +121,8 @@
 
 def least_answer_ms(figures, generation, engine_count):
     """Return the least time to the end of an answer, on engines without other load."""
-    return min_first_event_ms(figures, generation, engine_count) + sure_answer_ms(
+    parts = max(1, min(engine_count, MAX_HELPERS + 1))
+    return prefill_ms(figures, generation.prompt_tokens, parts) + sure_answer_ms(
         figures, generation
     )
 
--- a/vanillareach/features/steps/waiting.py
+++ b/vanillareach/features/steps/waiting.py
@@ -24,6 +24,7 @@
     ENTRY_TTL_INTERVALS,
     MAX_ENTRIES,
     RetryBook,
+    WaitingQueue,
 )
 from vanillareach.features.attempt_cases import Case, play
 from vanillareach.features.fleet_script import action, check
@@ -89,9 +90,9 @@
     return world.ordered.decide(request, world.now_ms)
 
 
-def order_of(world):
-    """Return the order of the world's service."""
-    return world.ordered._order("model")
+def queue_of(world):
+    """Return the queue of the world's service."""
+    return world.ordered._queues_by_service.setdefault("model", WaitingQueue())
 
 
 def add_waiting(world, count, kind, team="t0", time_left_ms=None, **changes):
@@ -104,7 +105,7 @@
         request = world.ordered._waiting_request(
             world.ask(caller, caller.number, world.now_ms, **changes)
         )
-        queue = order_of(world).queue
+        queue = queue_of(world)
         entries.append(queue.renew(request, world.now_ms))
     return entries
 
@@ -274,7 +275,7 @@
 
 @then("the small teams come before the second prompt of the large one")
 def step_small_first(context):
-    order = list(order_of(context.world).queue)
+    order = list(queue_of(context.world))
     assert {e.request.team for e in order[:24]} == {
         "large",
         *(e.request.team for e in context.small),
@@ -314,7 +315,7 @@
 
 @then("it is first within {limit_ms:d} ms, though each short one takes less time")
 def step_not_starved(context, limit_ms):
-    world, queue = context.world, order_of(context.world).queue
+    world, queue = context.world, queue_of(context.world)
     first = context.early.request
     for number in range(limit_ms // 20):
         world.now_ms += 20.0
@@ -349,7 +350,7 @@
 
 @then("the second one goes first")
 def step_second_first(context):
-    order = list(order_of(context.world).queue)
+    order = list(queue_of(context.world))
     assert order == context.entries[::-1], [e.rank for e in order]
 
 
@@ -367,7 +368,7 @@
 
 @then("it goes by its time among those of the least urgent priority of its limits")
 def step_by_its_time(context):
-    order = list(order_of(context.world).queue)
+    order = list(queue_of(context.world))
     assert order[0] is context.urgent, order
     starts_ms = [entry.latest_start_ms for entry in order[1:]]
     assert context.unknown in order[1:] and starts_ms == sorted(starts_ms), starts_ms
@@ -503,8 +504,7 @@
 
 @then("queue and records keep their bounds")
 def step_bounds(context):
-    order = order_of(context.world)
-    assert 0 < len(order.queue) <= MAX_ENTRIES
+    assert 0 < len(queue_of(context.world)) <= MAX_ENTRIES
     book = context.world.dispatcher._retry_books_by_service["model"]
     assert len(book._booked_until_ms_by_priority) <= len(KINDS)
 
--- a/vanillareach/gateway/forwarder.py
+++ b/vanillareach/gateway/forwarder.py
@@ -354,8 +354,7 @@
         A refusal by a placer, which knows more paths than this instance, stands.
         """
         now_ms = self._clock.now_ms()
-        has_room = decision.placement is not None
-        may_hand_on = has_room or decision.lacks_room
+        may_hand_on = decision.placement is not None or decision.lacks_room
         if (
             decision.is_by_placer
             or not may_hand_on
--- a/vanillareach/gateway/placing.py
+++ b/vanillareach/gateway/placing.py
@@ -194,7 +194,7 @@
     def _decide_here(self, exchange, denied):
         """Return the `PlacementDecision` by the load and the queue of this instance."""
         now_ms = self._clock.now_ms()
-        if exchange.service.engine is None or not exchange.is_generation:
+        if not exchange.is_generation:
             return PlacementDecision(self._dispatcher.choose(exchange, now_ms, denied))
         excluded = self._dispatcher.excluded_ids(exchange, denied, now_ms)
         ask = PlacementAsk(
