Send older versions the same worth for all requests

While a fleet is upgraded, instances of older versions still weighed short prompts against long ones by the formula of a generation's benefit (`worth_of`), which new ones went on sending.

An older placer that finds a request not worth its cost answers "wait", so the member asks again; nobody is refused for it. docs/design/placement.md says that no weight rests on its table of worth.

--- a/bench/cost_replay.py
+++ b/bench/cost_replay.py
@@ -18,7 +18,11 @@
 from vanillareach.core.engine_policies import POLICIES_BY_NAME
 from vanillareach.core.engine_time import pass_ms, prefill_ms
 from vanillareach.core.load_state import InFlightRequest
-from vanillareach.core.placement_types import GenerationRequest, Placement
+from vanillareach.core.placement_types import (
+    OLDER_VERSIONS_WORTH,
+    GenerationRequest,
+    Placement,
+)
 from vanillareach.core.request_costs import CostModel, CostPrediction, CostTraits
 from vanillareach.core.routing import EngineFigures, RoutedService
 from vanillareach.core.start_decision import ASK_INTERVAL_MS
@@ -28,7 +32,7 @@
 
 FIGURES = EngineFigures(6, 382_500, 0.925, 0.0018, 0.002, 256.0, 0.0917, 2048, 52)
 SLOTS = 6
-PROMPT_TOKENS, OBJECTIVE_MS, PAUSE_LIMIT_MS, WORTH = 4_960, 321.0, 200.0, 1.4
+PROMPT_TOKENS, OBJECTIVE_MS, PAUSE_LIMIT_MS = 4_960, 321.0, 200.0
 MAX_ANSWER_TOKENS = 16_000
 TIME_MS = 10_000.0
 TEAM_TOKENS = (260, 260, 260, 260, 260, 260, 6_500, 6_500)
@@ -179,7 +183,7 @@
             part_prefill_ms=placement.part_prefill_ms,
             objective_ms=OBJECTIVE_MS,
             pause_limit_ms=PAUSE_LIMIT_MS,
-            worth=WORTH,
+            worth=OLDER_VERSIONS_WORTH,
             is_prefilling=True,
             age_ms=0.0,
             predicted_work=prediction.median,
@@ -205,7 +209,7 @@
             OBJECTIVE_MS - waited_ms,
             TIME_MS - waited_ms,
             PAUSE_LIMIT_MS,
-            WORTH,
+            OLDER_VERSIONS_WORTH,
             "a",
             predicted_tokens=prediction.median,
             high_tokens=prediction.high,
--- a/bench/placement_time.py
+++ b/bench/placement_time.py
@@ -10,7 +10,11 @@
 from vanillareach.core.endpoint_list import ListedEndpoint
 from vanillareach.core.engine_policies import POLICIES_BY_NAME
 from vanillareach.core.load_state import EngineLoad, InFlightRequest, LoadState
-from vanillareach.core.placement_types import EngineView, GenerationRequest
+from vanillareach.core.placement_types import (
+    OLDER_VERSIONS_WORTH,
+    EngineView,
+    GenerationRequest,
+)
 from vanillareach.core.routing import EngineFigures
 
 ENGINE_COUNT = 78
@@ -19,7 +23,6 @@
 ROUNDS = 40
 FIGURES = EngineFigures(6, 382_500, 0.925, 0.0018, 0.002, 256.0, 0.0917, 2048, 52)
 PROMPTS = ((4_960, 321.0, 200.0), (45_000, 1_532.0, 500.0), (300_000, 4_055.0, 800.0))
-WORTH_TOKENS = 13_000
 EXTRA_FIELDS = {"predicted_work": 700.0, "high_work": 1_800.0}
 
 
@@ -40,7 +43,7 @@
             part_prefill_ms=prompt / FIGURES.read_tokens_per_ms,
             objective_ms=objective_ms,
             pause_limit_ms=pause_ms,
-            worth=prompt / WORTH_TOKENS,
+            worth=OLDER_VERSIONS_WORTH,
             is_prefilling=rng.random() < 0.1,
             age_ms=rng.uniform(0.0, 1_000.0),
             **extra,
@@ -59,7 +62,7 @@
         for engine in engines
     ]
     request = GenerationRequest(
-        tokens, 1_000, objective_ms, 10_000.0, pause_ms, tokens / WORTH_TOKENS, "a"
+        tokens, 1_000, objective_ms, 10_000.0, pause_ms, OLDER_VERSIONS_WORTH, "a"
     )
     return policy.place(request, FIGURES, views)
 
--- a/vanillareach/core/dispatching.py
+++ b/vanillareach/core/dispatching.py
@@ -8,6 +8,7 @@
 from vanillareach.core.engine_time import decode_ms, pass_ms
 from vanillareach.core.load_state import EngineLoad, InFlightRequest
 from vanillareach.core.placement_types import (
+    OLDER_VERSIONS_WORTH,
     EngineView,
     GenerationRequest,
     Placement,
@@ -60,9 +61,6 @@
 UNAVAILABLE_RETRY_JITTER_MS = 400.0
 # Pending prefill of an engine above which it explains why an event is overdue.
 BUSY_PREFILL_MS = 60.0
-# Weights by which instances of older versions compare requests; see `worth_of`.
-PROMPT_TOKENS_PER_ANSWER_TOKEN = 10
-PROMPT_TOKENS_PER_WORTH = 13_000
 # Network latency between caller and instance, which is deducted from the latency
 # objective.
 CALLER_LATENCY_MS = 12.0
@@ -154,7 +152,7 @@
             time_to_objective_ms=route.objective_ms - waited_ms - CALLER_LATENCY_MS,
             time_to_deadline_ms=exchange.deadline_ms - now_ms,
             pause_limit_ms=route.pause_limit_ms,
-            worth=worth_of(fields),
+            worth=OLDER_VERSIONS_WORTH,
             domain=self._domain,
             time_to_shutdown_ms=self.shutdown.time_left_ms(exchange, now_ms),
             least_answer_ms=self.shutdown.least_answer_ms(exchange, now_ms),
@@ -475,7 +473,7 @@
             part_prefill_ms=0.0,
             objective_ms=route.objective_ms,
             pause_limit_ms=route.pause_limit_ms,
-            worth=worth_of(fields),
+            worth=OLDER_VERSIONS_WORTH,
             is_prefilling=True,
             age_ms=0.0,
             priority=exchange.priority,
@@ -648,11 +646,3 @@
         if fields.answer_tokens:
             traits.limit = fields.answer_tokens
     return traits
-
-
-def worth_of(fields):
-    """Return the weight by which instances of older versions compare a generation."""
-    tokens = (
-        fields.prompt_tokens + PROMPT_TOKENS_PER_ANSWER_TOKEN * fields.answer_tokens
-    )
-    return tokens / PROMPT_TOKENS_PER_WORTH
--- a/vanillareach/core/placement_types.py
+++ b/vanillareach/core/placement_types.py
@@ -9,6 +9,8 @@
 from vanillareach.core.load_state import EngineLoad
 from vanillareach.core.priorities import UNKNOWN_PRIORITY
 
+# Sent as `worth`, by which instances of older versions weigh requests: all alike.
+OLDER_VERSIONS_WORTH = 1.0
 # Cost of an engine in another failure domain, in late callers, unless set otherwise.
 # It counts little against a late response.
 OTHER_DOMAIN_COST = 0.008
--- a/vanillareach/features/steps/placement_load.py
+++ b/vanillareach/features/steps/placement_load.py
@@ -9,6 +9,7 @@
 from vanillareach.core.engine_time import pass_ms
 from vanillareach.core.load_state import EngineLoad, InFlightRequest, LoadState
 from vanillareach.core.placement_types import (
+    OLDER_VERSIONS_WORTH,
     OTHER_DOMAIN_COST,
     EngineView,
     GenerationRequest,
@@ -35,7 +36,6 @@
 ]
 SHORT_PROMPT_TOKENS = 5_000
 SHORT_ANSWER_TOKENS = 1_300
-SHORT_WORTH = 1.4
 OBJECTIVE_MS_BY_IS_SHORT = {True: 300.0, False: 4_000.0}
 PAUSE_LIMIT_MS_BY_IS_SHORT = {True: 250.0, False: 1_000.0}
 
@@ -73,14 +73,13 @@
     def choose(self, tokens):
         """Return the placement of a prompt, or None."""
         is_short = tokens == SHORT_PROMPT_TOKENS
-        worth = SHORT_WORTH if is_short else tokens / 13_000
         request = GenerationRequest(
             tokens,
             self.answer_tokens,
             OBJECTIVE_MS_BY_IS_SHORT[is_short],
             self.time_to_deadline_ms,
             PAUSE_LIMIT_MS_BY_IS_SHORT[is_short],
-            worth,
+            OLDER_VERSIONS_WORTH,
             "a",
             self.unreported_requests,
             self.time_to_shutdown_ms,
@@ -110,7 +109,7 @@
             part_prefill_ms=placement.part_prefill_ms,
             objective_ms=OBJECTIVE_MS_BY_IS_SHORT[is_short],
             pause_limit_ms=PAUSE_LIMIT_MS_BY_IS_SHORT[is_short],
-            worth=SHORT_WORTH if is_short else tokens / 13_000,
+            worth=OLDER_VERSIONS_WORTH,
             is_prefilling=True,
             age_ms=0.0,
         )
--- a/vanillareach/features/steps/waiting.py
+++ b/vanillareach/features/steps/waiting.py
@@ -429,29 +429,34 @@
     assert sum(delays[half:]) > 1.2 * sum(delays[:half]), delays
 
 
+def exchange_of(world, kind, time_ms):
+    """Return the `GatewayExchange` of a new request that has some time."""
+    short_route = world.state.configuration.routes_by_host["calls.example"][0]
+    route = replace(short_route, timeout_ms=60_000.0, is_generation=True)
+    caller = world.arrive_silently(kind, "t0")
+    fields = SimpleNamespace(
+        attempt_id="a",
+        timeout_ms=float(time_ms),
+        prompt_tokens=caller.tokens,
+        answer_tokens=caller.answer,
+        length_hint=0,
+        last_event_id=None,
+    )
+    request = SimpleNamespace(received_ms=world.now_ms)
+    return GatewayExchange(
+        request, fields, route, SERVICE, None, world.state.configuration
+    )
+
+
 @when("a caller with {time_ms:d} ms left is refused by every engine")
 def step_refused_by_all(context, time_ms):
     world = context.world
-    short_route = world.state.configuration.routes_by_host["calls.example"][0]
-    route = replace(short_route, timeout_ms=60_000.0, is_generation=True)
-    context.delays = []
-    for _ in range(10):
-        caller = world.arrive_silently("short", "t0")
-        request = SimpleNamespace(received_ms=world.now_ms)
-        fields = SimpleNamespace(
-            attempt_id="a",
-            timeout_ms=float(time_ms),
-            prompt_tokens=caller.tokens,
-            answer_tokens=caller.answer,
-            length_hint=0,
-            last_event_id=None,
-        )
-        exchange = GatewayExchange(
-            request, fields, route, SERVICE, None, world.state.configuration
-        )
-        context.delays.append(
-            world.dispatcher.refusal_retry_after_ms(exchange, world.now_ms)
+    context.delays = [
+        world.dispatcher.refusal_retry_after_ms(
+            exchange_of(world, "short", time_ms), world.now_ms
         )
+        for _ in range(10)
+    ]
 
 
 @then("it is told to return after {least_ms:d} to {most_ms:d} ms")
@@ -656,6 +661,16 @@
         assert not any(waiting_in(fleet, "a").values())
 
 
+@then("instances of older versions get the same worth for prompts of any length")
+def step_same_worth(context):
+    world, worths = WaitingWorld(), set()
+    for kind in KINDS:
+        exchange = exchange_of(world, kind, TIME_LEFT_MS)
+        worths.add(world.dispatcher.generation_request(exchange, 0.0).worth)
+        worths.add(world.dispatcher.unplaced_flight(exchange).worth)
+    assert len(worths) == 1 and min(worths) > 0.0, worths
+
+
 @then("a query without the newer fields is decoded with an unknown priority")
 def step_old_query(context):
     world = WaitingWorld()
--- a/vanillareach/features/waiting.feature
+++ b/vanillareach/features/waiting.feature
@@ -184,3 +184,4 @@
   Scenario: A query of an older version is answered, and its member keeps polling
     Then a query without the newer fields is decoded with an unknown priority
     And a reply without the newer fields lets its request wait
+    And instances of older versions get the same worth for prompts of any length
--- a/vanillareach/features/waiting_world.py
+++ b/vanillareach/features/waiting_world.py
@@ -19,7 +19,10 @@
 from vanillareach.core.engine_time import decode_ms, pass_ms
 from vanillareach.core.load_state import InFlightRequest
 from vanillareach.core.ordered_placing import OrderedPlacement, PlacementAsk
-from vanillareach.core.placement_types import GenerationRequest
+from vanillareach.core.placement_types import (
+    OLDER_VERSIONS_WORTH,
+    GenerationRequest,
+)
 from vanillareach.core.routing import (
     EngineFigures,
     RequestKind,
@@ -71,7 +74,6 @@
         self.sent_ms = now_ms
         self.deadline_ms = now_ms + generator.uniform(10_000, 15_000)
         self.is_impatient = generator.random() < IMPATIENT_SHARE
-        self.worth = (self.tokens + 10 * self.answer) / 13_000
         self.tries = 0
         self.placed_ms = None
         self.first_event_ms = None
@@ -164,7 +166,7 @@
             caller.objective_ms - waited_ms - CALLER_LATENCY_MS,
             caller.deadline_ms - self.now_ms,
             caller.pause_ms,
-            caller.worth,
+            OLDER_VERSIONS_WORTH,
             "a",
             predicted_tokens=caller.answer,
             high_tokens=caller.answer,
@@ -237,7 +239,7 @@
                 0.0,
                 caller.objective_ms,
                 caller.pause_ms,
-                caller.worth,
+                OLDER_VERSIONS_WORTH,
                 True,
                 0.0,
                 caller.priority,
