--- a/vanillareach/core/blocking_cost.py
+++ b/vanillareach/core/blocking_cost.py
@@ -36,8 +36,8 @@
     def __init__(self, figures, views, priority=UNKNOWN_PRIORITY):
         decoding = LateCallers(priority)
         for view in views:
-            for flight in view.load.decoding_requests:
-                decoding.add(1.0, flight.priority)
+            for (_, stream_priority), count in view.load.stream_counts().items():
+                decoding.add(count, stream_priority)
         self._prefills = sorted(
             (view.load.pending_prefill_ms, view.endpoint.id)
             for view in views
--- a/vanillareach/core/load_state.py
+++ b/vanillareach/core/load_state.py
@@ -1,5 +1,6 @@
 """Load of the engines: the in-flight requests of all instances known to this one."""
 
+from collections import Counter
 from dataclasses import dataclass, field
 
 import msgspec
@@ -105,6 +106,16 @@
     helper_part_count: int = 0
     memory_tokens: int = 0
     context_tokens: int = 0
+    _stream_counts: Counter | None = field(default=None, repr=False, compare=False)
+
+    def stream_counts(self):
+        """Return the number of decoding requests by pause limit and priority."""
+        if self._stream_counts is None:
+            self._stream_counts = Counter(
+                (flight.pause_limit_ms, flight.priority)
+                for flight in self.decoding_requests
+            )
+        return self._stream_counts
 
 
 class InFlightTable:
--- a/vanillareach/core/remaining_work.py
+++ b/vanillareach/core/remaining_work.py
@@ -117,10 +117,7 @@
 
     def protected_streams(self, figures, view):
         """Return how many streams a pause delays, by pause limit and priority."""
-        return Counter(
-            (flight.pause_limit_ms, flight.priority)
-            for flight in view.load.decoding_requests
-        ).items()
+        return view.load.stream_counts().items()
 
     def slot_wait_ms(self, figures, view):
         """Return the wait for a slot; 0 if one is free."""
--- a/vanillareach/core/span_placement.py
+++ b/vanillareach/core/span_placement.py
@@ -292,12 +292,14 @@
     beyond the objective in multiples of it. An answer that comes too late for the
     deadline counts as one that takes until then.
     """
-    objective_ms = max(1.0, request.objective_ms or request.time_to_objective_ms)
-    left_ms = request.time_to_objective_ms
-    risk = miss_risk(time_to_first_event_ms, left_ms)
+    left_ms, deadline_ms = request.time_to_objective_ms, request.time_to_deadline_ms
+    risk = 0.0
     if request.pause_limit_ms:
-        risk = max(risk, miss_risk(pause_ms, request.pause_limit_ms))
-    deadline_ms = request.time_to_deadline_ms
+        risk = miss_risk(pause_ms, request.pause_limit_ms)
+    if time_to_first_event_ms <= RISK_START_SHARE * min(left_ms, deadline_ms):
+        return risk
+    risk = max(risk, miss_risk(time_to_first_event_ms, left_ms))
+    objective_ms = max(1.0, request.objective_ms or left_ms)
     beyond_ms = max(0.0, min(time_to_first_event_ms, deadline_ms) - left_ms)
     lost_risk = miss_risk(time_to_first_event_ms, deadline_ms)
     lateness = risk + beyond_ms / objective_ms
