Give refused callers' return times, and the steps about them, modules of their own

`core/waiting.py` is about the order, `core/retry_book.py` about when refused callers return. The steps of waiting.feature were one file of 700 lines; they are three now, with what their scenarios begin with in `features/waiting_cases.py`. No step and no assertion is changed.

--- a/vanillareach/core/dispatching.py
+++ b/vanillareach/core/dispatching.py
@@ -15,12 +15,13 @@
 )
 from vanillareach.core.remaining_work import DEFAULT_CALL_MS, queue_ms
 from vanillareach.core.request_costs import CostTraits
+from vanillareach.core.retry_book import RetryBook
 from vanillareach.core.routing import RequestKind
 from vanillareach.core.shutdown_admission import ShutdownAdmission
 from vanillareach.core.start_decision import ends_in_time, is_put_off
 from vanillareach.core.state_change import ChangeKind
 from vanillareach.core.unavailability import find_unavailability
-from vanillareach.core.waiting import RetryBook, engine_time_ms, least_answer_ms
+from vanillareach.core.waiting import engine_time_ms, least_answer_ms
 
 # Longest prompt that counts as short in the priority number sent to endpoints.
 SHORT_PROMPT_TOKENS = 16_000
--- a/vanillareach/features/steps/waiting.py
+++ b/vanillareach/features/steps/waiting.py
@@ -1,115 +1,42 @@
 """Steps about the order in which requests wait for engines."""
 
-import math
-import random
-from dataclasses import replace
 from types import SimpleNamespace
-from unittest.mock import patch
 
 import msgspec
-import trio
 from behave import given, then, when
 
-from vanillareach.core.load_state import InFlightRequest
-from vanillareach.core.messages import (
-    PlacementQuery,
-    PlacementReply,
-    decode_message,
-    encode_message,
-)
 from vanillareach.core.priorities import UNKNOWN_PRIORITY
-from vanillareach.core.start_decision import ASK_INTERVAL_MS
-from vanillareach.core.state_change import ChangeKind
 from vanillareach.core.waiting import (
-    ENTRY_TTL_INTERVALS,
     MAX_ENTRIES,
-    RetryBook,
-    WaitingQueue,
 )
-from vanillareach.features.attempt_cases import Case, play
-from vanillareach.features.fleet_script import action, check
-from vanillareach.features.scripted_attempts import ScriptedPlacement
-from vanillareach.features.steps.placers import preferred_placer
-from vanillareach.features.users_platform.stage import configuration, route
+from vanillareach.features.waiting_cases import (
+    FULL_COUNT,
+    SHORT_TIME_MS,
+    TIME_LEFT_MS,
+    add_waiting,
+    ask,
+    blocker,
+    queue_of,
+    world_with,
+)
 from vanillareach.features.waiting_world import (
     ENGINE_COUNT,
     KINDS,
     LOADS,
-    SERVICE,
     WaitingWorld,
     figures_by_kind,
     route_table,
 )
-from vanillareach.gateway.exchange import GatewayExchange
-from vanillareach.gateway.placing import QUERY_TIMEOUT_MS, PlacementDecision
 from vanillareach.gateway.report import InstanceReport, build_report
 from vanillareach.gateway.settings import GatewaySettings
 from vanillareach.gateways_cli import instances_table
 from vanillareach.metrics import Metrics
-from vanillareach.platform.documents import decode_configuration
 
-FULL_COUNT = 8
 REPLAY_SEEDS = (1, 2, 3)
-# Requests that hold a slot until a step ends them.
-BLOCKER_ID = 1_000_000
-# Less than the wait for a slot.
-SHORT_TIME_MS = 100.0
-TIME_LEFT_MS = 9_000.0
 # Number under which a request that has come back waits.
 RETURNING_ID = 999_999
 
 
-def blocker(number, engine, tokens=100, priority=0, is_prefilling=False):
-    """Return a request that occupies a slot of an engine."""
-    values = (tokens, tokens + 1_000, 1_000.0 if is_prefilling else 0.0)
-    limits = (271.0, 200.0, 1.4, is_prefilling, 0.0, priority)
-    return InFlightRequest(BLOCKER_ID + number, engine, (), (), *values, *limits)
-
-
-def world_with(load):
-    """Return a `WaitingWorld` whose engines have a load."""
-    world = WaitingWorld()
-    counts = [FULL_COUNT] * ENGINE_COUNT
-    if load == "no requests":
-        counts = []
-    elif load == "one free slot":
-        counts[0] -= 1
-    for engine, count in enumerate(counts):
-        for number in range(count):
-            flight = blocker(100 * engine + number, f"e{engine}")
-            world.state.load_state.add(flight, 0.0)
-    return world
-
-
-def ask(world, kind, team="t0", time_left_ms=None, **changes):
-    """Let a request ask once; return its decision."""
-    caller = world.arrive_silently(kind, team)
-    if time_left_ms is not None:
-        caller.deadline_ms = world.now_ms + time_left_ms
-    request = world.ask(caller, caller.number, world.now_ms, **changes)
-    return world.ordered.decide(request, world.now_ms)
-
-
-def queue_of(world):
-    """Return the queue of the world's service."""
-    return world.ordered._queues_by_service.setdefault("model", WaitingQueue())
-
-
-def add_waiting(world, count, kind, team="t0", time_left_ms=None, **changes):
-    """Put requests into the queue without asking for room."""
-    entries = []
-    for _ in range(count):
-        caller = world.arrive_silently(kind, team)
-        if time_left_ms is not None:
-            caller.deadline_ms = world.now_ms + time_left_ms
-        request = world.ordered._waiting_request(
-            world.ask(caller, caller.number, world.now_ms, **changes)
-        )
-        queue = queue_of(world)
-        entries.append(queue.renew(request, world.now_ms))
-    return entries
-
-
 @given("engines with {load}")
 def step_engines_with(context, load):
     context.world = world_with(load)
@@ -409,96 +336,6 @@
     assert "e0" not in used, used
 
 
-@when(
-    "{count:d} callers with {time_ms:d} ms left are refused {wait_ms:d} ms before room"
-)
-def step_refused_at_once(context, count, time_ms, wait_ms):
-    book, generator = RetryBook(), random.Random(1)
-    context.delays = [
-        book.retry_after_ms(1, wait_ms, 30.0, time_ms, generator.random(), 0.0)
-        for _ in range(count)
-    ]
-
-
-@then("their retry times grow, differ, and take no more than a third of {time_ms:d} ms")
-def step_retry_times(context, time_ms):
-    delays = context.delays
-    assert len({round(delay, 3) for delay in delays}) == len(delays)
-    assert max(delays) <= time_ms / 3
-    half = len(delays) // 2
-    assert sum(delays[half:]) > 1.2 * sum(delays[:half]), delays
-
-
-def exchange_of(world, kind, time_ms):
-    """Return the `GatewayExchange` of a new request that has some time."""
-    short_route = world.state.configuration.routes_by_host["calls.example"][0]
-    route = replace(short_route, timeout_ms=60_000.0, is_generation=True)
-    caller = world.arrive_silently(kind, "t0")
-    fields = SimpleNamespace(
-        attempt_id="a",
-        timeout_ms=float(time_ms),
-        prompt_tokens=caller.tokens,
-        answer_tokens=caller.answer,
-        length_hint=0,
-        last_event_id=None,
-    )
-    request = SimpleNamespace(received_ms=world.now_ms)
-    return GatewayExchange(
-        request, fields, route, SERVICE, None, world.state.configuration
-    )
-
-
-@when("a caller with {time_ms:d} ms left is refused by every engine")
-def step_refused_by_all(context, time_ms):
-    world = context.world
-    context.delays = [
-        world.dispatcher.refusal_retry_after_ms(
-            exchange_of(world, "short", time_ms), world.now_ms
-        )
-        for _ in range(10)
-    ]
-
-
-@then("it is told to return after {least_ms:d} to {most_ms:d} ms")
-def step_told_to_return(context, least_ms, most_ms):
-    assert all(least_ms <= delay <= most_ms for delay in context.delays), context.delays
-    assert len(set(context.delays)) == len(context.delays)
-
-
-@when("{count:d} callers are refused while nothing is known of room")
-def step_refused_unknown(context, count):
-    context.book = RetryBook()
-    for _ in range(count):
-        context.book.retry_after_ms(1, math.inf, 30.0, TIME_LEFT_MS, 0.5, 0.0)
-
-
-@then("one refused {wait_ms:d} ms before room is told to return by {most_ms:d} ms")
-def step_refused_after_unknown(context, wait_ms, most_ms):
-    delay_ms = context.book.retry_after_ms(1, wait_ms, 30.0, TIME_LEFT_MS, 1.0, 0.0)
-    assert wait_ms <= delay_ms <= most_ms, delay_ms
-
-
-@when("a request is refused in order with a retry time of {retry_ms:d} ms")
-def step_refused_in_order(context, retry_ms):
-    async def refuse(placement_client, exchange):
-        return PlacementDecision(None, float(retry_ms), "too_late", True)
-
-    with patch.object(ScriptedPlacement, "choose", refuse):
-        context.run = play(Case("ask", ()))
-
-
-@then(
-    "its caller has a 503 within {limit_ms:d} ms, and the refusal is counted by "
-    "priority"
-)
-def step_answered_at_once(context, limit_ms):
-    run = context.run
-    assert run.responder.status == 503
-    assert run.responder.completed_ms - (run.deadline_ms - 5_000) <= limit_ms
-    assert run.metrics.refusals == {("desk", "0", "too_late"): 1}
-    assert run.logged("Refused.")[0]["retry_after_ms"] == 1_234
-
-
 @when("{count:d} long prompts of {teams:d} teams ask for an engine")
 def step_flood(context, count, teams):
     world = context.world
@@ -563,139 +400,3 @@
 @then("it gets the slot")
 def step_gets_slot(context):
     assert context.decision.placement is not None, context.decision
-
-
-@given("the fleet's model has two priorities")
-def step_two_priorities(context):
-    @action(context)
-    async def configure(fleet):
-        long_wait = {"session_affinity": True, "target_latency_ms": 20_000}
-        routes = [
-            route("ask", "streaming", "model", resumable=True, **long_wait),
-            route("once", "streaming", "model", priority=1, **long_wait),
-        ]
-        document = configuration(1, routes=routes)
-        del document["tenants"]
-        fleet.store.configuration = decode_configuration(msgspec.json.encode(document))
-
-
-@when("all slots of all engines are taken")
-def step_fill(context):
-    @action(context)
-    async def fill(fleet):
-        gateway = fleet.gateways_by_name["c9"]
-        slots = FULL_COUNT + 2
-        for index, engine in enumerate(gateway.state.endpoints.by_id):
-            for number in range(slots):
-                flight = blocker(slots * index + number, engine)
-                gateway.state.load_state.add(flight, gateway.clock.now_ms())
-        gateway.state.publish(ChangeKind.FLIGHTS)
-        await trio.sleep(0.1)
-
-
-@when("{count:d} members of all domains wait for an engine")
-def step_members_wait(context, count):
-    @action(context)
-    async def wait(fleet):
-        fleet.memory["placed"] = []
-        members = [m for m in fleet.members() if m.settings.name != "c9"]
-
-        async def poll(member):
-            exchange = member.exchange()
-            while True:
-                decision = await member.client.choose(exchange)
-                if decision.placement is not None:
-                    fleet.memory["placed"].append(member.settings.name)
-                    member.dispatcher.record_dispatch(
-                        exchange, decision.placement, member.clock.now_ms()
-                    )
-                    return
-                assert not decision.is_final, decision.reason
-                await member.clock.sleep_ms(decision.ask_interval_ms)
-
-        fleet.memory["waiting"] = members[:count]
-        for member in members[:count]:
-            fleet._nursery.start_soon(poll, member)
-        await trio.sleep(0.2)
-        assert waiting_in(fleet, "a")[preferred_placer(fleet, "a")] > 0
-
-
-def waiting_in(fleet, domain):
-    """Return how many requests wait at each placer of a domain."""
-    counts = {}
-    for name in fleet.placer_names(domain):
-        gateway = fleet.gateways_by_name[name]
-        waiting = gateway.ordered.waiting_counts(gateway.clock.now_ms())
-        counts[name] = sum(waiting.get("model", {}).values())
-    return counts
-
-
-@then('the other placer of domain "{domain}" has the waiting requests of its members')
-def step_other_placer(context, domain):
-    @check(context)
-    async def verify(fleet):
-        own = [m for m in fleet.memory["waiting"] if m.settings.domain == domain]
-        assert not fleet.memory["placed"]
-        assert own and max(waiting_in(fleet, domain).values()) == len(own)
-
-
-@when("the slots become free")
-def step_free(context):
-    @action(context)
-    async def free(fleet):
-        gateway = fleet.gateways_by_name["c9"]
-        for flight in gateway.state.load_state.own_flights(gateway.clock.now_ms()):
-            gateway.dispatcher.record_end(flight)
-        await trio.sleep(0.05)
-
-
-@then("each of the waiting requests was placed once")
-def step_placed_once(context):
-    @check(context)
-    async def verify(fleet):
-        names = [member.settings.name for member in fleet.memory["waiting"]]
-        missing = set(names) - set(fleet.memory["placed"])
-        assert sorted(fleet.memory["placed"]) == sorted(names), missing
-        flights = [m.state.load_state.own_flight_count for m in fleet.memory["waiting"]]
-        assert flights == [1] * len(names), flights
-        assert not any(waiting_in(fleet, "a").values())
-
-
-@then("instances of older versions get the same worth for prompts of any length")
-def step_same_worth(context):
-    world, worths = WaitingWorld(), set()
-    for kind in KINDS:
-        exchange = exchange_of(world, kind, TIME_LEFT_MS)
-        worths.add(world.dispatcher.generation_request(exchange, 0.0).worth)
-        worths.add(world.dispatcher.unplaced_flight(exchange).worth)
-    assert len(worths) == 1 and min(worths) > 0.0, worths
-
-
-@then("a query without the newer fields is decoded with an unknown priority")
-def step_old_query(context):
-    world = WaitingWorld()
-    caller = world.arrive_silently("medium", "t0")
-    generation = world.ask(caller, 1, 0.0).generation
-    flight = blocker(1, "")
-    query = PlacementQuery(1, "m", "m", "model", generation, (), True, flight)
-    values = msgspec.msgpack.decode(encode_message(query))
-    del values[9:]
-    # The tag, then the fields; those of an older version lack the priority inside.
-    values[5], values[8] = values[5][:9], values[8][:12]
-    decoded = decode_message(msgspec.msgpack.encode(values))
-    assert isinstance(decoded, PlacementQuery)
-    assert (decoded.priority, decoded.waiting_id) == (UNKNOWN_PRIORITY, 0)
-    assert decoded.flight.priority == UNKNOWN_PRIORITY
-    assert decoded.generation.priority == UNKNOWN_PRIORITY
-
-
-@then("a reply without the newer fields lets its request wait")
-def step_old_reply(context):
-    values = msgspec.msgpack.decode(
-        encode_message(PlacementReply(1, True, None, 300.0, True, "too_late"))
-    )
-    reply = decode_message(msgspec.msgpack.encode(values[:5]))
-    assert (reply.is_final, reply.reason) == (False, "")
-    # An entry outlives three polls, and one poll that found the placer silent.
-    assert ENTRY_TTL_INTERVALS >= 3
-    assert ENTRY_TTL_INTERVALS * ASK_INTERVAL_MS >= ASK_INTERVAL_MS + QUERY_TIMEOUT_MS
--- a/vanillareach/gateway/placing.py
+++ b/vanillareach/gateway/placing.py
@@ -22,10 +22,10 @@
     RequestLimit,
 )
 from vanillareach.core.ordered_placing import PlacementAsk
+from vanillareach.core.retry_book import MIN_RETRY_AFTER_MS
 from vanillareach.core.start_decision import ASK_INTERVAL_MS
 from vanillareach.core.waiting import (
     MAX_ASK_INTERVAL_MS,
-    MIN_RETRY_AFTER_MS,
     RefusalReason,
 )
 from vanillareach.log import get_logger
