Predict no stream to go on beyond the tokens that it may have

Cause: an answer that comes to its predicted length is expected to go on, by the spread of predictions, at least 15%. Where the prediction is the maximum of tokens that the caller told, it can't.

Change: `_passes_left` is at most what the maximum leaves.

--- a/vanillareach/core/engine_room.py
+++ b/vanillareach/core/engine_room.py
@@ -105,15 +105,19 @@
 
 
 def _passes_left(figures, flight, done_passes):
-    """Return the passes after the first event that a request still takes."""
+    """Return the passes after the first event that a request still takes.
+
+    An overdue answer is predicted to go on, but not beyond its maximum of tokens.
+    """
     tokens_per_pass = figures.steps_per_pass
-    if flight.predicted_work > 0.0:
-        # The first event has the tokens of a whole pass.
-        done = tokens_per_pass * (1.0 + done_passes) if done_passes else 0.0
-        left = remaining_work(flight.predicted_work, flight.high_work, done)
-        return left / tokens_per_pass
     passes = max(0, math.ceil(flight.answer_tokens / tokens_per_pass) - 1)
-    return max(0.0, passes - done_passes)
+    most_left = max(0.0, passes - done_passes)
+    if not flight.predicted_work > 0.0:
+        return most_left
+    # The first event has the tokens of a whole pass.
+    done = tokens_per_pass * (1.0 + done_passes) if done_passes else 0.0
+    left = remaining_work(flight.predicted_work, flight.high_work, done)
+    return min(most_left, left / tokens_per_pass)
 
 
 class FreeRoom:
--- a/vanillareach/features/steps/waiting.py
+++ b/vanillareach/features/steps/waiting.py
@@ -6,9 +6,7 @@
 from behave import given, then, when
 
 from vanillareach.core.priorities import UNKNOWN_PRIORITY
-from vanillareach.core.waiting import (
-    MAX_ENTRIES,
-)
+from vanillareach.core.waiting import MAX_ENTRIES
 from vanillareach.features.waiting_cases import (
     FULL_COUNT,
     SHORT_TIME_MS,
@@ -42,6 +40,12 @@
     context.world = world_with(load)
 
 
+@given("their answers are predicted to have all tokens that they may have")
+def step_predicted(context):
+    for flight in context.world.state.load_state.own_flights(context.world.now_ms):
+        flight.predicted_work = flight.high_work = flight.answer_tokens
+
+
 @given("engines that lack the memory for a long prompt")
 def step_engines_lack_memory(context):
     context.world = WaitingWorld()
--- a/vanillareach/features/waiting.feature
+++ b/vanillareach/features/waiting.feature
@@ -108,6 +108,14 @@
       | 600    | 80    | medium | 400   | 4000 |
       | 600    | 0     | long   | 280   | 380  |
 
+  # Guards against callers that are refused shortly before streams end which can't go on.
+  Scenario: A stream isn't predicted to go on beyond the tokens that it may have
+    Given engines with all slots taken
+    And their answers are predicted to have all tokens that they may have
+    And 850 ms have passed since their first events
+    When a medium prompt asks for an engine
+    Then room for it is predicted within 30 to 90 ms
+
   Scenario: Small prompts don't take for ever the memory that a large one waits for
     Given engines that lack the memory for a long prompt
     And 1 long prompts that wait for an engine
