--- a/review/common2/standins.py
+++ b/review/common2/standins.py
@@ -359,10 +359,13 @@
     async def serve(self):
         """Serve at a free port; return the address."""
         port = free_port()
-        await asyncio.start_server(self._on_channel, HOST, port)
+        await self._listen(port)
         self.address = f"{HOST}:{port}"
         return self.address
 
+    async def _listen(self, port):
+        await asyncio.start_server(self._on_channel, HOST, port)
+
     def entry(self):
         """Return the spec of its entry."""
         self.sequence += 1
