--- a/review/common2/standins.py
+++ b/review/common2/standins.py
@@ -16,7 +16,8 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[2]
-HOST = "127.0.0.1"
+# Loopback address; another one lets several scripts run side by side.
+HOST = os.environ.get("REVIEW_HOST", "127.0.0.1")
 # Below the usual range of the ports of outgoing channels.
 PORTS = (20_000, 32_000)
 SIGNATURE = "Vanillareach-Response-Signature"
