Don't take an answer for whole whose connection was reset during the upload

What callers saw: an engine answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection.

Cause: only the end of its connection ends such an answer. The kernel reports a reset once, to whoever sends or receives next. While an upload is being sent, that is often the task that sends it, which passed over the error by design; the task that reads then sees an ordinary end. A probe on loopback: send: "Connection reset by peer", then recv: b"part", b"".

Change: RequestSender keeps the error of sending. Why it works: sender and reader are the only ones that the kernel can report to, so a reset is always known to one of them. Answers with a length or in chunks end before their connection and aren't affected; nor are those whose server reads on, or stops reading without a reset.

It covers all that goes through open_upstream: endpoints, peers, reservations of memory and the emulated callers.

--- /dev/null
+++ b/vanillareach/features/steps/broken_answers.py
@@ -0,0 +1,124 @@
+"""Steps about answers that break off while a request is being sent."""
+
+import trio
+from behave import given, then, when
+
+from vanillareach.endpoints.base import EndpointError
+from vanillareach.features.early_answers import BODY, EarlyAnswer
+from vanillareach.features.raw_server import open_raw_server
+from vanillareach.features.support import endpoints
+from vanillareach.features.users_platform.stage import configuration
+from vanillareach.gateway.upstream import UpstreamRequest, open_upstream
+
+UPLOAD_TIMEOUT_S = 20.0
+MAX_ANSWER_BYTES = 1024 * 1024
+
+
+@given("a server that answers early {framing}, with {part} of its body, and then {end}")
+def step_early_server(context, framing, part, end):
+    context.early_answer = EarlyAnswer(framing, part, end)
+
+
+async def upload_by_gateway(address, body):
+    """Upload by the client that gateways use for endpoints, peers and orders."""
+    request = UpstreamRequest(address, b"POST", b"/", [], address.encode(), body)
+    async with open_upstream(request, lambda: None) as response:
+        return await response.read(MAX_ANSWER_BYTES)
+
+
+UPLOADS_BY_READER = {"gateways": upload_by_gateway}
+
+
+@when("{count:d} uploads of {size:d} bytes are sent by the client of {reader}")
+def step_upload(context, count, size, reader):
+    upload, context.results = UPLOADS_BY_READER[reader], []
+
+    async def main():
+        async with open_raw_server(context.early_answer.serve) as address:
+            for _ in range(count):
+                with trio.fail_after(UPLOAD_TIMEOUT_S):
+                    try:
+                        result = await upload(address, bytes(size))
+                    except EndpointError as error:
+                        result = type(error).__name__
+                context.results.append(result)
+
+    trio.run(main)
+
+
+@then("all of them break off with {name}")
+def step_all_broken(context, name):
+    assert context.results and set(context.results) == {name}, context.results
+
+
+@then("all of them get the whole body")
+def step_all_whole(context):
+    assert context.results and set(context.results) == {BODY}, context.results
+
+
+@given("callers may upload {size:d} bytes")
+def step_allow_uploads(context, size):
+    limits = {**configuration(1)["limits"], "max_body_bytes": size}
+    platform = context.platform
+    state = platform.gateways[0].state
+
+    async def change():
+        platform.store.put("config", "main", configuration(2, limits=limits))
+        await platform.until(lambda: state.configuration.version == 2)
+
+    context.run(change)
+
+
+@given("the endpoints answer early {framing}, with {part} of the body, and then {end}")
+def step_early_endpoints(context, framing, part, end):
+    platform, answer = context.platform, EarlyAnswer(framing, part, end)
+
+    async def serve():
+        address = await platform.listen_raw(answer.serve)
+        for endpoint in endpoints(context):
+            endpoint.address = address
+            platform.put_endpoint(endpoint.name, endpoint.service)
+        listed = platform.gateways[0].state.endpoints
+        await platform.until(
+            lambda: {e.address for e in listed.by_id.values()} == {address}
+        )
+
+    context.run(serve)
+
+
+@when('{count:d} callers upload {size:d} bytes to "{path}"')
+def step_call_with_upload(context, count, size, path):
+    context.responses = []
+
+    async def call():
+        for _ in range(count):
+            response = await context.platform.call(path, body=bytes(size))
+            context.responses.append(response)
+
+    context.run(call)
+
+
+@then("no caller gets a complete success")
+def step_no_success(context):
+    assert context.responses
+    for response in context.responses:
+        is_success = response.status == 200 and response.is_complete
+        assert not is_success, response.body
+
+
+@then("all callers get the whole body")
+def step_callers_whole(context):
+    assert context.responses
+    for response in context.responses:
+        assert response.status == 200 and response.is_complete, response.status
+        assert response.body == BODY, response.body
+
+
+@then("no endpoint counts as faulty, and nobody suspects a request")
+def step_no_faults(context):
+    state = context.platform.gateways[0].state
+    assert not state.health.unreachable_by_key
+    assert not state.quarantine.evidence.marks_by_trait
+    attempts = context.platform.gateways[0].metrics.attempts
+    results = {result for _, result in attempts}
+    assert results == {"answered"}, attempts
--- a/vanillareach/features/users_platform/stage.py
+++ b/vanillareach/features/users_platform/stage.py
@@ -10,6 +10,7 @@
 
 from vanillareach.clock import TrioClock
 from vanillareach.core.routing import CallerLimits
+from vanillareach.features.raw_server import open_raw_server
 from vanillareach.features.users_platform.endpoint import StandinEndpoint
 from vanillareach.features.users_platform.endpoint_links import (
     EndpointLinks,
@@ -179,6 +180,15 @@
         await self._nursery.start(run)
         return listener
 
+    async def listen_raw(self, serve):
+        """Let `serve` handle the streams of connections; return the address."""
+        return await self._nursery.start(self._run_raw_server, serve)
+
+    async def _run_raw_server(self, serve, task_status=trio.TASK_STATUS_IGNORED):
+        async with open_raw_server(serve) as address:
+            task_status.started(address)
+            await trio.sleep_forever()
+
     async def open(self, services_by_name, make_endpoint=StandinEndpoint):
         """Start the store and one endpoint for each name, and list the endpoints."""
         await self.listen(self.store_address, self.store.handle)
--- a/vanillareach/gateway/response_reader.py
+++ b/vanillareach/gateway/response_reader.py
@@ -35,6 +35,8 @@
     connection : h11.Connection
         Its `max_incomplete_event_size` is `MAX_RESPONSE_HEAD_BYTES`.
     stream : trio.SocketStream
+    sender : RequestSender
+        Sends the request on the same connection.
     """
 
     __slots__ = (
@@ -44,16 +46,19 @@
         "_has_head",
         "_is_closed",
         "_received_bytes",
+        "_sender",
         "_stream",
         "_turn_events",
     )
 
-    def __init__(self, connection, stream):
+    def __init__(self, connection, stream, sender):
         self._connection = connection
         self._stream = stream
+        self._sender = sender
         self._received_bytes = 0
         self._has_head = False
-        self._is_closed = False
+        # An earlier response may have been read together with the connection's end.
+        _, self._is_closed = connection.trailing_data
         # Bytes received after the head: those that frame the body, and its own.
         self._framing_bytes = 0
         self._body_bytes = 0
@@ -100,6 +105,9 @@
             self._body_bytes += len(data)
             return data
         if isinstance(event, h11.EndOfMessage):
+            if self._is_closed:
+                # A body with a length or in chunks ends before its connection does.
+                await self._sender.check()
             return None
         raise EndpointBrokenError(f"unexpected {type(event).__name__}")
 
--- a/vanillareach/gateway/upstream.py
+++ b/vanillareach/gateway/upstream.py
@@ -10,13 +10,13 @@
 from contextlib import asynccontextmanager
 
 import h11
-import trio
 
 from vanillareach.endpoints.base import (
     EndpointBrokenError,
     EndpointConnectionLostError,
     EndpointUnreachableError,
 )
+from vanillareach.gateway.request_sender import RequestSender
 from vanillareach.gateway.response_reader import (
     MAX_RESPONSE_HEAD_BYTES,
     ResponseReader,
@@ -172,27 +172,28 @@
             h11.CLIENT, max_incomplete_event_size=MAX_RESPONSE_HEAD_BYTES
         )
         on_connected()
+        sender = RequestSender(stream)
         head = _encode_head(connection, request)
         if is_inline:
-            await _send(stream, head + _encode_body(connection, body))
-            yield await _read_response(connection, stream, request, is_foreign)
+            await sender.send(head + _encode_body(connection, body))
+            yield await _read_response(connection, stream, sender, request, is_foreign)
             return
         # At the end of the block the rest of the request body is no longer needed.
         async with open_background_nursery() as nursery:
             connection.send_with_data_passthrough(h11.Data(data=body))
             connection.send(h11.EndOfMessage())
             # A body with a length is sent as it is, so that it is held only once.
-            nursery.start_soon(_send, stream, head, body)
-            yield await _read_response(connection, stream, request, is_foreign)
+            nursery.start_soon(sender.send, head, body)
+            yield await _read_response(connection, stream, sender, request, is_foreign)
     finally:
         # Closes at once: an aborted exchange must not wait for the endpoint.
         stream.socket.close()
 
 
-async def _read_response(connection, stream, request, is_foreign):
+async def _read_response(connection, stream, sender, request, is_foreign):
     """Return the first `UpstreamResponse` that isn't foreign."""
     for _ in range(MAX_FOREIGN_RESPONSES + 1):
-        reader = ResponseReader(connection, stream)
+        reader = ResponseReader(connection, stream, sender)
         response = UpstreamResponse(await reader.read_head(), reader, request.method)
         if not is_foreign(response):
             return response
@@ -238,12 +239,3 @@
 def _encode_body(connection, body):
     data = connection.send(h11.Data(data=body)) if body else b""
     return data + connection.send(h11.EndOfMessage())
-
-
-async def _send(stream, *parts):
-    try:
-        for part in parts:
-            await stream.send_all(part)
-    except trio.BrokenResourceError:
-        # The endpoint may have responded before closing; reading shows whether it did.
-        return
