Don't take an answer for whole in clients of httpcore if the upload was reset

Cause: httpcore passes over an error of writing and reads the response, as a server may refuse a request early. The writer has taken the kernel's only report of the reset, so the reader sees an ordinary end, which completes an answer without a length.

Change: ResponseCheckBackend keeps an error of writing and raises it where the connection ends. It lies below all pools: of endpoints, the store and the object API. Why it works: a request is written before its response is read, so the writer's error is known by then; answers with a length or in chunks don't read up to the connection's end.

--- a/vanillareach/endpoints/http.py
+++ b/vanillareach/endpoints/http.py
@@ -14,6 +14,7 @@
     EndpointUnreachableError,
 )
 from vanillareach.endpoints.limits import HeadLimit, HeadLimitBackend
+from vanillareach.response_checks import ResponseCheckBackend
 from vanillareach.traffic import CountingBackend
 
 HOP_BY_HOP_HEADERS = CONNECTION_HEADERS | {b"date", b"host", b"server"}
@@ -34,7 +35,7 @@
 
     def __init__(self, connect_limit_ms, traffic=None):
         backend = HeadLimitBackend(
-            httpcore.TrioBackend() if traffic is None else CountingBackend(traffic)
+            ResponseCheckBackend() if traffic is None else CountingBackend(traffic)
         )
         self._connect_timeout_s = connect_limit_ms / MS_PER_SECOND
         self._keep_alive_pool = httpcore.AsyncConnectionPool(
--- a/vanillareach/features/broken_answers.feature
+++ b/vanillareach/features/broken_answers.feature
@@ -3,17 +3,24 @@
   Scenario Outline: A request's client takes no answer for whole that ended by a reset
     Given a server that answers early <framing>, with <body> of its body, and then <end>
     When 20 uploads of <size> bytes are sent by the client of <reader>
-    Then all of them break off with EndpointConnectionLostError
+    Then all of them break off with <error>
 
     Examples:
-      | reader   | framing          | body | end                            | size    |
-      | gateways | without a length | part | resets the connection          | 3000000 |
-      | gateways | without a length | part | resets the connection later    | 3000000 |
-      | gateways | without a length | part | resets the rest of the upload  | 3000000 |
-      | gateways | without a length | part | resets the connection          | 20000   |
-      | gateways | without a length | part | resets the connection          | 5000    |
-      | gateways | with a length    | part | resets the connection          | 3000000 |
-      | gateways | in chunks        | part | resets the connection          | 3000000 |
+      | reader   | framing          | body | end                           | size    | error                       |
+      | gateways | without a length | part | resets the connection         | 3000000 | EndpointConnectionLostError |
+      | gateways | without a length | part | resets the connection later   | 3000000 | EndpointConnectionLostError |
+      | gateways | without a length | part | resets the rest of the upload | 3000000 | EndpointConnectionLostError |
+      | gateways | without a length | part | resets the connection         | 20000   | EndpointConnectionLostError |
+      | gateways | without a length | part | resets the connection         | 5000    | EndpointConnectionLostError |
+      | gateways | with a length    | part | resets the connection         | 3000000 | EndpointConnectionLostError |
+      | gateways | in chunks        | part | resets the connection         | 3000000 | EndpointConnectionLostError |
+      | entries  | without a length | part | resets the connection         | 3000000 | EndpointBrokenError         |
+      | entries  | without a length | part | resets the connection later   | 3000000 | EndpointBrokenError         |
+      | entries  | without a length | part | resets the rest of the upload | 3000000 | EndpointBrokenError         |
+      | entries  | without a length | part | resets the connection         | 20000   | EndpointBrokenError         |
+      | entries  | without a length | part | resets the connection         | 5000    | EndpointBrokenError         |
+      | entries  | with a length    | part | resets the connection         | 3000000 | EndpointBrokenError         |
+      | entries  | in chunks        | part | resets the connection         | 3000000 | EndpointBrokenError         |
 
   # A refusal that arrives before its request was read is a sound answer.
   Scenario Outline: An early answer that is whole is taken, though the upload was cut
@@ -22,20 +29,30 @@
     Then all of them get the whole body
 
     Examples:
-      | reader   | framing          | end                            |
-      | gateways | with a length    | resets the connection later    |
-      | gateways | with a length    | resets the rest of the upload  |
-      | gateways | in chunks        | resets the connection later    |
-      | gateways | in chunks        | resets the rest of the upload  |
-      | gateways | with a length    | stops reading                  |
-      | gateways | in chunks        | stops reading                  |
-      | gateways | without a length | reads on and ends              |
+      | reader   | framing          | end                           |
+      | gateways | with a length    | resets the connection later   |
+      | gateways | with a length    | resets the rest of the upload |
+      | gateways | in chunks        | resets the connection later   |
+      | gateways | in chunks        | resets the rest of the upload |
+      | gateways | with a length    | stops reading                 |
+      | gateways | in chunks        | stops reading                 |
+      | gateways | without a length | reads on and ends             |
+      | entries  | with a length    | resets the connection later   |
+      | entries  | with a length    | resets the rest of the upload |
+      | entries  | in chunks        | resets the connection later   |
+      | entries  | in chunks        | resets the rest of the upload |
+      | entries  | without a length | reads on and ends             |
 
   Scenario: An answer that has ended in order is whole, whether or not its server reads on
     Given a server that answers early without a length, with all of its body, and then ends and stops reading
     When 3 uploads of 3000000 bytes are sent by the client of gateways
     Then all of them get the whole body
 
+  Scenario: A write whose answer was reset may have taken effect or not
+    Given a server that answers early without a length, with part of its body, and then resets the connection
+    When 20 objects of 3000000 bytes are written
+    Then all of them break off with PlatformAmbiguousError
+
   @platform
   Scenario Outline: Callers get no part of an answer as a whole one
     Given a gateway in front of engines "m1,m2" and services "d1,d2"
--- a/vanillareach/features/early_answers.py
+++ b/vanillareach/features/early_answers.py
@@ -10,12 +10,7 @@
 RESET_DELAY_S = 0.02
 RECEIVE_BYTES = 65_536
 HEAD_END = b"\r\n\r\n"
-# Field of the head and how the body is sent, by framing.
-FRAMINGS = {
-    "without a length": (b"", lambda body: body),
-    "with a length": (b"Content-Length: %d\r\n" % len(BODY), lambda body: body),
-    "in chunks": (b"Transfer-Encoding: chunked\r\n", encode_chunk),
-}
+FRAMINGS = ("without a length", "with a length", "in chunks")
 
 
 class EarlyAnswer:
@@ -24,17 +19,22 @@
     Parameters
     ----------
     framing : str
-        Key of `FRAMINGS`.
+        One of `FRAMINGS`.
     part : {"part", "all"}
         How much of the body is sent.
     end : str
         What the server does then; key of `ENDS`.
+
+    Attributes
+    ----------
+    body : bytes
     """
 
     def __init__(self, framing, part, end):
-        self._field, self._encode = FRAMINGS[framing]
+        assert framing in FRAMINGS, framing
+        self.body = BODY
+        self._framing = framing
         self._is_whole = part == "all"
-        self._is_chunked = framing == "in chunks"
         self._end = ENDS[end]
 
     async def serve(self, stream):
@@ -46,13 +46,16 @@
         await self._end(stream)
 
     def _encode_answer(self, request_head):
-        fields = [self._field, b"Vanillareach-Response-Signature: signed\r\n"]
+        fields = [b"Vanillareach-Response-Signature: signed\r\n"]
         for line in request_head.split(b"\r\n"):
             if line.lower().startswith(b"vanillareach-attempt-id:"):
                 fields.append(line + b"\r\n")
-        data = self._encode(BODY if self._is_whole else BODY[: len(BODY) // 2])
-        if self._is_chunked and self._is_whole:
-            data += b"0\r\n\r\n"
+        data = self.body if self._is_whole else self.body[: len(self.body) // 2]
+        if self._framing == "with a length":
+            fields.append(b"Content-Length: %d\r\n" % len(self.body))
+        elif self._framing == "in chunks":
+            fields.append(b"Transfer-Encoding: chunked\r\n")
+            data = encode_chunk(data) + (b"0\r\n\r\n" if self._is_whole else b"")
         return b"HTTP/1.1 200 OK\r\n%s\r\n%s" % (b"".join(fields), data)
 
 
--- a/vanillareach/features/steps/broken_answers.py
+++ b/vanillareach/features/steps/broken_answers.py
@@ -3,15 +3,20 @@
 import trio
 from behave import given, then, when
 
-from vanillareach.endpoints.base import EndpointError
+from vanillareach.clock import MS_PER_SECOND, TrioClock
+from vanillareach.control.object_api import HttpPlatform, PlatformError
+from vanillareach.endpoints.base import EndpointCall, EndpointError
+from vanillareach.endpoints.http import HttpEndpoints
 from vanillareach.features.early_answers import BODY, EarlyAnswer
 from vanillareach.features.raw_server import open_raw_server
 from vanillareach.features.support import endpoints
 from vanillareach.features.users_platform.stage import configuration
 from vanillareach.gateway.upstream import UpstreamRequest, open_upstream
 
+CONNECT_TIMEOUT_MS = 1_000.0
 UPLOAD_TIMEOUT_S = 20.0
 MAX_ANSWER_BYTES = 1024 * 1024
+STORED_OBJECT = b'{"metadata": {"name": "a", "resourceVersion": "1"}}'
 
 
 @given("a server that answers early {framing}, with {part} of its body, and then {end}")
@@ -26,12 +31,45 @@
         return await response.read(MAX_ANSWER_BYTES)
 
 
-UPLOADS_BY_READER = {"gateways": upload_by_gateway}
+async def upload_by_entry(address, body):
+    """Upload by the client that entries use for engines and services."""
+    client = HttpEndpoints(CONNECT_TIMEOUT_MS)
+    timeout_ms = UPLOAD_TIMEOUT_S * MS_PER_SECOND
+    call = EndpointCall("POST", address, "/", [], body, timeout_ms)
+    try:
+        async with client.open(call) as response:
+            return await response.read(MAX_ANSWER_BYTES)
+    finally:
+        await client.close()
+
+
+async def write_object(address, body):
+    """Write an object by the client of the object API; return its version."""
+    client = HttpPlatform(address, TrioClock())
+    try:
+        return await client.write("endpoints", "a", {"text": body.decode()}, "")
+    finally:
+        await client.close()
+
+
+UPLOADS_BY_READER = {"gateways": upload_by_gateway, "entries": upload_by_entry}
 
 
 @when("{count:d} uploads of {size:d} bytes are sent by the client of {reader}")
 def step_upload(context, count, size, reader):
-    upload, context.results = UPLOADS_BY_READER[reader], []
+    run_uploads(context, count, size, UPLOADS_BY_READER[reader])
+
+
+@when("{count:d} objects of {size:d} bytes are written")
+def step_write_objects(context, count, size):
+    # What is sent of it is an object by itself.
+    context.early_answer.body = STORED_OBJECT + b" " * len(STORED_OBJECT)
+    run_uploads(context, count, size, write_object)
+
+
+def run_uploads(context, count, size, upload):
+    """Upload to the early server again and again; keep bodies and names of errors."""
+    context.results = []
 
     async def main():
         async with open_raw_server(context.early_answer.serve) as address:
@@ -39,7 +77,7 @@
                 with trio.fail_after(UPLOAD_TIMEOUT_S):
                     try:
                         result = await upload(address, bytes(size))
-                    except EndpointError as error:
+                    except (EndpointError, PlatformError) as error:
                         result = type(error).__name__
                 context.results.append(result)
 
--- a/vanillareach/platform/store.py
+++ b/vanillareach/platform/store.py
@@ -32,6 +32,7 @@
     decode_endpoint,
     decode_page,
 )
+from vanillareach.response_checks import ResponseCheckBackend
 from vanillareach.utils import parse_address
 
 log = get_logger("store")
@@ -79,7 +80,7 @@
             max_keepalive_connections=3,
             keepalive_expiry=20,
             network_backend=ReuseCheckBackend(
-                BoundedBackend(httpcore.TrioBackend(), MAX_RESPONSE_BYTES)
+                BoundedBackend(ResponseCheckBackend(), MAX_RESPONSE_BYTES)
             ),
         )
         self.calls = 0
--- a/vanillareach/traffic.py
+++ b/vanillareach/traffic.py
@@ -1,7 +1,6 @@
 """Counters of the control traffic of an instance."""
 
-import httpcore
-
+from vanillareach.response_checks import ResponseCheckBackend
 from vanillareach.wrapped_streams import WrappingBackend, WrappingStream
 
 
@@ -48,7 +47,7 @@
     """
 
     def __init__(self, traffic):
-        super().__init__(httpcore.TrioBackend())
+        super().__init__(ResponseCheckBackend())
         self._traffic = traffic
 
     def wrap(self, stream):
