Tell operators of an answer that was reset while their request was sent

What operators would see: `vanillareach team apply` and the like report a version though the entry's answer was reset while a long document was being sent, so that it isn't known whether it was accepted.

Evidence: features/broken_answers.feature on the code before: of 20 documents of 3 MB, each one was reported as accepted by what had been sent of the answer.

Change: call_once makes a call of a command on connections with ResponseCheckBackend, for the operators' commands and `vanillareach gateways`. Why it works: the same check as in the entry's own clients.

--- a/vanillareach/features/broken_answers.feature
+++ b/vanillareach/features/broken_answers.feature
@@ -53,6 +53,11 @@
     When 20 objects of 3000000 bytes are written
     Then all of them break off with PlatformAmbiguousError
 
+  Scenario: An operator isn't told of an answer that was reset as if it were whole
+    Given a server that answers early without a length, with part of its body, and then resets the connection
+    When 20 objects of 3000000 bytes are applied by the operators' command
+    Then all of them break off with exit code 3
+
   @platform
   Scenario Outline: Callers get no part of an answer as a whole one
     Given a gateway in front of engines "m1,m2" and services "d1,d2"
--- a/vanillareach/features/steps/broken_answers.py
+++ b/vanillareach/features/steps/broken_answers.py
@@ -1,6 +1,7 @@
 """Steps about answers that break off while a request is being sent."""
 
 import trio
+import typer
 from behave import given, then, when
 
 from vanillareach.clock import MS_PER_SECOND, TrioClock
@@ -12,6 +13,7 @@
 from vanillareach.features.support import endpoints
 from vanillareach.features.users_platform.stage import configuration
 from vanillareach.gateway.upstream import UpstreamRequest, open_upstream
+from vanillareach.operator_cli import OperatorClient
 
 CONNECT_TIMEOUT_MS = 1_000.0
 UPLOAD_TIMEOUT_S = 20.0
@@ -52,6 +54,13 @@
         await client.close()
 
 
+async def apply_object(address, body):
+    """Send an object by the operators' command; return what it reads."""
+    client = OperatorClient(address, "token")
+    document = {"text": body.decode()}
+    return str(await trio.to_thread.run_sync(client.call, "PUT", "/team/a", document))
+
+
 UPLOADS_BY_READER = {"gateways": upload_by_gateway, "entries": upload_by_entry}
 
 
@@ -67,6 +76,12 @@
     run_uploads(context, count, size, write_object)
 
 
+@when("{count:d} objects of {size:d} bytes are applied by the operators' command")
+def step_apply_objects(context, count, size):
+    context.early_answer.body = STORED_OBJECT + b" " * len(STORED_OBJECT)
+    run_uploads(context, count, size, apply_object)
+
+
 def run_uploads(context, count, size, upload):
     """Upload to the early server again and again; keep bodies and names of errors."""
     context.results = []
@@ -79,6 +94,8 @@
                         result = await upload(address, bytes(size))
                     except (EndpointError, PlatformError) as error:
                         result = type(error).__name__
+                    except typer.Exit as error:
+                        result = f"exit code {error.exit_code}"
                 context.results.append(result)
 
     trio.run(main)
--- a/vanillareach/gateways_cli.py
+++ b/vanillareach/gateways_cli.py
@@ -141,14 +141,11 @@
     import msgspec
 
     from vanillareach.gateway.report import STATE_PATH, InstanceReport
+    from vanillareach.single_calls import call_once
 
-    timeouts = {"connect": REQUEST_TIMEOUT_S, "read": REQUEST_TIMEOUT_S}
+    url = f"http://{address.strip()}{STATE_PATH}"
     try:
-        response = httpcore.request(
-            "GET",
-            f"http://{address.strip()}{STATE_PATH}",
-            extensions={"timeout": timeouts},
-        )
+        response = call_once("GET", url, timeout_s=REQUEST_TIMEOUT_S)
         return msgspec.json.decode(response.content, type=InstanceReport)
     except (
         httpcore.NetworkError,
--- a/vanillareach/operator_cli.py
+++ b/vanillareach/operator_cli.py
@@ -9,6 +9,7 @@
 import typer
 
 from vanillareach.core.objects import CONFIGURATION_KINDS
+from vanillareach.single_calls import call_once
 
 ADDRESS_VARIABLE = "VANILLAREACH_ENTRY"
 TOKEN_VARIABLE = "VANILLAREACH_OPERATOR_TOKEN"
@@ -45,14 +46,13 @@
         Prints a message and exits the command on an error response.
         """
         content = b"" if document is None else msgspec.json.encode(document)
-        timeouts = {"connect": CALL_TIMEOUT_S, "read": CALL_TIMEOUT_S}
         try:
-            response = httpcore.request(
+            response = call_once(
                 method,
                 f"{self._base}{path}",
-                headers=[*self._headers, *headers],
-                content=content,
-                extensions={"timeout": timeouts},
+                [*self._headers, *headers],
+                content,
+                CALL_TIMEOUT_S,
             )
         except (httpcore.NetworkError, httpcore.TimeoutException) as error:
             typer.echo(f"The entry cannot be reached: {error}", err=True)
