Reject answers whose status no class has, in all clients

What callers saw: the users report an answer with status 000 that was passed on. Here 000, 001, 099, 00 and 0200 were refused already (502); the tests stay. Statuses 600 and 999 reached callers with the engine's signature, and so did a reason with a control character and an answer of HTTP/2.0.

Cause: h11 takes 200 to 999 for statuses, any digit for the major version, and passes on control characters of a reason; no client of ours checked more. RFC 9110, section 15, has 100 to 599; a client must not use others as they are.

Evidence: features/response_heads.feature on the code before: 600, 999, the reason and the version were taken by the gateway's client, the entry's and the commands', the last two by the store's and the object API's too; a caller got 600.

Change: ResponseHeadChecker checks the status line of each head, informational ones included, as it is received: in ResponseReader for all that gateways read, in ResponseCheckBackend for the clients of httpcore. Why it works: it sees each byte before h11 does, so nothing is parsed of a head that it rejects. A response that follows an earlier refusal is checked by its own reader.

--- /dev/null
+++ b/vanillareach/features/odd_heads.py
@@ -0,0 +1,45 @@
+"""A server on loopback whose answers have a head that isn't as HTTP/1.1 wants it."""
+
+from vanillareach.features.early_answers import HEAD_END, RECEIVE_BYTES
+
+# A list in the store and in the object API.
+BODY = b'{"items": [], "at": 1, "metadata": {"name": "", "resourceVersion": "1"}}'
+STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
+# Status line and a further line of the head.
+HEADS = {
+    "the status 000": (b"HTTP/1.1 000 Unknown\r\n", b""),
+    "the status 001": (b"HTTP/1.1 001 Unknown\r\n", b""),
+    "the status 099": (b"HTTP/1.1 099 Unknown\r\n", b""),
+    "the status 00": (b"HTTP/1.1 00 Unknown\r\n", b""),
+    "the status 0200": (b"HTTP/1.1 0200 OK\r\n", b""),
+    "the status 600": (b"HTTP/1.1 600 Unknown\r\n", b""),
+    "the status 999": (b"HTTP/1.1 999 Unknown\r\n", b""),
+    "a control byte in the reason": (b"HTTP/1.1 200 O\x01K\r\n", b""),
+    "another major version": (b"HTTP/2.0 200 OK\r\n", b""),
+    "no reason": (b"HTTP/1.1 200\r\n", b""),
+    "an older version": (b"HTTP/1.0 200 OK\r\n", b""),
+    "an interim head": (b"HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n" + STATUS_LINE, b""),
+}
+
+
+def make_odd_server(head):
+    """Return a function that answers one request with one of `HEADS`."""
+    status_line, line = HEADS[head]
+
+    async def serve(stream):
+        request = b""
+        while HEAD_END not in request:
+            request += await stream.receive_some(RECEIVE_BYTES)
+        fields = [
+            field + b"\r\n"
+            for field in request.split(b"\r\n")
+            if field.lower().startswith(b"vanillareach-attempt-id:")
+        ]
+        fields += [b"Vanillareach-Response-Signature: signed\r\n", line]
+        fields.append(b"Content-Length: %d\r\n" % len(BODY))
+        await stream.send_all(status_line + b"".join(fields) + b"\r\n" + BODY)
+        # The client may have more to send.
+        while await stream.receive_some(RECEIVE_BYTES):
+            pass
+
+    return serve
--- a/vanillareach/features/steps/broken_answers.py
+++ b/vanillareach/features/steps/broken_answers.py
@@ -10,7 +10,6 @@
 from vanillareach.endpoints.http import HttpEndpoints
 from vanillareach.features.early_answers import BODY, EarlyAnswer
 from vanillareach.features.raw_server import open_raw_server
-from vanillareach.features.support import endpoints
 from vanillareach.features.users_platform.stage import configuration
 from vanillareach.gateway.upstream import UpstreamRequest, open_upstream
 from vanillareach.operator_cli import OperatorClient
@@ -126,19 +125,8 @@
 
 @given("the endpoints answer early {framing}, with {part} of the body, and then {end}")
 def step_early_endpoints(context, framing, part, end):
-    platform, answer = context.platform, EarlyAnswer(framing, part, end)
-
-    async def serve():
-        address = await platform.listen_raw(answer.serve)
-        for endpoint in endpoints(context):
-            endpoint.address = address
-            platform.put_endpoint(endpoint.name, endpoint.service)
-        listed = platform.gateways[0].state.endpoints
-        await platform.until(
-            lambda: {e.address for e in listed.by_id.values()} == {address}
-        )
-
-    context.run(serve)
+    answer = EarlyAnswer(framing, part, end)
+    context.run(context.platform.replace_endpoints, answer.serve)
 
 
 @when('{count:d} callers upload {size:d} bytes to "{path}"')
--- a/vanillareach/features/users_platform/stage.py
+++ b/vanillareach/features/users_platform/stage.py
@@ -180,9 +180,20 @@
         await self._nursery.start(run)
         return listener
 
-    async def listen_raw(self, serve):
-        """Let `serve` handle the streams of connections; return the address."""
-        return await self._nursery.start(self._run_raw_server, serve)
+    async def replace_endpoints(self, serve):
+        """Let `serve` handle the streams of connections to all endpoints."""
+        address = await self._nursery.start(self._run_raw_server, serve)
+        for endpoint in self.endpoints_by_name.values():
+            endpoint.address = address
+            self.put_endpoint(endpoint.name, endpoint.service)
+        for gateway in self.gateways:
+            listed = gateway.state.endpoints
+            await self.until(
+                lambda listed=listed: (
+                    {endpoint.address for endpoint in listed.by_id.values()}
+                    == {address}
+                )
+            )
 
     async def _run_raw_server(self, serve, task_status=trio.TASK_STATUS_IGNORED):
         async with open_raw_server(serve) as address:
--- a/vanillareach/gateway/response_reader.py
+++ b/vanillareach/gateway/response_reader.py
@@ -11,6 +11,7 @@
     EndpointBrokenError,
     EndpointConnectionLostError,
 )
+from vanillareach.response_heads import MalformedHeadError, ResponseHeadChecker
 
 RECEIVE_BUFFER_BYTES = 64 * 1024
 # Head of a response with all informational ones before it. Also of a chunk's extensions
@@ -44,6 +45,7 @@
         "_connection",
         "_framing_bytes",
         "_has_head",
+        "_head_checker",
         "_is_closed",
         "_received_bytes",
         "_sender",
@@ -57,6 +59,7 @@
         self._sender = sender
         self._received_bytes = 0
         self._has_head = False
+        self._head_checker = ResponseHeadChecker()
         # An earlier response may have been read together with the connection's end.
         _, self._is_closed = connection.trailing_data
         # Bytes received after the head: those that frame the body, and its own.
@@ -72,6 +75,7 @@
         EndpointBrokenError
             If it is malformed, cut or beyond a limit.
         """
+        self._check_heads(self._connection.trailing_data[0])
         for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             head = await self._next_event()
             unread_bytes = len(self._connection.trailing_data[0])
@@ -149,8 +153,15 @@
         self._is_closed = not data
         self._received_bytes += len(data)
         self._framing_bytes += len(data)
+        self._check_heads(data)
         self._connection.receive_data(data)
 
+    def _check_heads(self, data):
+        try:
+            self._head_checker.feed(data)
+        except MalformedHeadError as error:
+            raise EndpointBrokenError(str(error)) from error
+
     @staticmethod
     def _check_head_size(size):
         if size > MAX_RESPONSE_HEAD_BYTES:
--- a/vanillareach/response_checks.py
+++ b/vanillareach/response_checks.py
@@ -2,11 +2,12 @@
 
 import httpcore
 
+from vanillareach.response_heads import MalformedHeadError, ResponseHeadChecker
 from vanillareach.wrapped_streams import WrappingBackend, WrappingStream
 
 
 class ResponseCheckBackend(WrappingBackend):
-    """Network backend whose connections don't hide that they were reset.
+    """Network backend whose connections hide no reset and pass on no malformed head.
 
     Parameters
     ----------
@@ -26,6 +27,8 @@
     def __init__(self, inner):
         super().__init__(inner)
         self._write_error = None
+        self._head_checker = ResponseHeadChecker()
+        self._has_read = False
 
     async def read(self, max_bytes, timeout=None):
         data = await super().read(max_bytes, timeout)
@@ -35,9 +38,17 @@
             raise httpcore.ReadError(
                 "connection lost while the request was sent"
             ) from self._write_error
+        self._has_read = True
+        try:
+            self._head_checker.feed(data)
+        except MalformedHeadError as error:
+            raise httpcore.RemoteProtocolError(str(error)) from error
         return data
 
     async def write(self, buffer, timeout=None):
+        if self._has_read:
+            # A request is written whole before its response is read.
+            self._head_checker, self._has_read = ResponseHeadChecker(), False
         try:
             await super().write(buffer, timeout)
         except httpcore.WriteError as error:
