Reject answers with folded lines or control characters in their heads

What callers saw: the users report an answer in whose head the name of a field held a blank or a control byte. A line that begins with a blank or tab was taken for a continuation of the field before it and passed on, or hid the length that it states, so that the body was not the engine's. Control characters in values were passed on.

Cause: h11 joins folded lines (obs-fold, which RFC 9112, section 5.2, lets an intermediary replace or reject) and admits control characters in values, which section 5.5 of RFC 9110 calls invalid.

Evidence: features/response_heads.feature on the code before: a line that begins with a blank or a tab, a length after a blank, a folded line in an informational head, a control byte and a DEL in a value were taken by all five clients; callers of a gateway got 200 for these, and for an answer with a folded line after an earlier refusal.

Change: ResponseHeadChecker checks whole heads: token, colon, and a value of visible characters, blanks, tabs and bytes over 127 on each line. Strict intermediaries refuse the same. Why it works: the expression describes the whole head, so no line has a second reading.

Not changed: trailers are dropped and never passed on, whatever they are; a response with both a length and chunks is read in chunks, as the RFC says.

--- a/vanillareach/features/users_platform/endpoint.py
+++ b/vanillareach/features/users_platform/endpoint.py
@@ -186,6 +186,11 @@
         head = self._encode_head(received, b"Content-Length: %d\r\n" % len(body))
         await self._refuse_earlier(received, responder, head + body)
 
+    async def _refuse_earlier_and_fold(self, received, responder):
+        """Write an earlier refusal, then an answer with a folded line in its head."""
+        head = self._encode_head(received, b" folded\r\nContent-Length: 2\r\n")
+        await self._refuse_earlier(received, responder, head + b"ok")
+
     async def _refuse_earlier_and_stream(self, received, responder):
         events = encode_chunk(encode_events(1)) + encode_chunk(b"")
         head = self._encode_head(received, CHUNKED)
--- a/vanillareach/response_heads.py
+++ b/vanillareach/response_heads.py
@@ -1,15 +1,17 @@
 """Checks the heads of responses, for all clients, more strictly than h11 does.
 
-h11 takes any three digits from 200 on for a status, and passes on control characters of
-the reason. See RFC 9110, section 15, and RFC 9112, section 4.
+h11 takes any three digits from 200 on for a status, joins folded lines, and passes on
+control characters. See RFC 9110, sections 5.5 and 15, and RFC 9112, sections 4 and 5.2.
 """
 
 import re
 
 HEAD_END = re.compile(rb"\n\r?\n")
-STATUS_LINE = re.compile(
+HEAD = re.compile(
     rb"HTTP/1\.[0-9] (?P<status>[1-5][0-9]{2})(?: [\t\x20-\x7e\x80-\xff]*)?"
-    rb"\r?\n"
+    # Name, colon and value of each field.
+    rb"(?:\r?\n[-!#$%&'*+.^_`|~0-9A-Za-z]+:[\t\x20-\x7e\x80-\xff]*)*"
+    rb"\r?\n\r?\n"
 )
 FIRST_FINAL_STATUS = 200
 # Of a malformed head that is described.
@@ -63,7 +65,7 @@
 
 def _check_head(head):
     """Return the status of a complete head."""
-    match = STATUS_LINE.match(head)
+    match = HEAD.fullmatch(head)
     if match is None:
         beginning = bytes(head[:MAX_DESCRIBED_BYTES])
         raise MalformedHeadError(f"malformed head: {beginning!r}")
