Leave entries out whose address is no IP number

What callers saw: while another writer's entry with a NUL byte as its host was listed among the services' endpoints, 500 for up to two of three requests ("Unhandled error while serving a request").

Cause: an address was only checked for a port. A host name is looked up when a connection is made, and what can't be one ends the look-up with a ValueError or UnicodeError, which isn't an error of a connection. Among the instances' entries it ends the task that sends beacons, again and again (TypeError: host name must not contain null character), and a host name is looked up on the event loop for each beacon.

Evidence: features/foreign_entries.feature on the code before: 500 for 2 to 7 of 12 requests with the hosts NUL, "a..b" and one of 64 letters; a host name, "[::1]" and "127.1" were listed; an instance's entry with the host NUL failed the task 5 and 6 times in 2.5 s at two gateways; its forward address wasn't checked at all.

Change: entries of endpoints and instances need an IPv4 number and a port, for both addresses of an instance; others are left out and logged as before. Why it works: what is listed is connected to by number, so there is nothing to look up and no other error than that of a connection.

--- a/vanillareach/platform/documents.py
+++ b/vanillareach/platform/documents.py
@@ -16,7 +16,7 @@
     RouteTable,
 )
 from vanillareach.platform.json_text import split_elements, split_members
-from vanillareach.utils import parse_address
+from vanillareach.utils import check_ip_address
 
 KINDS_BY_ROUTE_TYPE = {
     "idempotent": RequestKind.IDEMPOTENT,
@@ -365,7 +365,7 @@
     if entry.state not in (DRAINING_STATE, READY_STATE):
         raise DocumentError(f"{stored.metadata.name}: state {entry.state!r}")
     try:
-        parse_address(entry.address)
+        check_ip_address(entry.address)
     except ValueError as error:
         raise DocumentError(f"{stored.metadata.name}: {error}") from error
     return ListedEndpoint(
--- a/vanillareach/platform/store.py
+++ b/vanillareach/platform/store.py
@@ -33,7 +33,7 @@
     decode_page,
 )
 from vanillareach.response_checks import ResponseCheckBackend
-from vanillareach.utils import parse_address
+from vanillareach.utils import check_ip_address
 
 log = get_logger("store")
 
@@ -161,7 +161,9 @@
         for item in items:
             try:
                 spec = msgspec.json.decode(item.spec, type=InstanceSpec)
-                parse_address(spec.address)
+                check_ip_address(spec.address)
+                if spec.forward_address:
+                    check_ip_address(spec.forward_address)
             except ValueError as error:
                 # An entry of another writer names no instance to contact.
                 name = item.metadata.name
--- a/vanillareach/utils.py
+++ b/vanillareach/utils.py
@@ -4,6 +4,7 @@
 import hashlib
 import secrets
 from contextlib import asynccontextmanager
+from ipaddress import IPv4Address
 
 import trio
 
@@ -38,6 +39,18 @@
     return host, int(port)
 
 
+def check_ip_address(address):
+    """Validate ``host:port`` whose host is an IPv4 number, so that none is looked up.
+
+    Raises
+    ------
+    ValueError
+        If it isn't.
+    """
+    host, _ = parse_address(address)
+    IPv4Address(host)
+
+
 @asynccontextmanager
 async def open_background_nursery():
     """Open a nursery whose tasks are cancelled at the end of the block.
