Leave entries out whose numbers no message between instances can hold

What callers would see: while another writer's entry with a number beyond 64 bits is listed, the instances' gossip ends with an error and starts again, again and again (up to twice a second), so that they don't tell each other of loads, faults and configurations. The process goes on, as the task is supervised.

Cause: msgspec decodes integers of any size from JSON, but encodes at most 64 bits in the messages in which instances tell each other the list, loads by incarnation, and the configuration (OverflowError).

Change: integers of the store's objects are decoded within 64 bits; an entry with others is left out and logged, a configuration isn't put in force. Why it works: no other integers reach the types that are encoded. `sequence` isn't told to others and may be any number.

--- a/vanillareach/features/foreign_entries.feature
+++ b/vanillareach/features/foreign_entries.feature
@@ -24,6 +24,54 @@
       | "127.0.0.1"                                 |
       | 80                                          |
 
+  Scenario Outline: An entry with a number that no message can hold is left out
+    When another client lists a service's endpoint whose "<field>" is <value>
+    And 6 requests for "/read/a" are sent to each gateway
+    Then all of them are served, and the entry is left out
+
+    Examples:
+      | field             | value                                    |
+      | slots             | 18446744073709551616                     |
+      | slots             | 1000000000000000000000000000000000000000 |
+      | slots             | 1e999                                    |
+      | born              | 18446744073709551616                     |
+      | born              | 1000000000000000000000000000000000000000 |
+      | born              | -9223372036854775809                     |
+      | cold_remaining_ms | 1e999                                    |
+
+  Scenario Outline: An entry with a large number, or deep values, disturbs nothing
+    When another client lists a service's endpoint whose "<field>" is <value>
+    And 6 requests for "/read/a" are sent to each gateway
+    Then all of them are served
+
+    Examples:
+      | field             | value                                    |
+      | slots             | 9223372036854775807                      |
+      | slots             | 0                                        |
+      | slots             | -1                                       |
+      | born              | 9223372036854775807                      |
+      | born              | -9223372036854775808                     |
+      | cold_remaining_ms | 1e308                                    |
+      | cold_remaining_ms | -1e308                                   |
+      | sequence          | 1000000000000000000000000000000000000000 |
+
+  Scenario: A configuration with a number that no message can hold isn't put in force
+    When the operator writes a configuration with the version 18446744073709551616
+    And 6 requests for "/read/a" are sent to each gateway
+    Then all of them are served
+    And version 1 stays in force
+
+  Scenario Outline: Values nested 100000 deep in an entry disturb nothing
+    When another client lists a service's endpoint with "<field>" nested 100000 deep
+    And 6 requests for "/read/a" are sent to each gateway
+    Then all of them are served
+
+    Examples:
+      | field   |
+      | slots   |
+      | address |
+      | unknown |
+
   Scenario Outline: An instance entry whose address is no IP number is left out
     When another client lists an instance whose "<field>" is <value>
     And 6 requests for "/read/a" are sent to each gateway
--- a/vanillareach/features/steps/foreign_entries.py
+++ b/vanillareach/features/steps/foreign_entries.py
@@ -4,7 +4,7 @@
 import trio
 from behave import then, when
 
-from vanillareach.features.users_platform.stage import free_address
+from vanillareach.features.users_platform.stage import configuration, free_address
 
 # Until the gateways have read the list and told each other, with some to spare.
 SPREAD_S = 2.5
@@ -45,6 +45,31 @@
     list_endpoint(context, **{field: text})
 
 
+@when('another client lists a service\'s endpoint with "{field}" nested {depth:d} deep')
+def step_list_nested(context, field, depth):
+    list_endpoint(context, **{field: "[" * depth + "]" * depth})
+
+
+@when("the operator writes a configuration with the version {version:d}")
+def step_write_version(context, version):
+    document = configuration(version)
+    text_by_field = {
+        field: msgspec.json.encode(value).decode()
+        for field, value in {**document, "version": 0}.items()
+    }
+
+    async def put():
+        put_raw(
+            context.platform,
+            "config",
+            "main",
+            {**text_by_field, "version": str(version)},
+        )
+        await trio.sleep(SPREAD_S)
+
+    context.run(put)
+
+
 @when('another client lists an instance whose "{field}" is {text}')
 def step_list_instance(context, field, text):
     text_by_field = {
@@ -76,6 +101,7 @@
     context.run(call)
 
 
+@then("all of them are served")
 def check_served(context):
     """Check that all calls were served and no task has failed."""
     statuses = [response.status for response in context.responses]
--- a/vanillareach/platform/documents.py
+++ b/vanillareach/platform/documents.py
@@ -1,7 +1,7 @@
 """Decodes the objects of the platform's store into the types of the core."""
 
 import re
-from typing import Any, ClassVar
+from typing import Annotated, Any, ClassVar
 
 import msgspec
 
@@ -29,6 +29,8 @@
 HEALTH_PATH_PATTERN = re.compile(r"/[!-~]*")
 
 
+# Larger numbers can't be told to other instances.
+Integer = Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
 # What decoding may raise. Values that are nested deep exceed the interpreter's stack.
 UNDECODABLE = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
 # Of an object that can't be read.
@@ -54,9 +56,9 @@
     path_prefix: str
     route_type: str
     timeout_ms: float
-    max_attempts: int
+    max_attempts: Integer
     target_latency_ms: float = 0.0
-    priority: int = 0
+    priority: Integer = 0
     backend: str | None = None
     traffic_split: list[SplitDocument] | None = None
     public: bool = False
@@ -95,15 +97,15 @@
 class EngineDocument(msgspec.Struct):
     """Published figures of a service's engines; `read_per_s` counts prompt tokens."""
 
-    slots: int
-    kv_tokens: int
+    slots: Integer
+    kv_tokens: Integer
     step_ms: float
     per_seq_ms: float
     context_per_k: float
     read_per_s: float
     pairs_per_m: float
-    chunk: int
-    stride: int = 1
+    chunk: Integer
+    stride: Integer = 1
     hop_ms: float = 0.0
 
     def figures(self):
@@ -126,7 +128,7 @@
     """Service as operators write it."""
 
     name: str
-    max_connections: int = 0
+    max_connections: Integer = 0
     engine: EngineDocument | None = None
     cold_per_s: float = 0.0
     cold_start_s: float = 0.0
@@ -150,8 +152,8 @@
 class LimitsDocument(msgspec.Struct):
     """Limits on the size and timing of callers' requests."""
 
-    max_header_bytes: int
-    max_body_bytes: int
+    max_header_bytes: Integer
+    max_body_bytes: Integer
     header_timeout_ms: float
     idle_timeout_ms: float
 
@@ -161,13 +163,13 @@
 
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: Integer | None = None
 
 
 class ConfigurationDocument(msgspec.Struct):
     """Complete configuration; without `tenants` callers need no key."""
 
-    version: int
+    version: Integer
     routes: list[RouteDocument]
     backends: list[ServiceDocument]
     limits: LimitsDocument | None = None
@@ -181,18 +183,18 @@
     address: str
     zone: str
     version: str
-    slots: int
+    slots: Integer
     state: str
     sequence: int
     cold_remaining_ms: float | None = None
-    born: int = 0
+    born: Integer = 0
 
 
 class MetadataDocument(msgspec.Struct):
     """Identity and revision of an object."""
 
     name: str
-    rev: int = 0
+    rev: Integer = 0
 
 
 class ObjectDocument(msgspec.Struct):
@@ -209,7 +211,7 @@
 
     items: list[ObjectDocument]
     more: bool = False
-    at: int = 0
+    at: Integer = 0
 
 
 class EventDocument(msgspec.Struct):
@@ -225,7 +227,7 @@
     ITEM_TYPE: ClassVar = EventDocument
 
     events: list[EventDocument]
-    at: int
+    at: Integer
 
 
 class NameDocument(msgspec.Struct):
@@ -246,7 +248,7 @@
     ITEM_TYPE: ClassVar = NamedDocument
 
     items: list[NamedDocument]
-    at: int
+    at: Integer
     more: bool = False
 
 
@@ -263,7 +265,7 @@
     ITEM_TYPE: ClassVar = NamedEventDocument
 
     events: list[NamedEventDocument]
-    at: int
+    at: Integer
 
 
 def decode_page(data, page_type):
