Leave out endpoints whose names no request can carry

What callers would see: 500 for some requests while another writer's entry is listed whose name holds a control character, or begins or ends with a blank.

Cause: each request names the endpoint that it is for in a field. h11 refuses to send a value with such characters (LocalProtocolError), which nothing expects of a name.

Evidence: features/foreign_entries.feature on the code before: 500 for 1 to 10 of 12 requests with the names "a\0b", "a\r\nX-Y: z", " a" and "a "; one with a DEL was listed.

Change: such an entry is left out and logged. Why it works: the check describes what the field may hold, so each listed name can be sent. Names with inner blanks, slashes or letters beyond ASCII are used as before.

A configuration nested 100,000 deep ended no task before either; its test is kept.

--- a/vanillareach/features/foreign_entries.feature
+++ b/vanillareach/features/foreign_entries.feature
@@ -72,6 +72,37 @@
       | address |
       | unknown |
 
+  Scenario Outline: An endpoint whose name no field of a request can hold is left out
+    When another client lists a service's endpoint named <name>
+    And 6 requests for "/read/a" are sent to each gateway
+    Then all of them are served, and the entry is left out
+
+    Examples:
+      | name         |
+      | "a\u0000b"   |
+      | "a\r\nX-Y: z" |
+      | " a"         |
+      | "a "         |
+      | "a\u007fb"   |
+      | ""           |
+
+  Scenario Outline: An endpoint with an unusual name is used like others
+    When another client lists a service's endpoint named <name>
+    And 6 requests for "/read/a" are sent to each gateway
+    Then all of them are served, and the entry is listed
+
+    Examples:
+      | name      |
+      | "a b"     |
+      | "a/b,c"   |
+      | "h\u00e9" |
+
+  Scenario: A configuration that is nested 100000 deep ends no task
+    When the operator writes a configuration with values nested 100000 deep
+    And 6 requests for "/read/a" are sent to each gateway
+    Then all of them are served
+    And version 1 stays in force
+
   Scenario Outline: An instance entry whose address is no IP number is left out
     When another client lists an instance whose "<field>" is <value>
     And 6 requests for "/read/a" are sent to each gateway
--- a/vanillareach/features/steps/foreign_entries.py
+++ b/vanillareach/features/steps/foreign_entries.py
@@ -1,5 +1,7 @@
 """Steps about odd entries that other clients write into the store."""
 
+import json
+
 import msgspec
 import trio
 from behave import then, when
@@ -50,6 +52,21 @@
     list_endpoint(context, **{field: "[" * depth + "]" * depth})
 
 
+@when("another client lists a service's endpoint named {text}")
+def step_list_named(context, text):
+    list_endpoint(context, name=json.loads(text))
+
+
+@when("the operator writes a configuration with values nested {depth:d} deep")
+def step_write_nested(context, depth):
+    async def put():
+        text = "[" * depth + "]" * depth
+        put_raw(context.platform, "config", "main", {"version": "2", "routes": text})
+        await trio.sleep(SPREAD_S)
+
+    context.run(put)
+
+
 @when("the operator writes a configuration with the version {version:d}")
 def step_write_version(context, version):
     document = configuration(version)
@@ -117,6 +134,13 @@
         assert context.foreign_name not in gateway.state.endpoints.by_id
 
 
+@then("all of them are served, and the entry is listed")
+def step_served_with(context):
+    check_served(context)
+    for gateway in context.platform.gateways:
+        assert context.foreign_name in gateway.state.endpoints.by_id
+
+
 @then("all of them are served, and the gateways know only each other")
 def step_served_by_both(context):
     check_served(context)
--- a/vanillareach/platform/documents.py
+++ b/vanillareach/platform/documents.py
@@ -26,6 +26,10 @@
 DRAINING_STATE = "draining"
 READY_STATE = "ready"
 MS_PER_SECOND = 1000.0
+# Values of fields of requests: no control characters, no blanks around them.
+FIELD_VALUE_PATTERN = re.compile(
+    r"[^\x00-\x20\x7f]([^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?"
+)
 HEALTH_PATH_PATTERN = re.compile(r"/[!-~]*")
 
 
@@ -360,6 +364,8 @@
         If the object is not a valid entry, for example because another writer stored
         it; it names no endpoint to use.
     """
+    if not FIELD_VALUE_PATTERN.fullmatch(stored.metadata.name):
+        raise DocumentError(f"{stored.metadata.name!r}: requests can't carry the name")
     try:
         entry = msgspec.json.decode(stored.spec, type=EndpointDocument)
     except UNDECODABLE as error:
