End a command for operators on an answer without end, or one that can't be read

What operators would see: `vanillareach team get` and the like, and `vanillareach gateways`, keep all that a faulty entry or gateway sends until the machine has no memory left, or wait without end for a body that drips; an answer that is cut or no HTTP ends the operators' commands with a traceback.

Cause: the commands' calls had a time limit for each read only and none for the bytes, and expected no malformed answer.

Examples for endless heads of the object API and its watch are new; they held before.

--- a/vanillareach/features/response_limits.feature
+++ b/vanillareach/features/response_limits.feature
@@ -137,6 +137,31 @@
       | a body without end |
       | a body that drips  |
 
+  Scenario Outline: A head of the object API that never ends is a failure of the API
+    Given an object API that sends <fault>
+    Then listing a collection fails with PlatformUnavailableError
+    And no call has received more than 64 MiB
+
+    Examples:
+      | fault                         |
+      | a head without end            |
+      | interim responses without end |
+
+  Scenario Outline: A command ends if an answer doesn't
+    Given an entry or gateway that sends <fault>
+    Then a command for operators ends with exit code 3
+    And the state of the gateway isn't shown
+    And no call has received more than 64 MiB
+
+    Examples:
+      | fault                         |
+      | a head without end            |
+      | interim responses without end |
+      | a body without end            |
+      | a body that drips             |
+      | half of a document            |
+      | bytes that are no answer      |
+
   Scenario Outline: A watch without events ends
     Given an object API that sends <fault>
     When a collection is watched with a time limit of 500 ms for an event
@@ -144,6 +169,7 @@
 
     Examples:
       | fault                     |
+      | a head without end        |
       | one line without end      |
       | a body that drips         |
       | empty lines without end   |
--- a/vanillareach/features/steps/store_limits.py
+++ b/vanillareach/features/steps/store_limits.py
@@ -5,8 +5,10 @@
 from unittest import mock
 
 import trio
+import typer
 from behave import given, then, when
 
+from vanillareach import gateways_cli, operator_cli
 from vanillareach.clock import TrioClock
 from vanillareach.control import object_api
 from vanillareach.control.object_api import HttpPlatform, PlatformError
@@ -26,12 +28,16 @@
 WATCH_EVENT = b'{"type": "ADDED", "object": %s}\n' % STORED_OBJECT
 DRIP_INTERVAL_S = 0.05
 CALL_TIMEOUT_S = 30.0
+# Shorter than that of a command's call.
+COMMAND_TIMEOUT_S = 2.0
 # First bytes, bytes repeated without end and the interval between them.
 RESPONSES_BY_FAULT = {
     "a head without end": (b"HTTP/1.1 200 OK\r\nx: ", b"x" * MIB, 0.0),
     "interim responses without end": (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 99, 0),
     "a body without end": (UNFRAMED_HEAD, b" " * MIB, 0.0),
     "a body that drips": (UNFRAMED_HEAD, b" ", DRIP_INTERVAL_S),
+    "half of a document": (UNFRAMED_HEAD + b'{"kind": "te', b"", 0.0),
+    "bytes that are no answer": (b"\0" * 100 + b"\r\n\r\n", b"", 0.0),
     "one line without end": (UNFRAMED_HEAD, b"x" * 65_536, 0.0),
     "empty lines without end": (UNFRAMED_HEAD, b"\n" * 65_536, 0.0),
     "a line that is no event": (UNFRAMED_HEAD + b"[1]\n", b"", 0.0),
@@ -109,6 +115,7 @@
 
 @given("a store that sends {fault}")
 @given("an object API that sends {fault}")
+@given("an entry or gateway that sends {fault}")
 def step_fault(context, fault):
     serve_fault(context, fault)
 
@@ -144,6 +151,39 @@
     assert context.largest_response <= size_mib * MIB, context.largest_response
 
 
+def run_command(context, command):
+    """Run a command against the server; return what it returns, or its exit code."""
+
+    async def main():
+        async with open_raw_server(context.send_response) as address:
+            with trio.fail_after(CALL_TIMEOUT_S):
+                try:
+                    return await trio.to_thread.run_sync(command, address)
+                except typer.Exit as error:
+                    return error.exit_code
+
+    with (
+        mock.patch.object(operator_cli, "CALL_TIMEOUT_S", COMMAND_TIMEOUT_S),
+        mock.patch.object(gateways_cli, "REQUEST_TIMEOUT_S", COMMAND_TIMEOUT_S),
+    ):
+        return trio.run(main)
+
+
+@then("a command for operators ends with exit code {code:d}")
+def step_operator_command(context, code):
+    def call(address):
+        return operator_cli.OperatorClient(address, "token").call("GET", "/team")
+
+    result = run_command(context, call)
+    assert result == code, result
+
+
+@then("the state of the gateway isn't shown")
+def step_gateways_command(context):
+    report = run_command(context, gateways_cli._fetch_report)
+    assert report is None, report
+
+
 @when("a collection is watched with a time limit of {limit_ms:d} ms for an event")
 def step_watch(context, limit_ms):
     context.events = []
--- a/vanillareach/gateways_cli.py
+++ b/vanillareach/gateways_cli.py
@@ -145,7 +145,7 @@
 
     url = f"http://{address.strip()}{STATE_PATH}"
     try:
-        response = call_once("GET", url, timeout_s=REQUEST_TIMEOUT_S)
+        response = call_once("GET", url, REQUEST_TIMEOUT_S)
         return msgspec.json.decode(response.content, type=InstanceReport)
     except (
         httpcore.NetworkError,
--- a/vanillareach/operator_cli.py
+++ b/vanillareach/operator_cli.py
@@ -50,14 +50,18 @@
             response = call_once(
                 method,
                 f"{self._base}{path}",
+                CALL_TIMEOUT_S,
                 [*self._headers, *headers],
                 content,
-                CALL_TIMEOUT_S,
             )
+            expected_type = dict if response.status >= 400 else dict | list
+            decoded = msgspec.json.decode(response.content, type=expected_type)
         except (httpcore.NetworkError, httpcore.TimeoutException) as error:
             typer.echo(f"The entry cannot be reached: {error}", err=True)
             raise typer.Exit(3) from error
-        decoded = msgspec.json.decode(response.content)
+        except (httpcore.ProtocolError, msgspec.MsgspecError, RecursionError) as error:
+            typer.echo(f"The entry's answer can't be read: {error}", err=True)
+            raise typer.Exit(3) from error
         if response.status >= 400:
             typer.echo(f"{decoded.get('reason')}: {decoded.get('detail')}", err=True)
             if "standing" in decoded:
