--- a/vanillareach/features/steps/response_heads.py
+++ b/vanillareach/features/steps/response_heads.py
@@ -64,7 +64,9 @@
 async def call_by_command(address):
     """Call as the commands for operators do."""
     url = f"http://{address}/"
-    return await trio.to_thread.run_sync(lambda: call_once("GET", url, CALL_TIMEOUT_S).content)
+    return await trio.to_thread.run_sync(
+        lambda: call_once("GET", url, CALL_TIMEOUT_S).content
+    )
 
 
 CALLS = (call_by_gateway, call_by_entry, call_store, call_object_api, call_by_command)
