Test that what peers, engines and trailers send stays limited

All of these held before; the users ask for tests of what is handled already:

- A peer that a request was handed to sends a head, informational responses or a body without end, a status that no class has, or a folded line: the caller gets no success, and no peer is read beyond 64 MiB.
The last two follow from the checks of heads.
- An engine's answer to a reservation of memory never ends: the prompt is refused.
- A signature that comes in a trailer signs nothing.

--- a/vanillareach/features/gateway.feature
+++ b/vanillareach/features/gateway.feature
@@ -181,6 +181,12 @@
     Then the response is 503
     And no endpoint received a request
 
+  Scenario: An answer to a reservation that never ends doesn't hold the prompt
+    Given every engine answers reservations without end
+    When a caller sends "/ask/a" with a prompt of 120000 tokens
+    Then the response is 503
+    And no endpoint received a request
+
   Scenario: A disconnect of the caller cancels the request at the endpoint
     Given all endpoints will "mute"
     When a caller sends "/book/a" and disconnects once an endpoint received it
--- a/vanillareach/features/peer_forwarding.feature
+++ b/vanillareach/features/peer_forwarding.feature
@@ -48,6 +48,23 @@
     Then the response is 200 but incomplete
     And its events are 1 to 3, each once
 
+  Scenario Outline: A peer's answer that is broken or never ends is none
+    Given the first gateway has lost its links to all endpoints
+    And its peers answer with <answer>
+    When a caller sends "<path>" as usual
+    Then the response isn't a success
+    And it was handed on: yes
+    And no peer was read beyond 64 MiB
+
+    Examples:
+      | path    | answer                          |
+      | /book/a | a head without end              |
+      | /book/a | interim responses without end   |
+      | /book/a | a body without end              |
+      | /ask/a  | a body without end              |
+      | /book/a | the status 600                  |
+      | /book/a | a line that begins with a blank |
+
   Scenario Outline: The loss of the peer leaves the same promises
     Given the first gateway has lost its links to all endpoints
     And the first endpoint called will "<step>"
--- a/vanillareach/features/response_heads.feature
+++ b/vanillareach/features/response_heads.feature
@@ -70,6 +70,14 @@
       | a length after a blank          |
       | a control byte in a value       |
 
+  @platform
+  Scenario: A signature after the body is none
+    Given a gateway in front of engines "m1,m2" and services "d1,d2"
+    And all endpoints will "sign_in_trailer"
+    When a caller sends "/book/a"
+    Then the response is 502
+    And it bears no signature
+
   @platform
   Scenario: An earlier refusal is skipped only if the answer after it has a sound head
     Given a gateway in front of engines "m1,m2" and services "d1,d2"
--- a/vanillareach/features/steps/gateway.py
+++ b/vanillareach/features/steps/gateway.py
@@ -102,6 +102,12 @@
         endpoint.script = ["refuse_memory"] * SCRIPT_LENGTH
 
 
+@given("every engine answers reservations without end")
+def step_endless_reservations(context):
+    for endpoint in endpoints(context):
+        endpoint.script = ["endless_reservation"] * SCRIPT_LENGTH
+
+
 @given('three endpoints were lost while running the request to "{path}"')
 def step_record_three_losses(context, path):
     gateway = context.platform.gateways[0]
--- a/vanillareach/features/steps/peer_forwarding.py
+++ b/vanillareach/features/steps/peer_forwarding.py
@@ -6,6 +6,8 @@
 from behave import given, then, when
 
 from vanillareach.core.load_state import InFlightRequest
+from vanillareach.features.odd_heads import HEADS, make_odd_server
+from vanillareach.features.steps.store_limits import MIB, RESPONSES_BY_FAULT
 from vanillareach.features.support import received
 from vanillareach.features.users_platform.endpoint import EVENTS
 from vanillareach.features.users_platform.stage import (
@@ -75,6 +77,46 @@
     context.run(lose_links, context.platform, context.platform.gateways[:1])
 
 
+@given("its peers answer with {answer}")
+def step_peers_answer(context, answer):
+    platform = context.platform
+    peers = {g.settings.forward_listen for g in platform.gateways[1:]}
+
+    async def serve_odd(stream):
+        if answer in HEADS:
+            return await make_odd_server(answer)(stream)
+        await stream.receive_some(MAX_BODY_BYTES)
+        first, repeated, interval_s = RESPONSES_BY_FAULT[answer]
+        await stream.send_all(first)
+        while True:
+            await stream.send_all(repeated)
+            context.sent_bytes += len(repeated)
+            await trio.sleep(interval_s)
+
+    async def connect(address, *arguments):
+        target = context.odd_address if address in peers else address
+        return await platform.links.connect(target, *arguments)
+
+    async def replace():
+        context.odd_address = await platform.listen_raw(serve_odd)
+
+    context.sent_bytes = 0
+    context.run(replace)
+    patch = mock.patch.object(upstream, "connect", connect)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@then("the response isn't a success")
+def step_no_success(context):
+    assert context.response.status >= 500, context.response.status
+
+
+@then("no peer was read beyond {size_mib:d} MiB")
+def step_read_bytes(context, size_mib):
+    assert context.sent_bytes <= size_mib * MIB, context.sent_bytes
+
+
 @given('the first gateway\'s paths to "{dead}" are dead, and "{full}" are full there')
 def step_dead_and_full(context, dead, full):
     """Let the first gateway know of requests that fill some engines."""
--- a/vanillareach/features/users_platform/endpoint.py
+++ b/vanillareach/features/users_platform/endpoint.py
@@ -7,6 +7,7 @@
 
 from vanillareach.features.users_platform.endpoint_faults import (
     CHUNKED,
+    PART_BYTES,
     FaultyEndpoint,
     encode_chunk,
     encode_events,
@@ -169,6 +170,15 @@
         """Respond without the signature header."""
         await responder.answer(200, self._response_headers(received, False), b"forged")
 
+    async def _sign_in_trailer(self, received, responder):
+        """Respond with the signature after the body instead of in the head."""
+        fields = [*self._response_headers(received, False), (b"Trailer", b"x")]
+        lines = b"".join(b"%s: %s\r\n" % field for field in fields)
+        head = b"HTTP/1.1 200 OK\r\n" + lines + CHUNKED + b"\r\n"
+        trailer = b"0\r\n%s: %s\r\n\r\n" % SIGNATURE_HEADER
+        await self._send_raw(responder, head + encode_chunk(b"forged") + trailer)
+        await trio.sleep_forever()
+
     async def _stale(self, received, responder):
         """Respond with the id of another attempt."""
         headers = self._response_headers(received, attempt_id="another")
@@ -323,6 +333,10 @@
             if self.script and self.script[0] == "refuse_memory":
                 self.script.pop(0)
                 return await responder.answer(409, [], b'{"free":0}')
+            if self.script and self.script[0] == "endless_reservation":
+                self.script.pop(0)
+                head = b"HTTP/1.1 200 OK\r\n\r\n"
+                await self._send_endless(responder, head, b" " * PART_BYTES)
             self.reservation_count += 1
             expiry_s = trio.current_time() + reservation["hold_ms"] / 1000
             self.expiry_s_by_reservation[reservation["id"]] = expiry_s
--- a/vanillareach/features/users_platform/stage.py
+++ b/vanillareach/features/users_platform/stage.py
@@ -180,9 +180,13 @@
         await self._nursery.start(run)
         return listener
 
+    async def listen_raw(self, serve):
+        """Let `serve` handle the streams of connections; return the address."""
+        return await self._nursery.start(self._run_raw_server, serve)
+
     async def replace_endpoints(self, serve):
         """Let `serve` handle the streams of connections to all endpoints."""
-        address = await self._nursery.start(self._run_raw_server, serve)
+        address = await self.listen_raw(serve)
         for endpoint in self.endpoints_by_name.values():
             endpoint.address = address
             self.put_endpoint(endpoint.name, endpoint.service)
