--- a/vanillareach/platform/documents.py
+++ b/vanillareach/platform/documents.py
@@ -31,10 +31,8 @@
     r"[^\x00-\x20\x7f]([^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?"
 )
 HEALTH_PATH_PATTERN = re.compile(r"/[!-~]*")
-
-
-# Larger numbers can't be told to other instances.
-Integer = Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
+# Messages between instances can hold no larger numbers.
+Int64 = Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
 # What decoding may raise. Values that are nested deep exceed the interpreter's stack.
 UNDECODABLE = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
 # Of an object that can't be read.
@@ -60,9 +58,9 @@
     path_prefix: str
     route_type: str
     timeout_ms: float
-    max_attempts: Integer
+    max_attempts: Int64
     target_latency_ms: float = 0.0
-    priority: Integer = 0
+    priority: Int64 = 0
     backend: str | None = None
     traffic_split: list[SplitDocument] | None = None
     public: bool = False
@@ -101,15 +99,15 @@
 class EngineDocument(msgspec.Struct):
     """Published figures of a service's engines; `read_per_s` counts prompt tokens."""
 
-    slots: Integer
-    kv_tokens: Integer
+    slots: Int64
+    kv_tokens: Int64
     step_ms: float
     per_seq_ms: float
     context_per_k: float
     read_per_s: float
     pairs_per_m: float
-    chunk: Integer
-    stride: Integer = 1
+    chunk: Int64
+    stride: Int64 = 1
     hop_ms: float = 0.0
 
     def figures(self):
@@ -132,7 +130,7 @@
     """Service as operators write it."""
 
     name: str
-    max_connections: Integer = 0
+    max_connections: Int64 = 0
     engine: EngineDocument | None = None
     cold_per_s: float = 0.0
     cold_start_s: float = 0.0
@@ -156,8 +154,8 @@
 class LimitsDocument(msgspec.Struct):
     """Limits on the size and timing of callers' requests."""
 
-    max_header_bytes: Integer
-    max_body_bytes: Integer
+    max_header_bytes: Int64
+    max_body_bytes: Int64
     header_timeout_ms: float
     idle_timeout_ms: float
 
@@ -167,13 +165,13 @@
 
     name: str
     api_keys: list[str] = []
-    priority: Integer | None = None
+    priority: Int64 | None = None
 
 
 class ConfigurationDocument(msgspec.Struct):
     """Complete configuration; without `tenants` callers need no key."""
 
-    version: Integer
+    version: Int64
     routes: list[RouteDocument]
     backends: list[ServiceDocument]
     limits: LimitsDocument | None = None
@@ -187,18 +185,18 @@
     address: str
     zone: str
     version: str
-    slots: Integer
+    slots: Int64
     state: str
     sequence: int
     cold_remaining_ms: float | None = None
-    born: Integer = 0
+    born: Int64 = 0
 
 
 class MetadataDocument(msgspec.Struct):
     """Identity and revision of an object."""
 
     name: str
-    rev: Integer = 0
+    rev: Int64 = 0
 
 
 class ObjectDocument(msgspec.Struct):
@@ -215,7 +213,7 @@
 
     items: list[ObjectDocument]
     more: bool = False
-    at: Integer = 0
+    at: Int64 = 0
 
 
 class EventDocument(msgspec.Struct):
@@ -231,7 +229,7 @@
     ITEM_TYPE: ClassVar = EventDocument
 
     events: list[EventDocument]
-    at: Integer
+    at: Int64
 
 
 class NameDocument(msgspec.Struct):
@@ -252,7 +250,7 @@
     ITEM_TYPE: ClassVar = NamedDocument
 
     items: list[NamedDocument]
-    at: Integer
+    at: Int64
     more: bool = False
 
 
@@ -269,7 +267,7 @@
     ITEM_TYPE: ClassVar = NamedEventDocument
 
     events: list[NamedEventDocument]
-    at: Integer
+    at: Int64
 
 
 def decode_page(data, page_type):
--- a/vanillareach/response_checks.py
+++ b/vanillareach/response_checks.py
@@ -7,16 +7,10 @@
 
 
 class ResponseCheckBackend(WrappingBackend):
-    """Network backend whose connections hide no reset and pass on no malformed head.
+    """Network backend whose connections hide no reset and pass on no malformed head."""
 
-    Parameters
-    ----------
-    inner : httpcore.AsyncNetworkBackend or None
-        None for connections of trio.
-    """
-
-    def __init__(self, inner=None):
-        super().__init__(inner or httpcore.TrioBackend())
+    def __init__(self):
+        super().__init__(httpcore.TrioBackend())
 
     def wrap(self, stream):
         """Return a stream that checks what it reads."""
