Share what the raw servers of tests do, and let them end without a request

A connection that was closed without a request, such as that of a check whether an endpoint lives, kept such a server in a loop without end. Reading of heads and the fields that name the request are one piece of code now. The assertions are the same.

--- a/vanillareach/features/early_answers.py
+++ b/vanillareach/features/early_answers.py
@@ -2,14 +2,13 @@
 
 import trio
 
+from vanillareach.features.raw_server import answer_fields, read_on, receive_head
 from vanillareach.features.users_platform.endpoint_faults import encode_chunk
 from vanillareach.gateway.sockets import set_reset_on_close
 
 # Events of a stream, so that callers of any route can get it.
 BODY = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 7))
 RESET_DELAY_S = 0.02
-RECEIVE_BYTES = 65_536
-HEAD_END = b"\r\n\r\n"
 FRAMINGS = ("without a length", "with a length", "in chunks")
 
 
@@ -39,24 +38,19 @@
 
     async def serve(self, stream):
         """Answer one request on a connection."""
-        head = b""
-        while HEAD_END not in head:
-            head += await stream.receive_some(RECEIVE_BYTES)
+        head = await receive_head(stream)
         await stream.send_all(self._encode_answer(head))
         await self._end(stream)
 
     def _encode_answer(self, request_head):
-        fields = [b"Vanillareach-Response-Signature: signed\r\n"]
-        for line in request_head.split(b"\r\n"):
-            if line.lower().startswith(b"vanillareach-attempt-id:"):
-                fields.append(line + b"\r\n")
+        fields = answer_fields(request_head)
         data = self.body if self._is_whole else self.body[: len(self.body) // 2]
         if self._framing == "with a length":
-            fields.append(b"Content-Length: %d\r\n" % len(self.body))
+            fields += b"Content-Length: %d\r\n" % len(self.body)
         elif self._framing == "in chunks":
-            fields.append(b"Transfer-Encoding: chunked\r\n")
+            fields += b"Transfer-Encoding: chunked\r\n"
             data = encode_chunk(data) + (b"0\r\n\r\n" if self._is_whole else b"")
-        return b"HTTP/1.1 200 OK\r\n%s\r\n%s" % (b"".join(fields), data)
+        return b"HTTP/1.1 200 OK\r\n%s\r\n%s" % (fields, data)
 
 
 async def _reset(stream):
@@ -85,8 +79,7 @@
 
 async def _read_on_and_end(stream):
     await stream.send_eof()
-    while await stream.receive_some(RECEIVE_BYTES):
-        pass
+    await read_on(stream)
 
 
 ENDS = {
--- a/vanillareach/features/foreign_entries.feature
+++ b/vanillareach/features/foreign_entries.feature
@@ -11,18 +11,18 @@
     Then all of them are served, and the entry is left out
 
     Examples:
-      | value                                       |
-      | "\u0000:80"                                 |
-      | "a..b:80"                                   |
+      | value                                                                 |
+      | "\u0000:80"                                                           |
+      | "a..b:80"                                                             |
       | "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa:80" |
-      | "no-such-host.invalid:80"                   |
-      | "[::1]:80"                                  |
-      | "127.1:80"                                  |
-      | "127.0.0.1:65536"                           |
-      | "127.0.0.1:0"                               |
-      | "127.0.0.1:-1"                              |
-      | "127.0.0.1"                                 |
-      | 80                                          |
+      | "no-such-host.invalid:80"                                             |
+      | "[::1]:80"                                                            |
+      | "127.1:80"                                                            |
+      | "127.0.0.1:65536"                                                     |
+      | "127.0.0.1:0"                                                         |
+      | "127.0.0.1:-1"                                                        |
+      | "127.0.0.1"                                                           |
+      | 80                                                                    |
 
   Scenario Outline: An entry with a number that no message can hold is left out
     When another client lists a service's endpoint whose "<field>" is <value>
@@ -78,13 +78,13 @@
     Then all of them are served, and the entry is left out
 
     Examples:
-      | name         |
-      | "a\u0000b"   |
+      | name          |
+      | "a\u0000b"    |
       | "a\r\nX-Y: z" |
-      | " a"         |
-      | "a "         |
-      | "a\u007fb"   |
-      | ""           |
+      | " a"          |
+      | "a "          |
+      | "a\u007fb"    |
+      | ""            |
 
   Scenario Outline: An endpoint with an unusual name is used like others
     When another client lists a service's endpoint named <name>
--- a/vanillareach/features/odd_heads.py
+++ b/vanillareach/features/head_samples.py
@@ -1,6 +1,6 @@
-"""A server on loopback whose answers have a head that isn't as HTTP/1.1 wants it."""
+"""Heads of responses, malformed and unusual, and a server that sends them."""
 
-from vanillareach.features.early_answers import HEAD_END, RECEIVE_BYTES
+from vanillareach.features.raw_server import answer_fields, read_on, receive_head
 
 # A list in the store and in the object API.
 BODY = b'{"items": [], "at": 1, "metadata": {"name": "", "resourceVersion": "1"}}'
@@ -43,24 +43,14 @@
 }
 
 
-def make_odd_server(head):
+def make_head_server(name):
     """Return a function that answers one request with one of `HEADS`."""
-    status_line, line = HEADS[head]
+    status_line, line = HEADS[name]
 
     async def serve(stream):
-        request = b""
-        while HEAD_END not in request:
-            request += await stream.receive_some(RECEIVE_BYTES)
-        fields = [
-            field + b"\r\n"
-            for field in request.split(b"\r\n")
-            if field.lower().startswith(b"vanillareach-attempt-id:")
-        ]
-        fields += [b"Vanillareach-Response-Signature: signed\r\n", line]
-        fields.append(b"Content-Length: %d\r\n" % len(BODY))
-        await stream.send_all(status_line + b"".join(fields) + b"\r\n" + BODY)
-        # The client may have more to send.
-        while await stream.receive_some(RECEIVE_BYTES):
-            pass
+        fields = answer_fields(await receive_head(stream)) + line
+        fields += b"Content-Length: %d\r\n" % len(BODY)
+        await stream.send_all(status_line + fields + b"\r\n" + BODY)
+        await read_on(stream)
 
     return serve
--- a/vanillareach/features/steps/peer_forwarding.py
+++ b/vanillareach/features/steps/peer_forwarding.py
@@ -6,7 +6,7 @@
 from behave import given, then, when
 
 from vanillareach.core.load_state import InFlightRequest
-from vanillareach.features.odd_heads import HEADS, make_odd_server
+from vanillareach.features.head_samples import HEADS, make_head_server
 from vanillareach.features.steps.store_limits import MIB, RESPONSES_BY_FAULT
 from vanillareach.features.support import received
 from vanillareach.features.users_platform.endpoint import EVENTS
@@ -82,9 +82,9 @@
     platform = context.platform
     peers = {g.settings.forward_listen for g in platform.gateways[1:]}
 
-    async def serve_odd(stream):
+    async def serve_broken(stream):
         if answer in HEADS:
-            return await make_odd_server(answer)(stream)
+            return await make_head_server(answer)(stream)
         await stream.receive_some(MAX_BODY_BYTES)
         first, repeated, interval_s = RESPONSES_BY_FAULT[answer]
         await stream.send_all(first)
@@ -94,11 +94,11 @@
             await trio.sleep(interval_s)
 
     async def connect(address, *arguments):
-        target = context.odd_address if address in peers else address
+        target = context.broken_address if address in peers else address
         return await platform.links.connect(target, *arguments)
 
     async def replace():
-        context.odd_address = await platform.listen_raw(serve_odd)
+        context.broken_address = await platform.listen_raw(serve_broken)
 
     context.sent_bytes = 0
     context.run(replace)
--- a/vanillareach/features/steps/response_heads.py
+++ b/vanillareach/features/steps/response_heads.py
@@ -8,7 +8,7 @@
 from vanillareach.control.object_api import HttpPlatform, PlatformError
 from vanillareach.endpoints.base import EndpointCall, EndpointError
 from vanillareach.endpoints.http import HttpEndpoints
-from vanillareach.features.odd_heads import BODY, make_odd_server
+from vanillareach.features.head_samples import BODY, make_head_server
 from vanillareach.features.raw_server import open_raw_server
 from vanillareach.gateway.upstream import UpstreamRequest, open_upstream
 from vanillareach.platform.store import PlatformStore
@@ -19,8 +19,8 @@
 
 
 @given("a server that answers with {head}")
-def step_odd_server(context, head):
-    context.serve = make_odd_server(head)
+def step_server(context, head):
+    context.serve = make_head_server(head)
 
 
 async def call_by_gateway(address):
@@ -103,8 +103,8 @@
 
 
 @given("the endpoints answer with {head}")
-def step_odd_endpoints(context, head):
-    context.run(context.platform.replace_endpoints, make_odd_server(head))
+def step_endpoints(context, head):
+    context.run(context.platform.replace_endpoints, make_head_server(head))
 
 
 @then("it bears no signature")
