Test the wait for a reset with few uploads, and resets without one with many

A reset that comes 20 ms after an ordinary end is only met if the process isn't stopped for 300 ms meanwhile, as may happen beside load; 3 uploads instead of 40 are exposed to that. Those with many uploads now reset at once after the end.

--- a/vanillareach/features/broken_answers.feature
+++ b/vanillareach/features/broken_answers.feature
@@ -22,6 +22,11 @@
       | entries  | with a length    | part | resets the connection         | 3000000 | EndpointBrokenError         |
       | entries  | in chunks        | part | resets the connection         | 3000000 | EndpointBrokenError         |
 
+  Scenario: A reset that follows an ordinary end is waited for
+    Given a server that answers early without a length, with part of its body, and then resets the rest of the upload later
+    When 3 uploads of 3000000 bytes are sent by the client of gateways
+    Then all of them break off with EndpointConnectionLostError
+
   # A refusal that arrives before its request was read is a sound answer.
   Scenario Outline: An early answer that is whole is taken, though the upload was cut
     Given a server that answers early <framing>, with all of its body, and then <end>
--- a/vanillareach/features/early_answers.py
+++ b/vanillareach/features/early_answers.py
@@ -64,6 +64,11 @@
 
 
 async def _end_and_reset(stream):
+    await stream.send_eof()
+    await _reset(stream)
+
+
+async def _end_and_reset_later(stream):
     await stream.send_eof()
     await _reset_later(stream)
 
@@ -86,6 +91,7 @@
     "resets the connection": _reset,
     "resets the connection later": _reset_later,
     "resets the rest of the upload": _end_and_reset,
+    "resets the rest of the upload later": _end_and_reset_later,
     "stops reading": _stop_reading,
     "reads on and ends": _read_on_and_end,
     "ends and stops reading": _end_and_stop_reading,
