--- a/review/11/run.py
+++ b/review/11/run.py
@@ -15,7 +15,7 @@
 GATEWAYS = 3
 # Within `value_bytes`, 1,048,576.
 ENTRY_BYTES = 1_000_000
-ENTRIES = 6
+ENTRIES = 4
 BEFORE_S, DOWN_S, RECOVERY_S, JUDGED_S = 6.0, 1.0, 12.0, 15.0
 REQUEST_INTERVAL_S = 0.5
 DEADLINE_MS = 2_500
