--- a/review/11/run.py
+++ b/review/11/run.py
@@ -1,4 +1,4 @@
-"""Unreadable entries of another writer keep all gateways from starting again."""
+"""An unreadable entry of another writer keeps all gateways from starting again."""
 
 import asyncio
 import time
@@ -13,9 +13,8 @@
 from review.common3.scenario import Scenario
 
 GATEWAYS = 3
-# Within `value_bytes`, 1,048,576.
+# Within `value_bytes`, 1,048,576; as large as a page of a list.
 ENTRY_BYTES = 1_000_000
-ENTRIES = 4
 BEFORE_S, DOWN_S, RECOVERY_S, JUDGED_S = 6.0, 1.0, 12.0, 15.0
 REQUEST_INTERVAL_S = 0.5
 DEADLINE_MS = 2_500
@@ -23,9 +22,8 @@
 
 
 def foreign_entry():
-    """Return the text of an entry with values that are nested too deep to be read."""
-    depth = (ENTRY_BYTES - 100) // 2
-    return '{"backend":"other","models":' + "[" * depth + "]" * depth + "}"
+    """Return the text of an entry with the escape of a byte that is no UTF-8."""
+    return '{"backend":"other","note":"' + "s" * (ENTRY_BYTES - 100) + '\\udcff"}'
 
 
 async def work(engine, request, run, writer):
@@ -74,9 +72,8 @@
     await asyncio.sleep(1.0)
     before = await send_for(scenario, gateways, BEFORE_S, "before")
     if scenario.has_trouble:
-        scenario.note(f"{ENTRIES} entries of another writer")
-        for number in range(ENTRIES):
-            store.put_text("servers", f"x-{number}", foreign_entry())
+        scenario.note("an entry of another writer")
+        store.put_text("servers", "a-0", foreign_entry())
     scenario.note("all processes are killed")
     await asyncio.gather(*(gateway.stop() for gateway in gateways))
     await asyncio.sleep(DOWN_S)
