--- a/review/common3/gateways.py
+++ b/review/common3/gateways.py
@@ -119,6 +119,10 @@
         """Send SIGTERM."""
         self.process.send_signal(signal.SIGTERM)
 
+    def hang_up(self):
+        """Send SIGHUP."""
+        self.process.send_signal(signal.SIGHUP)
+
     def kill(self):
         """Send SIGKILL."""
         if self.process is not None and self.process.returncode is None:
