Continue lists of the store after pages without a readable entry

Cause: a list goes on after the name of the last object of a page. The name was decoded together with the content, so an undecodable object had none, and a page of such objects ended the list with an error.

Change: names are read by themselves. If no name of a page can be read, the list ends with a gap: its entries are added, none is taken for gone, and nothing is confirmed. The brackets that are read of an entry, and the values of a page, are bounded.

Why it works: the list needs no more of an object than its name, and what it can't know, that an entry isn't there, it no longer concludes.

--- a/vanillareach/core/endpoint_list.py
+++ b/vanillareach/core/endpoint_list.py
@@ -72,7 +72,7 @@
     confirmed_ms : float or None
         When the store last confirmed the list.
     is_loaded : bool
-        Whether a list was ever applied.
+        Whether a list, or entries of one, were ever applied.
     evacuated_domains : frozenset of str
         Failure domains whose endpoints get no new work.
     """
@@ -144,6 +144,28 @@
         self.digest = _digest(listed)
         return changes
 
+    def add_entries(self, listed, now_ms, era=0):
+        """Add entries of a list that can't be read completely.
+
+        An endpoint that isn't among them may be listed all the same, so it stays, and
+        the list isn't confirmed.
+
+        Returns
+        -------
+        list of str
+            Descriptions of the changes, for the log.
+        """
+        if era < self.era:
+            return []
+        self.start_era(era, now_ms)
+        changes = []
+        for endpoint in listed:
+            changes += self._put(endpoint, now_ms)
+        self.is_loaded |= bool(listed)
+        if not self.revision:
+            self.digest = _digest(self.by_id.values())
+        return changes
+
     def confirm(self, revision, now_ms):
         """Record that the current list is that of `revision` or later."""
         self.revision = max(self.revision, revision)
--- a/vanillareach/core/evacuations.py
+++ b/vanillareach/core/evacuations.py
@@ -67,13 +67,18 @@
         """
         if tuple(position) < self.position:
             return None
-        applied = frozenset(name for name in domains if is_domain_name(name))
-        if len(applied) > MAX_DOMAINS:
-            applied = frozenset(sorted(applied)[:MAX_DOMAINS])
+        applied = _limited(name for name in domains if is_domain_name(name))
         before, self.domains = self.domains, applied
         self.position = tuple(position)
         return sorted(applied - before), sorted(before - applied)
 
+    def add(self, domains):
+        """Add domains of a set that isn't known completely; return the new ones."""
+        before = self.domains
+        added = {name for name in domains if is_domain_name(name)}
+        self.domains = _limited(before | added)
+        return sorted(self.domains - before)
+
     def news(self, known_domains, age_ms, stamp):
         """Return the `EvacuationNews` for peers.
 
@@ -93,3 +98,8 @@
         return EvacuationNews(
             era, revision, tuple(ordered[:MAX_DOMAINS_IN_BEACON]), round(age_ms), stamp
         )
+
+
+def _limited(domains):
+    """Return a set of domains, at most `MAX_DOMAINS`, the first by name."""
+    return frozenset(sorted(domains)[:MAX_DOMAINS])
--- a/vanillareach/features/gateway_network.py
+++ b/vanillareach/features/gateway_network.py
@@ -29,6 +29,7 @@
     CallerFields,
     DeploymentStore,
     EndpointSignals,
+    StoreListing,
     StorePosition,
 )
 from vanillareach.gateway.settings import GatewaySettings
@@ -203,13 +204,14 @@
     async def list_endpoints(self):
         """List the endpoints; see `DeploymentStore`."""
         await self._shared.call()
-        return StorePosition(self._shared.era, 1), self._shared.listed(), []
+        return StoreListing(StorePosition(self._shared.era, 1), self._shared.listed())
 
     async def list_evacuations(self):
         """List the evacuated domains; see `DeploymentStore`."""
         shared = self._shared
         await self._call_for_evacuations("list")
-        return StorePosition(shared.era, shared.revision), list(shared.evacuated), []
+        position = StorePosition(shared.era, shared.revision)
+        return StoreListing(position, list(shared.evacuated))
 
     async def wait_for_evacuations(self, position, wait_ms):
         """Watch the evacuated domains; see `DeploymentStore`."""
@@ -250,8 +252,10 @@
 
     async def list_instances(self, may_be_stale=False):
         """List the instances; see `DeploymentStore`."""
-        await self._shared.call()
-        return list(self._shared.instances_by_name.values())
+        shared = self._shared
+        await shared.call()
+        position = StorePosition(shared.era, shared.revision)
+        return StoreListing(position, list(shared.instances_by_name.values()))
 
     async def register_instance(self, instance):
         """Register an instance; see `DeploymentStore`."""
--- a/vanillareach/features/steps/gateway_fleet.py
+++ b/vanillareach/features/steps/gateway_fleet.py
@@ -16,12 +16,13 @@
 from vanillareach.gateway.report import InstanceReport
 from vanillareach.gateways_cli import endpoints_table, instances_table
 from vanillareach.platform.documents import decode_configuration
-from vanillareach.platform.json_text import split_elements, split_members
+from vanillareach.platform.json_text import JsonReader
 from vanillareach.utils import split_address
 
 NESTING_DEPTH = 3_000
 # Shape of random JSON values.
 MAX_DEPTH, MAX_SIZE = 3, 5
+MAX_TOKENS = 10_000
 LEAF_SHARE, ARRAY_SHARE = 0.4, 0.7
 AWKWARD_VALUES = (1, -2.5, None, True, "a", 'x"y', "{[,", "\\", "\u00e9\n", "")
 AWKWARD_KEYS = ("a", 'b"', "c,", "{d", "e:")
@@ -155,9 +156,11 @@
         values = [draw_value(draw) for _ in range(draw.randrange(MAX_SIZE))]
         members = {f"k{number}": value for number, value in enumerate(values)}
         indent = draw.choice((None, 1))
-        parts = split_elements(json.dumps(values, indent=indent).encode())
+        reader = JsonReader(json.dumps(values, indent=indent).encode(), MAX_TOKENS)
+        parts = [reader.read_value() for _ in reader.elements()]
         assert [json.loads(part) for part in parts] == values, values
-        parts_by_key = split_members(json.dumps(members, indent=indent).encode())
+        reader = JsonReader(json.dumps(members, indent=indent).encode(), MAX_TOKENS)
+        parts_by_key = {key: reader.read_value() for key in reader.members()}
         decoded = {json.loads(k): json.loads(v) for k, v in parts_by_key.items()}
         assert decoded == members, members
 
--- a/vanillareach/gateway/following.py
+++ b/vanillareach/gateway/following.py
@@ -207,12 +207,19 @@
 
     async def _refresh_endpoints(self):
         request_ms = self._clock.now_ms()
-        position, endpoints, unreadable_entries = await self._store.list_endpoints()
-        if unreadable_entries:
+        listing = await self._store.list_endpoints()
+        if listing.unreadable:
             log.info(
-                "Unreadable endpoint entries skipped.", entries=unreadable_entries[:5]
+                "Unreadable endpoint entries skipped.", entries=listing.unreadable[:5]
             )
-        self._state.apply_endpoints(endpoints, position, request_ms, "store")
+        if listing.gap:
+            self._state.add_endpoints(
+                listing.items, listing.position.era, request_ms, "store"
+            )
+            raise PlatformUnavailableError(f"list incomplete: {listing.gap}")
+        self._state.apply_endpoints(
+            listing.items, listing.position, request_ms, "store"
+        )
 
     async def _follow_evacuations(self):
         key = "evacuations"
@@ -262,9 +269,15 @@
 
     async def _list_evacuations(self):
         request_ms = self._clock.now_ms()
-        position, domains, unreadable = await self._store.list_evacuations()
-        if unreadable:
-            log.warning("Unreadable evacuations skipped.", entries=unreadable[:5])
+        listing = await self._store.list_evacuations()
+        position, domains = listing.position, listing.items
+        if listing.unreadable:
+            log.warning(
+                "Unreadable evacuations skipped.", entries=listing.unreadable[:5]
+            )
+        if listing.gap:
+            self._state.add_evacuations(domains, position.era, "store")
+            raise PlatformUnavailableError(f"list incomplete: {listing.gap}")
         self._listed_evacuations = (position, frozenset(domains))
         self._state.apply_evacuations(domains, position, request_ms, "store")
 
@@ -319,13 +332,17 @@
         """
         own = self._gossip.registration
         # A list from before a restore may show an entry that is lost.
-        registered_instances = await self._store.list_instances(not self._has_new_era)
-        if own not in registered_instances:
+        listing = await self._store.list_instances(not self._has_new_era)
+        if own not in listing.items:
             await self._store.register_instance(own)
-            registered_instances = await self._store.list_instances()
+            listing = await self._store.list_instances()
+        if listing.unreadable:
+            log.warning(
+                "Unreadable instance entries skipped.", entries=listing.unreadable[:5]
+            )
         self._has_new_era = False
-        self._gossip.add_registered_peers(registered_instances)
-        for name in self._gossip.peers.expired_names(registered_instances):
+        self._gossip.add_registered_peers(listing)
+        for name in self._gossip.peers.expired_names(listing.items):
             if self._own_rank("instances") == 0 or not self._gossip.audience.is_direct:
                 await self._store.remove_instance(name)
                 log.info("Registration of expired instance removed.", instance=name)
--- a/vanillareach/gateway/gossip.py
+++ b/vanillareach/gateway/gossip.py
@@ -183,15 +183,16 @@
             del self._queries_by_id[query_id]
         return pending.reply
 
-    def add_registered_peers(self, instances):
+    def add_registered_peers(self, listing):
         """Add the instances registered in the store as peers.
 
         Parameters
         ----------
-        instances : list of RegisteredInstance
+        listing : StoreListing
+            Of `RegisteredInstance`.
         """
-        others = [instance for instance in instances if instance.name != self.name]
-        if self.peers.add_registered(others):
+        others = [instance for instance in listing.items if instance.name != self.name]
+        if self.peers.add_registered(others, is_complete=not listing.gap):
             self._change_event.set()
         self._update_role()
 
--- a/vanillareach/gateway/peer_table.py
+++ b/vanillareach/gateway/peer_table.py
@@ -49,7 +49,7 @@
         self._count()
         return peer
 
-    def add_registered(self, instances):
+    def add_registered(self, instances, is_complete):
         """Add the instances registered in the store, without the own one.
 
         A peer that was never heard gets its registered address.
@@ -57,13 +57,18 @@
         Parameters
         ----------
         instances : list of RegisteredInstance
+        is_complete : bool
+            Whether no other instance is registered.
 
         Returns
         -------
         bool
             Whether any of them was new.
         """
-        self._registered_names = frozenset(instance.name for instance in instances)
+        names = frozenset(instance.name for instance in instances)
+        self._registered_names = (
+            names if is_complete else self._registered_names | names
+        )
         has_new = False
         for instance in instances:
             peer = self.by_name.get(instance.name)
--- a/vanillareach/gateway/ports.py
+++ b/vanillareach/gateway/ports.py
@@ -182,6 +182,36 @@
         """
 
 
+class StoreListing:
+    """Objects of one kind, as far as the store's list of them can be read.
+
+    Parameters
+    ----------
+    position : StorePosition
+    items : list
+    unreadable : list of str
+    gap : str
+
+    Attributes
+    ----------
+    position : StorePosition
+    items : list
+        What the objects that can be read stand for.
+    unreadable : list of str
+        Descriptions of the others.
+    gap : str
+        Why other objects may be listed besides; empty if the list is complete.
+    """
+
+    __slots__ = ("gap", "items", "position", "unreadable")
+
+    def __init__(self, position, items, unreadable=(), gap=""):
+        self.position = position
+        self.items = items
+        self.unreadable = list(unreadable)
+        self.gap = gap
+
+
 class StorePosition(NamedTuple):
     """Position in the store's history; a later one is greater.
 
@@ -239,7 +269,8 @@
         Raises
         ------
         PlatformGoneError
-            If the store no longer has the history since `position`.
+            If the store no longer has the history since `position`, or a change of it
+            can't be read.
         """
 
     @abstractmethod
@@ -248,8 +279,8 @@
 
         Returns
         -------
-        tuple of (StorePosition, list of ListedEndpoint, list of str)
-            The last are descriptions of the entries that can't be read.
+        StoreListing
+            Of `ListedEndpoint`.
         """
 
     @abstractmethod
@@ -258,8 +289,8 @@
 
         Returns
         -------
-        tuple of (StorePosition, list of str, list of str)
-            Names of the domains, and descriptions of the objects that can't be read.
+        StoreListing
+            Of their names.
         """
 
     @abstractmethod
@@ -274,17 +305,23 @@
         Raises
         ------
         PlatformGoneError
-            If the store no longer has the history since `position`.
+            If the store no longer has the history since `position`, or a change of it
+            can't be read.
         """
 
     @abstractmethod
     async def list_instances(self, may_be_stale=False):
-        """Return the registered instances as a list of `RegisteredInstance`.
+        """Return the registered instances.
 
         Parameters
         ----------
         may_be_stale : bool
             Whether the list may be some seconds old, which costs the store less.
+
+        Returns
+        -------
+        StoreListing
+            Of `RegisteredInstance`.
         """
 
     @abstractmethod
--- a/vanillareach/gateway/state.py
+++ b/vanillareach/gateway/state.py
@@ -514,18 +514,45 @@
             self.endpoints_freshness.confirm(stamp or new_stamp(), confirmed_ms)
             listed = endpoints = tuple(endpoints)
         changes = self.endpoints.apply_list(endpoints, revision, confirmed_ms, era)
-        by_id, now_ms = self.endpoints.by_id, self._clock.now_ms()
-        listed = [e for e in listed if by_id.get(e.id) is e]
-        self.cold_engines.record_list(listed, confirmed_ms, now_ms, is_first)
-        self._apply_cold(listed, "list")
-        self.quiet_periods.apply_list(by_id, now_ms)
-        self._signal_initial_state()
+        self._record_entries(listed, confirmed_ms, is_first)
         if changes:
             log.info(
                 "Endpoints.", revision=revision, source=source, changes=changes[:20]
             )
             self.publish()
 
+    def add_endpoints(self, endpoints, era, read_ms, source):
+        """Add endpoints of a list that can't be read completely.
+
+        Others that are known stay, and the list isn't confirmed.
+
+        Parameters
+        ----------
+        endpoints : iterable of ListedEndpoint
+        era : int
+            Of the store that listed them.
+        read_ms : float
+            When it listed them.
+        source : str
+            See `apply_configuration`.
+        """
+        self.observe_era(era)
+        is_first, endpoints = not self.endpoints.is_loaded, tuple(endpoints)
+        changes = self.endpoints.add_entries(endpoints, self._clock.now_ms(), era)
+        self._record_entries(endpoints, read_ms, is_first)
+        if changes:
+            log.info("Endpoints added.", source=source, changes=changes[:20])
+            self.publish()
+
+    def _record_entries(self, listed, read_ms, is_first):
+        """Record what the entries of a list say, as far as they are in force."""
+        by_id, now_ms = self.endpoints.by_id, self._clock.now_ms()
+        listed = [e for e in listed if by_id.get(e.id) is e]
+        self.cold_engines.record_list(listed, read_ms, now_ms, is_first)
+        self._apply_cold(listed, "list")
+        self.quiet_periods.apply_list(by_id, now_ms)
+        self._signal_initial_state()
+
     def apply_evacuations(self, domains, position, confirmed_ms, source, stamp=None):
         """Apply a set of evacuated domains unless it is older than the known one.
 
@@ -548,12 +575,8 @@
         if confirmed_ms is not None:
             self.evacuations_freshness.confirm(stamp or new_stamp(), confirmed_ms)
         self._signal_initial_state()
-        self.endpoints.evacuated_domains = self.evacuations.domains
         evacuated, taken_back = changes
-        for domain in evacuated:
-            log.info("Domain evacuated.", domain=domain, source=source)
-            if self.endpoints.is_loaded and domain not in self._known_domains():
-                log.warning("No endpoint of the evacuated domain.", domain=domain)
+        self._record_evacuated(evacuated, source)
         for domain in taken_back:
             log.info("Domain taken back.", domain=domain, source=source)
         if taken_back:
@@ -562,6 +585,24 @@
             # Peers of a placer hear of it from here; elsewhere the reader tells all.
             self.publish()
 
+    def add_evacuations(self, domains, era, source):
+        """Add evacuated domains of a list that can't be read completely.
+
+        Others that are known stay, and the set isn't confirmed.
+        """
+        if not self.follows_evacuations:
+            return
+        self.observe_era(era)
+        self._record_evacuated(self.evacuations.add(domains), source)
+
+    def _record_evacuated(self, domains, source):
+        """Put domains in force that are evacuated now."""
+        self.endpoints.evacuated_domains = self.evacuations.domains
+        for domain in domains:
+            log.info("Domain evacuated.", domain=domain, source=source)
+            if self.endpoints.is_loaded and domain not in self._known_domains():
+                log.warning("No endpoint of the evacuated domain.", domain=domain)
+
     def record_taken_back(self, domains, now_ms):
         """Record that the evacuation of domains has ended.
 
--- a/vanillareach/gateway/state_fetch.py
+++ b/vanillareach/gateway/state_fetch.py
@@ -88,7 +88,7 @@
     def _confirm_endpoints(self, beacon, now_ms):
         """Apply a confirmation; return whether the peer has another, newer list."""
         if beacon.endpoints_age_ms < 0:
-            return False
+            return self._lacks_entries_of(beacon)
         state, stamp = self._state, beacon.endpoints_stamp
         confirmed_ms = now_ms - beacon.endpoints_age_ms
         is_newer = state.endpoints_freshness.is_newer(stamp, confirmed_ms)
@@ -100,6 +100,11 @@
         state.confirm_endpoints(beacon.endpoints_revision, confirmed_ms, stamp)
         return False
 
+    def _lacks_entries_of(self, beacon):
+        """Return whether a peer has a part of a list, and this instance nothing."""
+        has_partial_list = not beacon.endpoints_revision and beacon.endpoints_digest
+        return bool(has_partial_list) and not self._state.endpoints.is_loaded
+
     async def _fetch(self, address, query, delay_ms):
         try:
             await self._clock.sleep_ms(delay_ms)
@@ -126,7 +131,14 @@
                 address,
                 reply.configuration_stamp,
             )
-        if reply.endpoints is not None and reply.endpoints_age_ms >= 0:
+        if reply.endpoints is None:
+            return
+        if reply.endpoints_age_ms < 0:
+            if not self._state.endpoints.is_loaded:
+                self._state.add_endpoints(
+                    reply.endpoints, reply.endpoints_era, now_ms, address
+                )
+        else:
             self._state.apply_endpoints(
                 reply.endpoints,
                 StorePosition(reply.endpoints_era, reply.endpoints_revision),
--- a/vanillareach/platform/store.py
+++ b/vanillareach/platform/store.py
@@ -17,11 +17,13 @@
 from vanillareach.gateway.ports import (
     DeploymentStore,
     RegisteredInstance,
+    StoreListing,
     StorePosition,
 )
 from vanillareach.log import get_logger
 from vanillareach.platform import names
 from vanillareach.platform.documents import (
+    UNDECODABLE,
     DocumentError,
     NamedPageDocument,
     NamedWatchDocument,
@@ -64,6 +66,47 @@
     forward_address: str = ""
 
 
+class ListedObjects:
+    """Objects of one kind, from all pages that were read.
+
+    Attributes
+    ----------
+    decoded : list
+    unreadable : list of UnreadableItem
+    position : StorePosition or None
+        Of the last page; None before the first one.
+    gap : str
+        See `StoreListing`.
+    """
+
+    __slots__ = ("decoded", "gap", "position", "unreadable")
+
+    def __init__(self):
+        self.decoded = []
+        self.unreadable = []
+        self.position = None
+        self.gap = ""
+
+    @property
+    def count(self):
+        """Number of objects, unreadable ones included."""
+        return len(self.decoded) + len(self.unreadable)
+
+    def add_page(self, page, era):
+        """Add the objects of a page.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            If the store's era has changed since the last page.
+        """
+        if self.position is not None and self.position.era != era:
+            raise PlatformUnavailableError("era changed between pages")
+        self.position = StorePosition(era, page.at)
+        self.decoded += page.items.decoded
+        self.unreadable += page.items.unreadable
+
+
 class PlatformStore(DeploymentStore):
     """Client of the store over HTTP.
 
@@ -110,32 +153,44 @@
             raise PlatformGoneError(
                 "the store no longer has the history of the configuration"
             )
-        answer, _ = _decode_page(response, WatchDocument)
+        page = _decode_page(response, WatchDocument)
+        if page.items.is_cut or any(
+            item.name in (None, names.CONFIGURATION_NAME)
+            for item in page.items.unreadable
+        ):
+            raise PlatformGoneError("a change of the configuration can't be read")
         configuration = None
-        for event in answer.events:
+        for event in page.items.decoded:
             stored = event.object
             if event.deleted or stored.metadata.name != names.CONFIGURATION_NAME:
                 continue
             configuration = _decode_route_table(stored)
-        return StorePosition(position.era, answer.at), configuration
+        return StorePosition(position.era, page.at), configuration
 
     async def list_endpoints(self):
         """List the endpoints; see `DeploymentStore`."""
-        items, unreadable, position = await self._list(names.ENDPOINT_KIND)
-        listed = []
-        for item in items:
+        objects = await self._list(names.ENDPOINT_KIND)
+        endpoints = []
+        unreadable = [item.description for item in objects.unreadable]
+        for item in objects.decoded:
             try:
-                listed.append(decode_endpoint(item))
+                endpoints.append(decode_endpoint(item))
             except DocumentError as error:
                 unreadable.append(str(error))
-        return position, listed, unreadable
+        return StoreListing(objects.position, endpoints, unreadable, objects.gap)
 
     async def list_evacuations(self):
         """List the evacuated domains; see `DeploymentStore`."""
-        items, unreadable, position = await self._list(
-            names.EVACUATION_KIND, page_type=NamedPageDocument
-        )
-        return position, [item.metadata.name for item in items], unreadable
+        objects = await self._list(names.EVACUATION_KIND, page_type=NamedPageDocument)
+        domains = [item.object_name for item in objects.decoded]
+        unreadable = []
+        for item in objects.unreadable:
+            # Only the name matters, which may be readable all the same.
+            if item.name is None:
+                unreadable.append(item.description)
+            else:
+                domains.append(item.name)
+        return StoreListing(objects.position, domains, unreadable, objects.gap)
 
     async def wait_for_evacuations(self, position, wait_ms):
         """Watch the evacuated domains; see `DeploymentStore`."""
@@ -146,19 +201,25 @@
             raise PlatformGoneError(
                 "the store no longer has the history of the evacuations"
             )
-        answer, _ = _decode_page(response, NamedWatchDocument)
+        page = _decode_page(response, NamedWatchDocument)
+        if page.items.is_cut or any(
+            item.name is None or item.is_deleted is None
+            for item in page.items.unreadable
+        ):
+            raise PlatformGoneError("a change of the evacuations can't be read")
         is_evacuated_by_domain = {
-            event.object.metadata.name: not event.deleted for event in answer.events
+            event.object_name: not event.deleted for event in page.items.decoded
         }
-        return StorePosition(position.era, answer.at), is_evacuated_by_domain
+        for item in page.items.unreadable:
+            is_evacuated_by_domain[item.name] = not item.is_deleted
+        return StorePosition(position.era, page.at), is_evacuated_by_domain
 
     async def list_instances(self, may_be_stale=False):
         """List the instances; see `DeploymentStore`."""
-        items, unreadable, _ = await self._list(INSTANCE_KIND, may_be_stale)
-        for cause in unreadable:
-            log.warning("Skipped an unreadable instance entry.", cause=cause)
+        objects = await self._list(INSTANCE_KIND, may_be_stale)
+        unreadable = [item.description for item in objects.unreadable]
         instances = []
-        for item in items:
+        for item in objects.decoded:
             try:
                 spec = msgspec.json.decode(item.spec, type=InstanceSpec)
                 check_ip_address(spec.address)
@@ -166,10 +227,7 @@
                     check_ip_address(spec.forward_address)
             except ValueError as error:
                 # An entry of another writer names no instance to contact.
-                name = item.metadata.name
-                log.warning(
-                    "Skipped an invalid instance entry.", name=name, cause=str(error)
-                )
+                unreadable.append(f"{item.metadata.name}: {error}")
                 continue
             instances.append(
                 RegisteredInstance(
@@ -180,7 +238,7 @@
                     spec.forward_address,
                 )
             )
-        return instances
+        return StoreListing(objects.position, instances, unreadable, objects.gap)
 
     async def register_instance(self, instance):
         """Write this instance's entry; see `DeploymentStore`."""
@@ -213,30 +271,29 @@
             ) from error
 
     async def _list_pages(self, kind, may_be_stale, page_type):
-        items, unreadable = [], []
+        objects = ListedObjects()
         query = "allow_stale=1" if may_be_stale else ""
         path = f"{kind}?{query}" if query else kind
-        era = None
+        earlier_ends, has_guessed = set(), False
         while True:
             response = await self._call("GET", path)
-            page, skipped = _decode_page(response, page_type)
-            page_era = _read_era(response)
-            if era not in (None, page_era):
-                raise PlatformUnavailableError(f"{kind}: era changed between pages")
-            era = page_era
-            items += page.items
-            unreadable += skipped
-            if len(items) > MAX_LISTED_OBJECTS:
+            page = _decode_page(response, page_type)
+            objects.add_page(page, _read_era(response))
+            if objects.count > MAX_LISTED_OBJECTS:
                 raise PlatformUnavailableError(
                     f"{kind}: more than {MAX_LISTED_OBJECTS} objects"
                 )
-            if not page.more or not (page.items or skipped):
-                return items, unreadable, StorePosition(era, page.at)
-            if not page.items:
-                raise PlatformUnavailableError(
-                    f"{kind}: no object of a page can be read"
-                )
-            path = f"{kind}?after={_escape(page.items[-1].metadata.name)}"
+            if not page.more:
+                return objects
+            end = page.items.end
+            if end is None or end in earlier_ends:
+                if end is not None and not has_guessed:
+                    raise PlatformUnavailableError(f"{kind}: {end!r} ends two pages")
+                objects.gap = f"{kind}: no name of a page can be read"
+                return objects
+            earlier_ends.add(end)
+            has_guessed |= isinstance(end, bytes)
+            path = f"{kind}?after={_escape(end)}"
             if query:
                 path += f"&{query}"
 
@@ -262,7 +319,7 @@
 
 
 def _escape(name):
-    """Return an object's name, which any writer may have chosen, for an address."""
+    """Return an object's name, of any writer's choice, for an address."""
     return quote(name, safe="")
 
 
@@ -294,12 +351,12 @@
     _raise_for_status(response)
     try:
         return msgspec.json.decode(response.content, type=expected_type)
-    except msgspec.MsgspecError as error:
+    except UNDECODABLE as error:
         raise PlatformUnavailableError(f"invalid response: {error}") from error
 
 
 def _decode_page(response, page_type):
-    """Return a page, and descriptions of what of it can't be read."""
+    """Return the `DecodedPage` of a response."""
     _raise_for_status(response)
     try:
         return decode_page(response.content, page_type)
