Replace an endpoint's status that promises a request has not run

What callers saw: one of three services booked a score and then answered 503 with its signature, without saying that it hadn't run the request.

Cause: an endpoint's failure was passed on as it was. Callers take 408, 421, 429 and 503 for the promise that a request has not run and never will, but only Vanillareach-Not-Executed states that, and the two facts weren't told apart. A signed 421 even counted as not run, so the gateway sent the request to a second endpoint.

Change: where a response is read, what its status says to callers is a field of its own. A failure with such a status reaches callers of requests that mustn't be repeated as a 502 with the endpoint's body and its status in a field, without signature and Retry-After; from peers, also of older versions, in the same way. Logs and the new metric vanillareach_failures tell the endpoint's status.

Why it works: all paths on which a failure reaches a caller end in one function, which compares the promise of the status with what is known.

--- a/vanillareach/exposition.py
+++ b/vanillareach/exposition.py
@@ -39,6 +39,12 @@
         yield _counter_family(
             "attempts", "Attempts at endpoints.", "service result", metrics.attempts
         )
+        yield _counter_family(
+            "failures",
+            "Error responses of endpoints that may have run a request.",
+            "service status",
+            metrics.failures,
+        )
         yield _counter_family(
             "refusals",
             "Requests refused for lack of an endpoint.",
--- a/vanillareach/features/steps/peer_forwarding.py
+++ b/vanillareach/features/steps/peer_forwarding.py
@@ -26,6 +26,20 @@
 MAX_BODY_BYTES = 1_000
 # Fills the memory of an engine.
 MEMORY_TOKENS = ENGINE_PARAMETERS["kv_tokens"]
+SIGNED_HEAD = b"Vanillareach-Response-Signature: x\r\nContent-Length: 0\r\n\r\n"
+UNKNOWN_OUTCOME = b'{"outcome":"unknown","reason":"broken"}'
+# First bytes, bytes repeated without end and the interval between them.
+PEER_RESPONSES = {
+    **RESPONSES_BY_FAULT,
+    "a signed 503": (b"HTTP/1.1 503 x\r\n" + SIGNED_HEAD, b"", 1.0),
+    "a signed 429": (b"HTTP/1.1 429 x\r\n" + SIGNED_HEAD, b"", 1.0),
+    "a 503 of unknown outcome": (
+        b"HTTP/1.1 503 x\r\nContent-Length: %d\r\n\r\n%s"
+        % (len(UNKNOWN_OUTCOME), UNKNOWN_OUTCOME),
+        b"",
+        1.0,
+    ),
+}
 CONNECTING_MODULES = (upstream, probing, loss_checks, link_monitor)
 
 
@@ -86,7 +100,7 @@
         if answer in HEADS:
             return await make_head_server(answer)(stream)
         await stream.receive_some(MAX_BODY_BYTES)
-        first, repeated, interval_s = RESPONSES_BY_FAULT[answer]
+        first, repeated, interval_s = PEER_RESPONSES[answer]
         await stream.send_all(first)
         while True:
             await stream.send_all(repeated)
--- a/vanillareach/features/users_platform/endpoint.py
+++ b/vanillareach/features/users_platform/endpoint.py
@@ -1,6 +1,7 @@
 """Stand-in of an engine or service that follows a script."""
 
 import math
+from functools import partialmethod
 
 import msgspec
 import trio
@@ -149,6 +150,24 @@
     async def _fail(self, received, responder):
         await responder.answer(500, self._response_headers(received), b"failed")
 
+    async def _run_and_answer(self, received, responder, status):
+        """Answer with another status after the request has run."""
+        headers = [*self._response_headers(received), (b"Retry-After", b"1")]
+        await responder.answer(status, headers, b"booked, standings down")
+
+    _run_302 = partialmethod(_run_and_answer, status=302)
+    _run_408 = partialmethod(_run_and_answer, status=408)
+    _run_421 = partialmethod(_run_and_answer, status=421)
+    _run_429 = partialmethod(_run_and_answer, status=429)
+    _run_503 = partialmethod(_run_and_answer, status=503)
+
+    async def _run_503_and_drip(self, received, responder):
+        """Send the head of a 503, and never the whole body."""
+        headers = [*self._response_headers(received), (b"Content-Length", b"100")]
+        await responder.start(503, headers)
+        await responder.send(b"booked")
+        await trio.sleep_forever()
+
     async def _fail_large(self, received, responder):
         """Answer with an error of `large_bytes`."""
         body = b"x" * self.large_bytes
--- a/vanillareach/gateway/attempt_group.py
+++ b/vanillareach/gateway/attempt_group.py
@@ -51,6 +51,8 @@
         See `CrashedRun`.
     was_delivery_slow : bool
         Whether delivering the last event took long, or none was delivered yet.
+    failure_status : int or None
+        Status of the endpoint's error response; None without one.
     weights_version : int or None
         Version of the endpoint's weights; None if it doesn't tell one.
     result : AttemptResult or None
@@ -61,6 +63,7 @@
         "_group",
         "exchange",
         "failed_helper",
+        "failure_status",
         "flight",
         "has_written",
         "idle_timeout",
@@ -82,6 +85,7 @@
         self.exchange = exchange
         self.placement = placement
         self.failed_helper = None
+        self.failure_status = None
         self.flight = None
         self.idle_timeout = None
         self.scope = trio.CancelScope()
--- a/vanillareach/gateway/attempts.py
+++ b/vanillareach/gateway/attempts.py
@@ -259,8 +259,9 @@
             raise EndpointBrokenError(f"unsigned answer {response.status}")
         if response.status >= 300:
             body = await self._read_answer(attempt, response)
-            failure = FailureResponse(response, body)
+            failure = FailureResponse(response, body, fields.says_not_run)
             exchange.keep_failure(failure, self._buffer_budget)
+            attempt.failure_status = response.status
             return AttemptResult.FAILED, None
         if exchange.route.kind is RequestKind.STREAM:
             attempt.weights_version = fields.weights_version
@@ -373,6 +374,9 @@
         state, now_ms = self._state, self._clock.now_ms()
         result_name = result.name.lower()
         self._metrics.attempts[(exchange.service.name, result_name)] += 1
+        if attempt.failure_status:
+            labels = (exchange.service.name, str(attempt.failure_status))
+            self._metrics.failures[labels] += 1
         if result is AttemptResult.ANSWERED:
             exchange.is_answered = True
             state.health.record_outcome(placement.endpoint.key, False, now_ms)
@@ -411,7 +415,9 @@
         )
 
     def _log_end(self, attempt, result, detail):
-        exchange = attempt.exchange
+        exchange, more = attempt.exchange, {}
+        if attempt.failure_status:
+            more["status"] = attempt.failure_status
         log.info(
             "Attempt ended.",
             id=exchange.id,
@@ -422,4 +428,5 @@
             first_event_ms=exchange.first_event_ms,
             longest_pause_ms=round(exchange.longest_pause_ms),
             after_ms=round(self._clock.now_ms() - exchange.request.received_ms),
+            **more,
         )
--- a/vanillareach/gateway/exchange.py
+++ b/vanillareach/gateway/exchange.py
@@ -5,6 +5,7 @@
 
 from vanillareach.clock import MS_PER_SECOND
 from vanillareach.core.hashing import hash128_hex
+from vanillareach.core.routing import RequestKind
 from vanillareach.endpoints.base import EndpointError
 from vanillareach.gateway.buffer_budget import KeptBody
 
@@ -48,15 +49,26 @@
 
 
 class FailureResponse:
-    """Error response of an endpoint, kept while another endpoint is tried."""
+    """Error response of an endpoint that may have run the request.
 
-    __slots__ = ("body", "headers", "reason", "status")
+    Attributes
+    ----------
+    status : int
+    reason : bytes
+    headers : list of (bytes, bytes)
+    body : bytes
+    says_not_run : bool
+        Whether callers take the status for the promise that the request has not run.
+    """
 
-    def __init__(self, response, body):
+    __slots__ = ("body", "headers", "reason", "says_not_run", "status")
+
+    def __init__(self, response, body, says_not_run):
         self.status = response.status
         self.reason = response.reason
         self.headers = response.headers
         self.body = body
+        self.says_not_run = says_not_run
 
 
 def fingerprint_of(request, fields):
@@ -242,6 +254,18 @@
         self.failure_response = response
         self._kept_body = KeptBody(budget, len(response.body), self.drop_failure)
 
+    def must_replace(self, failure):
+        """Return whether an endpoint's failure would promise more than is known.
+
+        Callers of requests that may run more than once repeat them after any failure.
+
+        Parameters
+        ----------
+        failure : FailureResponse
+        """
+        is_idempotent = self.route.kind is RequestKind.IDEMPOTENT
+        return failure.says_not_run and not is_idempotent
+
     def drop_failure(self):
         """Forget the error response that is kept."""
         self.failure_response = None
--- a/vanillareach/gateway/forwarder.py
+++ b/vanillareach/gateway/forwarder.py
@@ -23,7 +23,7 @@
 from vanillareach.gateway.peer_forwarding import PeerAttemptRunner
 from vanillareach.gateway.placing import PlacementDecision
 from vanillareach.gateway.quarantine import QUARANTINE_RETRY_AFTER_MS
-from vanillareach.gateway.relay import send_buffered
+from vanillareach.gateway.relay import send_failure
 from vanillareach.gateway.request_outcome import RequestOutcome
 from vanillareach.log import get_logger
 from vanillareach.utils import open_background_nursery
@@ -412,10 +412,10 @@
 
     async def _pass_on_failure(self, exchange, responder, reason):
         """Send the error response that an endpoint gave."""
-        failure_response = exchange.failure_response
-        log.info("Failure passed on.", id=exchange.id, status=failure_response.status)
         responder.outcome = RequestOutcome("failed", reason)
-        await send_buffered(failure_response, failure_response.body, responder)
+        await send_failure(
+            exchange, exchange.failure_response, self._protocol, responder
+        )
 
     async def _send_deadline_exceeded(self, exchange, responder):
         """Send the error response of a request whose deadline has passed."""
--- a/vanillareach/gateway/peer_forwarding.py
+++ b/vanillareach/gateway/peer_forwarding.py
@@ -13,8 +13,13 @@
 from vanillareach.endpoints.base import EndpointBrokenError, EndpointUnreachableError
 from vanillareach.gateway.answers import AnswerProgress, read_answer
 from vanillareach.gateway.attempt_group import AttemptSupersededError
-from vanillareach.gateway.exchange import AttemptResult
-from vanillareach.gateway.relay import RelayObserver, relay_events, send_buffered
+from vanillareach.gateway.exchange import AttemptResult, FailureResponse
+from vanillareach.gateway.relay import (
+    RelayObserver,
+    relay_events,
+    send_buffered,
+    send_failure,
+)
 from vanillareach.gateway.request_outcome import RequestOutcome
 from vanillareach.gateway.upstream import UpstreamRequest, open_upstream
 from vanillareach.log import get_logger
@@ -190,10 +195,13 @@
         exchange = attempt.exchange
         progress = AnswerProgress(attempt, self._silence_ms(exchange), self._clock)
         body = await read_answer(response, self._buffer_budget.share(), progress)
-        if fields.is_signed:
+        failure = None
+        if fields.is_replaced_failure or (fields.is_signed and response.status >= 300):
+            outcome = RequestOutcome("failed", "peer")
+            # A peer of an older version replaces no status.
+            failure = FailureResponse(response, body, fields.says_not_run)
+        elif fields.is_signed:
             outcome = RequestOutcome()
-            if response.status >= 300:
-                outcome = RequestOutcome("failed", "peer")
         else:
             outcome = decode_refusal(response.status, body)
             if outcome.name == "not_run" and outcome.reason in UNABLE_REASONS:
@@ -201,6 +209,8 @@
                 # retry.
                 attempt.may_have_been_sent = False
                 return AttemptResult.NOT_RUN
+            if outcome.name != "not_run" and fields.says_not_run:
+                raise EndpointBrokenError(f"{outcome.name} with {response.status}")
             if outcome.name == "not_run" and exchange.may_have_run_before(attempt):
                 # An earlier attempt may have run, so the promise doesn't hold.
                 raise EndpointBrokenError(outcome.reason)
@@ -211,7 +221,10 @@
         attempt.idle_timeout.pause()
         attempt.take_over()
         attempt.has_written = True
-        await send_buffered(response, body, responder)
+        if failure is not None:
+            await send_failure(exchange, failure, self._protocol, responder)
+        else:
+            await send_buffered(response, body, responder)
         return AttemptResult.ANSWERED
 
     def _log_end(self, attempt, detail):
--- a/vanillareach/gateway/ports.py
+++ b/vanillareach/gateway/ports.py
@@ -105,6 +105,11 @@
     is_signed : bool
     has_not_run : bool
         Whether the endpoint states that it did not begin the request.
+    says_not_run : bool
+        Whether callers take the status for the promise that the request has not run and
+        never will, whatever the endpoint states.
+    is_replaced_failure : bool
+        Whether a peer has replaced the status of an endpoint's failure.
     is_misdirected : bool
         Whether the request reached another process than the one addressed.
     closes_connection : bool
@@ -118,6 +123,8 @@
     attempt_id: str
     is_signed: bool
     has_not_run: bool
+    says_not_run: bool
+    is_replaced_failure: bool
     is_misdirected: bool
     closes_connection: bool
     failed_helper_address: str
@@ -132,6 +139,21 @@
     def read_request(self, headers):
         """Return the `CallerFields` in a list of (name, value) headers."""
 
+    @abstractmethod
+    def replaced_failure_headers(self, status, headers):
+        """Return the headers of a failure that is sent with another status.
+
+        They tell the endpoint's status, but neither that the endpoint stands for the
+        answer nor when the request may be sent again.
+
+        Parameters
+        ----------
+        status : int
+            Of the endpoint's answer.
+        headers : list of (bytes, bytes)
+            Of the endpoint's answer.
+        """
+
     @abstractmethod
     def endpoint_headers(self, headers, endpoint_fields, strips_key):
         """Return the headers for an endpoint, without connection headers.
--- a/vanillareach/gateway/relay.py
+++ b/vanillareach/gateway/relay.py
@@ -5,6 +5,12 @@
 from vanillareach.connection_headers import CONNECTION_HEADERS
 from vanillareach.core.event_stream import EventSplitter, EventStreamError
 from vanillareach.endpoints.base import EndpointBrokenError
+from vanillareach.log import get_logger
+
+# Status of a failure that promises nothing.
+BAD_GATEWAY = 502
+
+log = get_logger("request")
 
 
 class RelayObserver(ABC):
@@ -39,6 +45,30 @@
     await responder.answer(response.status, headers, body, response.reason)
 
 
+async def send_failure(exchange, failure, protocol, responder):
+    """Send an endpoint's failure, with another status if its own promises too much.
+
+    Parameters
+    ----------
+    exchange : GatewayExchange
+    failure : FailureResponse
+    protocol : RequestProtocol
+    responder : Responder
+    """
+    is_replaced = exchange.must_replace(failure)
+    log.info(
+        "Failure passed on.",
+        id=exchange.id,
+        status=failure.status,
+        is_replaced=is_replaced,
+    )
+    if not is_replaced:
+        await send_buffered(failure, failure.body, responder)
+        return
+    headers = protocol.replaced_failure_headers(failure.status, failure.headers)
+    await responder.answer(BAD_GATEWAY, end_to_end_headers(headers), failure.body)
+
+
 async def relay_events(exchange, response, responder, observer, share):
     """Forward the complete events of a stream as they arrive.
 
--- a/vanillareach/metrics.py
+++ b/vanillareach/metrics.py
@@ -50,6 +50,8 @@
         Finished requests by (kind, outcome, reason).
     attempts : collections.Counter
         Attempts at endpoints by (service, result).
+    failures : collections.Counter
+        Error responses of endpoints that may have run a request, by (service, status).
     refusals : collections.Counter
         Requests refused for lack of an endpoint, by (service, priority, reason).
     read_waiting : callable
@@ -63,6 +65,7 @@
     def __init__(self):
         self.requests = Counter()
         self.attempts = Counter()
+        self.failures = Counter()
         self.refusals = Counter()
         self.read_waiting = dict
         self.first_token_by_length = {}
--- a/vanillareach/platform/calls.py
+++ b/vanillareach/platform/calls.py
@@ -68,20 +68,29 @@
         ]
         return copied + added
 
+    def replaced_failure_headers(self, status, headers):
+        """Build the headers of a replaced failure; see `RequestProtocol`."""
+        dropped = (names.SIGNATURE, names.RETRY_AFTER, names.FAILURE_STATUS)
+        kept = [(name, value) for name, value in headers if name.lower() not in dropped]
+        return [*kept, (names.FAILURE_STATUS.title(), str(status).encode())]
+
     def read_response(self, status, headers):
         """Decode a response's headers; see `RequestProtocol`."""
         first_values = _first_values_by_name(headers)
         connection_value = first_values.get(b"connection", b"").lower()
+        has_signature = names.SIGNATURE in first_values
+        # Another process than the one addressed doesn't sign.
+        is_foreign = is_misdirected(status, headers) and not has_signature
         # A body with a content encoding was not produced by the endpoint itself.
-        is_signed = (
-            names.SIGNATURE in first_values and b"content-encoding" not in first_values
-        )
+        is_signed = has_signature and b"content-encoding" not in first_values
         return ResponseFields(
             attempt_id=first_values.get(names.ATTEMPT_ID, b"").decode("latin-1"),
             is_signed=is_signed,
             has_not_run=names.NOT_EXECUTED in first_values
-            or status == MISDIRECTED_STATUS,
-            is_misdirected=is_misdirected(status, headers),
+            or (status == MISDIRECTED_STATUS and not has_signature),
+            says_not_run=status in names.NOT_RUN_STATUSES,
+            is_replaced_failure=names.FAILURE_STATUS in first_values,
+            is_misdirected=is_foreign,
             closes_connection=b"close" in connection_value,
             failed_helper_address=first_values.get(names.FAULTY_SERVER, b"").decode(
                 "latin-1"
--- a/vanillareach/platform/names.py
+++ b/vanillareach/platform/names.py
@@ -25,8 +25,14 @@
 COLD_MS = b"vanillareach-cold-ms"
 STORE_ERA_HEADER = b"store-era"
 
+# Of a failure whose status the gateway has replaced.
+FAILURE_STATUS = b"vanillareach-failure-status"
+
 BEARER_SCHEME = b"bearer"
 
+# Status codes that tell a caller that its request has not run and never will.
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+
 READINESS_PATH = "/api/readiness"
 MEMORY_ORDER_PATH = "/api/order"
 OBJECTS_PATH = "/api/objects"
