Accept late streams of a stop only if their time limit ends them

Cause: a stopping gateway took the longest recent stream of a route, even of a single one, for the longest that can come. Only the time limit of a request bounds a stream.

Change: a stream that arrives later than 2.8 s after SIGTERM is accepted only if its time limit ends it before the stop does. Before that, a stream whose length isn't told is predicted by 20 or more recent ones of its route, and not while one in progress is longer than all of them. Streams that ended early count for the time that they took.

Why it works: callers of refused streams go elsewhere at once, those of cut ones can't, and late in a stop nothing is accepted that rests on a prediction.

--- a/bench/stops.py
+++ b/bench/stops.py
@@ -1,10 +1,14 @@
-"""What callers on kept connections get in each second after the SIGTERM of a gateway.
+"""What callers get in each second after the SIGTERM of a gateway.
 
 usage: python -m bench.stops [--grace-s 8] [--stream-ms 3100] [--paces 1.0,1.6,2.5]
+    [--batches 1] [--later-ms 500,6000] [--untold] [--new]
 
 Two gateways, three engines on loopback; one gateway stops. A stream is sent every 150
 ms on a connection of its own; some of these have had a stream before. Engines are
-slower by the pace while four or more requests run there.
+slower by the pace while four or more requests run there. Before the stop a batch of
+twelve streams is served, or as many as --batches says. After SIGTERM streams take the
+times of --later-ms in turn. With --untold callers don't tell how long answers may get;
+with --new they come on new connections.
 """
 
 import argparse
@@ -23,16 +27,26 @@
 NAMES = ("whole", "refused", "closed", "cut", "failed")
 
 
-async def measure(grace_s, stream_ms, pace, last_ms):
+async def measure(arguments, pace, last_ms):
     """Return the outcomes of one stop."""
     async with trio.open_nursery() as nursery:
         platform = PlatformStage(nursery)
-        await open_stop_stage(platform, pace, BUSY_COUNT, grace_s=grace_s)
-        trial = StopTrial(platform, stream_ms=stream_ms)
+        await open_stop_stage(platform, pace, BUSY_COUNT, grace_s=arguments.grace_s)
+        trial = StopTrial(
+            platform,
+            stream_ms=arguments.stream_ms,
+            is_length_told=not arguments.untold,
+        )
         times_ms = range(0, last_ms, INTERVAL_MS)
         callers = [await platform.connect() for _ in times_ms]
-        await trial.call_before(callers[:BATCH])
-        outcomes = await trial.run(callers, times_ms)
+        for _ in range(arguments.batches):
+            await trial.call_before(callers[:BATCH])
+        if arguments.later_ms:
+            trial.set_durations([float(ms) for ms in arguments.later_ms.split(",")])
+        if arguments.new:
+            outcomes = await trial.run_new(times_ms)
+        else:
+            outcomes = await trial.run(callers, times_ms)
         nursery.cancel_scope.cancel()
     return outcomes
 
@@ -43,12 +57,14 @@
     parser.add_argument("--grace-s", type=float, default=8.0)
     parser.add_argument("--stream-ms", type=float, default=3_100.0)
     parser.add_argument("--paces", default="1.0,1.6,2.5")
+    parser.add_argument("--later-ms", default="")
+    parser.add_argument("--batches", type=int, default=1)
+    parser.add_argument("--untold", action="store_true")
+    parser.add_argument("--new", action="store_true")
     arguments = parser.parse_args()
     configure_logs(level="error")
     for pace in map(float, arguments.paces.split(",")):
-        outcomes = trio.run(
-            measure, arguments.grace_s, arguments.stream_ms, pace, 3_300
-        )
+        outcomes = trio.run(measure, arguments, pace, 3_300)
         by_second = {}
         for outcome in outcomes:
             counts = by_second.setdefault(int(outcome.sent_ms // 1000), Counter())
--- a/vanillareach/core/answer_times.py
+++ b/vanillareach/core/answer_times.py
@@ -45,14 +45,18 @@
 
     def largest_slowdown(self, route, now_ms):
         """Return the largest recent slowdown; 0 if no answer of the route is known."""
-        return max(
-            (
-                slowdown
-                for answered_ms, slowdown in self._answers_by_route.get(route, ())
-                if now_ms - answered_ms < ANSWER_TTL_MS
-            ),
-            default=0.0,
-        )
+        return max(self._recent_slowdowns(route, now_ms), default=0.0)
+
+    def recent_count(self, route, now_ms):
+        """Return the number of recent answers of a route."""
+        return len(self._recent_slowdowns(route, now_ms))
+
+    def _recent_slowdowns(self, route, now_ms):
+        return [
+            slowdown
+            for answered_ms, slowdown in self._answers_by_route.get(route, ())
+            if now_ms - answered_ms < ANSWER_TTL_MS
+        ]
 
 
 def safe_answer_ms(predicted_ms, pace, least_ms=0.0):
--- a/vanillareach/features/steps/stop_admission.py
+++ b/vanillareach/features/steps/stop_admission.py
@@ -35,6 +35,31 @@
     context.run(connect_and_call, context, count)
 
 
+@given("{count:d} streams of {stream_ms:d} ms were served that don't tell their length")
+def step_serve_untold_streams(context, count, stream_ms):
+    context.trial = StopTrial(
+        context.platform, stream_ms=stream_ms, is_length_told=False
+    )
+
+    async def serve():
+        for _ in range(count):
+            async with await context.platform.connect() as caller:
+                await context.trial.call_before([caller])
+
+    context.run(serve)
+
+
+@when(
+    "it stops and streams of {stream_ms:d} ms come on new connections from "
+    "{first_ms:d} to {last_ms:d} ms later"
+)
+def step_stop_with_new(context, stream_ms, first_ms, last_ms):
+    context.trial.set_durations([stream_ms])
+    step_ms = (last_ms - first_ms) / (CONNECTIONS - 1)
+    times_ms = [first_ms + step_ms * number for number in range(CONNECTIONS)]
+    context.outcomes = context.run(context.trial.run_new, times_ms)
+
+
 @given("{count:d} calls were answered on connections that are kept")
 def step_answer_calls(context, count):
     context.trial = StopTrial(context.platform, "/book/a")
@@ -80,6 +105,13 @@
     assert names <= {"whole", "refused", "closed"}, context.outcomes
 
 
+@then("at most {count:d} of them are cut and the others are whole or refused")
+def step_check_few_cut(context, count):
+    names = [outcome.name for outcome in context.outcomes]
+    assert names.count("cut") <= count, context.outcomes
+    assert set(names) <= {"cut", "whole", "refused"}, context.outcomes
+
+
 @then("at least {count:d} of them are whole")
 def step_check_whole(context, count):
     whole = [outcome for outcome in context.outcomes if outcome.name == "whole"]
--- a/vanillareach/features/stop_trial.py
+++ b/vanillareach/features/stop_trial.py
@@ -48,19 +48,33 @@
     path : str
     stream_ms : float
         Time that a stream takes by the published figures on an idle engine.
+    is_length_told : bool
+        Whether requests tell the gateway how long their answers may get.
     """
 
-    def __init__(self, platform, path="/ask/a", stream_ms=0.0):
+    def __init__(self, platform, path="/ask/a", stream_ms=0.0, is_length_told=True):
         self._platform = platform
         self._path = path
-        self._values = {"Vanillareach_Deadline_Ms": "15000"}
+        self._usage = "Vanillareach_Token_Usage" if is_length_told else "X_Token_Usage"
+        self._usages = [None]
+        self._sent_count = 0
         if stream_ms:
-            configuration = platform.gateways[0].state.configuration
-            figures = configuration.services_by_name["model"].engine
-            for endpoint in platform.endpoints_by_name.values():
-                endpoint.figures = figures
-            tokens = answer_tokens(figures, stream_ms)
-            self._values["Vanillareach_Token_Usage"] = f"100,{tokens}"
+            self.set_durations([stream_ms])
+
+    def set_durations(self, durations_ms):
+        """Let the next streams take these times in turn; see `stream_ms`."""
+        configuration = self._platform.gateways[0].state.configuration
+        figures = configuration.services_by_name["model"].engine
+        for endpoint in self._platform.endpoints_by_name.values():
+            endpoint.figures = figures
+        self._usages = [f"100,{answer_tokens(figures, ms)}" for ms in durations_ms]
+
+    def _next_values(self):
+        """Return the header values of the next request."""
+        usage = self._usages[self._sent_count % len(self._usages)]
+        self._sent_count += 1
+        values = {"Vanillareach_Deadline_Ms": "15000"}
+        return {**values, self._usage: usage} if usage else values
 
     async def call_before(self, callers):
         """Send a request on each connection and wait for the responses."""
@@ -69,7 +83,7 @@
                 nursery.start_soon(self._call_whole, caller)
 
     async def _call_whole(self, caller):
-        response = await caller.call(self._path, **self._values)
+        response = await caller.call(self._path, **self._next_values())
         assert response.is_complete and response.status == 200, response.status
 
     async def run(self, callers, times_ms):
@@ -88,6 +102,31 @@
         outcomes = await self._stop_beside(send)
         return sorted(outcomes, key=lambda outcome: outcome.sent_ms)
 
+    async def run_new(self, times_ms):
+        """Stop the gateway and send a request on a new connection at each time.
+
+        Returns
+        -------
+        list of StopOutcome
+        """
+
+        async def send(nursery, outcomes):
+            begin_s = trio.current_time()
+            for at_ms in times_ms:
+                nursery.start_soon(self._call_new, begin_s, at_ms, outcomes)
+
+        outcomes = await self._stop_beside(send)
+        return sorted(outcomes, key=lambda outcome: outcome.sent_ms)
+
+    async def _call_new(self, begin_s, at_ms, outcomes):
+        await trio.sleep_until(begin_s + at_ms / 1000)
+        try:
+            caller = await self._platform.connect()
+        except OSError:
+            outcomes.append(StopOutcome(at_ms, "closed"))
+            return
+        await self._call(caller, begin_s, at_ms, outcomes)
+
     async def run_paused(self, callers, from_ms, until_ms):
         """Stop the gateway and pause it with a request on each connection unread.
 
@@ -98,7 +137,9 @@
 
         async def send(nursery, outcomes):
             await trio.sleep(from_ms / 1000)
-            attempt_ids = [c.send_at_once(self._path, **self._values) for c in callers]
+            attempt_ids = [
+                c.send_at_once(self._path, **self._next_values()) for c in callers
+            ]
             # Stops the loop that runs the gateway, as a signal does.
             time.sleep((until_ms - from_ms) / 1000)  # noqa: ASYNC251
             for caller, attempt_id in zip(callers, attempt_ids, strict=True):
@@ -125,7 +166,7 @@
         await trio.sleep_until(begin_s + at_ms / 1000)
         sent_ms = 1000 * (trio.current_time() - begin_s)
         try:
-            attempt_id = await caller.send_named(self._path, **self._values)
+            attempt_id = await caller.send_named(self._path, **self._next_values())
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             outcomes.append(StopOutcome(sent_ms, "closed"))
             return
--- a/vanillareach/features/stopping.feature
+++ b/vanillareach/features/stopping.feature
@@ -65,6 +65,52 @@
       | 5     | 1.6  | 6      | 500    | 1500  | 2450 | 6     |
       | 2     | 1.0  | 6      | 300    | 0     | 1900 | 3     |
 
+  # Guards against streams that come so late that their callers should be elsewhere, are
+  # longer than earlier ones, and are cut at the end of the stop (review case 14).
+  @platform
+  Scenario Outline: A stopping gateway cuts no stream that comes late on a new connection
+    Given a gateway with 8 s to stop, a peer, and engines of busy pace <pace>
+    And <served> streams of <short> ms were served that don't tell their length
+    When it stops and streams of <long> ms come on new connections from 2850 to 3150 ms later
+    Then each of them is whole, refused, or came to a closed connection
+
+    Examples:
+      | pace | served | short | long |
+      | 1.0  | 1      | 300   | 6000 |
+      | 1.0  | 24     | 300   | 6000 |
+
+  # Guards against streams whose engine is slower than any before.
+  @platform
+  Scenario: A stopping gateway cuts no late stream at an engine that has become slow
+    Given a gateway with 8 s to stop, a peer, and engines of busy pace 6.0
+    And 1 streams of 300 ms were served on connections that are kept
+    When it stops and streams of 1500 ms come on new connections from 2850 to 3150 ms later
+    Then each of them is whole, refused, or came to a closed connection
+
+  # Guards against the longest of a few short streams counting as the longest that comes,
+  # and against refusing all whose length isn't told.
+  @platform
+  Scenario Outline: A stopping gateway takes streams of untold length by many earlier ones
+    Given a gateway with 8 s to stop, a peer, and engines of busy pace 1.0
+    And <served> streams of 300 ms were served that don't tell their length
+    When it stops and streams of <long> ms come on new connections from 500 to 2500 ms later
+    Then each of them is whole, refused, or came to a closed connection
+    And at least <whole> of them are whole
+
+    Examples:
+      | served | long | whole |
+      | 10     | 9000 | 0     |
+      | 24     | 300  | 6     |
+
+  # Guards against streams that are accepted like earlier ones though others in progress
+  # show that streams have become longer.
+  @platform
+  Scenario: A stopping gateway takes no stream of untold length once others are longer
+    Given a gateway with 6 s to stop, a peer, and engines of busy pace 1.0
+    And 24 streams of 300 ms were served that don't tell their length
+    When it stops and streams of 5000 ms come on new connections from 0 to 2500 ms later
+    Then at most 2 of them are cut and the others are whole or refused
+
   # Guards against streams that are handed to a peer without regard to the stop.
   @platform
   Scenario: A stopping gateway cuts no stream that it hands to a peer
--- a/vanillareach/features/users_platform/paced_endpoint.py
+++ b/vanillareach/features/users_platform/paced_endpoint.py
@@ -7,6 +7,9 @@
 from vanillareach.features.users_platform.endpoint import StandinEndpoint
 from vanillareach.platform import names
 
+# Stands for the length of an answer that callers don't tell the gateway.
+UNTOLD_USAGE = b"x-token-usage"
+
 
 class PacedEndpoint(StandinEndpoint):
     """Stand-in whose streams have as many events as their request allows.
@@ -38,7 +41,9 @@
         return pace * pass_ms(self.figures, self.running_count, 0) / 1000
 
     async def _paced_stream(self, received, responder):
-        tokens = int(received.values_by_name[names.TOKEN_USAGE].split(",")[1])
+        values = received.values_by_name
+        usage = values.get(names.TOKEN_USAGE) or values[UNTOLD_USAGE]
+        tokens = int(usage.split(",")[1])
         first = int(received.values_by_name.get(names.LAST_EVENT_ID, "0")) + 1
         headers = self._response_headers(received)
         self.running_count += 1
--- a/vanillareach/gateway/app.py
+++ b/vanillareach/gateway/app.py
@@ -38,6 +38,10 @@
 # connections are closed; new ones are accepted for longer, for a balancer that is slow.
 IDLE_CLOSE_S = 2.5
 BALANCER_REMOVAL_S = 3.2
+# Callers that come later than 3 s after SIGTERM were told to go elsewhere before, so a
+# stream of theirs must not be cut. A request or the signal may have been under way for
+# some time before it was read.
+PREDICTION_S = 2.8
 # Time for the requests of the connections that are accepted last.
 LAST_REQUEST_S = 0.5
 # Time for closing connections at the end of a grace period that is shorter than that.
@@ -355,7 +359,11 @@
         accept_s = min(BALANCER_REMOVAL_S, max(0.0, remaining_s - FINAL_CLOSE_S))
         idle_s = min(IDLE_CLOSE_S, accept_s)
         last_request_ms = now_ms + (accept_s + LAST_REQUEST_S) * MS_PER_SECOND
-        self.state.mark_stopping(now_ms + remaining_ms, last_request_ms)
+        self.state.mark_stopping(
+            now_ms + remaining_ms,
+            last_request_ms,
+            now_ms + PREDICTION_S * MS_PER_SECOND,
+        )
         self.forwarder.set_final_deadline(now_ms + remaining_ms)
         listeners = (self.caller_listener, self.forward_listener)
         with trio.move_on_after(remaining_s):
--- a/vanillareach/gateway/forwarder.py
+++ b/vanillareach/gateway/forwarder.py
@@ -192,6 +192,7 @@
         exchange.cap_deadline(self._final_deadline_ms)
         exchange.scope = self._clock.scope_until(exchange.deadline_ms)
         self._exchanges.add(exchange)
+        self._dispatcher.shutdown.record_start(exchange)
         try:
             with exchange.scope:
                 await self._serve(exchange, responder)
@@ -201,7 +202,7 @@
             self._exchanges.discard(exchange)
             now_ms = self._clock.now_ms()
             self._dispatcher.record_cost(exchange, now_ms)
-            self._dispatcher.shutdown.record_answer(exchange, now_ms)
+            self._dispatcher.shutdown.record_end(exchange, now_ms)
             # Ends the reference cycle that would keep the request's body in memory
             # until a garbage collection.
             exchange.attempts.clear()
@@ -324,9 +325,9 @@
             peer_placement = self._peer_chooser.choose(exchange)
             # The placement of a generation here counts the load of the engine as well.
             is_unchecked = peer_placement is not None or not exchange.is_generation
-            now_ms = self._clock.now_ms()
-            if is_unchecked and self._dispatcher.shutdown.ends_too_late(
-                exchange, now_ms
+            now_ms, shutdown = self._clock.now_ms(), self._dispatcher.shutdown
+            if shutdown.is_unbounded(exchange, now_ms) or (
+                is_unchecked and shutdown.ends_too_late(exchange, now_ms)
             ):
                 return PlacementDecision(None, reason=STOPPING)
             if peer_placement is not None:
--- a/vanillareach/gateway/state.py
+++ b/vanillareach/gateway/state.py
@@ -105,6 +105,9 @@
     stop_deadline_ms : float
         Monotonic time by which all responses of this instance end; infinite unless it
         is stopping.
+    prediction_until_ms : float
+        Monotonic time after which a stream is accepted only if its own time limit ends
+        it before `stop_deadline_ms`; infinite unless the instance is stopping.
     last_request_ms : float
         Monotonic time after which requests of callers are refused; infinite unless it
         is stopping.
@@ -142,6 +145,7 @@
         self.is_stopping = False
         self.stop_deadline_ms = math.inf
         self.last_request_ms = math.inf
+        self.prediction_until_ms = math.inf
         self.store_era = UNKNOWN_ERA
         self._era_event = trio.Event()
         self._initial_state_event = trio.Event()
@@ -389,10 +393,16 @@
         else:
             self.health.record_outcome(endpoint.key, True, now_ms)
 
-    def mark_stopping(self, stop_deadline_ms, last_request_ms=math.inf):
+    def mark_stopping(
+        self,
+        stop_deadline_ms,
+        last_request_ms=math.inf,
+        prediction_until_ms=math.inf,
+    ):
         """Accept no new callers and notify peers; see the attributes of these names."""
         self.is_stopping = True
         self.stop_deadline_ms = stop_deadline_ms
+        self.prediction_until_ms = prediction_until_ms
         self.last_request_ms = last_request_ms
         self.publish()
 
