Date a list of several pages by its earliest revision

What callers would get: requests at endpoints of a domain that is evacuated, or none at one that is taken back, until the evacuations are listed again.

Cause: a list of several pages had the revision of its last page. What changed between two pages, on one that was already read, was neither in the list nor in the watch that goes on from that revision.

Evidence: the new scenario of unreadable_pages.feature, an evacuation that ends between two pages, fails without the change.

Why it works: from the earliest revision on a watch reports all that the pages may lack.

--- a/vanillareach/features/steps/unreadable_pages.py
+++ b/vanillareach/features/steps/unreadable_pages.py
@@ -176,6 +176,25 @@
     context.run(put)
 
 
+@given('the evacuations "{names}" are listed while that of "{name}" ends')
+def step_list_during_change(context, names, name):
+    async def read():
+        store = context.platform.store
+        for listed in names.split(","):
+            store.put("evacuations", listed, {})
+        context.client = PlatformStore(context.platform.store_address)
+        store.on_page = end_once
+        context.listing = await context.client.list_evacuations()
+
+    def end_once(kind):
+        store = context.platform.store
+        if kind == "evacuations" and name in store.objects_by_kind[kind]:
+            store.delete(kind, name)
+
+    context.run(read)
+    assert context.listing.items == names.split(",")
+
+
 @then('the list of evacuations is "{names}", complete')
 def step_evacuations_listed(context, names):
     async def read():
--- a/vanillareach/features/unreadable_pages.feature
+++ b/vanillareach/features/unreadable_pages.feature
@@ -75,6 +75,13 @@
     When the evacuation of "zone-a" ends while it can't be read
     Then the watch of evacuations tells that "zone-a" has ended
 
+  # Guards against changes of entries whose page was already read, which a watch from the
+  # last page on would miss.
+  Scenario: A watch after a list of several pages tells what changed between them
+    Given the store lists objects in pages of 1
+    And the evacuations "zone-a,zone-b" are listed while that of "zone-a" ends
+    Then the watch of evacuations tells that "zone-a" has ended
+
   Scenario: A change of the configuration that can't be read isn't taken for none
     When a watch of the configuration reports an object with a name that can't be read
     Then the configuration has to be read again
--- a/vanillareach/platform/standin_store.py
+++ b/vanillareach/platform/standin_store.py
@@ -25,6 +25,8 @@
         Number of requests handled, including failed ones.
     page_size : int or None
         Most objects of one page of a list; None for all.
+    on_page : callable
+        Called with the kind after a page that isn't the last one was read.
     """
 
     def __init__(self):
@@ -36,6 +38,7 @@
         self.failure = ""
         self.calls = 0
         self.page_size = None
+        self.on_page = lambda kind: None
         self._changed = trio.Event()
 
     def put(self, kind, name, spec):
@@ -93,7 +96,8 @@
             items = listed[: self.page_size]
             is_partial = len(items) < len(listed)
             page = {"items": items, "more": is_partial, "at": self.revision}
-            return await self._answer(responder, 200, page)
+            await self._answer(responder, 200, page)
+            return self.on_page(kind) if is_partial else None
         if name not in objects:
             return await self._answer(responder, 404, {})
         return await self._answer(responder, 200, objects[name])
--- a/vanillareach/platform/store.py
+++ b/vanillareach/platform/store.py
@@ -74,7 +74,8 @@
     decoded : list
     unreadable : list of UnreadableItem
     position : StorePosition or None
-        Of the last page; None before the first one.
+        The earliest of the pages, since an object may have changed after its page was
+        read; None before the first one.
     gap : str
         See `StoreListing`.
     """
@@ -102,7 +103,9 @@
         """
         if self.position is not None and self.position.era != era:
             raise PlatformUnavailableError("era changed between pages")
-        self.position = StorePosition(era, page.at)
+        # A cut page tells no revision.
+        revisions = [page.at, self.position.revision] if self.position else [page.at]
+        self.position = StorePosition(era, min(filter(None, revisions), default=0))
         self.decoded += page.items.decoded
         self.unreadable += page.items.unreadable
 
