Take nested responses of the object API for its failure

What was seen: a list whose values are nested too deep raised a RecursionError in the client of the object API, which ends the task that reads it.

Cause: the client expected only the decoder's own errors.

Evidence: two scenarios of response_limits.feature end by an error before and pass now.

Why it works: the call fails like one with any other invalid response, and is repeated.

--- a/vanillareach/control/object_api.py
+++ b/vanillareach/control/object_api.py
@@ -292,7 +292,7 @@
 def _decode_json(data, expected_type):
     try:
         return msgspec.json.decode(data, type=expected_type)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise PlatformUnavailableError(f"invalid response: {error}") from error
 
 
--- a/vanillareach/features/response_limits.feature
+++ b/vanillareach/features/response_limits.feature
@@ -137,6 +137,16 @@
       | a body without end |
       | a body that drips  |
 
+  # Guards against an error that ends the task instead of the call.
+  Scenario Outline: A response of the object API that is nested too deep is its failure
+    Given an object API that sends <response>
+    Then listing a collection fails with PlatformUnavailableError
+
+    Examples:
+      | response                              |
+      | an object with values nested too deep |
+      | a list with values nested too deep    |
+
   Scenario Outline: A head of the object API that never ends is a failure of the API
     Given an object API that sends <fault>
     Then listing a collection fails with PlatformUnavailableError
--- a/vanillareach/features/steps/store_limits.py
+++ b/vanillareach/features/steps/store_limits.py
@@ -26,6 +26,8 @@
 PAGE_HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(PAGE)
 STORED_OBJECT = b'{"metadata": {"name": "a", "resourceVersion": "1"}}'
 WATCH_EVENT = b'{"type": "ADDED", "object": %s}\n' % STORED_OBJECT
+NESTED = b"[" * 5_000 + b"]" * 5_000
+NESTED_OBJECT = STORED_OBJECT[:-1] + b', "spec": {"a": %s}}' % NESTED
 DRIP_INTERVAL_S = 0.05
 CALL_TIMEOUT_S = 30.0
 # Shorter than that of a command's call.
@@ -43,6 +45,16 @@
     "a line that is no event": (UNFRAMED_HEAD + b"[1]\n", b"", 0.0),
     "an object": (UNFRAMED_HEAD + STORED_OBJECT, b"", 0.0),
     "an object with a position": (UNFRAMED_HEAD + b'{"at": 1}', b"", 0.0),
+    "an object with values nested too deep": (
+        UNFRAMED_HEAD + NESTED_OBJECT,
+        b"",
+        0.0,
+    ),
+    "a list with values nested too deep": (
+        UNFRAMED_HEAD + b'{"metadata": {"name": ""}, "items": [%s]}' % NESTED_OBJECT,
+        b"",
+        0.0,
+    ),
     "a page whose items are no list": (
         UNFRAMED_HEAD + b'{"items": {}, "at": 1}',
         b"",
