--- a/bench/stops.py
+++ b/bench/stops.py
@@ -1,14 +1,14 @@
 """What callers get in each second after the SIGTERM of a gateway.
 
 usage: python -m bench.stops [--grace-s 8] [--stream-ms 3100] [--paces 1.0,1.6,2.5]
-    [--batches 1] [--later-ms 500,6000] [--untold] [--new]
+    [--batches 1] [--later-ms 500,6000] [--undeclared] [--new]
 
 Two gateways, three engines on loopback; one gateway stops. A stream is sent every 150
 ms on a connection of its own; some of these have had a stream before. Engines are
 slower by the pace while four or more requests run there. Before the stop a batch of
 twelve streams is served, or as many as --batches says. After SIGTERM streams take the
-times of --later-ms in turn. With --untold callers don't tell how long answers may get;
-with --new they come on new connections.
+times of --later-ms in turn. With --undeclared callers don't declare how long answers
+may get; with --new they come on new connections.
 """
 
 import argparse
@@ -35,7 +35,7 @@
         trial = StopTrial(
             platform,
             stream_ms=arguments.stream_ms,
-            is_length_told=not arguments.untold,
+            is_length_declared=not arguments.undeclared,
         )
         times_ms = range(0, last_ms, INTERVAL_MS)
         callers = [await platform.connect() for _ in times_ms]
@@ -59,7 +59,7 @@
     parser.add_argument("--paces", default="1.0,1.6,2.5")
     parser.add_argument("--later-ms", default="")
     parser.add_argument("--batches", type=int, default=1)
-    parser.add_argument("--untold", action="store_true")
+    parser.add_argument("--undeclared", action="store_true")
     parser.add_argument("--new", action="store_true")
     arguments = parser.parse_args()
     configure_logs(level="error")
--- a/vanillareach/core/shutdown_admission.py
+++ b/vanillareach/core/shutdown_admission.py
@@ -18,7 +18,7 @@
 # Of shorter answers the time tells more of waiting than of the pace.
 MIN_NOMINAL_MS = 200.0
 # Recent streams of a route after which the longest of them tells how long the next may
-# get, if callers don't tell its length.
+# get, if callers don't declare its length.
 MIN_LENGTH_SAMPLES = 20
 
 
@@ -35,7 +35,7 @@
     def __init__(self, state):
         self._state = state
         self._answer_times = AnswerTimes()
-        # Streams in progress whose callers don't tell their length.
+        # Streams in progress whose callers don't declare their length.
         self._running_by_route = {}
 
     def time_left_ms(self, exchange, now_ms):
@@ -114,7 +114,7 @@
         """Learn from a request that isn't served any more.
 
         It counts if one attempt has answered it completely, or for the time that it
-        took at least if it is a stream that has begun and whose length isn't told.
+        took at least if it is a stream that has begun and whose length isn't declared.
         """
         is_length_unknown = _is_length_unknown(exchange)
         if is_length_unknown:
--- a/vanillareach/features/steps/stop_admission.py
+++ b/vanillareach/features/steps/stop_admission.py
@@ -35,10 +35,10 @@
     context.run(connect_and_call, context, count)
 
 
-@given("{count:d} streams of {stream_ms:d} ms were served that don't tell their length")
-def step_serve_untold_streams(context, count, stream_ms):
+@given("{count:d} streams of {stream_ms:d} ms of undeclared length were served")
+def step_serve_undeclared_streams(context, count, stream_ms):
     context.trial = StopTrial(
-        context.platform, stream_ms=stream_ms, is_length_told=False
+        context.platform, stream_ms=stream_ms, is_length_declared=False
     )
 
     async def serve():
--- a/vanillareach/features/stop_trial.py
+++ b/vanillareach/features/stop_trial.py
@@ -48,14 +48,16 @@
     path : str
     stream_ms : float
         Time that a stream takes by the published figures on an idle engine.
-    is_length_told : bool
+    is_length_declared : bool
         Whether requests tell the gateway how long their answers may get.
     """
 
-    def __init__(self, platform, path="/ask/a", stream_ms=0.0, is_length_told=True):
+    def __init__(self, platform, path="/ask/a", stream_ms=0.0, is_length_declared=True):
         self._platform = platform
         self._path = path
-        self._usage = "Vanillareach_Token_Usage" if is_length_told else "X_Token_Usage"
+        self._usage = (
+            "Vanillareach_Token_Usage" if is_length_declared else "X_Token_Usage"
+        )
         self._usages = [None]
         self._sent_count = 0
         if stream_ms:
--- a/vanillareach/features/stopping.feature
+++ b/vanillareach/features/stopping.feature
@@ -70,7 +70,7 @@
   @platform
   Scenario Outline: A stopping gateway cuts no stream that comes late on a new connection
     Given a gateway with 8 s to stop, a peer, and engines of busy pace <pace>
-    And <served> streams of <short> ms were served that don't tell their length
+    And <served> streams of <short> ms of undeclared length were served
     When it stops and streams of <long> ms come on new connections from 2850 to 3150 ms later
     Then each of them is whole, refused, or came to a closed connection
 
@@ -88,11 +88,11 @@
     Then each of them is whole, refused, or came to a closed connection
 
   # Guards against the longest of a few short streams counting as the longest that comes,
-  # and against refusing all whose length isn't told.
+  # and against refusing all whose length isn't declared.
   @platform
-  Scenario Outline: A stopping gateway takes streams of untold length by many earlier ones
+  Scenario Outline: A stopping gateway takes streams of undeclared length by many earlier ones
     Given a gateway with 8 s to stop, a peer, and engines of busy pace 1.0
-    And <served> streams of 300 ms were served that don't tell their length
+    And <served> streams of 300 ms of undeclared length were served
     When it stops and streams of <long> ms come on new connections from 500 to 2500 ms later
     Then each of them is whole, refused, or came to a closed connection
     And at least <whole> of them are whole
@@ -105,9 +105,9 @@
   # Guards against streams that are accepted like earlier ones though others in progress
   # show that streams have become longer.
   @platform
-  Scenario: A stopping gateway takes no stream of untold length once others are longer
+  Scenario: A stopping gateway takes no stream of undeclared length once others are longer
     Given a gateway with 6 s to stop, a peer, and engines of busy pace 1.0
-    And 24 streams of 300 ms were served that don't tell their length
+    And 24 streams of 300 ms of undeclared length were served
     When it stops and streams of 5000 ms come on new connections from 0 to 2500 ms later
     Then at most 2 of them are cut and the others are whole or refused
 
--- a/vanillareach/features/users_platform/paced_endpoint.py
+++ b/vanillareach/features/users_platform/paced_endpoint.py
@@ -7,8 +7,8 @@
 from vanillareach.features.users_platform.endpoint import StandinEndpoint
 from vanillareach.platform import names
 
-# Stands for the length of an answer that callers don't tell the gateway.
-UNTOLD_USAGE = b"x-token-usage"
+# Stands for the length of an answer that callers don't declare.
+UNDECLARED_USAGE = b"x-token-usage"
 
 
 class PacedEndpoint(StandinEndpoint):
@@ -42,7 +42,7 @@
 
     async def _paced_stream(self, received, responder):
         values = received.values_by_name
-        usage = values.get(names.TOKEN_USAGE) or values[UNTOLD_USAGE]
+        usage = values.get(names.TOKEN_USAGE) or values[UNDECLARED_USAGE]
         tokens = int(usage.split(",")[1])
         first = int(received.values_by_name.get(names.LAST_EVENT_ID, "0")) + 1
         headers = self._response_headers(received)
