--- a/vanillareach/features/steps/kept_connections.py
+++ b/vanillareach/features/steps/kept_connections.py
@@ -133,7 +133,7 @@
         PlatformStore.read_configuration,
         PlatformStore.list_endpoints,
     )
-    context.is_own = lambda answer: answer[0].revision == 9
+    context.is_own = lambda answer: answer.position.revision == 9
 
 
 @when("a client of the object API reads one object and then another")
