--- a/vanillareach/features/steps/cold_engines.py
+++ b/vanillareach/features/steps/cold_engines.py
@@ -24,11 +24,10 @@
 from vanillareach.gateways_cli import instances_table
 from vanillareach.platform.documents import (
     EndpointDocument,
-    MetadataDocument,
-    ObjectDocument,
     decode_configuration,
     decode_endpoint,
 )
+from vanillareach.platform.pages import MetadataDocument, ObjectDocument
 from vanillareach.platform.signals import read_signals
 
 ENGINE = ListedEndpoint("e", 1, "model", "10.0.0.1:80", "a", 6, False)
--- a/vanillareach/features/steps/fuzz.py
+++ b/vanillareach/features/steps/fuzz.py
@@ -30,10 +30,10 @@
 from vanillareach.platform.calls import PlatformProtocol
 from vanillareach.platform.documents import (
     DocumentError,
-    ObjectDocument,
     decode_configuration,
     decode_endpoint,
 )
+from vanillareach.platform.pages import ObjectDocument
 from vanillareach.platform.store import PlatformStore
 from vanillareach.utils import split_address
 
--- a/vanillareach/features/steps/unreadable_pages.py
+++ b/vanillareach/features/steps/unreadable_pages.py
@@ -16,7 +16,7 @@
 from vanillareach.gateway.settings import GatewaySettings
 from vanillareach.gateway.state import GatewayState
 from vanillareach.gateway.state_fetch import StateFetcher
-from vanillareach.platform.documents import PageDocument, decode_page
+from vanillareach.platform.pages import PageDocument, decode_page
 from vanillareach.platform.store import PlatformStore
 
 LONG_TEXT_CHARACTERS = 900_000
--- a/vanillareach/platform/store.py
+++ b/vanillareach/platform/store.py
@@ -25,13 +25,15 @@
 from vanillareach.platform.documents import (
     UNDECODABLE,
     DocumentError,
+    decode_configuration,
+    decode_endpoint,
+)
+from vanillareach.platform.pages import (
     NamedPageDocument,
     NamedWatchDocument,
     ObjectDocument,
     PageDocument,
     WatchDocument,
-    decode_configuration,
-    decode_endpoint,
     decode_page,
 )
 from vanillareach.response_checks import ResponseCheckBackend
@@ -277,7 +279,7 @@
         objects = ListedObjects()
         query = "allow_stale=1" if may_be_stale else ""
         path = f"{kind}?{query}" if query else kind
-        earlier_ends, has_guessed = set(), False
+        earlier_cursors, has_guessed = set(), False
         while True:
             response = await self._call("GET", path)
             page = _decode_page(response, page_type)
@@ -288,15 +290,16 @@
                 )
             if not page.more:
                 return objects
-            end = page.items.end
-            if end is None or end in earlier_ends:
-                if end is not None and not has_guessed:
-                    raise PlatformUnavailableError(f"{kind}: {end!r} ends two pages")
+            cursor = page.items.cursor
+            if cursor is None or cursor in earlier_cursors:
+                if cursor is not None and not has_guessed:
+                    raise PlatformUnavailableError(f"{kind}: {cursor!r} ends two pages")
                 objects.gap = f"{kind}: no name of a page can be read"
                 return objects
-            earlier_ends.add(end)
-            has_guessed |= isinstance(end, bytes)
-            path = f"{kind}?after={_escape(end)}"
+            earlier_cursors.add(cursor)
+            # How the store orders a name that can't be read isn't known.
+            has_guessed |= isinstance(cursor, bytes)
+            path = f"{kind}?after={_escape(cursor)}"
             if query:
                 path += f"&{query}"
 
