Read names of evacuations like those of all objects

Names that are read apart from their objects made the documents without content superfluous, and the last cursor follows from the items. A page of any list has to tell its revision now, as those of evacuations had to before.

--- a/vanillareach/platform/pages.py
+++ b/vanillareach/platform/pages.py
@@ -49,8 +49,8 @@
     OBJECT_PATH: ClassVar = ()
 
     items: list[ObjectDocument]
+    at: Int64
     more: bool = False
-    at: Int64 = 0
 
 
 class EventDocument(msgspec.Struct):
@@ -75,56 +75,6 @@
     at: Int64
 
 
-class NameDocument(msgspec.Struct):
-    """Name of an object."""
-
-    name: str
-
-
-class NamedDocument(msgspec.Struct):
-    """An object of which only the name matters, whatever else it says."""
-
-    metadata: NameDocument
-
-    @property
-    def object_name(self):
-        """Name of the object."""
-        return self.metadata.name
-
-
-class NamedPageDocument(msgspec.Struct):
-    """One page of a list of which only the names matter; see `PageDocument`."""
-
-    ITEM_TYPE: ClassVar = NamedDocument
-    OBJECT_PATH: ClassVar = ()
-
-    items: list[NamedDocument]
-    at: Int64
-    more: bool = False
-
-
-class NamedEventDocument(msgspec.Struct):
-    """One change to an object of which only the name matters."""
-
-    object: NamedDocument
-    deleted: bool = False
-
-    @property
-    def object_name(self):
-        """Name of the object."""
-        return self.object.metadata.name
-
-
-class NamedWatchDocument(msgspec.Struct):
-    """Response to a watch of which only the names matter; see `WatchDocument`."""
-
-    ITEM_TYPE: ClassVar = NamedEventDocument
-    OBJECT_PATH: ClassVar = (b'"object"',)
-
-    events: list[NamedEventDocument]
-    at: Int64
-
-
 class UnreadableItem:
     """Item of a list or watch that can't be decoded.
 
@@ -135,7 +85,7 @@
     raw_name : bytes or None
         Text of the name as the store sent it; None if there is none.
     is_deleted : bool or None
-        Whether the item says that the object was deleted; None if it doesn't.
+        Whether an event says that the object was deleted; None if that can't be read.
     description : str
     """
 
@@ -146,8 +96,11 @@
             text, (*object_path, b'"metadata"', b'"name"'), MAX_ITEM_TOKENS
         )
         self.name = _decode_or_none(self.raw_name, str)
-        is_deleted = find_value(text, (b'"deleted"',), MAX_ITEM_TOKENS)
-        self.is_deleted = _decode_or_none(is_deleted, bool)
+        self.is_deleted = None
+        # Items of lists are objects, which have no such field.
+        if object_path:
+            is_deleted = find_value(text, (b'"deleted"',), MAX_ITEM_TOKENS)
+            self.is_deleted = _decode_or_none(is_deleted, bool)
         beginning = text[:MAX_DESCRIBED_BYTES].decode("utf-8", "replace")
         self.description = f"{beginning}: {cause}"
 
@@ -180,14 +133,13 @@
         Whether the rest was left out, as it would take too long to read.
     """
 
-    __slots__ = ("_last_name", "_last_raw_cursor", "decoded", "is_cut", "unreadable")
+    __slots__ = ("_last_name", "decoded", "is_cut", "unreadable")
 
     def __init__(self):
         self.decoded = []
         self.unreadable = []
         self.is_cut = False
         self._last_name = None
-        self._last_raw_cursor = None
 
     @property
     def cursor(self):
@@ -196,7 +148,9 @@
         It is the last name that can be read, or else the `raw_cursor` of the last item.
         None if that isn't known either.
         """
-        return self._last_raw_cursor if self._last_name is None else self._last_name
+        if self._last_name is not None or not self.unreadable:
+            return self._last_name
+        return self.unreadable[-1].raw_cursor
 
     def add(self, item):
         """Add a decoded item."""
@@ -206,7 +160,6 @@
     def add_unreadable(self, item):
         """Add an `UnreadableItem`."""
         self.unreadable.append(item)
-        self._last_raw_cursor = item.raw_cursor
         if item.name is not None:
             self._last_name = item.name
 
--- a/vanillareach/platform/store.py
+++ b/vanillareach/platform/store.py
@@ -29,8 +29,6 @@
     decode_endpoint,
 )
 from vanillareach.platform.pages import (
-    NamedPageDocument,
-    NamedWatchDocument,
     ObjectDocument,
     PageDocument,
     WatchDocument,
@@ -186,7 +184,7 @@
 
     async def list_evacuations(self):
         """List the evacuated domains; see `DeploymentStore`."""
-        objects = await self._list(names.EVACUATION_KIND, page_type=NamedPageDocument)
+        objects = await self._list(names.EVACUATION_KIND)
         domains = [item.object_name for item in objects.decoded]
         unreadable = []
         for item in objects.unreadable:
@@ -206,7 +204,7 @@
             raise PlatformGoneError(
                 "the store no longer has the history of the evacuations"
             )
-        page = _decode_page(response, NamedWatchDocument)
+        page = _decode_page(response, WatchDocument)
         if page.items.is_cut or any(
             item.name is None or item.is_deleted is None
             for item in page.items.unreadable
@@ -266,23 +264,23 @@
         if response.status != 404:
             _raise_for_status(response)
 
-    async def _list(self, kind, may_be_stale=False, page_type=PageDocument):
+    async def _list(self, kind, may_be_stale=False):
         try:
             with trio.fail_after(LIST_TIME_LIMIT_MS / MS_PER_SECOND):
-                return await self._list_pages(kind, may_be_stale, page_type)
+                return await self._list_pages(kind, may_be_stale)
         except trio.TooSlowError as error:
             raise PlatformUnavailableError(
                 f"{kind}: list incomplete after {LIST_TIME_LIMIT_MS:.0f} ms"
             ) from error
 
-    async def _list_pages(self, kind, may_be_stale, page_type):
+    async def _list_pages(self, kind, may_be_stale):
         objects = ListedObjects()
         query = "allow_stale=1" if may_be_stale else ""
         path = f"{kind}?{query}" if query else kind
         earlier_cursors, has_guessed = set(), False
         while True:
             response = await self._call("GET", path)
-            page = _decode_page(response, page_type)
+            page = _decode_page(response, PageDocument)
             objects.add_page(page, _read_era(response))
             if objects.count > MAX_LISTED_OBJECTS:
                 raise PlatformUnavailableError(
