Ask once whether a late stream is bounded, and where a 421 comes from in one place

The placement of a request has asked already when it asks whether an answer ends too late. That only the addressed process signs its 421 belongs to is_misdirected, so what such an answer says of its endpoint is recorded as well; it was ignored.

--- a/vanillareach/core/shutdown_admission.py
+++ b/vanillareach/core/shutdown_admission.py
@@ -64,7 +64,7 @@
     def is_unbounded(self, exchange, now_ms):
         """Return whether nothing ensures that a stream ends before the instance.
 
-        Before `prediction_until_ms` it may be predicted to.
+        Before `prediction_until_ms` it may be predicted to; see `ends_too_late`.
         """
         if exchange.route.kind is not RequestKind.STREAM:
             return False
@@ -81,8 +81,6 @@
         time_left_ms = self.time_left_ms(exchange, now_ms)
         if math.isinf(time_left_ms):
             return False
-        if self.is_unbounded(exchange, now_ms):
-            return True
         least_ms = self.least_answer_ms(exchange, now_ms)
         if _is_length_unknown(exchange) and not self._is_length_predictable(
             exchange.route.name, least_ms, now_ms
--- a/vanillareach/platform/calls.py
+++ b/vanillareach/platform/calls.py
@@ -79,8 +79,6 @@
         first_values = _first_values_by_name(headers)
         connection_value = first_values.get(b"connection", b"").lower()
         has_signature = names.SIGNATURE in first_values
-        # Another process than the one addressed doesn't sign.
-        is_foreign = is_misdirected(status, headers) and not has_signature
         # A body with a content encoding was not produced by the endpoint itself.
         is_signed = has_signature and b"content-encoding" not in first_values
         return ResponseFields(
@@ -90,7 +88,7 @@
             or (status == MISDIRECTED_STATUS and not has_signature),
             says_not_run=status in names.NOT_RUN_STATUSES,
             is_replaced_failure=names.FAILURE_STATUS in first_values,
-            is_misdirected=is_foreign,
+            is_misdirected=is_misdirected(status, headers),
             closes_connection=b"close" in connection_value,
             failed_helper_address=first_values.get(names.FAULTY_SERVER, b"").decode(
                 "latin-1"
--- a/vanillareach/platform/signals.py
+++ b/vanillareach/platform/signals.py
@@ -49,9 +49,12 @@
 
 
 def is_misdirected(status, headers):
-    """Return whether a request reached another process than the one addressed."""
+    """Return whether a request reached another process than the one addressed.
+
+    Only the one addressed signs its answer.
+    """
     return status == MISDIRECTED_STATUS and not any(
-        name.lower() == names.FAULTY_SERVER for name, _ in headers
+        name.lower() in (names.FAULTY_SERVER, names.SIGNATURE) for name, _ in headers
     )
 
 
