--- a/vanillareach/features/steps/stop_admission.py
+++ b/vanillareach/features/steps/stop_admission.py
@@ -22,6 +22,12 @@
     )
 
 
+def spread(first_ms, last_ms):
+    """Return the times of requests, one for each connection, at even intervals."""
+    step_ms = (last_ms - first_ms) / (CONNECTIONS - 1)
+    return [first_ms + step_ms * number for number in range(CONNECTIONS)]
+
+
 async def connect_and_call(context, count):
     """Keep connections, of which some have had a response."""
     platform = context.platform
@@ -55,9 +61,7 @@
 )
 def step_stop_with_new(context, stream_ms, first_ms, last_ms):
     context.trial.set_durations([stream_ms])
-    step_ms = (last_ms - first_ms) / (CONNECTIONS - 1)
-    times_ms = [first_ms + step_ms * number for number in range(CONNECTIONS)]
-    context.outcomes = context.run(context.trial.run_new, times_ms)
+    context.outcomes = context.run(context.trial.run_new, spread(first_ms, last_ms))
 
 
 @given("{count:d} calls were answered on connections that are kept")
@@ -78,8 +82,7 @@
     "later"
 )
 def step_stop(context, what, first_ms, last_ms):
-    step_ms = (last_ms - first_ms) / (CONNECTIONS - 1)
-    times_ms = [first_ms + step_ms * number for number in range(CONNECTIONS)]
+    times_ms = spread(first_ms, last_ms)
     context.outcomes = context.run(context.trial.run, context.callers, times_ms)
 
 
--- a/vanillareach/features/steps/unreadable_pages.py
+++ b/vanillareach/features/steps/unreadable_pages.py
@@ -104,16 +104,7 @@
 
 def make_state(context):
     """Return the state of a gateway that has heard of nothing yet."""
-    settings = GatewaySettings(
-        name="g9",
-        domain="zone-a",
-        **{
-            field: free_address()
-            for field in ("front_listen", "ready_listen", "metrics_listen")
-            + ("peer_listen", "forward_listen", "store")
-        },
-    )
-    return GatewayState(settings, context.platform.clock)
+    return GatewayState(GatewaySettings(name="g9"), context.platform.clock)
 
 
 class ReplyingLink:
